--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -20,7 +20,7 @@
   HttpInstanceList,
   HttpObjectStore,
   OpenAiEngineClient,
-} from "@banyanlb/platform";
+} from "@banyanlb/clients";
 import {
   ConfigFollower,
   FreshnessGuard,
--- /dev/null
+++ b/packages/gateway/src/engine_connections.ts
@@ -0,0 +1,135 @@
+/** Connections to engines, and one request on one of them.
+ *
+ * @module
+ */
+import { Agent, type ClientRequest, request } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import type { Engine } from "@banyanlb/serving";
+
+/** Time allowed for a new connection, in milliseconds: engines accept within
+ * a few; a machine without power never answers. */
+const CONNECT_TIMEOUT_MS = 700;
+
+/** Connections that one instance may open to an engine at least. */
+const CONNECTIONS_MIN = 4;
+
+/** Part of an engine's connections that all instances use together: control
+ * calls and connections that are closing need the rest. */
+const CONNECTIONS_FRACTION = 0.85;
+
+/** Idle connections are closed by us after this time, in milliseconds. */
+const IDLE_MS = 12_000;
+
+/** Idle connections are probed after this time, in milliseconds. */
+const PROBE_IDLE_MS = 1000;
+
+/** An agent that drops a connection on which bytes come unasked. */
+class EngineAgent extends Agent {
+  override keepSocketAlive(stream: Duplex): boolean {
+    const socket = stream as Socket;
+    socket.setKeepAlive(true, PROBE_IDLE_MS);
+    socket.on("data", destroyOnData);
+    return true;
+  }
+
+  override reuseSocket(socket: Duplex): void {
+    socket.removeListener("data", destroyOnData);
+  }
+}
+
+function destroyOnData(this: Socket): void {
+  this.destroy();
+}
+
+/** One request to send. */
+export interface Outgoing {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly string[];
+  readonly body: Buffer | undefined;
+}
+
+/** One request under way. */
+export interface EngineCall {
+  readonly req: ClientRequest;
+  /** Whether bytes may have reached the engine. */
+  written(): boolean;
+}
+
+/** Connections to all engines, an agent for each start of one. */
+export class EngineConnections {
+  readonly #agents = new Map<string, EngineAgent>();
+
+  /** Starts a request. */
+  send(
+    engine: Engine,
+    out: Outgoing,
+    limits: { readonly maxConnections: number; readonly instances: number },
+  ): EngineCall {
+    const agent = this.#agent(engine.key);
+    agent.maxSockets = Math.max(
+      CONNECTIONS_MIN,
+      Math.floor(
+        limits.maxConnections * CONNECTIONS_FRACTION /
+          Math.max(1, limits.instances),
+      ),
+    );
+    const req = request({
+      agent,
+      host: engine.host,
+      port: engine.port,
+      method: out.method,
+      path: out.path,
+      headers: out.headers as string[],
+      setHost: false,
+    });
+    let written = false;
+    req.on("socket", (socket: Socket) => {
+      if (!socket.connecting) {
+        written = true;
+        return;
+      }
+      const timer = setTimeout(
+        () => socket.destroy(new Error("connection timed out")),
+        CONNECT_TIMEOUT_MS,
+      );
+      socket.once("connect", () => {
+        written = true;
+        clearTimeout(timer);
+      });
+      socket.once("close", () => clearTimeout(timer));
+    });
+    req.end(out.body);
+    return { req, written: () => written };
+  }
+
+  /** Engines with connections. */
+  keys(): Iterable<string> {
+    return this.#agents.keys();
+  }
+
+  /** Closes the connections of an engine that is gone. */
+  drop(engineKey: string): void {
+    this.#agents.get(engineKey)?.destroy();
+    this.#agents.delete(engineKey);
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    for (const key of [...this.#agents.keys()]) this.drop(key);
+  }
+
+  #agent(key: string): EngineAgent {
+    let agent = this.#agents.get(key);
+    if (agent === undefined) {
+      agent = new EngineAgent({
+        keepAlive: true,
+        scheduling: "lifo",
+        timeout: IDLE_MS,
+      });
+      this.#agents.set(key, agent);
+    }
+    return agent;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,355 @@
+/** Wires the parts of the gateway.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { EventLog } from "@banyanlb/core";
+import {
+  EngineBoard,
+  EngineChooser,
+  type Member,
+  MemberTable,
+  RetryAllowance,
+  steer,
+  type Surroundings,
+  SystemClocks,
+  TokenRate,
+  type Workspace,
+} from "@banyanlb/serving";
+import {
+  EngineControlClient,
+  type InstanceSettings,
+  ObjectStoreClient,
+  PlatformCallerProtocol,
+} from "@banyanlb/platform";
+import { AdapterLoader } from "./adapter_loader.ts";
+import { CallerServer } from "./caller_server.ts";
+import { Digests } from "./digests.ts";
+import { EngineConnections } from "./engine_connections.ts";
+import * as events from "./events.ts";
+import { Knowledge } from "./knowledge.ts";
+import { Membership } from "./membership.ts";
+import { GatewayMetrics } from "./metrics.ts";
+import type { PeerMessage } from "./peer_messages.ts";
+import { PeerLinks, type Respond } from "./peer_links.ts";
+import { answerPlain, Relay } from "./relay.ts";
+import { UseCounts } from "./use_counts.ts";
+
+/** Time between digests, in milliseconds: how old other instances' counts may
+ * be. */
+const DIGEST_MS = 200;
+
+/** Time between steps of the loader, in milliseconds. */
+const TICK_MS = 50;
+
+/** How long callers keep the addresses, in seconds: short against the time in
+ * which a lost instance would be missed. */
+const STEERING_KEEP_SECONDS = 2;
+
+/** A stopping process ends no sooner than this: callers that keep addresses
+ * still connect. */
+const LEAVE_MIN_MS = 3000;
+
+/** It ends once no request has come for this long. */
+const LEAVE_IDLE_MS = 400;
+
+/** It ends this long before it would be killed. */
+const KILL_MARGIN_MS = 500;
+
+/** Longest header block that callers may send; the configuration's limit is
+ * not known before the listener opens. */
+const HEADER_MAX_BYTES = 64 * 1024;
+
+/** A running gateway. */
+export class Gateway {
+  readonly #settings: InstanceSettings;
+  readonly #log: EventLog;
+  readonly #self: Member;
+  readonly #board = new EngineBoard();
+  readonly #clocks = new SystemClocks();
+  readonly #metrics = new GatewayMetrics();
+  readonly #protocol = new PlatformCallerProtocol();
+  readonly #store: ObjectStoreClient;
+  readonly #control = new EngineControlClient();
+  readonly #connections = new EngineConnections();
+  readonly #members: MemberTable;
+  readonly #knowledge: Knowledge;
+  readonly #membership: Membership;
+  readonly #links: PeerLinks;
+  readonly #loader: AdapterLoader;
+  readonly #digests: Digests;
+  readonly #rates = new Map<string, TokenRate>();
+  readonly #allowances = new Map<string, RetryAllowance>();
+  readonly #callers: CallerServer;
+  readonly #readiness: CallerServer;
+  readonly #steering: CallerServer;
+  readonly #timers: NodeJS.Timeout[] = [];
+  #leaving = false;
+
+  constructor(settings: InstanceSettings, log: EventLog) {
+    this.#settings = settings;
+    this.#log = log;
+    const addressText = (a: { host: string; port: number }) =>
+      `${a.host}:${a.port}`;
+    this.#self = {
+      name: settings.name,
+      zone: settings.zone,
+      region: settings.region,
+      peerAddress: addressText(settings.peers),
+      callerAddress: addressText(settings.callers),
+      incarnation: randomUUID().slice(0, 8),
+    };
+    this.#store = new ObjectStoreClient(settings.store);
+    this.#members = new MemberTable(settings.name);
+    this.#knowledge = new Knowledge(this.#store, { board: this.#board, log });
+    this.#membership = new Membership(this.#store, {
+      self: this.#self,
+      members: this.#members,
+      board: this.#board,
+      clocks: this.#clocks,
+      log,
+      orderGapMs: settings.bounds.orderGapMs,
+      takesOrders: (service) =>
+        this.#knowledge.table?.findService(service)?.engineClass !== undefined,
+    });
+    this.#links = new PeerLinks(
+      this.#self,
+      (from, message, respond) => this.#onPeer(from, message, respond),
+    );
+    this.#loader = new AdapterLoader({
+      self: settings.name,
+      board: this.#board,
+      control: this.#control,
+      knowledge: this.#knowledge,
+      membership: this.#membership,
+      members: this.#members,
+      links: this.#links,
+      log,
+      metrics: this.#metrics,
+    });
+    const use = new UseCounts();
+    this.#digests = new Digests({
+      self: this.#self,
+      members: this.#members,
+      membership: this.#membership,
+      board: this.#board,
+      loader: this.#loader,
+      knowledge: this.#knowledge,
+      rates: this.#rates,
+      use,
+      links: () => this.#links,
+      state: () => ({ ready: this.#ready, leaving: this.#leaving }),
+      log,
+    });
+    const relay = new Relay({
+      protocol: this.#protocol,
+      table: () => this.#knowledge.table,
+      board: this.#board,
+      chooser: new EngineChooser(this.#board),
+      loader: this.#loader,
+      connections: this.#connections,
+      members: this.#members,
+      rateOf: (workspace) => this.#rateOf(workspace),
+      allowanceOf: (service) => this.#allowanceOf(service),
+      versionOf: (model, adapter) => this.#knowledge.versionOf(model, adapter),
+      around: (now) => this.#around(now),
+      use,
+      log,
+      metrics: this.#metrics,
+    });
+    const server = (handle: (q: IncomingMessage, s: ServerResponse) => void) =>
+      new CallerServer(handle, { maxHeaderBytes: HEADER_MAX_BYTES });
+    this.#callers = server((req, res) => {
+      relay.serve(req, res).catch((err: unknown) => {
+        log.write(events.UNEXPECTED, { error: String(err) });
+        res.destroy();
+      });
+    });
+    this.#readiness = server((req, res) => this.#answerReadiness(req, res));
+    this.#steering = server((req, res) => this.#answerSteering(req, res));
+    this.#knowledge.onChange = () => this.#onKnowledge();
+  }
+
+  /** Opens the listeners and starts to follow the store. */
+  async start(): Promise<void> {
+    this.#knowledge.start();
+    this.#membership.start();
+    await Promise.all([
+      this.#links.listen(this.#settings.peers),
+      this.#callers.listen(this.#settings.callers),
+      this.#readiness.listen(this.#settings.readiness),
+      this.#steering.listen(this.#settings.steering),
+    ]);
+    for (const seed of this.#settings.seeds) {
+      if (seed === this.#self.peerAddress) continue;
+      // The first message introduces this instance; the peer's digests follow.
+      this.#links.send(seed, { t: "hello", member: this.#self });
+    }
+    this.#timers.push(
+      setInterval(() => this.#digests.send(), DIGEST_MS),
+      setInterval(() => this.#tick(), TICK_MS),
+    );
+    this.#log.write(events.STARTED, {
+      name: this.#self.name,
+      zone: this.#self.zone,
+      callers: this.#self.callerAddress,
+      peers: this.#self.peerAddress,
+      incarnation: this.#self.incarnation,
+    });
+  }
+
+  /** Takes no new callers, serves those that come all the same, and resolves
+   * when the process may end. */
+  async stop(): Promise<void> {
+    if (this.#leaving) return;
+    this.#leaving = true;
+    const since = performance.now();
+    this.#log.write(events.STOPPING, { active: this.#callers.active });
+    this.#callers.leave();
+    this.#digests.send();
+    const endsAt = since + this.#settings.bounds.graceMs - KILL_MARGIN_MS;
+    while (performance.now() < endsAt) {
+      const waited = performance.now() - since;
+      if (
+        waited > LEAVE_MIN_MS && this.#callers.active === 0 &&
+        this.#callers.idleMs() > LEAVE_IDLE_MS
+      ) break;
+      await new Promise((resolve) => setTimeout(resolve, 100));
+    }
+    this.#log.write(events.STOPPED, {
+      active: this.#callers.active,
+      ms: Math.round(performance.now() - since),
+    });
+    this.close();
+  }
+
+  /** Ends everything at once. */
+  close(): void {
+    for (const timer of this.#timers) clearInterval(timer);
+    this.#knowledge.close();
+    this.#membership.close();
+    this.#links.close();
+    this.#connections.close();
+    this.#control.close();
+    this.#store.close();
+    for (const s of [this.#callers, this.#readiness, this.#steering]) s.close();
+  }
+
+  get #ready(): boolean {
+    return this.#knowledge.ready && !this.#leaving;
+  }
+
+  #tick(): void {
+    this.#knowledge.expireLapsed(performance.now());
+    this.#loader.tick();
+  }
+
+  #onKnowledge(): void {
+    const table = this.#knowledge.table;
+    if (table === undefined) return;
+    this.#callers.setLimits(table.configuration.limits);
+    const keys = new Set([...this.#board.all()].map((v) => v.engine.key));
+    for (const key of this.#connections.keys()) {
+      if (!keys.has(key)) this.#connections.drop(key);
+    }
+    for (const workspace of table.configuration.workspaces) {
+      this.#rates.get(workspace.name)?.setLimit({
+        perSecond: workspace.ratePerSecond,
+        burst: workspace.burst,
+      });
+    }
+  }
+
+  #rateOf(workspace: Workspace): TokenRate | undefined {
+    if (workspace.ratePerSecond <= 0) return undefined;
+    let rate = this.#rates.get(workspace.name);
+    if (rate === undefined) {
+      const limit = {
+        perSecond: workspace.ratePerSecond,
+        burst: workspace.burst,
+      };
+      rate = new TokenRate(limit, performance.now());
+      this.#rates.set(workspace.name, rate);
+    }
+    return rate;
+  }
+
+  #allowanceOf(service: string): RetryAllowance {
+    let allowance = this.#allowances.get(service);
+    if (allowance === undefined) {
+      const { retryRatio, retryWindowMs, retryFixed } = this.#settings.bounds;
+      allowance = new RetryAllowance({
+        ratio: retryRatio,
+        windowMs: retryWindowMs,
+        fixed: retryFixed,
+      });
+      this.#allowances.set(service, allowance);
+    }
+    return allowance;
+  }
+
+  #around(now: number): Surroundings {
+    return {
+      zone: this.#settings.zone,
+      regionOf: (zone) => this.#settings.regions.get(zone),
+      canOrder: (key) => this.#loader.canOrder(key),
+      now,
+    };
+  }
+
+  #onPeer(from: string, message: PeerMessage, respond: Respond): void {
+    switch (message.t) {
+      case "hello":
+        this.#members.introduce(message.member);
+        return;
+      case "digest":
+        this.#digests.take(from, message);
+        return;
+      case "load":
+        void this.#loader.loadHere(message.engine, message).then((ok) => {
+          if (message.quiet !== true) respond({ t: "loaded", n: message.n, ok });
+        });
+        return;
+      case "pull": {
+        const list = this.#knowledge.follower(message.kind).snapshot();
+        respond({ t: "pulled", n: message.n, list });
+        return;
+      }
+      default:
+        return;
+    }
+  }
+
+  #answerReadiness(req: IncomingMessage, res: ServerResponse): void {
+    if (req.url === "/metrics") {
+      res.end(this.#metrics.render());
+      return;
+    }
+    const known = this.#protocol.isReadiness(req.url ?? "");
+    res.statusCode = known ? (this.#ready ? 200 : 503) : 404;
+    res.end();
+  }
+
+  #answerSteering(req: IncomingMessage, res: ServerResponse): void {
+    const question = this.#protocol.readSteering(req.url ?? "");
+    if (question === undefined) {
+      return answerPlain(res, 404, { id: undefined, reason: "no_route" });
+    }
+    const ready = [...this.#members.ready(performance.now())];
+    if (this.#ready) ready.push(this.#self);
+    if (ready.length === 0) {
+      return answerPlain(res, 503, {
+        id: undefined,
+        reason: "no_instance",
+        waitSeconds: 0.5,
+      });
+    }
+    const keep = Math.min(
+      STEERING_KEEP_SECONDS,
+      this.#settings.bounds.steeringKeepMaxSeconds,
+    );
+    res.setHeader("content-type", "application/json");
+    res.end(this.#protocol.writeSteering(steer(ready, question), keep));
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/knowledge.ts
@@ -0,0 +1,231 @@
+/** What the store and the peers have told: configuration, engines, versions.
+ *
+ * @module
+ */
+import type { EventLog } from "@banyanlb/core";
+import {
+  adapterKey,
+  type Configuration,
+  type Engine,
+  type EngineBoard,
+  type RecordStore,
+  RouteTable,
+  type StoredRecord,
+} from "@banyanlb/serving";
+import {
+  CONFIGURATION_NAME,
+  decodeConfiguration,
+  decodeEngine,
+  decodeVersion,
+} from "@banyanlb/platform";
+import * as events from "./events.ts";
+import { KindFollower } from "./kind_follower.ts";
+import type { SharedKind } from "./peer_messages.ts";
+
+/** An engine whose entry vanished around an outage of the store is kept for
+ * this long: entries that lapsed are back within two seconds. */
+const LAPSED_KEPT_MS = 2200;
+
+/** After trouble with the store, removals within this time may be lapses. */
+const LAPSES_FOLLOW_MS = 4000;
+
+/** Longest watches: a bound on how long a silent connection goes unnoticed if
+ * no peer knows better. */
+const WATCH_MS = 8000;
+const ENGINES_WATCH_MS = 4000;
+
+/** Engines write often; changes within this time are taken in one call. */
+const ENGINES_GATHER_MS = 350;
+
+/** The gateway's knowledge, kept up to date. */
+export class Knowledge {
+  readonly #log: EventLog;
+  readonly #board: EngineBoard;
+  readonly #followers: Readonly<Record<SharedKind, KindFollower>>;
+  #table: RouteTable | undefined;
+  #engines: ReadonlyMap<string, Engine> = new Map();
+  readonly #lapsed = new Map<string, { engine: Engine; until: number }>();
+  #versions: ReadonlyMap<string, number> = new Map();
+  #troubleAt = -Infinity;
+  readonly #ignored = new Set<string>();
+  /** Called when the configuration or the engines have changed. */
+  onChange: () => void = () => undefined;
+
+  constructor(
+    store: RecordStore,
+    options: { readonly board: EngineBoard; readonly log: EventLog },
+  ) {
+    this.#board = options.board;
+    this.#log = options.log;
+    const follow = (
+      kind: SharedKind,
+      gatherMs: number,
+      waitMs: number,
+      onRecords: (records: ReadonlyMap<string, StoredRecord>) => void,
+    ) =>
+      new KindFollower(store, {
+        kind,
+        waitMs,
+        gatherMs,
+        onRecords,
+        onReachable: (reachable, reason) =>
+          this.#noteReachable(kind, reachable, reason),
+      });
+    this.#followers = {
+      configuration: follow(
+        "configuration",
+        0,
+        WATCH_MS,
+        (r) => this.#setConfiguration(r),
+      ),
+      engines: follow(
+        "engines",
+        ENGINES_GATHER_MS,
+        ENGINES_WATCH_MS,
+        (r) => this.#setEngines(r),
+      ),
+      versions: follow(
+        "versions",
+        0,
+        WATCH_MS,
+        (r) => this.#setVersions(r),
+      ),
+    };
+  }
+
+  /** The configuration in force, indexed. */
+  get table(): RouteTable | undefined {
+    return this.#table;
+  }
+
+  /** The engines of the list. */
+  get engines(): Iterable<Engine> {
+    return this.#engines.values();
+  }
+
+  /** Whether requests can be served. */
+  get ready(): boolean {
+    return this.#table !== undefined && this.#followers.engines.known;
+  }
+
+  /** The follower of a kind. */
+  follower(kind: SharedKind): KindFollower {
+    return this.#followers[kind];
+  }
+
+  /** The newest announced version of an adapter; 0 if none was announced. */
+  versionOf(model: string, adapter: string): number {
+    return this.#versions.get(adapterKey(model, adapter)) ?? 0;
+  }
+
+  /** Starts to follow the store. */
+  start(): void {
+    for (const follower of Object.values(this.#followers)) void follower.run();
+  }
+
+  /** Ends it. */
+  close(): void {
+    for (const follower of Object.values(this.#followers)) follower.close();
+  }
+
+  /** Drops engines whose entries have not come back. */
+  expireLapsed(now: number): void {
+    let changed = false;
+    for (const [key, { until }] of this.#lapsed) {
+      if (now < until) continue;
+      this.#lapsed.delete(key);
+      changed = true;
+      this.#log.write(events.ENGINE_CHANGED, { engine: key, state: "gone" });
+    }
+    if (changed) this.#publishEngines();
+  }
+
+  #noteReachable(kind: string, reachable: boolean, reason: string): void {
+    this.#troubleAt = performance.now();
+    if (reachable) this.#log.write(events.STORE_BACK, { kind });
+    else this.#log.write(events.STORE_LOST, { kind, reason });
+  }
+
+  #setConfiguration(records: ReadonlyMap<string, StoredRecord>): void {
+    const record = records.get(CONFIGURATION_NAME);
+    if (record === undefined) return;
+    const decoded: Configuration | undefined = decodeConfiguration(
+      record.value,
+    );
+    const current = this.#table?.configuration.version;
+    if (decoded === undefined) return;
+    if (current !== undefined && decoded.version <= current) return;
+    this.#table = new RouteTable(decoded);
+    this.#log.write(events.CONFIGURATION_IN_FORCE, {
+      version: decoded.version,
+      revision: record.revision,
+      before: current,
+    });
+    this.onChange();
+  }
+
+  #setVersions(records: ReadonlyMap<string, StoredRecord>): void {
+    const versions = new Map(this.#versions);
+    for (const record of records.values()) {
+      const announced = decodeVersion(record);
+      if (announced === undefined) continue;
+      const key = adapterKey(announced.model, announced.adapter);
+      if ((versions.get(key) ?? 0) >= announced.version) continue;
+      versions.set(key, announced.version);
+      this.#log.write(events.VERSION_ANNOUNCED, {
+        adapter: key,
+        version: announced.version,
+        revision: record.revision,
+      });
+    }
+    this.#versions = versions;
+  }
+
+  #setEngines(records: ReadonlyMap<string, StoredRecord>): void {
+    const now = performance.now();
+    const engines = new Map<string, Engine>();
+    for (const record of records.values()) {
+      const engine = decodeEngine(record);
+      if (engine !== undefined) engines.set(engine.key, engine);
+      else if (!this.#ignored.has(record.name)) {
+        this.#ignored.add(record.name);
+        this.#log.write(events.ENGINE_ENTRY_IGNORED, { name: record.name });
+      }
+    }
+    const mayBeLapse = now - this.#troubleAt < LAPSES_FOLLOW_MS;
+    const ids = new Set([...engines.values()].map((e) => e.id));
+    for (const engine of this.#engines.values()) {
+      if (engines.has(engine.key)) continue;
+      const kept = mayBeLapse && !engine.leaving && !ids.has(engine.id);
+      if (kept && !this.#lapsed.has(engine.key)) {
+        this.#lapsed.set(engine.key, { engine, until: now + LAPSED_KEPT_MS });
+      }
+      this.#log.write(events.ENGINE_CHANGED, {
+        engine: engine.key,
+        state: kept ? "lapsed" : "gone",
+      });
+    }
+    for (const [key, engine] of engines) {
+      this.#lapsed.delete(key);
+      const before = this.#engines.get(key);
+      if (before !== undefined && before.leaving === engine.leaving) continue;
+      this.#log.write(events.ENGINE_CHANGED, {
+        engine: key,
+        service: engine.service,
+        state: engine.leaving ? "leaving" : "ready",
+        remainingMs: engine.remainingMs,
+      });
+    }
+    for (const { engine } of this.#lapsed.values()) {
+      if (ids.has(engine.id)) this.#lapsed.delete(engine.key);
+    }
+    this.#engines = engines;
+    this.#publishEngines();
+  }
+
+  #publishEngines(): void {
+    const lapsed = [...this.#lapsed.values()].map(({ engine }) => engine);
+    this.#board.setEngines([...this.#engines.values(), ...lapsed]);
+    this.onChange();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peer_messages.ts
@@ -0,0 +1,88 @@
+/** Messages between instances. Field names are short: their bytes count.
+ *
+ * @module
+ */
+import type { Member, RecordList } from "@banyanlb/serving";
+
+/** Kinds of records that peers pass on to each other. */
+export const SHARED_KINDS = ["configuration", "engines", "versions"] as const;
+
+/** One of these kinds. */
+export type SharedKind = typeof SHARED_KINDS[number];
+
+/** First message on a connection. */
+export interface Hello {
+  readonly t: "hello";
+  readonly member: Member;
+}
+
+/** An adapter held: name, version, milliseconds until it can serve. */
+export type HeldRow = readonly [string, number, number];
+
+/** What one instance tells the others a few times a second. */
+export interface Digest {
+  readonly t: "digest";
+  /** Number of this digest, and the last one received from the peer. */
+  readonly seq: number;
+  readonly ack: number;
+  readonly ready: boolean;
+  readonly leaving: boolean;
+  /** The newest revision known of each shared kind. */
+  readonly revs: readonly number[];
+  /** Requests at each engine. */
+  readonly flight: Readonly<Record<string, number>>;
+  /** Units used by each workspace since this process started. */
+  readonly used: Readonly<Record<string, number>>;
+  /** Adapters of the engines at which the sender orders, if they changed. */
+  readonly held?: Readonly<Record<string, readonly HeldRow[]>>;
+  /** Fetches under way at these engines. */
+  readonly fetches: number;
+  /** Use of adapters at engines of the receiver: started, running. */
+  readonly use?: Readonly<
+    Record<string, Readonly<Record<string, readonly [number, number]>>>
+  >;
+}
+
+/** Asks the owner of an engine to have an adapter there. */
+export interface LoadRequest {
+  readonly t: "load";
+  readonly n: number;
+  readonly engine: string;
+  readonly model: string;
+  readonly adapter: string;
+  readonly version: number;
+  /** The adapter was said to be there and was not. */
+  readonly early?: boolean;
+  /** Nobody waits for the answer. */
+  readonly quiet?: boolean;
+}
+
+/** The owner's answer. */
+export interface LoadReply {
+  readonly t: "loaded";
+  readonly n: number;
+  readonly ok: boolean;
+}
+
+/** Asks for all records of a kind. */
+export interface PullRequest {
+  readonly t: "pull";
+  readonly n: number;
+  readonly kind: SharedKind;
+}
+
+/** All records of a kind, as the peer has them. */
+export interface PullReply {
+  readonly t: "pulled";
+  readonly n: number;
+  readonly list: RecordList | undefined;
+}
+
+/** Any message. */
+export type PeerMessage =
+  | Hello
+  | Digest
+  | LoadRequest
+  | LoadReply
+  | PullRequest
+  | PullReply;
--- /dev/null
+++ b/packages/gateway/src/relay.ts
@@ -0,0 +1,773 @@
+/** One caller's request, from its arrival to its last byte.
+ *
+ * What may be repeated follows from two facts about each attempt: whether
+ * bytes may have reached the engine, and whether the engine said that it did
+ * not run the request.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { EventLog } from "@banyanlb/core";
+import {
+  type CallerProtocol,
+  type CallerRequest,
+  type EngineBoard,
+  type EngineChooser,
+  type EngineView,
+  EventFramer,
+  type MemberTable,
+  pickService,
+  type RetryAllowance,
+  type Route,
+  type RouteTable,
+  type Surroundings,
+  type TokenRate,
+  type Workspace,
+} from "@banyanlb/serving";
+import type { AdapterLoader } from "./adapter_loader.ts";
+import type { EngineCall, EngineConnections } from "./engine_connections.ts";
+import * as events from "./events.ts";
+import type { GatewayMetrics } from "./metrics.ts";
+import { readBody } from "./read_body.ts";
+import type { UseCounts } from "./use_counts.ts";
+
+/** Added to a request's time before it is cut here: an engine gives its own
+ * answer when the time that it was handed ends. */
+const CUT_AFTER_MS = 150;
+
+/** No first byte from an engine after this many targets for the first byte
+ * means silence, if the request may be repeated. */
+const SILENT_TARGETS = 1.3;
+
+/** The same for plain services, whose targets are tight. */
+const SILENT_MIN_MS = 400;
+
+/** A running stream without a byte for this long goes on elsewhere. */
+const STALLED_MS = 1400;
+
+/** Loads that one request waits for at most. */
+const LOADS_MAX = 4;
+
+/** Engines that may refuse one request unrun before it is refused. */
+const REFUSALS_MAX = 4;
+
+/** An error answer is kept to be passed on if no retry succeeds, up to here. */
+const KEPT_ANSWER_BYTES = 64 * 1024;
+
+/** Seconds after which a refused caller may return: about one request's
+ * duration, spread so that callers do not return together. */
+const RETURN_SECONDS = 0.4;
+const RETURN_SPREAD_SECONDS = 0.8;
+
+/** The parts that a request passes through. */
+export interface RelayParts {
+  readonly protocol: CallerProtocol;
+  readonly table: () => RouteTable | undefined;
+  readonly board: EngineBoard;
+  readonly chooser: EngineChooser;
+  readonly loader: AdapterLoader;
+  readonly connections: EngineConnections;
+  readonly members: MemberTable;
+  readonly rateOf: (workspace: Workspace) => TokenRate | undefined;
+  readonly allowanceOf: (service: string) => RetryAllowance;
+  readonly versionOf: (model: string, adapter: string) => number;
+  readonly around: (now: number) => Surroundings;
+  readonly use: UseCounts;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+}
+
+/** How one attempt ended. */
+type AttemptEnd =
+  /** The answer was passed on whole, or the caller left. */
+  | { readonly kind: "finished" }
+  /** Certainly not run. */
+  | { readonly kind: "not_run"; readonly reason: string }
+  /** May have run; nothing was passed on. */
+  | { readonly kind: "failed"; readonly reason: string }
+  /** An error of the engine, kept to be passed on if need be. */
+  | { readonly kind: "error_answer"; readonly answer: KeptAnswer }
+  /** Broke off after events had been passed on. */
+  | { readonly kind: "broken"; readonly reason: string }
+  /** The request's time is over. */
+  | { readonly kind: "timed_out" };
+
+interface KeptAnswer {
+  readonly status: number;
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+}
+
+/** Serves callers' requests. */
+export class Relay {
+  readonly #parts: RelayParts;
+
+  constructor(parts: RelayParts) {
+    this.#parts = parts;
+  }
+
+  /** Serves one request. */
+  async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const { protocol, metrics, log } = this.#parts;
+    const arrivedAt = performance.now();
+    const caller = protocol.readRequest(req.rawHeaders);
+    const refuse = (status: number, reason: string, waitSeconds?: number) => {
+      metrics.add("refusals_total", `reason="${reason}"`);
+      log.write(events.REQUEST_REFUSED, {
+        id: caller.id,
+        status,
+        reason,
+        waitSeconds,
+        ms: Math.round(performance.now() - arrivedAt),
+      });
+      answerPlain(res, status, { id: caller.id, reason, waitSeconds });
+    };
+    const table = this.#parts.table();
+    if (table === undefined) return refuse(503, "no_configuration", 0.5);
+    if (caller.id === undefined || req.headers.host === undefined) {
+      return refuse(400, "malformed");
+    }
+    const route = table.findRoute(req.headers.host, req.url ?? "/");
+    if (route === undefined) return refuse(404, "no_route");
+    const workspace = caller.key === undefined
+      ? undefined
+      : table.findWorkspace(caller.key);
+    const needsKey = !route.isPublic &&
+      table.configuration.workspaces.length > 0;
+    if (needsKey && workspace === undefined) return refuse(401, "unknown_key");
+    const service = pickService(route, Math.random());
+    if (service === undefined) return refuse(503, "no_service", 1);
+    this.#parts.allowanceOf(service).countRequest(arrivedAt);
+    const body = await readBody(req, table.configuration.limits.maxBodyBytes);
+    if (body === "too_large") return refuse(413, "body_too_large");
+    if (body === "no_memory") return refuse(503, "no_memory", 1);
+    if (body === "broken") {
+      res.destroy();
+      return;
+    }
+    const exchange = new Exchange(this.#parts, {
+      req,
+      res,
+      caller,
+      route,
+      workspace,
+      service,
+      maxConnections: table.findService(service)?.maxConnections ?? 64,
+      body,
+      arrivedAt,
+      refuse,
+    });
+    await exchange.run();
+  }
+}
+
+interface ExchangeInput {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly caller: CallerRequest;
+  readonly route: Route;
+  readonly workspace: Workspace | undefined;
+  readonly service: string;
+  readonly maxConnections: number;
+  readonly body: Buffer | undefined;
+  readonly arrivedAt: number;
+  readonly refuse: (status: number, reason: string, wait?: number) => void;
+}
+
+/** One request's attempts. */
+class Exchange {
+  readonly #parts: RelayParts;
+  readonly #in: ExchangeInput;
+  readonly #endsAt: number;
+  readonly #excluded = new Set<string>();
+  readonly #framer = new EventFramer();
+  /** Attempts that may have run. */
+  #runs = 0;
+  #refusedUnrun = 0;
+  #loads = 0;
+  #lastEventId: string | undefined;
+  #kept: KeptAnswer | undefined;
+  #left = false;
+  #headSent = false;
+  #call: EngineCall | undefined;
+  #taken = 0;
+  #firstByteAt: number | undefined;
+
+  constructor(parts: RelayParts, input: ExchangeInput) {
+    this.#parts = parts;
+    this.#in = input;
+    const { caller, route, arrivedAt } = input;
+    this.#lastEventId = caller.lastEventId;
+    this.#endsAt = arrivedAt +
+      Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
+  }
+
+  get #repeatable(): boolean {
+    const { route } = this.#in;
+    return route.kind === "safe" || (route.kind === "stream" && route.resumable);
+  }
+
+  async run(): Promise<void> {
+    const { res, refuse } = this.#in;
+    if (!this.#takeRate()) return;
+    res.on("close", () => {
+      if (res.writableFinished) return;
+      this.#left = true;
+      this.#call?.req.destroy();
+    });
+    let reason = "no_engine";
+    for (;;) {
+      if (this.#left || res.destroyed) {
+        this.#parts.log.write(events.CALLER_LEFT, { id: this.#in.caller.id });
+        this.#releaseRate();
+        return;
+      }
+      if (performance.now() >= this.#endsAt) return this.#giveUp("timed_out");
+      const view = await this.#nextEngine();
+      if (view === "wait") continue;
+      if (typeof view === "string") {
+        if (this.#runs > 0) return this.#giveUp(view);
+        this.#releaseRate();
+        return refuse(503, `${view}:${reason}`, returnSeconds());
+      }
+      const end = await this.#attempt(view);
+      const now = performance.now();
+      if (end.kind === "finished") return;
+      if (end.kind === "timed_out") return this.#giveUp("timed_out");
+      this.#noteFailure(view, end, now);
+      if (end.kind === "error_answer") this.#kept = end.answer;
+      reason = "reason" in end ? end.reason : "engine_error";
+      const again = end.kind === "not_run"
+        ? this.#mayResend(now)
+        : this.#mayRepeat(now);
+      if (!again) {
+        if (end.kind === "not_run" && this.#runs === 0) {
+          this.#releaseRate();
+          return refuse(503, reason, returnSeconds());
+        }
+        return this.#giveUp(reason);
+      }
+    }
+  }
+
+  #takeRate(): boolean {
+    const { workspace, caller, refuse } = this.#in;
+    if (workspace === undefined) return true;
+    const rate = this.#parts.rateOf(workspace);
+    if (rate === undefined) return true;
+    const units = workspace.countsTokens
+      ? caller.tokens ?? workspace.plainTokens
+      : 1;
+    rate.refill(performance.now(), this.#silentShare());
+    if (!rate.take(units)) {
+      const wait = Math.min(5, Math.max(0.2, rate.waitMs(units) / 1000));
+      refuse(429, "over_rate", wait);
+      return false;
+    }
+    this.#taken = units;
+    return true;
+  }
+
+  #silentShare(): number {
+    return this.#parts.members.silentShare(performance.now());
+  }
+
+  #releaseRate(): void {
+    const { workspace } = this.#in;
+    if (workspace === undefined || this.#taken === 0 || this.#runs > 0) return;
+    this.#parts.rateOf(workspace)?.giveBack(this.#taken);
+    this.#taken = 0;
+  }
+
+  /** The engine for the next attempt, after a load if need be. */
+  async #nextEngine(): Promise<EngineView | "wait" | "full" | "no_engine"> {
+    const { caller, service } = this.#in;
+    const now = performance.now();
+    const { model, adapter } = caller;
+    const version = model !== undefined && adapter !== undefined
+      ? this.#parts.versionOf(model, adapter)
+      : 0;
+    const choice = this.#parts.chooser.choose({
+      service,
+      model,
+      adapter,
+      version,
+      excluded: this.#excluded,
+    }, this.#parts.around(now));
+    if (choice.kind === "none") return choice.reason;
+    if (choice.kind === "send") {
+      if (
+        choice.spreadTo !== undefined && model !== undefined &&
+        adapter !== undefined
+      ) {
+        void this.#parts.loader.load(choice.spreadTo, {
+          model,
+          adapter,
+          version,
+          quiet: true,
+        });
+      }
+      return choice.view;
+    }
+    if (model === undefined || adapter === undefined) return "no_engine";
+    this.#loads += 1;
+    if (this.#loads > LOADS_MAX) return "full";
+    const loaded = await this.#parts.loader.load(choice.view, {
+      model,
+      adapter,
+      version,
+    });
+    this.#parts.metrics.time(
+      "load_wait_ms",
+      `ok="${loaded}"`,
+      performance.now() - now,
+    );
+    if (loaded) return choice.view;
+    this.#excluded.add(choice.view.engine.key);
+    return "wait";
+  }
+
+  #noteFailure(view: EngineView, end: AttemptEnd, now: number): void {
+    const { caller } = this.#in;
+    const reason = "reason" in end ? end.reason : "engine_error";
+    const silent = reason === "silent" || reason === "unreachable" ||
+      reason === "stalled";
+    if (end.kind !== "not_run" || silent) {
+      view.health.note(silent ? "silent" : "failed", now);
+    }
+    this.#parts.metrics.add("attempt_failures_total", `reason="${reason}"`);
+    this.#parts.log.write(events.ATTEMPT_FAILED, {
+      id: caller.id,
+      engine: view.engine.key,
+      kind: end.kind,
+      reason,
+      status: end.kind === "error_answer" ? end.answer.status : undefined,
+      load: Math.round(view.load(now)),
+      ms: Math.round(now - this.#in.arrivedAt),
+    });
+    if (reason === "adapter_missing" && this.#refusedUnrun < REFUSALS_MAX) {
+      // Too early, or evicted meanwhile: its owner is told, and waits.
+      const { model, adapter } = caller;
+      if (model !== undefined && adapter !== undefined) {
+        void this.#parts.loader.load(view, {
+          model,
+          adapter,
+          version: this.#parts.versionOf(model, adapter),
+          early: true,
+          quiet: true,
+        });
+        if (!view.told) return;
+        const adapters = new Map(view.adapters);
+        const held = adapters.get(adapter);
+        if (held !== undefined) {
+          adapters.set(adapter, { ...held, readyAt: now + 40 });
+        }
+        view.adapters = adapters;
+      }
+      return;
+    }
+    this.#excluded.add(view.engine.key);
+  }
+
+  /** Whether a request that did not run may go to an engine once more. */
+  #mayResend(now: number): boolean {
+    this.#refusedUnrun += 1;
+    if (this.#refusedUnrun > REFUSALS_MAX || now >= this.#endsAt) return false;
+    return this.#parts.allowanceOf(this.#in.service)
+      .tryRepeat(now, this.#parts.members.aliveCount(now));
+  }
+
+  /** Whether a request that may have run may go to another engine. */
+  #mayRepeat(now: number): boolean {
+    if (!this.#repeatable || this.#runs >= this.#in.route.maxAttempts) {
+      return false;
+    }
+    if (now >= this.#endsAt) return false;
+    return this.#parts.allowanceOf(this.#in.service)
+      .tryRepeat(now, this.#parts.members.aliveCount(now));
+  }
+
+  /** Ends the request after the last attempt. */
+  #giveUp(reason: string): void {
+    const { res, caller, refuse } = this.#in;
+    if (this.#headSent) {
+      this.#fail(reason, 0);
+      res.destroy();
+      return;
+    }
+    if (this.#kept !== undefined) {
+      this.#passKept(this.#kept);
+      return;
+    }
+    if (this.#runs === 0) {
+      this.#releaseRate();
+      return refuse(503, reason, returnSeconds());
+    }
+    const status = reason === "timed_out" ? 504 : 502;
+    this.#fail(reason, status);
+    answerPlain(res, status, { id: caller.id, reason });
+  }
+
+  #fail(reason: string, status: number): void {
+    this.#parts.metrics.add("failures_total", `reason="${reason}"`);
+    this.#parts.log.write(events.REQUEST_FAILED, {
+      id: this.#in.caller.id,
+      route: this.#in.route.name,
+      reason,
+      status,
+      runs: this.#runs,
+      ms: Math.round(performance.now() - this.#in.arrivedAt),
+    });
+  }
+
+  #passKept(kept: KeptAnswer): void {
+    const { res } = this.#in;
+    res.writeHead(kept.status, withLength(kept.headers, kept.body.length));
+    res.end(kept.body);
+    this.#served(kept.status, undefined);
+  }
+
+  #served(status: number, view: EngineView | undefined): void {
+    const { arrivedAt, route, caller, workspace } = this.#in;
+    const now = performance.now();
+    const { metrics, log } = this.#parts;
+    metrics.add("answers_total", `status="${status}"`);
+    metrics.time("first_byte_ms", `kind="${route.kind}"`, (this.#firstByteAt ?? now) - arrivedAt);
+    metrics.time("answer_ms", `kind="${route.kind}"`, now - arrivedAt);
+    log.write(events.REQUEST_SERVED, {
+      id: caller.id,
+      route: route.name,
+      workspace: workspace?.name,
+      model: caller.model,
+      adapter: caller.adapter,
+      engine: view?.engine.key,
+      status,
+      runs: this.#runs,
+      loads: this.#loads,
+      firstMs: Math.round((this.#firstByteAt ?? now) - arrivedAt),
+      ms: Math.round(now - arrivedAt),
+    });
+  }
+
+  /** Sends the request to one engine and passes on what comes back. */
+  #attempt(view: EngineView): Promise<AttemptEnd> {
+    const { req, route, workspace, caller, body } = this.#in;
+    const { protocol, connections, members, use } = this.#parts;
+    const now = performance.now();
+    const held = caller.adapter === undefined
+      ? undefined
+      : view.adapters.get(caller.adapter);
+    const announced = caller.model === undefined || caller.adapter === undefined
+      ? 0
+      : this.#parts.versionOf(caller.model, caller.adapter);
+    const priority = workspace?.priority ?? route.priority;
+    const headers = protocol.passOn(req.rawHeaders, {
+      deadlineMs: this.#endsAt - now,
+      engineId: view.engine.id,
+      workspace: workspace?.name,
+      version: announced > 0 ? Math.max(announced, held?.version ?? 0) : undefined,
+      urgency: urgencyOf(priority, route),
+      lastEventId: this.#lastEventId,
+      bodyBytes: body?.length,
+    });
+    const call = connections.send(view.engine, {
+      method: req.method ?? "GET",
+      path: req.url ?? "/",
+      headers,
+      body,
+    }, {
+      maxConnections: this.#in.maxConnections,
+      instances: members.aliveCount(now),
+    });
+    this.#call = call;
+    view.inFlight += 1;
+    use.start(view.engine.key, caller.adapter);
+    return new Promise<AttemptEnd>((resolve) => {
+      this.#follow(view, call, resolve);
+    }).finally(() => {
+      view.inFlight -= 1;
+      use.end(view.engine.key, caller.adapter);
+    });
+  }
+
+  #follow(
+    view: EngineView,
+    call: EngineCall,
+    resolve: (end: AttemptEnd) => void,
+  ): void {
+    const { route } = this.#in;
+    let settled = false;
+    const settle = (end: AttemptEnd) => {
+      if (settled) return;
+      settled = true;
+      clearTimeout(cut);
+      clearTimeout(silence);
+      if (end.kind !== "finished") call.req.destroy();
+      // What was written may have run, unless the engine says otherwise.
+      if (end.kind !== "not_run" && call.written()) this.#runs += 1;
+      resolve(end);
+    };
+    const cut = setTimeout(
+      () => settle({ kind: "timed_out" }),
+      Math.max(0, this.#endsAt - performance.now()) + CUT_AFTER_MS,
+    );
+    const silentMs = Math.max(
+      SILENT_MIN_MS,
+      route.targetLatencyMs * SILENT_TARGETS,
+    );
+    const mayMove = this.#repeatable &&
+      this.#runs + 1 < route.maxAttempts &&
+      view.load(performance.now()) < view.engine.slots;
+    const silence = mayMove
+      ? setTimeout(
+        () =>
+          settle(
+            call.written()
+              ? { kind: "failed", reason: "silent" }
+              : { kind: "not_run", reason: "unreachable" },
+          ),
+        silentMs,
+      )
+      : undefined;
+    call.req.on("error", (err) => {
+      if (this.#left) return settle({ kind: "finished" });
+      if (!call.written()) {
+        return settle({ kind: "not_run", reason: "unreachable" });
+      }
+      const reason = err.message.startsWith("Parse Error")
+        ? "garbled"
+        : "connection_lost";
+      settle(
+        this.#headSent
+          ? { kind: "broken", reason }
+          : { kind: "failed", reason },
+      );
+    });
+    call.req.on("response", (answer) => {
+      clearTimeout(silence);
+      this.#takeAnswer(view, answer, settle);
+    });
+  }
+
+  #takeAnswer(
+    view: EngineView,
+    answer: IncomingMessage,
+    settle: (end: AttemptEnd) => void,
+  ): void {
+    const { caller, res } = this.#in;
+    const status = answer.statusCode ?? 0;
+    const head = this.#parts.protocol.readAnswer(status, answer.rawHeaders);
+    if (head.id !== undefined && head.id !== caller.id) {
+      return settle(this.#spoiled("other_answer"));
+    }
+    if (head.notRun) {
+      answer.resume();
+      const reason = status === 421
+        ? "adapter_missing"
+        : caller.adapter !== undefined && status === 503
+        ? "not_run"
+        : "shed";
+      return settleAfter(answer, () => settle({ kind: "not_run", reason }));
+    }
+    const isSuccess = status >= 200 && status < 300;
+    if (isSuccess && (!head.sealed || head.id === undefined)) {
+      return settle(this.#spoiled("unsealed"));
+    }
+    if (!isSuccess) return this.#takeError(view, answer, settle);
+    view.health.note("answered", performance.now());
+    if (this.#headSent) {
+      return this.#passEvents(view, answer, settle);
+    }
+    this.#firstByteAt = performance.now();
+    if (this.#in.route.kind === "stream") {
+      const headers = this.#in.route.resumable
+        ? withoutLength(this.#parts.protocol.answerHeaders(answer.rawHeaders))
+        : this.#parts.protocol.answerHeaders(answer.rawHeaders);
+      res.writeHead(status, headers as string[]);
+      res.flushHeaders();
+      this.#headSent = true;
+      return this.#passEvents(view, answer, settle);
+    }
+    this.#passPlain(view, answer, settle);
+  }
+
+  #spoiled(reason: string): AttemptEnd {
+    return this.#headSent
+      ? { kind: "broken", reason }
+      : { kind: "failed", reason };
+  }
+
+  /** An engine's own failure: kept, and passed on if no retry succeeds. */
+  #takeError(
+    view: EngineView,
+    answer: IncomingMessage,
+    settle: (end: AttemptEnd) => void,
+  ): void {
+    const status = answer.statusCode ?? 0;
+    const chunks: Buffer[] = [];
+    let size = 0;
+    answer.on("data", (chunk: Buffer) => {
+      size += chunk.length;
+      if (size <= KEPT_ANSWER_BYTES) chunks.push(chunk);
+    });
+    answer.on("error", () => settle(this.#spoiled("connection_lost")));
+    answer.on("end", () => {
+      if (this.#headSent) {
+        settle({ kind: "broken", reason: "engine_error" });
+        return;
+      }
+      const kept = {
+        status,
+        headers: this.#parts.protocol.answerHeaders(answer.rawHeaders),
+        body: Buffer.concat(chunks),
+      };
+      if (status < 500) {
+        view.health.note("answered", performance.now());
+        this.#passKept(kept);
+        settle({ kind: "finished" });
+        return;
+      }
+      settle({ kind: "error_answer", answer: kept });
+    });
+  }
+
+  /** A whole body is collected first where it may be repeated: a broken one is
+   * then replaced without the caller's notice. */
+  #passPlain(
+    view: EngineView,
+    answer: IncomingMessage,
+    settle: (end: AttemptEnd) => void,
+  ): void {
+    const { res } = this.#in;
+    const status = answer.statusCode ?? 200;
+    const headers = this.#parts.protocol.answerHeaders(answer.rawHeaders);
+    const chunks: Buffer[] = [];
+    answer.on("data", (chunk: Buffer) => chunks.push(chunk));
+    answer.on("error", () => settle(this.#spoiled("connection_lost")));
+    answer.on("end", () => {
+      if (!answer.complete) return settle(this.#spoiled("connection_lost"));
+      const body = Buffer.concat(chunks);
+      this.#headSent = true;
+      res.writeHead(status, withLength(headers, body.length));
+      res.end(body);
+      this.#served(status, view);
+      settle({ kind: "finished" });
+    });
+  }
+
+  /** Passes on a stream's bytes; whole events only where it may go on at
+   * another engine. */
+  #passEvents(
+    view: EngineView,
+    answer: IncomingMessage,
+    settle: (end: AttemptEnd) => void,
+  ): void {
+    const { res, route } = this.#in;
+    this.#framer.reset();
+    const mayMove = this.#repeatable &&
+      this.#runs + 1 < route.maxAttempts;
+    let stall: NodeJS.Timeout | undefined;
+    const watchStall = () => {
+      clearTimeout(stall);
+      if (!mayMove) return;
+      stall = setTimeout(
+        () => settle({ kind: "broken", reason: "stalled" }),
+        STALLED_MS,
+      );
+    };
+    watchStall();
+    answer.on("data", (chunk: Buffer) => {
+      watchStall();
+      let bytes = chunk;
+      if (route.resumable) {
+        const framed = this.#framer.push(chunk);
+        this.#lastEventId = framed.lastId ?? this.#lastEventId;
+        bytes = framed.bytes;
+      }
+      if (bytes.length === 0 || res.destroyed) return;
+      if (!res.write(bytes)) {
+        answer.pause();
+        clearTimeout(stall);
+        res.once("drain", () => {
+          answer.resume();
+          watchStall();
+        });
+      }
+    });
+    answer.on("error", () => {
+      clearTimeout(stall);
+      settle(
+        this.#left
+          ? { kind: "finished" }
+          : { kind: "broken", reason: "connection_lost" },
+      );
+    });
+    answer.on("end", () => {
+      clearTimeout(stall);
+      if (!answer.complete || (route.resumable && this.#framer.pending > 0)) {
+        settle({ kind: "broken", reason: "connection_lost" });
+        return;
+      }
+      res.end();
+      this.#served(answer.statusCode ?? 200, view);
+      settle({ kind: "finished" });
+    });
+    answer.on("close", () => clearTimeout(stall));
+  }
+}
+
+/** Calls `done` when the answer has been read, so that its connection can be
+ * used again. */
+function settleAfter(answer: IncomingMessage, done: () => void): void {
+  answer.once("end", done);
+  answer.once("error", done);
+  answer.once("close", done);
+}
+
+/** 0 is first: priority goes before the time that the caller allows. */
+function urgencyOf(priority: number, route: Route): number {
+  const patient = route.kind === "stream" && !route.resumable ? 1 : 0;
+  return Math.min(9, priority * 2 + patient);
+}
+
+function returnSeconds(): number {
+  return RETURN_SECONDS + Math.random() * RETURN_SPREAD_SECONDS;
+}
+
+function withoutLength(headers: readonly string[]): string[] {
+  const kept: string[] = [];
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = headers[i] ?? "";
+    if (name.toLowerCase() === "content-length") continue;
+    kept.push(name, headers[i + 1] ?? "");
+  }
+  return kept;
+}
+
+function withLength(headers: readonly string[], length: number): string[] {
+  return [...withoutLength(headers), "Content-Length", String(length)];
+}
+
+/** An answer of our own. */
+export function answerPlain(
+  res: ServerResponse,
+  status: number,
+  options: {
+    readonly id: string | undefined;
+    readonly reason: string;
+    readonly waitSeconds?: number;
+  },
+): void {
+  if (res.headersSent || res.destroyed) return;
+  const body = JSON.stringify({
+    error: { type: options.reason, not_run: status < 500 || status === 503 },
+  });
+  res.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(body),
+    ...(options.waitSeconds === undefined
+      ? {}
+      : { "retry-after": options.waitSeconds.toFixed(2) }),
+  });
+  res.end(body);
+}
--- /dev/null
+++ b/packages/gateway/src/use_counts.ts
@@ -0,0 +1,56 @@
+/** How often and how much each adapter is used at each engine, by the requests
+ * of this instance.
+ *
+ * @module
+ */
+
+interface Count {
+  started: number;
+  running: number;
+}
+
+/** Use by adapter: started since the last take, running now. */
+export type AdapterUse = Readonly<Record<string, readonly [number, number]>>;
+
+/** Counts of use, to be told to the engines' owners. */
+export class UseCounts {
+  readonly #engines = new Map<string, Map<string, Count>>();
+
+  /** A request starts at an engine. */
+  start(engineKey: string, adapter: string | undefined): void {
+    if (adapter === undefined) return;
+    let adapters = this.#engines.get(engineKey);
+    if (adapters === undefined) {
+      adapters = new Map();
+      this.#engines.set(engineKey, adapters);
+    }
+    const count = adapters.get(adapter);
+    if (count === undefined) adapters.set(adapter, { started: 1, running: 1 });
+    else {
+      count.started += 1;
+      count.running += 1;
+    }
+  }
+
+  /** It ended there. */
+  end(engineKey: string, adapter: string | undefined): void {
+    const count = adapter === undefined
+      ? undefined
+      : this.#engines.get(engineKey)?.get(adapter);
+    if (count !== undefined) count.running -= 1;
+  }
+
+  /** What has been used since the last call, and what is running. */
+  take(engineKey: string): AdapterUse | undefined {
+    const adapters = this.#engines.get(engineKey);
+    if (adapters === undefined) return undefined;
+    const use: Record<string, readonly [number, number]> = {};
+    for (const [adapter, count] of adapters) {
+      use[adapter] = [count.started, count.running];
+      count.started = 0;
+      if (count.running === 0) adapters.delete(adapter);
+    }
+    if (adapters.size === 0) this.#engines.delete(engineKey);
+    return use;
+  }
+}
--- /dev/null
+++ b/packages/serving/src/adapter_places.ts
@@ -0,0 +1,379 @@
+/** The adapter places of one engine, as the instance that orders there keeps
+ * them.
+ *
+ * Every order names the number of orders that the engine has accepted before
+ * it, so an order that arrives late is refused by the engine. That makes the
+ * table exact at each number: after an accepted order it is known what the
+ * engine holds; when an order is refused, the table is taken from a report.
+ *
+ * Invariants:
+ * 1. Held, fetching and doubtful adapters never exceed the places.
+ * 2. One order is under way at a time.
+ * 3. An adapter that is asked for or in use is not evicted.
+ *
+ * @module
+ */
+import type { EngineReport, HeldAdapter } from "./types.ts";
+
+/** Adapters that one engine fetches at once; more are refused by it. */
+const FETCHES_AT_ONCE = 4;
+
+/** Half-life of an adapter's measured use, in milliseconds: long against one
+ * request, short against a shift in demand. */
+const USE_HALF_LIFE_MS = 8000;
+
+/** An adapter's fetch from the weight store at full speed, in milliseconds.
+ * The first guess; later ones are measured. */
+const FETCH_MS = 250;
+
+/** A held-recently adapter's load against a fetch. */
+const RECENT_FRACTION = 0.1;
+
+/** Adapters that an engine keeps in host memory after eviction. */
+const RECENT_ADAPTERS = 120;
+
+/** Guess above the measured time of a load, so that few requests come early. */
+const LOAD_MARGIN_MS = 8;
+
+/** A replacement by a newer version waits for running requests this long at
+ * most before it is ordered all the same, in milliseconds. */
+const REPLACE_WITHIN_MS = 2000;
+
+/** One adapter on an engine. */
+export interface Place {
+  readonly adapter: string;
+  readonly version: number;
+  /** When it can serve, by the steady clock; estimated while it is fetched. */
+  readonly readyAt: number;
+}
+
+/** An order that the table wants to be sent. */
+export interface WantedOrder {
+  readonly action: "load" | "unload";
+  readonly adapter: string;
+  /** For loads: the version wanted. */
+  readonly version: number;
+  /** The number of orders accepted so far, as the engine must confirm. */
+  readonly orderCount: number;
+}
+
+/** How an order ended. */
+export type OrderOutcome =
+  /** Accepted; for unloads: the adapter is gone. */
+  | "done"
+  /** Accepted, but it waits for running requests. */
+  | "waiting"
+  /** It held already; nothing was counted. */
+  | "held"
+  /** Refused: the engine's count differs or an order is under way. */
+  | "refused"
+  /** No answer: it may take effect later if the count still fits. */
+  | "unknown";
+
+interface Wish {
+  readonly adapter: string;
+  readonly version: number;
+  readonly since: number;
+}
+
+interface Use {
+  weight: number;
+  at: number;
+  inFlight: number;
+}
+
+/** The places of one engine. */
+export class AdapterPlaces {
+  readonly #places: number;
+  #orderCount: number | undefined;
+  #held = new Map<string, Place>();
+  readonly #wishes = new Map<string, Wish>();
+  readonly #use = new Map<string, Use>();
+  readonly #recent = new Set<string>();
+  #unloading = new Set<string>();
+  #pending: WantedOrder | undefined;
+  readonly #outdatedSince = new Map<string, number>();
+  #resyncAfter = 0;
+  #fetchMs = FETCH_MS;
+  #changes = 0;
+
+  constructor(places: number) {
+    this.#places = places;
+  }
+
+  /** Grows with each change of what is held. */
+  get changes(): number {
+    return this.#changes;
+  }
+
+  /** Whether a report is needed before the next order. */
+  get needsReport(): boolean {
+    return this.#orderCount === undefined;
+  }
+
+  /** Loads that are under way and come from the weight store. */
+  fetching(now: number): number {
+    let count = 0;
+    for (const place of this.#held.values()) if (place.readyAt > now) count++;
+    return count;
+  }
+
+  /** Wishes that wait for a place. */
+  get queueLength(): number {
+    return this.#wishes.size;
+  }
+
+  /** What is held or on its way, without what is being unloaded. */
+  list(): readonly Place[] {
+    return [...this.#held.values()].filter((p) =>
+      !this.#unloading.has(p.adapter)
+    );
+  }
+
+  /** The place of an adapter with this version or a newer one. */
+  find(adapter: string, version: number): Place | undefined {
+    const place = this.#held.get(adapter);
+    if (place === undefined || place.version < version) return undefined;
+    return this.#unloading.has(adapter) ? undefined : place;
+  }
+
+  /** Whether a wish for one more adapter can be met soon. */
+  canTake(now: number): boolean {
+    if (this.#wishes.size >= FETCHES_AT_ONCE) return false;
+    const free = this.#places - this.#held.size;
+    return free > this.#wishes.size || this.#victim(now) !== undefined;
+  }
+
+  /** Asks for an adapter. Nothing happens if it is there or asked for. */
+  want(adapter: string, version: number, now: number): void {
+    if (this.find(adapter, version) !== undefined) return;
+    const wish = this.#wishes.get(adapter);
+    if (wish !== undefined && wish.version >= version) return;
+    this.#wishes.set(adapter, { adapter, version, since: wish?.since ?? now });
+  }
+
+  /** Drops a wish, for example when nobody waits for it any more. */
+  unwant(adapter: string): void {
+    this.#wishes.delete(adapter);
+  }
+
+  /** Requests on an adapter: how many started, and how many are running. */
+  noteUse(adapter: string, started: number, inFlight: number, now: number) {
+    const use = this.#use.get(adapter);
+    const weight = use === undefined ? 0 : decayed(use, now);
+    this.#use.set(adapter, { weight: weight + started, at: now, inFlight });
+  }
+
+  /** Replaces what is in flight, adapter by adapter; all others have none. */
+  noteInFlight(inFlight: ReadonlyMap<string, number>): void {
+    for (const [adapter, use] of this.#use) {
+      use.inFlight = inFlight.get(adapter) ?? 0;
+    }
+  }
+
+  /** The next order, if one is due. It counts as under way until `settle`. */
+  next(now: number, versionOf: (adapter: string) => number):
+    | WantedOrder
+    | undefined {
+    if (this.#pending !== undefined || this.#orderCount === undefined) {
+      return undefined;
+    }
+    const order = this.#replacement(now, versionOf) ?? this.#nextWish(now);
+    if (order === undefined) return undefined;
+    this.#pending = order;
+    return order;
+  }
+
+  /** Takes in how the order under way ended. `slowdown` is how much longer a
+   * fetch takes as many run at once. */
+  settle(outcome: OrderOutcome, now: number, slowdown: number): void {
+    const order = this.#pending;
+    if (order === undefined) return;
+    this.#pending = undefined;
+    this.#changes += 1;
+    switch (outcome) {
+      case "done":
+      case "waiting":
+        this.#orderCount = order.orderCount + 1;
+        this.#apply(order, outcome, now, slowdown);
+        return;
+      case "held":
+        this.#apply(order, "done", now, 0);
+        return;
+      case "refused":
+        this.#orderCount = undefined;
+        this.#resyncAfter = now;
+        return;
+      case "unknown":
+        // The next order carries the same count: either it is accepted, and
+        // this one can no longer take effect, or it is refused.
+        return;
+    }
+  }
+
+  /** Takes in a report that was asked for at `askedAt`. */
+  takeReport(report: EngineReport, model: string, now: number): void {
+    if (this.#pending !== undefined) return;
+    const known = this.#orderCount;
+    if (known !== undefined && report.orderCount < known) return;
+    const held = report.models.find((m) => m.name === model)?.adapters ?? [];
+    if (known === undefined || report.orderCount > known) {
+      this.#adopt(report, held, now);
+      return;
+    }
+    this.#finishWaiting(held, report.fetching);
+  }
+
+  /** A request came before the adapter was there. */
+  delay(adapter: string, now: number, ms: number): void {
+    const place = this.#held.get(adapter);
+    if (place === undefined) return;
+    if (place.readyAt < now + ms) {
+      this.#fetchMs = Math.min(this.#fetchMs * 1.05, FETCH_MS * 2);
+      this.#held.set(adapter, { ...place, readyAt: now + ms });
+      this.#changes += 1;
+    }
+  }
+
+  /** An engine said that it does not hold the adapter: a report must tell. */
+  doubt(): void {
+    if (this.#pending === undefined) this.#orderCount = undefined;
+  }
+
+  #adopt(report: EngineReport, held: readonly HeldAdapter[], now: number) {
+    const before = this.#held;
+    this.#held = new Map();
+    for (const { name, version } of held) {
+      this.#held.set(name, { adapter: name, version, readyAt: 0 });
+    }
+    for (const { name, version } of report.fetching) {
+      const readyAt = before.get(name)?.readyAt ?? now + this.#fetchMs;
+      this.#held.set(name, { adapter: name, version, readyAt });
+    }
+    this.#unloading = new Set(
+      [...this.#unloading].filter((name) => this.#held.has(name)),
+    );
+    this.#orderCount = report.orderCount;
+    this.#changes += 1;
+  }
+
+  /** Same count: only what waited for running requests may have ended. */
+  #finishWaiting(
+    held: readonly HeldAdapter[],
+    fetching: readonly HeldAdapter[],
+  ): void {
+    const present = new Set([...held, ...fetching].map((a) => a.name));
+    for (const name of this.#unloading) {
+      if (present.has(name)) continue;
+      this.#unloading.delete(name);
+      this.#drop(name);
+    }
+  }
+
+  #drop(adapter: string): void {
+    this.#held.delete(adapter);
+    this.#recent.delete(adapter);
+    this.#recent.add(adapter);
+    for (const oldest of this.#recent) {
+      if (this.#recent.size <= RECENT_ADAPTERS) break;
+      this.#recent.delete(oldest);
+    }
+    this.#changes += 1;
+  }
+
+  #apply(
+    order: WantedOrder,
+    outcome: "done" | "waiting",
+    now: number,
+    slowdown: number,
+  ): void {
+    const { adapter, version } = order;
+    if (order.action === "unload") {
+      if (outcome === "waiting") this.#unloading.add(adapter);
+      else {
+        this.#unloading.delete(adapter);
+        this.#drop(adapter);
+      }
+      return;
+    }
+    const recent = this.#recent.has(adapter) && !this.#held.has(adapter);
+    const load = this.#fetchMs * slowdown * (recent ? RECENT_FRACTION : 1);
+    this.#held.set(adapter, {
+      adapter,
+      version,
+      readyAt: slowdown === 0 ? now : now + load + LOAD_MARGIN_MS,
+    });
+    const wish = this.#wishes.get(adapter);
+    if (wish !== undefined && wish.version <= version) {
+      this.#wishes.delete(adapter);
+    }
+  }
+
+  /** A load that replaces an outdated version: once nobody uses it, or when it
+   * has waited long enough. */
+  #replacement(now: number, versionOf: (adapter: string) => number) {
+    for (const place of this.#held.values()) {
+      const newest = versionOf(place.adapter);
+      if (place.version >= newest || place.readyAt > now) continue;
+      if (this.#unloading.has(place.adapter)) continue;
+      const since = this.#outdatedSince.get(place.adapter);
+      if (since === undefined) this.#outdatedSince.set(place.adapter, now);
+      const idle = (this.#use.get(place.adapter)?.inFlight ?? 0) === 0;
+      if (!idle && now - (since ?? now) < REPLACE_WITHIN_MS) continue;
+      this.#outdatedSince.delete(place.adapter);
+      return this.#order("load", place.adapter, newest);
+    }
+    return undefined;
+  }
+
+  #nextWish(now: number): WantedOrder | undefined {
+    if (now < this.#resyncAfter) return undefined;
+    if (this.fetching(now) >= FETCHES_AT_ONCE) return undefined;
+    let wish: Wish | undefined;
+    for (const candidate of this.#wishes.values()) {
+      if (this.find(candidate.adapter, candidate.version) !== undefined) {
+        this.#wishes.delete(candidate.adapter);
+      } else if (
+        !this.#unloading.has(candidate.adapter) &&
+        (wish === undefined || candidate.since < wish.since)
+      ) {
+        wish = candidate;
+      }
+    }
+    if (wish === undefined) return undefined;
+    if (this.#held.has(wish.adapter) || this.#held.size < this.#places) {
+      return this.#order("load", wish.adapter, wish.version);
+    }
+    if (this.#unloading.size > 0) return undefined;
+    const victim = this.#victim(now);
+    if (victim === undefined) return undefined;
+    return this.#order("unload", victim, 0);
+  }
+
+  #order(action: "load" | "unload", adapter: string, version: number) {
+    const orderCount = this.#orderCount ?? 0;
+    return { action, adapter, version, orderCount } as const;
+  }
+
+  /** The idle adapter with the least use of late. */
+  #victim(now: number): string | undefined {
+    let victim: string | undefined;
+    let least = Infinity;
+    for (const place of this.#held.values()) {
+      if (place.readyAt > now || this.#unloading.has(place.adapter)) continue;
+      if (this.#wishes.has(place.adapter)) continue;
+      const use = this.#use.get(place.adapter);
+      if (use !== undefined && use.inFlight > 0) continue;
+      const weight = use === undefined ? 0 : decayed(use, now);
+      if (weight < least) {
+        least = weight;
+        victim = place.adapter;
+      }
+    }
+    return victim;
+  }
+}
+
+function decayed(use: Use, now: number): number {
+  return use.weight * 2 ** (-(now - use.at) / USE_HALF_LIFE_MS);
+}
--- /dev/null
+++ b/packages/serving/src/engine_board.ts
@@ -0,0 +1,131 @@
+/** What this instance believes of every engine: entries of the list, held
+ * adapters as the ordering instances tell them, load and health.
+ *
+ * @module
+ */
+import { EngineHealth } from "./engine_health.ts";
+import type { Engine } from "./types.ts";
+
+/** An adapter at an engine, as believed. */
+export interface BelievedAdapter {
+  readonly version: number;
+  /** When it can serve, by this instance's steady clock. */
+  readonly readyAt: number;
+}
+
+/** Held adapters of one engine, by their name within the model. */
+export type BelievedAdapters = ReadonlyMap<string, BelievedAdapter>;
+
+/** How long an instance's count of its requests stays valid, in milliseconds:
+ * several rounds of updates. A lost instance's requests end with it. */
+const PEER_COUNT_VALID_MS = 1500;
+
+interface PeerCount {
+  readonly count: number;
+  readonly at: number;
+}
+
+/** One engine as this instance believes it to be. */
+export class EngineView {
+  engine: Engine;
+  adapters: BelievedAdapters;
+  /** Whether the instance that orders there has told what is held. */
+  told = false;
+  inFlight = 0;
+  readonly health = new EngineHealth();
+  readonly #peers = new Map<string, PeerCount>();
+
+  constructor(engine: Engine) {
+    this.engine = engine;
+    this.adapters = listedAdapters(engine);
+  }
+
+  /** Takes a newer entry of the list. What the ordering instance tells of the
+   * adapters is newer than the entry. */
+  refresh(engine: Engine): void {
+    this.engine = engine;
+    if (!this.told) this.adapters = listedAdapters(engine);
+  }
+
+  /** A peer tells how many of its requests are at the engine. */
+  learnCount(peer: string, count: number, now: number): void {
+    this.#peers.set(peer, { count, at: now });
+  }
+
+  /** Requests at the engine, of all instances. */
+  load(now: number): number {
+    let load = this.inFlight;
+    for (const [peer, { count, at }] of this.#peers) {
+      if (now - at > PEER_COUNT_VALID_MS) this.#peers.delete(peer);
+      else load += count;
+    }
+    return load;
+  }
+
+  /** Whether the model itself is there. */
+  holdsModel(model: string): boolean {
+    return this.engine.models.some((m) => m.name === model);
+  }
+}
+
+function listedAdapters(engine: Engine): BelievedAdapters {
+  return new Map(
+    engine.models.flatMap((m) =>
+      m.adapters.map((a) => [a.name, { version: a.version, readyAt: 0 }])
+    ),
+  );
+}
+
+/** All engines by key. */
+export class EngineBoard {
+  readonly #views = new Map<string, EngineView>();
+  #byService: ReadonlyMap<string, readonly EngineView[]> = new Map();
+  #generation = 0;
+
+  /** Grows whenever an engine comes, goes or changes its state. */
+  get generation(): number {
+    return this.#generation;
+  }
+
+  /** Puts a new list in force. Returns the views that are gone. */
+  setEngines(engines: readonly Engine[]): readonly EngineView[] {
+    const seen = new Set<string>();
+    for (const engine of engines) {
+      seen.add(engine.key);
+      const view = this.#views.get(engine.key);
+      if (view === undefined) {
+        this.#views.set(engine.key, new EngineView(engine));
+      } else {
+        view.refresh(engine);
+      }
+    }
+    const gone = [...this.#views.values()].filter((v) =>
+      !seen.has(v.engine.key)
+    );
+    for (const view of gone) this.#views.delete(view.engine.key);
+    const byService = new Map<string, EngineView[]>();
+    for (const view of this.#views.values()) {
+      const list = byService.get(view.engine.service);
+      if (list === undefined) byService.set(view.engine.service, [view]);
+      else list.push(view);
+    }
+    this.#byService = byService;
+    this.#generation += 1;
+    return gone;
+  }
+
+  /** The engine with this key. */
+  get(key: string): EngineView | undefined {
+    return this.#views.get(key);
+  }
+
+  /** Every engine. */
+  all(): Iterable<EngineView> {
+    return this.#views.values();
+  }
+
+  /** The engines of a service. */
+  ofService(service: string): readonly EngineView[] {
+    return this.#byService.get(service) ?? [];
+  }
+}
--- /dev/null
+++ b/packages/serving/src/member_table.ts
@@ -0,0 +1,90 @@
+/** Which other instances are alive, as their updates show.
+ *
+ * @module
+ */
+import type { Member } from "./types.ts";
+
+/** How long an instance that fell silent still counts as alive: five updates
+ * at the usual pace, so that a busy moment takes nobody out. */
+export const SILENT_AFTER_MS = 1200;
+
+interface Heard {
+  readonly at: number;
+  readonly leaving: boolean;
+  readonly ready: boolean;
+}
+
+/** The other members, and when each was heard of last. */
+export class MemberTable {
+  #members: ReadonlyMap<string, Member> = new Map();
+  readonly #heard = new Map<string, Heard>();
+  readonly #self: string;
+
+  constructor(self: string) {
+    this.#self = self;
+  }
+
+  /** Puts the list of the store in force. */
+  setMembers(members: readonly Member[]): void {
+    this.#members = new Map(
+      members.filter((m) => m.name !== this.#self).map((m) => [m.name, m]),
+    );
+    for (const name of this.#heard.keys()) {
+      if (!this.#members.has(name)) this.#heard.delete(name);
+    }
+  }
+
+  /** Adds a member that introduced itself. */
+  introduce(member: Member): void {
+    if (member.name === this.#self) return;
+    const members = new Map(this.#members);
+    members.set(member.name, member);
+    this.#members = members;
+  }
+
+  /** A member was heard. */
+  hear(name: string, now: number, state: Omit<Heard, "at">): void {
+    this.#heard.set(name, { at: now, ...state });
+  }
+
+  /** A member's process ended. */
+  lose(name: string): void {
+    this.#heard.delete(name);
+  }
+
+  /** All members but this one. */
+  list(): readonly Member[] {
+    return [...this.#members.values()];
+  }
+
+  /** The member of this name. */
+  get(name: string): Member | undefined {
+    return this.#members.get(name);
+  }
+
+  /** Whether the member was heard within the time allowed. */
+  isAlive(name: string, now: number): boolean {
+    const heard = this.#heard.get(name);
+    return heard !== undefined && now - heard.at < SILENT_AFTER_MS;
+  }
+
+  /** Members that callers may be sent to. */
+  ready(now: number): readonly Member[] {
+    return this.list().filter((m) => {
+      const heard = this.#heard.get(m.name);
+      return heard !== undefined && heard.ready && !heard.leaving &&
+        now - heard.at < SILENT_AFTER_MS;
+    });
+  }
+
+  /** Members alive, this one among them. */
+  aliveCount(now: number): number {
+    return 1 + this.list().filter((m) => this.isAlive(m.name, now)).length;
+  }
+
+  /** Part of all members that is silent. */
+  silentShare(now: number): number {
+    const total = this.#members.size + 1;
+    return 1 - this.aliveCount(now) / total;
+  }
+}
--- /dev/null
+++ b/packages/serving/src/retry_allowance.ts
@@ -0,0 +1,78 @@
+/** How many requests may be sent to a second engine.
+ *
+ * The allowance is common to all instances: a part of the requests in a window,
+ * and a fixed number beside it. Each instance uses the part of its own requests
+ * and an equal share of the fixed number.
+ *
+ * @module
+ */
+
+/** Part of the common allowance that is used; instances' views of each other
+ * differ for moments. */
+const SAFE_FRACTION = 0.75;
+
+const BUCKETS = 10;
+
+/** The settings of the allowance. */
+export interface RetryLimits {
+  readonly ratio: number;
+  readonly windowMs: number;
+  readonly fixed: number;
+}
+
+interface Bucket {
+  readonly slot: number;
+  requests: number;
+  repeats: number;
+}
+
+/** The allowance of one service at one instance. */
+export class RetryAllowance {
+  readonly #limits: RetryLimits;
+  readonly #buckets: Bucket[] = [];
+
+  constructor(limits: RetryLimits) {
+    this.#limits = limits;
+  }
+
+  /** A caller's request came. */
+  countRequest(now: number): void {
+    this.#bucket(now).requests += 1;
+  }
+
+  /** Takes one repeat if the window has room, with `instances` sharing.
+   *
+   * @example
+   * ```ts
+   * allowance.countRequest(0);
+   * allowance.tryRepeat(1, 8);
+   * ```
+   */
+  tryRepeat(now: number, instances: number): boolean {
+    const bucket = this.#bucket(now);
+    let requests = 0;
+    let repeats = 0;
+    for (const b of this.#buckets) {
+      requests += b.requests;
+      repeats += b.repeats;
+    }
+    const allowed = SAFE_FRACTION *
+      (this.#limits.ratio * requests +
+        this.#limits.fixed / Math.max(1, instances));
+    if (repeats + 1 > allowed) return false;
+    bucket.repeats += 1;
+    return true;
+  }
+
+  #bucket(now: number): Bucket {
+    const slot = Math.floor(now / (this.#limits.windowMs / BUCKETS));
+    const last = this.#buckets.at(-1);
+    if (last?.slot === slot) return last;
+    const bucket = { slot, requests: 0, repeats: 0 };
+    this.#buckets.push(bucket);
+    while ((this.#buckets[0]?.slot ?? slot) <= slot - BUCKETS) {
+      this.#buckets.shift();
+    }
+    return bucket;
+  }
+}
--- /dev/null
+++ b/packages/serving/src/route_table.ts
@@ -0,0 +1,73 @@
+/** Finds the route and the workspace of a request.
+ *
+ * @module
+ */
+import type { Configuration, Route, Service, Workspace } from "./types.ts";
+
+/** An immutable index over one configuration. */
+export class RouteTable {
+  readonly configuration: Configuration;
+  readonly #routes: ReadonlyMap<string, readonly Route[]>;
+  readonly #workspaces: ReadonlyMap<string, Workspace>;
+  readonly #services: ReadonlyMap<string, Service>;
+
+  constructor(configuration: Configuration) {
+    this.configuration = configuration;
+    const routes = new Map<string, Route[]>();
+    for (const route of configuration.routes) {
+      const host = route.host.toLowerCase();
+      const list = routes.get(host);
+      if (list === undefined) routes.set(host, [route]);
+      else list.push(route);
+    }
+    for (const list of routes.values()) {
+      list.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+    this.#routes = routes;
+    this.#workspaces = new Map(
+      configuration.workspaces.flatMap((w) => w.keys.map((key) => [key, w])),
+    );
+    this.#services = new Map(configuration.services.map((s) => [s.name, s]));
+  }
+
+  /** The route with the longest prefix that begins `target`'s path.
+   *
+   * @example
+   * ```ts
+   * table.findRoute("shop.example:80", "/orders/7?x=1")?.name;
+   * ```
+   */
+  findRoute(host: string, target: string): Route | undefined {
+    const list = this.#routes.get(stripPort(host).toLowerCase());
+    if (list === undefined) return undefined;
+    const query = target.indexOf("?");
+    const path = query < 0 ? target : target.slice(0, query);
+    return list.find((route) => path.startsWith(route.pathPrefix));
+  }
+
+  /** The workspace that holds `key`. */
+  findWorkspace(key: string): Workspace | undefined {
+    return this.#workspaces.get(key);
+  }
+
+  /** The service of this name. */
+  findService(name: string): Service | undefined {
+    return this.#services.get(name);
+  }
+}
+
+/** Picks a service by weight; `draw` lies in [0, 1). */
+export function pickService(route: Route, draw: number): string | undefined {
+  const total = route.services.reduce((sum, s) => sum + s.weight, 0);
+  let left = draw * total;
+  for (const { service, weight } of route.services) {
+    left -= weight;
+    if (left < 0) return service;
+  }
+  return route.services.at(-1)?.service;
+}
+
+function stripPort(host: string): string {
+  const colon = host.lastIndexOf(":");
+  return colon < 0 ? host : host.slice(0, colon);
+}
--- /dev/null
+++ b/packages/serving/src/types.ts
@@ -0,0 +1,152 @@
+/** What the gateway knows of engines, configuration and members.
+ *
+ * @module
+ */
+
+/** How a route's requests may be repeated. */
+export type RouteKind = "stream" | "safe" | "unsafe";
+
+/** One service that a route may send to, with its share of the route. */
+export interface WeightedService {
+  readonly service: string;
+  readonly weight: number;
+}
+
+/** One route of the published configuration. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  readonly kind: RouteKind;
+  readonly timeoutMs: number;
+  readonly targetLatencyMs: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  readonly services: readonly WeightedService[];
+  readonly maxAttempts: number;
+  /** Whether requests need no key. */
+  readonly isPublic: boolean;
+  /** Whether a broken stream may go on at another engine. */
+  readonly resumable: boolean;
+}
+
+/** A base model that engines of a service may hold. */
+export interface BaseModel {
+  readonly name: string;
+  readonly sizeMb: number;
+  readonly loadMs: number;
+  readonly adapterSizeMb: number;
+}
+
+/** What all engines of a service with models have in common. */
+export interface EngineClass {
+  readonly slots: number;
+  readonly weightMemoryMb: number;
+  readonly adapterPlaces: number;
+  readonly models: readonly BaseModel[];
+}
+
+/** One service of the published configuration. */
+export interface Service {
+  readonly name: string;
+  /** Connections that one engine accepts from all callers together. */
+  readonly maxConnections: number;
+  /** Undefined for services without models. */
+  readonly engineClass: EngineClass | undefined;
+}
+
+/** A paying workspace and its limits. */
+export interface Workspace {
+  readonly name: string;
+  readonly keys: readonly string[];
+  readonly priority: number | undefined;
+  /** Whether the rate counts tokens; otherwise it counts requests. */
+  readonly countsTokens: boolean;
+  /** Tokens that a request without a declared count stands for. */
+  readonly plainTokens: number;
+  /** Units a second; 0 means no limit. */
+  readonly ratePerSecond: number;
+  readonly burst: number;
+}
+
+/** Limits on what callers may send. */
+export interface CallerLimits {
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+  readonly maxBodyBytes: number;
+}
+
+/** The whole published configuration. Replaced whole, never changed. */
+export interface Configuration {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: readonly Service[];
+  readonly workspaces: readonly Workspace[];
+  readonly limits: CallerLimits;
+}
+
+/** An adapter that an engine reports. */
+export interface HeldAdapter {
+  readonly name: string;
+  readonly version: number;
+}
+
+/** A base model that an engine reports, with its adapters. */
+export interface HeldModel {
+  readonly name: string;
+  readonly adapters: readonly HeldAdapter[];
+}
+
+/** One start of an engine, as the engine list shows it. */
+export interface Engine {
+  /** Changes with each start, also where the id stays. */
+  readonly key: string;
+  readonly id: string;
+  readonly service: string;
+  readonly host: string;
+  readonly port: number;
+  readonly zone: string;
+  readonly slots: number;
+  readonly leaving: boolean;
+  /** Time left until a leaving engine is taken away, if it said so. */
+  readonly remainingMs: number | undefined;
+  readonly models: readonly HeldModel[];
+}
+
+/** What an engine says of itself when asked. */
+export interface EngineReport {
+  readonly startedAtMs: number | undefined;
+  /** Orders accepted since its start. */
+  readonly orderCount: number;
+  readonly models: readonly HeldModel[];
+  /** Adapters that are being fetched. */
+  readonly fetching: readonly HeldAdapter[];
+  readonly running: number;
+  readonly waiting: number;
+}
+
+/** An adapter's newest version, as announced. */
+export interface AnnouncedVersion {
+  readonly model: string;
+  readonly adapter: string;
+  readonly version: number;
+}
+
+/** One entry instance. */
+export interface Member {
+  readonly name: string;
+  readonly zone: string;
+  readonly region: string;
+  /** Address for other instances, host:port. */
+  readonly peerAddress: string;
+  /** Address for callers, host:port. */
+  readonly callerAddress: string;
+  /** Differs with each start of its process. */
+  readonly incarnation: string;
+}
+
+/** Joins a model's and an adapter's name, as caches and tables key them. */
+export function adapterKey(model: string, adapter: string): string {
+  return `${model}/${adapter}`;
+}
--- a/packages/trials/src/capacity/start_slopes.ts
+++ b/packages/trials/src/capacity/start_slopes.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { EventLog, NoMetrics, SystemClock } from "@banyanlb/core";
-import { HttpObjectStore } from "@banyanlb/platform";
+import { HttpObjectStore } from "@banyanlb/clients";
 import {
   ConfigFollower,
   ConfigPeers,
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,33 @@
+/** Bundles the gateway into one file: a restarted process pays for each module
+ * that it loads.
+ *
+ * Usage: node scripts/bundle.mjs
+ */
+import { rolldown } from "rolldown";
+
+const PACKAGES = {
+  "@banyanlb/core": "packages/core/src/mod.ts",
+  "@banyanlb/serving": "packages/serving/src/mod.ts",
+  "@banyanlb/platform": "platform/src/mod.ts",
+};
+
+const bundle = await rolldown({
+  input: "packages/gateway/src/main.ts",
+  platform: "node",
+  treeshake: { moduleSideEffects: false },
+  resolve: {
+    alias: Object.fromEntries(
+      Object.entries(PACKAGES).map(([name, file]) => [
+        name,
+        new URL(`../${file}`, import.meta.url).pathname,
+      ]),
+    ),
+  },
+});
+await bundle.write({
+  file: "target/banyanlb.mjs",
+  format: "esm",
+  codeSplitting: false,
+  minify: true,
+});
+await bundle.close();
