Load new adapter versions beside the old; order from the engine's zone

Older versions serve for 2.5 s more while the new one is fetched elsewhere, and are evicted once quiet.

--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -207,7 +207,7 @@
     } else if (place !== undefined && place.readyAt <= now) {
       return Promise.resolve(true);
     }
-    if (place === undefined && !engine.places.canTake(now)) {
+    if (place === undefined && !engine.places.canTake(adapter, now)) {
       return Promise.resolve(false);
     }
     engine.places.want(adapter, version, now);
--- a/packages/gateway/src/digests.ts
+++ b/packages/gateway/src/digests.ts
@@ -86,6 +86,7 @@
       seq: this.#seq,
       ready,
       leaving,
+      tenure: membership.tenure,
       revs: SHARED_KINDS.map((kind) => knowledge.follower(kind).newest),
       flight,
       used: Object.fromEntries(
@@ -116,7 +117,11 @@
       this.#alive.add(from);
       log.write(events.PEER_FOUND, { peer: from });
     }
-    members.hear(from, now, { ready: digest.ready, leaving: digest.leaving });
+    members.hear(from, now, {
+      ready: digest.ready,
+      leaving: digest.leaving,
+      tenure: digest.tenure,
+    });
     this.#acks.set(from, digest.seq);
     if (digest.ack >= this.#seq - 3) {
       this.#parts.links().prove(member.peerAddress);
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -185,3 +185,10 @@
   severity: "info",
   text: "caller left",
 };
+
+/** A workspace has no units left for a request. */
+export const OVER_RATE: LogEvent = {
+  id: 845,
+  severity: "info",
+  text: "workspace over its rate",
+};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -153,6 +153,8 @@
       rateOf: (workspace) => this.#rateOf(workspace),
       allowanceOf: (service) => this.#allowanceOf(service),
       versionOf: (model, adapter) => this.#knowledge.versionOf(model, adapter),
+      isOlderAllowed: (model, adapter) =>
+        this.#knowledge.isOlderAllowed(model, adapter),
       around: (now) => this.#around(now),
       use,
       log,
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -34,8 +34,19 @@
 const WATCH_MS = 8000;
 const ENGINES_WATCH_MS = 4000;
 
-/** Engines write often; changes within this time are taken in one call. */
-const ENGINES_GATHER_MS = 350;
+/** Engines write often; changes within this time are taken in one call. A
+ * leaving engine must be known within a few seconds. */
+const ENGINES_GATHER_MS = 800;
+
+/** Requests go to an older version of an adapter for this long at most after a
+ * newer one was announced: half of the time that the deployment allows. */
+const OLDER_ALLOWED_MS = 2500;
+
+interface KnownVersion {
+  readonly version: number;
+  /** When it was learnt, by the steady clock. */
+  readonly since: number;
+}
 
 /** The gateway's knowledge, kept up to date. */
 export class Knowledge {
@@ -45,7 +56,8 @@
   #table: RouteTable | undefined;
   #engines: ReadonlyMap<string, Engine> = new Map();
   readonly #lapsed = new Map<string, { engine: Engine; until: number }>();
-  #versions: ReadonlyMap<string, number> = new Map();
+  #versions: ReadonlyMap<string, KnownVersion> = new Map();
+  #versionsSeen = false;
   #troubleAt = -Infinity;
   readonly #ignored = new Set<string>();
   /** Called when the configuration or the engines have changed. */
@@ -115,7 +127,14 @@
 
   /** The newest announced version of an adapter; 0 if none was announced. */
   versionOf(model: string, adapter: string): number {
-    return this.#versions.get(adapterKey(model, adapter)) ?? 0;
+    return this.#versions.get(adapterKey(model, adapter))?.version ?? 0;
+  }
+
+  /** Whether requests may still go to an older version of an adapter. */
+  isOlderAllowed(model: string, adapter: string): boolean {
+    const known = this.#versions.get(adapterKey(model, adapter));
+    return known === undefined ||
+      performance.now() - known.since < OLDER_ALLOWED_MS;
   }
 
   /** Starts to follow the store. */
@@ -166,12 +185,16 @@
 
   #setVersions(records: ReadonlyMap<string, StoredRecord>): void {
     const versions = new Map(this.#versions);
+    // What was announced before this process started may have been so for
+    // long.
+    const now = this.#versionsSeen ? performance.now() : -Infinity;
+    this.#versionsSeen = true;
     for (const record of records.values()) {
       const announced = decodeVersion(record);
       if (announced === undefined) continue;
       const key = adapterKey(announced.model, announced.adapter);
-      if ((versions.get(key) ?? 0) >= announced.version) continue;
-      versions.set(key, announced.version);
+      if ((versions.get(key)?.version ?? 0) >= announced.version) continue;
+      versions.set(key, { version: announced.version, since: now });
       this.#log.write(events.VERSION_ANNOUNCED, {
         adapter: key,
         version: announced.version,
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -38,7 +38,9 @@
 const CARETAKERS = 2;
 
 const WATCH_MS = 10_000;
-const MEMBERS_GATHER_MS = 1500;
+/** Members renew often; new ones introduce themselves, so the list is no
+ * hurry. */
+const MEMBERS_GATHER_MS = 6000;
 const ASSIGNMENT_NAME = "engines";
 
 /** A member's entry. */
@@ -117,6 +119,11 @@
     return this.#fence;
   }
 
+  /** Under which this instance may own engines. */
+  get tenure(): string | undefined {
+    return this.#tenure;
+  }
+
   /** The instance that orders at an engine. */
   ownerOf(engineKey: string): string | undefined {
     return this.#assignment[engineKey]?.owner.split("#")[0];
@@ -198,7 +205,7 @@
   #setMembers(records: ReadonlyMap<string, StoredRecord>): void {
     const entries = [...records.values()].map((r) => r.value as StoredMember);
     this.#tenures = new Map(entries.map((e) => [e.name, e.tenure]));
-    this.#options.members.setMembers(entries);
+    this.#options.members.setMembers(entries, performance.now());
   }
 
   #setAssignment(records: ReadonlyMap<string, StoredRecord>): void {
@@ -251,7 +258,7 @@
   }
 
   async #removeLapsed(alive: ReadonlySet<string>): Promise<void> {
-    const { self, clocks, log } = this.#options;
+    const { self, members, clocks, log } = this.#options;
     for (const name of this.#tenures.keys()) {
       if (name === self.name || alive.has(name)) {
         this.#lapses.forget(name);
@@ -263,32 +270,42 @@
       if (!this.#lapses.observe(name, entry.revision, sentAt)) continue;
       await this.#store.remove("members", entry);
       this.#lapses.forget(name);
+      const tenures = new Map(this.#tenures);
+      tenures.delete(name);
+      this.#tenures = tenures;
+      members.remove(name);
       log.write(events.MEMBER_REMOVED, { member: name });
     }
   }
 
   async #assign(alive: readonly string[]): Promise<void> {
-    const { self, board, takesOrders, log } = this.#options;
+    const { self, members, board, takesOrders, log } = this.#options;
     if (!this.#followAssignment.known) return;
     const current = this.#assignment;
-    const engines = [...board.all()]
-      .filter((view) => takesOrders(view.engine.service))
-      .map((view) => view.engine.key);
-    const present = new Set(engines);
+    const engines = [...board.all()].map((view) => view.engine)
+      .filter((engine) => takesOrders(engine.service));
+    const present = new Set(engines.map(({ key }) => key));
+    const tenureOf = (name: string) =>
+      members.tenureOf(name) ?? this.#tenures.get(name);
     const listed = new Set(
-      [...this.#tenures].map(([name, tenure]) => `${name}#${tenure}`),
+      [self, ...members.list()].map(({ name }) =>
+        `${name}#${name === self.name ? this.#tenure : tenureOf(name)}`
+      ),
     );
     // A silent owner keeps its engines until its entry is removed.
     const kept: Record<string, string> = {};
     for (const [key, { owner }] of Object.entries(current)) {
       if (present.has(key) && listed.has(owner)) kept[key] = owner;
     }
+    const others = members.list().filter((m) => alive.includes(m.name));
     const open = planAssignment(
       kept,
-      engines.filter((key) => kept[key] === undefined),
-      [self.name, ...alive].flatMap((name) => {
-        const tenure = this.#tenures.get(name);
-        return tenure === undefined ? [] : [`${name}#${tenure}`];
+      engines.filter(({ key }) => kept[key] === undefined),
+      [self, ...others].flatMap(({ name, zone }) => {
+        const tenure = name === self.name ? this.#tenure : tenureOf(name);
+        return tenure === undefined
+          ? []
+          : [{ owner: `${name}#${tenure}`, zone }];
       }),
     );
     const planned: Assignment = { ...kept, ...open };
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -27,6 +27,7 @@
   readonly ack: number;
   readonly ready: boolean;
   readonly leaving: boolean;
+  readonly tenure: string | undefined;
   /** The newest revision known of each shared kind. */
   readonly revs: readonly number[];
   /** Requests at each engine. */
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -71,6 +71,7 @@
   readonly rateOf: (workspace: Workspace) => TokenRate | undefined;
   readonly allowanceOf: (service: string) => RetryAllowance;
   readonly versionOf: (model: string, adapter: string) => number;
+  readonly isOlderAllowed: (model: string, adapter: string) => boolean;
   readonly around: (now: number) => Surroundings;
   readonly use: UseCounts;
   readonly log: EventLog;
@@ -261,6 +262,15 @@
     rate.refill(performance.now(), this.#silentShare());
     if (!rate.take(units)) {
       const wait = Math.min(5, Math.max(0.2, rate.waitMs(units) / 1000));
+      this.#parts.log.write(events.OVER_RATE, {
+        id: caller.id,
+        workspace: workspace.name,
+        units,
+        level: Math.round(rate.level),
+        perSecond: workspace.ratePerSecond,
+        burst: workspace.burst,
+        silentShare: this.#silentShare(),
+      });
       refuse(429, "over_rate", wait);
       return false;
     }
@@ -292,6 +302,8 @@
       model,
       adapter,
       version,
+      olderAllowed: model !== undefined && adapter !== undefined &&
+        this.#parts.isOlderAllowed(model, adapter),
       excluded: this.#excluded,
     }, this.#parts.around(now));
     if (choice.kind === "none") return choice.reason;
@@ -465,7 +477,7 @@
       deadlineMs: this.#endsAt - now,
       engineId: view.engine.id,
       workspace: workspace?.name,
-      version: announced > 0 ? Math.max(announced, held?.version ?? 0) : undefined,
+      version: announced > 0 ? held?.version ?? announced : undefined,
       urgency: urgencyOf(priority, route),
       lastEventId: this.#lastEventId,
       bodyBytes: body?.length,
--- a/packages/serving/src/adapter_places.ts
+++ b/packages/serving/src/adapter_places.ts
@@ -35,9 +35,14 @@
 /** Guess above the measured time of a load, so that few requests come early. */
 const LOAD_MARGIN_MS = 8;
 
-/** A replacement by a newer version waits for running requests this long at
- * most before it is ordered all the same, in milliseconds. */
-const REPLACE_WITHIN_MS = 2000;
+/** An adapter is evicted no sooner than this after its last use, in
+ * milliseconds: other instances' use is known a digest later. An order that
+ * meets a running request blocks all others until that has ended. */
+const QUIET_MS = 500;
+
+/** Places kept free while nothing waits, so that a load need not wait for an
+ * eviction first. */
+const FREE_PLACES = 1;
 
 /** One adapter on an engine. */
 export interface Place {
@@ -92,7 +97,6 @@
   readonly #recent = new Set<string>();
   #unloading = new Set<string>();
   #pending: WantedOrder | undefined;
-  readonly #outdatedSince = new Map<string, number>();
   #resyncAfter = 0;
   #fetchMs = FETCH_MS;
   #changes = 0;
@@ -137,9 +141,12 @@
     return this.#unloading.has(adapter) ? undefined : place;
   }
 
-  /** Whether a wish for one more adapter can be met soon. */
-  canTake(now: number): boolean {
+  /** Whether a wish for this adapter can be met soon. */
+  canTake(adapter: string, now: number): boolean {
+    if (this.#wishes.has(adapter)) return true;
     if (this.#wishes.size >= FETCHES_AT_ONCE) return false;
+    // An older version that is in use.
+    if (this.#held.has(adapter) && !this.#isQuiet(adapter, now)) return false;
     const free = this.#places - this.#held.size;
     return free > this.#wishes.size || this.#victim(now) !== undefined;
   }
@@ -178,7 +185,7 @@
     if (this.#pending !== undefined || this.#orderCount === undefined) {
       return undefined;
     }
-    const order = this.#replacement(now, versionOf) ?? this.#nextWish(now);
+    const order = this.#nextWish(now) ?? this.#makeRoom(now, versionOf);
     if (order === undefined) return undefined;
     this.#pending = order;
     return order;
@@ -309,23 +316,6 @@
     }
   }
 
-  /** A load that replaces an outdated version: once nobody uses it, or when it
-   * has waited long enough. */
-  #replacement(now: number, versionOf: (adapter: string) => number) {
-    for (const place of this.#held.values()) {
-      const newest = versionOf(place.adapter);
-      if (place.version >= newest || place.readyAt > now) continue;
-      if (this.#unloading.has(place.adapter)) continue;
-      const since = this.#outdatedSince.get(place.adapter);
-      if (since === undefined) this.#outdatedSince.set(place.adapter, now);
-      const idle = (this.#use.get(place.adapter)?.inFlight ?? 0) === 0;
-      if (!idle && now - (since ?? now) < REPLACE_WITHIN_MS) continue;
-      this.#outdatedSince.delete(place.adapter);
-      return this.#order("load", place.adapter, newest);
-    }
-    return undefined;
-  }
-
   #nextWish(now: number): WantedOrder | undefined {
     if (now < this.#resyncAfter) return undefined;
     if (this.fetching(now) >= FETCHES_AT_ONCE) return undefined;
@@ -335,6 +325,8 @@
         this.#wishes.delete(candidate.adapter);
       } else if (
         !this.#unloading.has(candidate.adapter) &&
+        !(this.#held.has(candidate.adapter) &&
+          !this.#isQuiet(candidate.adapter, now)) &&
         (wish === undefined || candidate.since < wish.since)
       ) {
         wish = candidate;
@@ -350,6 +342,29 @@
     return this.#order("unload", victim, 0);
   }
 
+  /** Evicts ahead of need, outdated versions first. */
+  #makeRoom(
+    now: number,
+    versionOf: (adapter: string) => number,
+  ): WantedOrder | undefined {
+    if (this.#unloading.size > 0) return undefined;
+    for (const place of this.#held.values()) {
+      if (place.version >= versionOf(place.adapter)) continue;
+      if (place.readyAt > now || !this.#isQuiet(place.adapter, now)) continue;
+      return this.#order("unload", place.adapter, 0);
+    }
+    if (this.#places - this.#held.size >= FREE_PLACES) return undefined;
+    const victim = this.#victim(now);
+    return victim === undefined
+      ? undefined
+      : this.#order("unload", victim, 0);
+  }
+
+  #isQuiet(adapter: string, now: number): boolean {
+    const use = this.#use.get(adapter);
+    return use === undefined || (use.inFlight === 0 && now - use.at > QUIET_MS);
+  }
+
   #order(action: "load" | "unload", adapter: string, version: number) {
     const orderCount = this.#orderCount ?? 0;
     return { action, adapter, version, orderCount } as const;
@@ -362,8 +377,8 @@
     for (const place of this.#held.values()) {
       if (place.readyAt > now || this.#unloading.has(place.adapter)) continue;
       if (this.#wishes.has(place.adapter)) continue;
+      if (!this.#isQuiet(place.adapter, now)) continue;
       const use = this.#use.get(place.adapter);
-      if (use !== undefined && use.inFlight > 0) continue;
       const weight = use === undefined ? 0 : decayed(use, now);
       if (weight < least) {
         least = weight;
--- a/packages/serving/src/assignment.ts
+++ b/packages/serving/src/assignment.ts
@@ -7,30 +7,44 @@
 /** The owners of engines, by the engine's key. */
 export type Assignment = Readonly<Record<string, string>>;
 
-/** Gives the `open` engines to `members`: to the one with the fewest engines,
- * then by hash. Those of `kept` stay where they are, since each move costs
- * a pause in orders.
+/** A member that may own engines. */
+export interface Candidate {
+  readonly owner: string;
+  readonly zone: string;
+}
+
+/** An engine without an owner. */
+export interface OpenEngine {
+  readonly key: string;
+  readonly zone: string;
+}
+
+/** Gives the `open` engines to members of their zone if there are any, else to
+ * any: to the one with the fewest engines, then by hash. Those of `kept` stay
+ * where they are, since each move costs a pause in orders.
  *
  * @example
  * ```ts
- * planAssignment({}, ["e-1", "e-2"], ["a", "b"]); // one engine for each
+ * planAssignment({}, [{ key: "e-1", zone: "a" }], [{ owner: "m", zone: "b" }]);
  * ```
  */
 export function planAssignment(
   kept: Assignment,
-  open: readonly string[],
-  members: readonly string[],
+  open: readonly OpenEngine[],
+  members: readonly Candidate[],
 ): Assignment {
-  const counts = new Map(members.map((name) => [name, 0]));
+  const counts = new Map(members.map(({ owner }) => [owner, 0]));
   for (const owner of Object.values(kept)) {
     const count = counts.get(owner);
     if (count !== undefined) counts.set(owner, count + 1);
   }
   const planned: Record<string, string> = {};
-  for (const engine of [...open].sort()) {
-    const owner = leastLoaded(engine, counts);
+  const sorted = [...open].sort((a, b) => a.key < b.key ? -1 : 1);
+  for (const { key, zone } of sorted) {
+    const near = members.filter((m) => m.zone === zone);
+    const owner = leastLoaded(key, near.length > 0 ? near : members, counts);
     if (owner === undefined) continue;
-    planned[engine] = owner;
+    planned[key] = owner;
     counts.set(owner, (counts.get(owner) ?? 0) + 1);
   }
   return planned;
@@ -38,15 +52,17 @@
 
 function leastLoaded(
   engine: string,
+  members: readonly Candidate[],
   counts: ReadonlyMap<string, number>,
 ): string | undefined {
   let best: string | undefined;
   let bestCount = Infinity;
   let bestHash = 0;
-  for (const [name, count] of counts) {
-    const hash = hashToUnit(`${engine} ${name}`);
+  for (const { owner } of members) {
+    const count = counts.get(owner) ?? 0;
+    const hash = hashToUnit(`${engine} ${owner}`);
     if (count < bestCount || (count === bestCount && hash > bestHash)) {
-      best = name;
+      best = owner;
       bestCount = count;
       bestHash = hash;
     }
--- a/packages/serving/src/choose_engine.ts
+++ b/packages/serving/src/choose_engine.ts
@@ -35,8 +35,11 @@
   readonly service: string;
   readonly model: string | undefined;
   readonly adapter: string | undefined;
-  /** The oldest version of the adapter that may serve. */
+  /** The newest version of the adapter that was announced. */
   readonly version: number;
+  /** Whether an older version may serve still, since the newer one was
+   * announced just now. */
+  readonly olderAllowed: boolean;
   /** Engines that have been tried already. */
   readonly excluded: ReadonlySet<string>;
 }
@@ -120,9 +123,19 @@
     let bestCost = Infinity;
     let coming: EngineView | undefined;
     let comingAt = Infinity;
+    let older: EngineView | undefined;
+    let olderCost = Infinity;
     for (const view of usable) {
       const held = view.adapters.get(adapter);
-      if (held === undefined || held.version < need.version) continue;
+      if (held === undefined) continue;
+      if (held.version < need.version) {
+        const cost = costOf(view, around);
+        if (need.olderAllowed && held.readyAt <= now && cost < olderCost) {
+          older = view;
+          olderCost = cost;
+        }
+        continue;
+      }
       if (held.readyAt > now) {
         if (held.readyAt < comingAt) {
           comingAt = held.readyAt;
@@ -136,10 +149,10 @@
         best = view;
       }
     }
-    const excluded = new Set(usable);
+    const candidates = new Set(usable);
     const other = best !== undefined && bestCost < SPREAD_ADVANTAGE
       ? undefined
-      : this.#cheapestWithout(excluded, need, around);
+      : this.#cheapestWithout(candidates, need, around);
     if (best !== undefined) {
       const spread = other !== undefined && coming === undefined &&
         bestCost - other.cost > SPREAD_ADVANTAGE;
@@ -152,6 +165,10 @@
       }
       return { kind: "load", view: coming ?? other.view };
     }
+    if (older !== undefined) {
+      const spreadTo = coming === undefined ? other?.view : undefined;
+      return { kind: "send", view: older, spreadTo };
+    }
     const view = coming ?? other?.view;
     if (view === undefined) return { kind: "none", reason: "full" };
     return { kind: "load", view };
@@ -171,7 +188,8 @@
     for (const view of this.rank(need.service, adapter)) {
       if (!usable.has(view)) continue;
       const held = view.adapters.get(adapter);
-      if (held !== undefined && held.version >= need.version) continue;
+      // An older version there may be in use, and a load would wait for that.
+      if (held !== undefined) continue;
       if (!view.holdsModel(need.model ?? "")) continue;
       if (!around.canOrder(view.engine.key)) continue;
       const cost = costOf(view, around) + position * SPREAD_ADVANTAGE;
--- a/packages/serving/src/member_table.ts
+++ b/packages/serving/src/member_table.ts
@@ -12,6 +12,9 @@
   readonly at: number;
   readonly leaving: boolean;
   readonly ready: boolean;
+  /** Under which it may own engines; undefined if the store did not confirm
+   * one yet. */
+  readonly tenure: string | undefined;
 }
 
 /** The other members, and when each was heard of last. */
@@ -24,10 +27,13 @@
     this.#self = self;
   }
 
-  /** Puts the list of the store in force. */
-  setMembers(members: readonly Member[]): void {
+  /** Puts the list of the store in force. Members that are heard of stay, also
+   * if the store turns them away. */
+  setMembers(members: readonly Member[], now: number): void {
+    const heard = this.list().filter((m) => this.isAlive(m.name, now));
     this.#members = new Map(
-      members.filter((m) => m.name !== this.#self).map((m) => [m.name, m]),
+      [...members, ...heard].filter((m) => m.name !== this.#self)
+        .map((m) => [m.name, m]),
     );
     for (const name of this.#heard.keys()) {
       if (!this.#members.has(name)) this.#heard.delete(name);
@@ -47,9 +53,12 @@
     this.#heard.set(name, { at: now, ...state });
   }
 
-  /** A member's process ended. */
-  lose(name: string): void {
+  /** A member's entry was removed. */
+  remove(name: string): void {
     this.#heard.delete(name);
+    const members = new Map(this.#members);
+    members.delete(name);
+    this.#members = members;
   }
 
   /** All members but this one. */
@@ -68,6 +77,11 @@
     return heard !== undefined && now - heard.at < SILENT_AFTER_MS;
   }
 
+  /** The tenure that a member told. */
+  tenureOf(name: string): string | undefined {
+    return this.#heard.get(name)?.tenure;
+  }
+
   /** Members that callers may be sent to. */
   ready(now: number): readonly Member[] {
     return this.list().filter((m) => {
--- a/packages/serving/src/token_rate.ts
+++ b/packages/serving/src/token_rate.ts
@@ -37,6 +37,11 @@
     return this.#used;
   }
 
+  /** Units left; below zero after others have told of their use. */
+  get level(): number {
+    return this.#level;
+  }
+
   /** Puts another limit in force. A lower burst takes effect at once. */
   setLimit(limit: RateLimit): void {
     this.#limit = limit;
