--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -337,7 +337,10 @@
     const outcome = outcomeOf(order.action, answer);
     const now = performance.now();
     engine.places.settle(outcome, now, this.#slowdown());
-    metrics.add("orders_total", `action="${order.action}",outcome="${outcome}"`);
+    metrics.add(
+      "orders_total",
+      `action="${order.action}",outcome="${outcome}"`,
+    );
     const failed = outcome === "refused" || outcome === "unknown";
     log.write(failed ? events.ORDER_FAILED : events.ORDERED, {
       engine: view.engine.key,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -310,7 +310,9 @@
         return;
       case "load":
         void this.#loader.loadHere(message.engine, message).then((ok) => {
-          if (message.quiet !== true) respond({ t: "loaded", n: message.n, ok });
+          if (message.quiet !== true) {
+            respond({ t: "loaded", n: message.n, ok });
+          }
         });
         return;
       case "pull": {
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -18,7 +18,10 @@
   process.exit(2);
 }
 const log = new EventLog(
-  pino({ base: undefined, timestamp: pino.stdTimeFunctions.epochTime }, new LogStream(process.stdout)),
+  pino(
+    { base: undefined, timestamp: pino.stdTimeFunctions.epochTime },
+    new LogStream(process.stdout),
+  ),
 );
 const gateway = new Gateway(decodeSettings(readFileSync(path, "utf8")), log);
 
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -205,7 +205,8 @@
 
   get #repeatable(): boolean {
     const { route } = this.#in;
-    return route.kind === "safe" || (route.kind === "stream" && route.resumable);
+    return route.kind === "safe" ||
+      (route.kind === "stream" && route.resumable);
   }
 
   async run(): Promise<void> {
@@ -444,7 +445,11 @@
     const now = performance.now();
     const { metrics, log } = this.#parts;
     metrics.add("answers_total", `status="${status}"`);
-    metrics.time("first_byte_ms", `kind="${route.kind}"`, (this.#firstByteAt ?? now) - arrivedAt);
+    metrics.time(
+      "first_byte_ms",
+      `kind="${route.kind}"`,
+      (this.#firstByteAt ?? now) - arrivedAt,
+    );
     metrics.time("answer_ms", `kind="${route.kind}"`, now - arrivedAt);
     log.write(events.REQUEST_SERVED, {
       id: caller.id,
--- a/packages/serving/src/adapter_places.ts
+++ b/packages/serving/src/adapter_places.ts
@@ -355,9 +355,7 @@
     }
     if (this.#places - this.#held.size >= FREE_PLACES) return undefined;
     const victim = this.#victim(now);
-    return victim === undefined
-      ? undefined
-      : this.#order("unload", victim, 0);
+    return victim === undefined ? undefined : this.#order("unload", victim, 0);
   }
 
   #isQuiet(adapter: string, now: number): boolean {
--- /dev/null
+++ b/packages/serving/src/assignment_test.ts
@@ -0,0 +1,33 @@
+import { expect, test } from "vitest";
+import { planAssignment } from "./assignment.ts";
+
+const member = (owner: string, zone = "a") => ({ owner, zone });
+const open = (...keys: readonly string[]) =>
+  keys.map((key) => ({ key, zone: "a" }));
+
+test("engines spread evenly over the members of their zone", () => {
+  const planned = planAssignment(
+    {},
+    open("e1", "e2", "e3", "e4"),
+    [member("m1"), member("m2"), member("m3", "b")],
+  );
+  const counts = Object.values(planned).toSorted();
+  expect(counts).toEqual(["m1", "m1", "m2", "m2"]);
+});
+
+test("a zone without members: others order at its engines", () => {
+  const planned = planAssignment({}, open("e1"), [member("m", "b")]);
+  expect(planned).toEqual({ e1: "m" });
+});
+
+test("engines that are kept count against their owner", () => {
+  const planned = planAssignment({ e1: "m1", e2: "m1" }, open("e3", "e4"), [
+    member("m1"),
+    member("m2"),
+  ]);
+  expect(planned).toEqual({ e3: "m2", e4: "m2" });
+});
+
+test("nobody alive: nothing is assigned", () => {
+  expect(planAssignment({}, open("e1"), [])).toEqual({});
+});
--- /dev/null
+++ b/packages/serving/src/member_table_test.ts
@@ -0,0 +1,62 @@
+import { expect, test } from "vitest";
+import { MemberTable, SILENT_AFTER_MS } from "./member_table.ts";
+import { steer } from "./steering.ts";
+import type { Member } from "./types.ts";
+
+function member(name: string, zone: string, region: string): Member {
+  return {
+    name,
+    zone,
+    region,
+    peerAddress: `${name}:1`,
+    callerAddress: `${name}:2`,
+    incarnation: "i",
+  };
+}
+
+const all = [
+  member("a1", "a", "north"),
+  member("a2", "a", "north"),
+  member("b1", "b", "north"),
+  member("c1", "c", "south"),
+];
+const state = { ready: true, leaving: false, tenure: undefined };
+
+test("a lost instance leaves the answers once it is silent", () => {
+  const table = new MemberTable("self");
+  table.setMembers(all, 0);
+  for (const m of all) table.hear(m.name, 0, state);
+  expect(table.ready(SILENT_AFTER_MS - 1)).toHaveLength(4);
+  table.hear("a1", SILENT_AFTER_MS, state);
+  expect(table.ready(SILENT_AFTER_MS).map((m) => m.name)).toEqual(["a1"]);
+});
+
+test("instances that leave or are not ready are not named", () => {
+  const table = new MemberTable("self");
+  table.setMembers(all, 0);
+  table.hear("a1", 0, { ...state, leaving: true });
+  table.hear("a2", 0, { ...state, ready: false });
+  expect(table.ready(1)).toEqual([]);
+});
+
+test("an instance that the store turns away stays known to its peers", () => {
+  const table = new MemberTable("self");
+  table.introduce(member("new", "a", "north"));
+  table.hear("new", 0, state);
+  table.setMembers(all, 100);
+  expect(table.get("new")).toBeDefined();
+  table.setMembers(all, SILENT_AFTER_MS + 1);
+  expect(table.get("new")).toBeUndefined();
+});
+
+test("callers stay in their zone while it has two instances", () => {
+  expect(steer(all, { zone: "a", region: "north" })).toEqual(["a1:2", "a2:2"]);
+});
+
+test("a zone with one instance left: callers get the region", () => {
+  expect(steer(all, { zone: "b", region: "north" })).toHaveLength(3);
+});
+
+test("whole region lost: callers get every instance there is", () => {
+  expect(steer(all, { zone: "c", region: "south" })).toHaveLength(4);
+});
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -193,7 +193,10 @@
   ): readonly string[];
 
   /** Reads an answer's head. */
-  abstract readAnswer(status: number, rawHeaders: readonly string[]): AnswerHead;
+  abstract readAnswer(
+    status: number,
+    rawHeaders: readonly string[],
+  ): AnswerHead;
 
   /** The answer's headers that the caller gets. */
   abstract answerHeaders(rawHeaders: readonly string[]): readonly string[];
