--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -36,8 +36,13 @@
 /** Wait after a request came too early, in milliseconds. */
 const EARLY_MS = 30;
 
-/** Reports in a row without answer after which an engine counts as silent. */
-const SILENT_REPORTS = 2;
+/** Calls in a row without answer after which an engine counts as down. */
+const DOWN_AFTER = 2;
+
+/** Pause after an order without answer, in milliseconds; longer for an engine
+ * that counts as down. */
+const ORDER_PAUSE_MS = 30;
+const DOWN_PAUSE_MS = 400;
 
 interface Waiter {
   readonly adapter: string;
@@ -56,7 +61,9 @@
   reportAt = 0;
   reporting = false;
   ordering = false;
-  silentReports = 0;
+  orderAfter = 0;
+  /** Calls in a row without answer. */
+  unanswered = 0;
   modelOrdered = false;
   modelCount: number | undefined;
 
@@ -114,6 +121,12 @@
     ]);
   }
 
+  /** The engines of this instance that give no answer. */
+  down(): readonly string[] {
+    return [...this.#engines].filter(([, e]) => e.unanswered >= DOWN_AFTER)
+      .map(([key]) => key);
+  }
+
   /** A peer tells how many fetches it has under way. */
   learnFetches(peer: string, count: number): void {
     this.#peerFetches.set(peer, count);
@@ -197,6 +210,7 @@
     if (
       engine === undefined || !this.#options.membership.mayOrder(engineKey)
     ) return Promise.resolve(false);
+    if (engine.unanswered >= DOWN_AFTER) return Promise.resolve(false);
     const now = performance.now();
     const { adapter, version } = want;
     const place = engine.places.find(adapter, version);
@@ -270,6 +284,7 @@
       void this.#report(view, engine);
     }
     if (engine.ordering || !this.#options.membership.mayOrder(key)) return;
+    if (now < engine.orderAfter) return;
     if (view.engine.leaving) return;
     if (!view.holdsModel(engine.model)) {
       void this.#orderModel(view, engine);
@@ -336,6 +351,7 @@
     engine.ordering = false;
     const outcome = outcomeOf(order.action, answer);
     const now = performance.now();
+    this.#noteAnswer(view, engine, answer !== "unknown");
     engine.places.settle(outcome, now, this.#slowdown());
     metrics.add(
       "orders_total",
@@ -391,14 +407,8 @@
       "reports_total",
       `answered="${report !== undefined}"`,
     );
-    if (report === undefined) {
-      engine.silentReports += 1;
-      if (engine.silentReports >= SILENT_REPORTS) {
-        view.health.note("silent", now);
-      }
-      return;
-    }
-    engine.silentReports = 0;
+    this.#noteAnswer(view, engine, report !== undefined);
+    if (report === undefined) return;
     const holdsModel = report.models.some((m) => m.name === engine.model);
     if (!holdsModel) engine.modelCount = report.orderCount;
     if (holdsModel && !view.holdsModel(engine.model)) {
@@ -408,6 +418,27 @@
     this.#step(view.engine.key, engine);
   }
 
+  /** An engine without answers is down until it answers again: who waits for
+   * loads there is sent elsewhere at once. */
+  #noteAnswer(view: EngineView, engine: OrderedEngine, answered: boolean) {
+    if (answered) {
+      engine.unanswered = 0;
+      view.down = false;
+      return;
+    }
+    engine.unanswered += 1;
+    const down = engine.unanswered >= DOWN_AFTER;
+    view.down = down;
+    engine.orderAfter = performance.now() +
+      (down ? DOWN_PAUSE_MS : ORDER_PAUSE_MS);
+    if (!down) return;
+    for (const waiter of engine.waiters) {
+      engine.places.unwant(waiter.adapter);
+      waiter.resolve(false);
+    }
+    engine.waiters.clear();
+  }
+
   #publish(view: EngineView, engine: OrderedEngine): void {
     view.told = true;
     view.adapters = new Map(
--- a/packages/gateway/src/digests.ts
+++ b/packages/gateway/src/digests.ts
@@ -92,6 +92,7 @@
       used: Object.fromEntries(
         [...rates].map(([name, rate]) => [name, Math.round(rate.used)]),
       ),
+      down: loader.down(),
       fetches: loader.fetches,
     };
     const held = loader.held();
@@ -127,7 +128,11 @@
       this.#parts.links().prove(member.peerAddress);
     }
     for (const view of board.all()) {
-      view.learnCount(from, digest.flight[view.engine.key] ?? 0, now);
+      const key = view.engine.key;
+      view.learnCount(from, digest.flight[key] ?? 0, now);
+      if (this.#parts.membership.ownerOf(key) === from) {
+        view.down = digest.down.includes(key);
+      }
     }
     for (const [name, used] of Object.entries(digest.used)) {
       rates.get(name)?.learn(from, member.incarnation, used);
--- a/packages/gateway/src/engine_connections.ts
+++ b/packages/gateway/src/engine_connections.ts
@@ -33,8 +33,9 @@
     return true;
   }
 
-  override reuseSocket(socket: Duplex): void {
+  override reuseSocket(socket: Duplex, req: ClientRequest): void {
     socket.removeListener("data", destroyOnData);
+    super.reuseSocket(socket, req);
   }
 }
 
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -36,6 +36,8 @@
   readonly used: Readonly<Record<string, number>>;
   /** Adapters of the engines at which the sender orders, if they changed. */
   readonly held?: Readonly<Record<string, readonly HeldRow[]>>;
+  /** Those of these engines that give no answer. */
+  readonly down: readonly string[];
   /** Fetches under way at these engines. */
   readonly fetches: number;
   /** Use of adapters at engines of the receiver: started, running. */
--- a/packages/serving/src/choose_engine.ts
+++ b/packages/serving/src/choose_engine.ts
@@ -85,9 +85,12 @@
    * ```
    */
   choose(need: Need, around: Surroundings): Choice {
-    const usable = this.#board.ofService(need.service).filter((view) =>
+    const open = this.#board.ofService(need.service).filter((view) =>
       !view.engine.leaving && !need.excluded.has(view.engine.key)
     );
+    // With every engine said to be down, the report is more likely wrong.
+    const up = open.filter((view) => !view.down);
+    const usable = up.length > 0 ? up : open;
     if (usable.length === 0) return { kind: "none", reason: "no_engine" };
     if (need.model === undefined || need.adapter === undefined) {
       return chooseAny(usable, need, around);
--- a/packages/serving/src/engine_board.ts
+++ b/packages/serving/src/engine_board.ts
@@ -31,6 +31,8 @@
   adapters: BelievedAdapters;
   /** Whether the instance that orders there has told what is held. */
   told = false;
+  /** The instance that orders there gets no answer from it. */
+  down = false;
   inFlight = 0;
   readonly health = new EngineHealth();
   readonly #peers = new Map<string, PeerCount>();
--- a/packages/serving/src/token_rate.ts
+++ b/packages/serving/src/token_rate.ts
@@ -12,6 +12,14 @@
  * spent the rest, and callers stay under the rate as a rule. */
 const START_FRACTION = 0.25;
 
+/** Part of the burst that large requests leave to small ones: a call of an
+ * application costs a fraction of a generation, and must not starve beside
+ * generations that use up the rate. */
+const RESERVED_FRACTION = 0.1;
+
+/** A request is large from this part of the burst. */
+const LARGE_FRACTION = 0.005;
+
 /** A workspace's limits, in units. */
 export interface RateLimit {
   readonly perSecond: number;
@@ -71,7 +79,7 @@
 
   /** Takes `units` if there are that many, and tells so. */
   take(units: number): boolean {
-    if (this.#level < Math.min(units, this.#limit.burst)) return false;
+    if (this.#level < this.#needed(units)) return false;
     this.#level -= units;
     this.#used += units;
     return true;
@@ -85,7 +93,16 @@
 
   /** Milliseconds until `units` are there, at the full rate. */
   waitMs(units: number): number {
-    const missing = Math.min(units, this.#limit.burst) - this.#level;
+    const missing = this.#needed(units) - this.#level;
     return Math.max(0, missing / this.#limit.perSecond * 1000);
   }
+
+  /** The level at which a request may pass. */
+  #needed(units: number): number {
+    const { burst } = this.#limit;
+    const reserved = units > burst * LARGE_FRACTION
+      ? burst * RESERVED_FRACTION
+      : 0;
+    return Math.min(units + reserved, burst);
+  }
 }
--- a/packages/serving/src/token_rate_test.ts
+++ b/packages/serving/src/token_rate_test.ts
@@ -81,3 +81,10 @@
   expect(rate.take(2500)).toBe(true);
   expect(rate.level).toBe(-500);
 });
+
+test("generations that use up the rate leave room for small calls", () => {
+  const rate = new TokenRate({ perSecond: 10_000, burst: 40_000 }, 0);
+  rate.refill(10_000, 0);
+  while (rate.take(1200));
+  expect(rate.take(200)).toBe(true);
+});
