Pass on nothing after a reset; refuse streams late in a graceful stop

MIXED: an answer without a length ends with its connection, and node's parser calls it complete also after a reset. LOST: callers that keep addresses sent streams more than 3 s after SIGTERM, which were cut at the end of the grace period. A stopping instance takes streams for 2.5 s only and refuses them unrun after that, to be sent elsewhere at once.

--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -39,6 +39,16 @@
 /** Calls in a row without answer after which an engine counts as down. */
 const DOWN_AFTER = 2;
 
+/** Time allowed for an order's answer: this many times the usual, within
+ * bounds in milliseconds. Engines answer at once, an order may be sent again,
+ * and requests wait for its adapter. */
+const ORDER_TIMEOUT_FACTOR = 8;
+const ORDER_TIMEOUT_MIN_MS = 60;
+const ORDER_TIMEOUT_MAX_MS = 400;
+
+/** Weight of one order's time in the usual time. */
+const ORDER_TIME_WEIGHT = 0.2;
+
 /** Pause after an order without answer, in milliseconds; longer for an engine
  * that counts as down. */
 const ORDER_PAUSE_MS = 30;
@@ -62,11 +72,20 @@
   reporting = false;
   ordering = false;
   orderAfter = 0;
+  /** Usual time from an order to its answer, in milliseconds. */
+  orderMs = ORDER_TIMEOUT_MAX_MS / ORDER_TIMEOUT_FACTOR;
   /** Calls in a row without answer. */
   unanswered = 0;
   modelOrdered = false;
   modelCount: number | undefined;
 
+  get orderTimeoutMs(): number {
+    return Math.min(
+      ORDER_TIMEOUT_MAX_MS,
+      Math.max(ORDER_TIMEOUT_MIN_MS, this.orderMs * ORDER_TIMEOUT_FACTOR),
+    );
+  }
+
   constructor(places: number, model: string) {
     this.places = new AdapterPlaces(places);
     this.model = model;
@@ -347,11 +366,16 @@
       orderCount: order.orderCount,
       holder: self,
       fence: membership.fence,
-    });
+    }, engine.orderTimeoutMs);
     engine.ordering = false;
     const outcome = outcomeOf(order.action, answer);
     const now = performance.now();
     this.#noteAnswer(view, engine, answer !== "unknown");
+    const took = now - sentAt;
+    // The way may have become slower.
+    engine.orderMs = answer === "unknown"
+      ? Math.min(engine.orderMs * 1.5, ORDER_TIMEOUT_MAX_MS)
+      : engine.orderMs + (took - engine.orderMs) * ORDER_TIME_WEIGHT;
     engine.places.settle(outcome, now, this.#slowdown());
     metrics.add(
       "orders_total",
@@ -366,6 +390,14 @@
       count: order.orderCount,
       fence: membership.fence,
       answer,
+      waitedMs: order.wantedAt === undefined
+        ? undefined
+        : Math.round(sentAt - order.wantedAt),
+      readyInMs: Math.round(
+        (engine.places.find(order.adapter, 0)?.readyAt ?? now) - now,
+      ),
+      queue: engine.places.queueLength,
+      fetches: this.fetches,
       ms: Math.round(now - sentAt),
     });
     this.#step(view.engine.key, engine);
@@ -384,7 +416,7 @@
       orderCount: engine.modelCount,
       holder: self,
       fence: membership.fence,
-    });
+    }, ORDER_TIMEOUT_MAX_MS);
     engine.ordering = false;
     engine.modelOrdered = answer === "accepted" || answer === "complete";
     engine.modelCount = undefined;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
   type Member,
   MemberTable,
   RetryAllowance,
+  type Route,
   steer,
   type Surroundings,
   SystemClocks,
@@ -45,7 +46,11 @@
 
 /** How long callers keep the addresses, in seconds: short against the time in
  * which a lost instance would be missed. */
-const STEERING_KEEP_SECONDS = 2;
+const STEERING_KEEP_SECONDS = 1;
+
+/** A stopping process takes streams for this long only: the longest ones last
+ * seconds, and would be cut at the end of the grace period. */
+const LEAVE_STREAMS_MS = 2500;
 
 /** A stopping process ends no sooner than this: callers that keep addresses
  * still connect. */
@@ -55,7 +60,7 @@
 const LEAVE_IDLE_MS = 400;
 
 /** It ends this long before it would be killed. */
-const KILL_MARGIN_MS = 500;
+const KILL_MARGIN_MS = 250;
 
 /** Longest header block that callers may send; the configuration's limit is
  * not known before the listener opens. */
@@ -86,6 +91,7 @@
   readonly #steering: CallerServer;
   readonly #timers: NodeJS.Timeout[] = [];
   #leaving = false;
+  #leavingSince = Infinity;
 
   constructor(settings: InstanceSettings, log: EventLog) {
     this.#settings = settings;
@@ -157,6 +163,7 @@
         this.#knowledge.isOlderAllowed(model, adapter),
       around: (now) => this.#around(now),
       use,
+      hasTimeFor: (route) => this.#hasTimeFor(route),
       log,
       metrics: this.#metrics,
     });
@@ -207,6 +214,7 @@
     if (this.#leaving) return;
     this.#leaving = true;
     const since = performance.now();
+    this.#leavingSince = since;
     this.#log.write(events.STOPPING, { active: this.#callers.active });
     this.#callers.leave();
     this.#digests.send();
@@ -242,6 +250,14 @@
     return this.#knowledge.ready && !this.#leaving;
   }
 
+  #hasTimeFor(route: Route): boolean {
+    if (!this.#leaving) return true;
+    const passed = performance.now() - this.#leavingSince;
+    if (route.kind === "stream") return passed < LEAVE_STREAMS_MS;
+    const left = this.#settings.bounds.graceMs - KILL_MARGIN_MS - passed;
+    return left > route.timeoutMs;
+  }
+
   #tick(): void {
     this.#knowledge.expireLapsed(performance.now());
     this.#loader.tick();
@@ -251,6 +267,7 @@
     const table = this.#knowledge.table;
     if (table === undefined) return;
     this.#callers.setLimits(table.configuration.limits);
+    this.#membership.wake();
     const keys = new Set([...this.#board.all()].map((v) => v.engine.key));
     for (const key of this.#connections.keys()) {
       if (!keys.has(key)) this.#connections.drop(key);
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -91,6 +91,7 @@
   #tenures: ReadonlyMap<string, string> = new Map();
   readonly #mayOrderAt = new Map<string, number>();
   #renewals = 0;
+  #wakeCheck: (() => void) | undefined;
   #closed = false;
 
   constructor(store: RecordStore, options: MembershipOptions) {
@@ -136,12 +137,19 @@
       this.#lease.holds();
   }
 
+  /** Engines came or went: the assignment is checked at once. */
+  wake(): void {
+    this.#wakeCheck?.();
+  }
+
   /** Starts renewals and checks. */
   start(): void {
     void this.#followMembers.run();
     void this.#followAssignment.run();
     void this.#repeat(RENEW_MS, () => this.#renew());
-    void this.#repeat(CHECK_MS, () => this.#check());
+    void this.#repeat(CHECK_MS, () => this.#check(), (wake) => {
+      this.#wakeCheck = wake;
+    });
   }
 
   /** Ends them. */
@@ -151,7 +159,11 @@
     this.#followAssignment.close();
   }
 
-  async #repeat(everyMs: number, step: () => Promise<void>): Promise<void> {
+  async #repeat(
+    everyMs: number,
+    step: () => Promise<void>,
+    onPause: (wake: () => void) => void = () => undefined,
+  ): Promise<void> {
     while (!this.#closed) {
       try {
         await step();
@@ -161,7 +173,10 @@
           this.#options.log.write(events.UNEXPECTED, { error: String(err) });
         }
       }
-      await new Promise((resolve) => setTimeout(resolve, everyMs));
+      await new Promise<void>((resolve) => {
+        setTimeout(resolve, everyMs);
+        onPause(resolve);
+      });
     }
   }
 
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -51,6 +51,9 @@
 /** Engines that may refuse one request unrun before it is refused. */
 const REFUSALS_MAX = 4;
 
+/** Added to the urgency of a request that has missed its target. */
+const LATE_URGENCY = 4;
+
 /** An error answer is kept to be passed on if no retry succeeds, up to here. */
 const KEPT_ANSWER_BYTES = 64 * 1024;
 
@@ -74,6 +77,8 @@
   readonly isOlderAllowed: (model: string, adapter: string) => boolean;
   readonly around: (now: number) => Surroundings;
   readonly use: UseCounts;
+  /** Whether a request that takes so long can end before this process does. */
+  readonly hasTimeFor: (route: Route) => boolean;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
 }
@@ -93,6 +98,14 @@
   /** The request's time is over. */
   | { readonly kind: "timed_out" };
 
+/** Ends an attempt; only the first end counts. */
+interface Settle {
+  (end: AttemptEnd): void;
+  /** Whether the attempt has ended: what still comes must not be passed on. An
+   * answer that ends with its connection looks complete after a reset. */
+  readonly ended: () => boolean;
+}
+
 interface KeptAnswer {
   readonly status: number;
   readonly headers: readonly string[];
@@ -136,6 +149,7 @@
     const needsKey = !route.isPublic &&
       table.configuration.workspaces.length > 0;
     if (needsKey && workspace === undefined) return refuse(401, "unknown_key");
+    if (!this.#parts.hasTimeFor(route)) return refuse(503, "leaving", 0);
     const service = pickService(route, Math.random());
     if (service === undefined) return refuse(503, "no_service", 1);
     this.#parts.allowanceOf(service).countRequest(arrivedAt);
@@ -483,7 +497,7 @@
       engineId: view.engine.id,
       workspace: workspace?.name,
       version: announced > 0 ? held?.version ?? announced : undefined,
-      urgency: urgencyOf(priority, route),
+      urgency: urgencyOf(priority, route, now - this.#in.arrivedAt),
       lastEventId: this.#lastEventId,
       bodyBytes: body?.length,
     });
@@ -514,7 +528,7 @@
   ): void {
     const { route } = this.#in;
     let settled = false;
-    const settle = (end: AttemptEnd) => {
+    const settle: Settle = Object.assign((end: AttemptEnd) => {
       if (settled) return;
       settled = true;
       clearTimeout(cut);
@@ -523,7 +537,7 @@
       // What was written may have run, unless the engine says otherwise.
       if (end.kind !== "not_run" && call.written()) this.#runs += 1;
       resolve(end);
-    };
+    }, { ended: () => settled });
     const cut = setTimeout(
       () => settle({ kind: "timed_out" }),
       Math.max(0, this.#endsAt - performance.now()) + CUT_AFTER_MS,
@@ -569,7 +583,7 @@
   #takeAnswer(
     view: EngineView,
     answer: IncomingMessage,
-    settle: (end: AttemptEnd) => void,
+    settle: Settle,
   ): void {
     const { caller, res } = this.#in;
     const status = answer.statusCode ?? 0;
@@ -618,7 +632,7 @@
   #takeError(
     view: EngineView,
     answer: IncomingMessage,
-    settle: (end: AttemptEnd) => void,
+    settle: Settle,
   ): void {
     const status = answer.statusCode ?? 0;
     const chunks: Buffer[] = [];
@@ -629,6 +643,7 @@
     });
     answer.on("error", () => settle(this.#spoiled("connection_lost")));
     answer.on("end", () => {
+      if (settle.ended()) return;
       if (this.#headSent) {
         settle({ kind: "broken", reason: "engine_error" });
         return;
@@ -653,7 +668,7 @@
   #passPlain(
     view: EngineView,
     answer: IncomingMessage,
-    settle: (end: AttemptEnd) => void,
+    settle: Settle,
   ): void {
     const { res } = this.#in;
     const status = answer.statusCode ?? 200;
@@ -662,6 +677,7 @@
     answer.on("data", (chunk: Buffer) => chunks.push(chunk));
     answer.on("error", () => settle(this.#spoiled("connection_lost")));
     answer.on("end", () => {
+      if (settle.ended()) return;
       if (!answer.complete) return settle(this.#spoiled("connection_lost"));
       const body = Buffer.concat(chunks);
       this.#headSent = true;
@@ -677,7 +693,7 @@
   #passEvents(
     view: EngineView,
     answer: IncomingMessage,
-    settle: (end: AttemptEnd) => void,
+    settle: Settle,
   ): void {
     const { res, route } = this.#in;
     this.#framer.reset();
@@ -694,6 +710,7 @@
     };
     watchStall();
     answer.on("data", (chunk: Buffer) => {
+      if (settle.ended()) return;
       watchStall();
       let bytes = chunk;
       if (route.resumable) {
@@ -701,7 +718,7 @@
         this.#lastEventId = framed.lastId ?? this.#lastEventId;
         bytes = framed.bytes;
       }
-      if (bytes.length === 0 || res.destroyed) return;
+      if (bytes.length === 0 || res.destroyed || settle.ended()) return;
       if (!res.write(bytes)) {
         answer.pause();
         clearTimeout(stall);
@@ -721,6 +738,7 @@
     });
     answer.on("end", () => {
       clearTimeout(stall);
+      if (settle.ended()) return;
       if (!answer.complete || (route.resumable && this.#framer.pending > 0)) {
         settle({ kind: "broken", reason: "connection_lost" });
         return;
@@ -741,10 +759,11 @@
   answer.once("close", done);
 }
 
-/** 0 is first: priority goes before the time that the caller allows. */
-function urgencyOf(priority: number, route: Route): number {
-  const patient = route.kind === "stream" && !route.resumable ? 1 : 0;
-  return Math.min(9, priority * 2 + patient);
+/** 0 is first. A request that has missed its target goes behind those that can
+ * still meet theirs; among equals priority decides. */
+function urgencyOf(priority: number, route: Route, waitedMs: number): number {
+  const late = waitedMs > route.targetLatencyMs ? LATE_URGENCY : 0;
+  return Math.min(9, priority + late);
 }
 
 function returnSeconds(): number {
--- a/packages/serving/src/adapter_places.ts
+++ b/packages/serving/src/adapter_places.ts
@@ -26,6 +26,11 @@
  * The first guess; later ones are measured. */
 const FETCH_MS = 250;
 
+/** How the measured time grows when a request came too early, and shrinks with
+ * each load: a few early requests move it, calm minutes move it back. */
+const LATE_FACTOR = 1.05;
+const EASE_FACTOR = 0.99;
+
 /** A held-recently adapter's load against a fetch. */
 const RECENT_FRACTION = 0.1;
 
@@ -60,6 +65,9 @@
   readonly version: number;
   /** The number of orders accepted so far, as the engine must confirm. */
   readonly orderCount: number;
+  /** When the adapter was first asked for; undefined for evictions ahead of
+   * need. */
+  readonly wantedAt: number | undefined;
 }
 
 /** How an order ended. */
@@ -235,11 +243,15 @@
   delay(adapter: string, now: number, ms: number): void {
     const place = this.#held.get(adapter);
     if (place === undefined) return;
-    if (place.readyAt < now + ms) {
-      this.#fetchMs = Math.min(this.#fetchMs * 1.05, FETCH_MS * 2);
-      this.#held.set(adapter, { ...place, readyAt: now + ms });
-      this.#changes += 1;
+    if (place.readyAt >= now + ms) return;
+    this.#fetchMs = Math.min(this.#fetchMs * LATE_FACTOR, FETCH_MS * 2);
+    // Fetches share the weight store: the others are late as well.
+    for (const other of this.#held.values()) {
+      if (other.adapter !== adapter && other.readyAt <= now) continue;
+      const readyAt = Math.max(now, other.readyAt) + ms;
+      this.#held.set(other.adapter, { ...other, readyAt });
     }
+    this.#changes += 1;
   }
 
   /** An engine said that it does not hold the adapter: a report must tell. */
@@ -304,6 +316,7 @@
       return;
     }
     const recent = this.#recent.has(adapter) && !this.#held.has(adapter);
+    this.#fetchMs = Math.max(FETCH_MS, this.#fetchMs * EASE_FACTOR);
     const load = this.#fetchMs * slowdown * (recent ? RECENT_FRACTION : 1);
     this.#held.set(adapter, {
       adapter,
@@ -334,12 +347,12 @@
     }
     if (wish === undefined) return undefined;
     if (this.#held.has(wish.adapter) || this.#held.size < this.#places) {
-      return this.#order("load", wish.adapter, wish.version);
+      return this.#order("load", wish.adapter, wish.version, wish.since);
     }
     if (this.#unloading.size > 0) return undefined;
     const victim = this.#victim(now);
     if (victim === undefined) return undefined;
-    return this.#order("unload", victim, 0);
+    return this.#order("unload", victim, 0, wish.since);
   }
 
   /** Evicts ahead of need, outdated versions first. */
@@ -363,9 +376,14 @@
     return use === undefined || (use.inFlight === 0 && now - use.at > QUIET_MS);
   }
 
-  #order(action: "load" | "unload", adapter: string, version: number) {
+  #order(
+    action: "load" | "unload",
+    adapter: string,
+    version: number,
+    wantedAt?: number,
+  ): WantedOrder {
     const orderCount = this.#orderCount ?? 0;
-    return { action, adapter, version, orderCount } as const;
+    return { action, adapter, version, orderCount, wantedAt };
   }
 
   /** The idle adapter with the least use of late. */
--- a/packages/serving/src/choose_engine.ts
+++ b/packages/serving/src/choose_engine.ts
@@ -30,6 +30,13 @@
 /** A load, in slots, beyond which an engine gets no request at all. */
 const FULL_LIMIT = 2.5;
 
+/** Fetches that an engine carries out at once. */
+const FETCHES_AT_ONCE = 4;
+
+/** Cost of an engine whose fetches are all taken: a cold crowd then fetches at
+ * the next engine of its order, since waiting costs more than another place. */
+const FETCHES_TAKEN_COST = 0.6;
+
 /** What a request needs from an engine. */
 export interface Need {
   readonly service: string;
@@ -195,8 +202,10 @@
       if (held !== undefined) continue;
       if (!view.holdsModel(need.model ?? "")) continue;
       if (!around.canOrder(view.engine.key)) continue;
-      const cost = costOf(view, around) + position * SPREAD_ADVANTAGE;
-      if (loadShare(view, around.now) < 1 && cost < bestCost) {
+      const cost = costOf(view, around) + position * SPREAD_ADVANTAGE +
+        FETCHES_TAKEN_COST *
+          Math.floor(fetchesAt(view, around.now) / FETCHES_AT_ONCE);
+      if (loadShare(view, around.now) < FULL_LIMIT && cost < bestCost) {
         best = view;
         bestCost = cost;
       }
@@ -229,6 +238,12 @@
   return { kind: "send", view: best, spreadTo: undefined };
 }
 
+function fetchesAt(view: EngineView, now: number): number {
+  let count = 0;
+  for (const { readyAt } of view.adapters.values()) if (readyAt > now) count++;
+  return count;
+}
+
 function loadShare(view: EngineView, now: number): number {
   return view.load(now) / Math.max(1, view.engine.slots);
 }
--- a/packages/serving/src/choose_engine_test.ts
+++ b/packages/serving/src/choose_engine_test.ts
@@ -184,3 +184,15 @@
   const next = chooser.choose(plain, around);
   expect(next.kind === "send" && next.view.engine.id).toBe("far");
 });
+
+test("cold crowd: fetches move on when an engine has all of its own taken", () => {
+  const { chooser, rank } = setUp(5);
+  const [first, second] = rank;
+  if (first === undefined) throw new Error("no engine");
+  const coming = { version: 1, readyAt: NOW + 200 };
+  first.adapters = new Map(["x", "y", "z", "v"].map((name) => [name, coming]));
+  expect(chooser.choose(need(), around)).toMatchObject({
+    kind: "load",
+    view: second,
+  });
+});
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -131,6 +131,7 @@
   abstract order(
     engine: EngineAddress,
     order: EngineOrder,
+    timeoutMs: number,
   ): Promise<OrderAnswer>;
 
   /** Asks an engine what it holds. Undefined if it gave no proper answer. */
