Tell a reset behind the last bytes from the end of an answer

A connection that was reset has no peer any more, which is checked before the parser ends the answer.

--- /dev/null
+++ b/packages/gateway/src/answer_end.ts
@@ -0,0 +1,35 @@
+/** Whether an answer came whole.
+ *
+ * @module
+ */
+import type { IncomingMessage } from "node:http";
+
+/** Watches an answer from its head on; the returned function tells, after its
+ * end, whether it is whole.
+ *
+ * An answer without a length ends with its connection. When its last bytes and
+ * a reset arrive together, libuv reports the end of the stream and drops the
+ * error, so the parser takes the answer for complete. A connection that was
+ * reset has no peer any more, one that was closed in order still has.
+ *
+ * @example
+ * ```ts
+ * const isWhole = watchEnd(answer);
+ * answer.on("end", () => isWhole());
+ * ```
+ */
+export function watchEnd(answer: IncomingMessage): () => boolean {
+  const { headers, socket } = answer;
+  const endsWithConnection = headers["content-length"] === undefined &&
+    headers["transfer-encoding"] === undefined;
+  let reset = false;
+  if (endsWithConnection) {
+    socket.prependOnceListener("end", () => {
+      reset = socket.remoteAddress === undefined;
+    });
+    socket.once("error", () => {
+      reset = true;
+    });
+  }
+  return () => answer.complete && !reset;
+}
--- /dev/null
+++ b/packages/gateway/src/answer_end_test.ts
@@ -0,0 +1,60 @@
+import { request } from "node:http";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { expect, test } from "vitest";
+import { watchEnd } from "./answer_end.ts";
+
+const HEAD = "HTTP/1.1 200 OK\r\n";
+
+/** Asks a server that writes `text` and ends as `end` says. */
+async function ask(
+  text: string,
+  end: (socket: Socket) => void,
+): Promise<boolean> {
+  const server = createServer((socket) => {
+    // A reset is what the test wants.
+    socket.on("error", () => undefined);
+    socket.once("data", () => {
+      socket.write(text);
+      end(socket);
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const whole = await new Promise<boolean>((resolve) => {
+    const req = request({ host: "127.0.0.1", port });
+    req.on("error", () => resolve(false));
+    req.on("response", (answer) => {
+      const isWhole = watchEnd(answer);
+      answer.on("error", () => resolve(false));
+      answer.on("end", () => resolve(isWhole()));
+      answer.resume();
+    });
+    req.end();
+  });
+  server.close();
+  return whole;
+}
+
+test("an answer without length that is reset is not whole", async () => {
+  expect(await ask(`${HEAD}\r\nabc`, (s) => s.resetAndDestroy())).toBe(false);
+});
+
+test("a reset some time after the last bytes is seen too", async () => {
+  const reset = (s: Socket) => setTimeout(() => s.resetAndDestroy(), 30);
+  expect(await ask(`${HEAD}\r\nabc`, reset)).toBe(false);
+});
+
+test("an answer without length that ends in order is whole", async () => {
+  expect(await ask(`${HEAD}\r\nabc`, (s) => s.end())).toBe(true);
+});
+
+test("a length that is not reached is not whole", async () => {
+  expect(
+    await ask(`${HEAD}Content-Length: 9\r\n\r\nabc`, (s) => s.end()),
+  ).toBe(false);
+});
+
+test("a chunked answer without its last chunk is not whole", async () => {
+  const text = `${HEAD}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n`;
+  expect(await ask(text, (s) => s.end())).toBe(false);
+});
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -25,6 +25,7 @@
   type Workspace,
 } from "@banyanlb/serving";
 import type { AdapterLoader } from "./adapter_loader.ts";
+import { watchEnd } from "./answer_end.ts";
 import type { EngineCall, EngineConnections } from "./engine_connections.ts";
 import * as events from "./events.ts";
 import type { GatewayMetrics } from "./metrics.ts";
@@ -636,6 +637,7 @@
   ): void {
     const status = answer.statusCode ?? 0;
     const chunks: Buffer[] = [];
+    const isWhole = watchEnd(answer);
     let size = 0;
     answer.on("data", (chunk: Buffer) => {
       size += chunk.length;
@@ -644,6 +646,7 @@
     answer.on("error", () => settle(this.#spoiled("connection_lost")));
     answer.on("end", () => {
       if (settle.ended()) return;
+      if (!isWhole()) return settle(this.#spoiled("connection_lost"));
       if (this.#headSent) {
         settle({ kind: "broken", reason: "engine_error" });
         return;
@@ -674,11 +677,12 @@
     const status = answer.statusCode ?? 200;
     const headers = this.#parts.protocol.answerHeaders(answer.rawHeaders);
     const chunks: Buffer[] = [];
+    const isWhole = watchEnd(answer);
     answer.on("data", (chunk: Buffer) => chunks.push(chunk));
     answer.on("error", () => settle(this.#spoiled("connection_lost")));
     answer.on("end", () => {
       if (settle.ended()) return;
-      if (!answer.complete) return settle(this.#spoiled("connection_lost"));
+      if (!isWhole()) return settle(this.#spoiled("connection_lost"));
       const body = Buffer.concat(chunks);
       this.#headSent = true;
       res.writeHead(status, withLength(headers, body.length));
@@ -697,6 +701,7 @@
   ): void {
     const { res, route } = this.#in;
     this.#framer.reset();
+    const isWhole = watchEnd(answer);
     const mayMove = this.#repeatable &&
       this.#runs + 1 < route.maxAttempts;
     let stall: NodeJS.Timeout | undefined;
@@ -739,7 +744,7 @@
     answer.on("end", () => {
       clearTimeout(stall);
       if (settle.ended()) return;
-      if (!answer.complete || (route.resumable && this.#framer.pending > 0)) {
+      if (!isWhole() || (route.resumable && this.#framer.pending > 0)) {
         settle({ kind: "broken", reason: "connection_lost" });
         return;
       }
