Move a silent request only when another engine can take it at once

Now the allowance is taken first and another engine must hold the adapter; else the answer is waited for.

--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -110,6 +110,8 @@
   readonly #options: LoaderOptions;
   readonly #engines = new Map<string, OrderedEngine>();
   readonly #peerFetches = new Map<string, number>();
+  /** Engines at which somebody orders. */
+  #engineCount = 1;
 
   constructor(options: LoaderOptions) {
     this.#options = options;
@@ -258,12 +260,15 @@
     const { board, knowledge, membership, self } = this.#options;
     const table = knowledge.table;
     if (table === undefined) return;
+    let count = 0;
     for (const view of board.all()) {
       const key = view.engine.key;
+      if (membership.ownerOf(key) !== undefined) count += 1;
       if (membership.ownerOf(key) !== self || this.#engines.has(key)) continue;
       const created = this.#create(view, table);
       if (created !== undefined) this.#engines.set(key, created);
     }
+    this.#engineCount = count;
     for (const [key, engine] of this.#engines) {
       if (
         board.get(key) === undefined || membership.ownerOf(key) !== self
@@ -309,6 +314,7 @@
       void this.#orderModel(view, engine);
       return;
     }
+    places.noteStore(this.#slowdown() > 1);
     const order = places.next(
       now,
       (adapter) => this.#options.knowledge.versionOf(engine.model, adapter),
@@ -339,13 +345,11 @@
   }
 
   /** The fleet's fetches against what it fetches at full speed: the weight
-   * store of the deployments serves about one for each engine. */
+   * stores of the deployments serve about one for each engine with models. */
   #slowdown(): number {
     let fetches = this.fetches;
     for (const count of this.#peerFetches.values()) fetches += count;
-    let engines = 0;
-    for (const _ of this.#options.board.all()) engines += 1;
-    return Math.max(1, (fetches + 1) / Math.max(1, engines));
+    return (fetches + 1) / Math.max(1, this.#engineCount);
   }
 
   async #order(
@@ -376,7 +380,7 @@
     engine.orderMs = answer === "unknown"
       ? Math.min(engine.orderMs * 1.5, ORDER_TIMEOUT_MAX_MS)
       : engine.orderMs + (took - engine.orderMs) * ORDER_TIME_WEIGHT;
-    engine.places.settle(outcome, now, this.#slowdown());
+    engine.places.settle(outcome, now, Math.max(1, this.#slowdown()));
     metrics.add(
       "orders_total",
       `action="${order.action}",outcome="${outcome}"`,
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -248,7 +248,10 @@
 
   #publishEngines(): void {
     const lapsed = [...this.#lapsed.values()].map(({ engine }) => engine);
-    this.#board.setEngines([...this.#engines.values(), ...lapsed]);
+    this.#board.setEngines(
+      [...this.#engines.values(), ...lapsed],
+      performance.now(),
+    );
     this.onChange();
   }
 }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -11,6 +11,7 @@
 import {
   type CallerProtocol,
   type CallerRequest,
+  type Choice,
   type EngineBoard,
   type EngineChooser,
   type EngineView,
@@ -96,6 +97,8 @@
   | { readonly kind: "error_answer"; readonly answer: KeptAnswer }
   /** Broke off after events had been passed on. */
   | { readonly kind: "broken"; readonly reason: string }
+  /** Given up here, since another engine is ready to take the request. */
+  | { readonly kind: "moved"; readonly reason: string }
   /** The request's time is over. */
   | { readonly kind: "timed_out" };
 
@@ -234,13 +237,14 @@
     });
     let reason = "no_engine";
     for (;;) {
+      if (performance.now() >= this.#endsAt) return this.#giveUp("timed_out");
+      const view = await this.#nextEngine();
+      // In the same turn as the sending: a load may have taken long.
       if (this.#left || res.destroyed) {
         this.#parts.log.write(events.CALLER_LEFT, { id: this.#in.caller.id });
         this.#releaseRate();
         return;
       }
-      if (performance.now() >= this.#endsAt) return this.#giveUp("timed_out");
-      const view = await this.#nextEngine();
       if (view === "wait") continue;
       if (typeof view === "string") {
         if (this.#runs > 0) return this.#giveUp(view);
@@ -254,9 +258,8 @@
       this.#noteFailure(view, end, now);
       if (end.kind === "error_answer") this.#kept = end.answer;
       reason = "reason" in end ? end.reason : "engine_error";
-      const again = end.kind === "not_run"
-        ? this.#mayResend(now)
-        : this.#mayRepeat(now);
+      const again = end.kind === "moved" ||
+        (end.kind === "not_run" ? this.#mayResend(now) : this.#mayRepeat(now));
       if (!again) {
         if (end.kind === "not_run" && this.#runs === 0) {
           this.#releaseRate();
@@ -305,23 +308,34 @@
     this.#taken = 0;
   }
 
-  /** The engine for the next attempt, after a load if need be. */
-  async #nextEngine(): Promise<EngineView | "wait" | "full" | "no_engine"> {
-    const { caller, service } = this.#in;
-    const now = performance.now();
-    const { model, adapter } = caller;
-    const version = model !== undefined && adapter !== undefined
+  /** The newest version of the caller's adapter; 0 if none was announced. */
+  #newestVersion(): number {
+    const { model, adapter } = this.#in.caller;
+    return model !== undefined && adapter !== undefined
       ? this.#parts.versionOf(model, adapter)
       : 0;
-    const choice = this.#parts.chooser.choose({
+  }
+
+  #choose(now: number, excluded: ReadonlySet<string>): Choice {
+    const { caller, service } = this.#in;
+    const { model, adapter } = caller;
+    return this.#parts.chooser.choose({
       service,
       model,
       adapter,
-      version,
+      version: this.#newestVersion(),
       olderAllowed: model !== undefined && adapter !== undefined &&
         this.#parts.isOlderAllowed(model, adapter),
-      excluded: this.#excluded,
+      excluded,
     }, this.#parts.around(now));
+  }
+
+  /** The engine for the next attempt, after a load if need be. */
+  async #nextEngine(): Promise<EngineView | "wait" | "full" | "no_engine"> {
+    const { model, adapter } = this.#in.caller;
+    const now = performance.now();
+    const version = this.#newestVersion();
+    const choice = this.#choose(now, this.#excluded);
     if (choice.kind === "none") return choice.reason;
     if (choice.kind === "send") {
       if (
@@ -380,7 +394,7 @@
         void this.#parts.loader.load(view, {
           model,
           adapter,
-          version: this.#parts.versionOf(model, adapter),
+          version: this.#newestVersion(),
           early: true,
           quiet: true,
         });
@@ -415,6 +429,20 @@
       .tryRepeat(now, this.#parts.members.aliveCount(now));
   }
 
+  /** Whether a request that its engine leaves without a byte may go elsewhere:
+   * only if another engine can take it at once. Silence alone is no reason to
+   * give up an answer. */
+  #mayMove(from: EngineView): boolean {
+    const now = performance.now();
+    if (from.load(now) >= from.engine.slots) return false;
+    if (this.#runs + 1 >= this.#in.route.maxAttempts) return false;
+    const choice = this.#choose(
+      now,
+      new Set([...this.#excluded, from.engine.key]),
+    );
+    return choice.kind === "send" && this.#mayRepeat(now);
+  }
+
   /** Ends the request after the last attempt. */
   #giveUp(reason: string): void {
     const { res, caller, refuse } = this.#in;
@@ -489,9 +517,7 @@
     const held = caller.adapter === undefined
       ? undefined
       : view.adapters.get(caller.adapter);
-    const announced = caller.model === undefined || caller.adapter === undefined
-      ? 0
-      : this.#parts.versionOf(caller.model, caller.adapter);
+    const announced = this.#newestVersion();
     const priority = workspace?.priority ?? route.priority;
     const headers = protocol.passOn(req.rawHeaders, {
       deadlineMs: this.#endsAt - now,
@@ -547,20 +573,10 @@
       SILENT_MIN_MS,
       route.targetLatencyMs * SILENT_TARGETS,
     );
-    const mayMove = this.#repeatable &&
-      this.#runs + 1 < route.maxAttempts &&
-      view.load(performance.now()) < view.engine.slots;
-    const silence = mayMove
-      ? setTimeout(
-        () =>
-          settle(
-            call.written()
-              ? { kind: "failed", reason: "silent" }
-              : { kind: "not_run", reason: "unreachable" },
-          ),
-        silentMs,
-      )
-      : undefined;
+    const silence = setTimeout(() => {
+      if (!call.written()) settle({ kind: "not_run", reason: "unreachable" });
+      else if (this.#mayMove(view)) settle({ kind: "moved", reason: "silent" });
+    }, silentMs);
     call.req.on("error", (err) => {
       if (this.#left) return settle({ kind: "finished" });
       if (!call.written()) {
@@ -702,16 +718,14 @@
     const { res, route } = this.#in;
     this.#framer.reset();
     const isWhole = watchEnd(answer);
-    const mayMove = this.#repeatable &&
-      this.#runs + 1 < route.maxAttempts;
     let stall: NodeJS.Timeout | undefined;
     const watchStall = () => {
       clearTimeout(stall);
-      if (!mayMove) return;
-      stall = setTimeout(
-        () => settle({ kind: "broken", reason: "stalled" }),
-        STALLED_MS,
-      );
+      if (!this.#repeatable) return;
+      stall = setTimeout(() => {
+        if (this.#mayMove(view)) settle({ kind: "moved", reason: "stalled" });
+        else watchStall();
+      }, STALLED_MS);
     };
     watchStall();
     answer.on("data", (chunk: Buffer) => {
--- a/packages/serving/src/adapter_places.ts
+++ b/packages/serving/src/adapter_places.ts
@@ -18,6 +18,18 @@
 /** Adapters that one engine fetches at once; more are refused by it. */
 const FETCHES_AT_ONCE = 4;
 
+/** The same while the weight store is busy: fetches then share its speed, and
+ * a few at a time finish sooner on average than all together. */
+const FETCHES_WHEN_BUSY = 2;
+
+/** Adapters that wait for a fetch at most. Those behind would wait for more
+ * than a second, and are better off at another engine or another time. */
+const WISHES_MAX = 6;
+
+/** A report is behind the engine by less than this, in milliseconds; one that
+ * shows fewer orders for longer is right. */
+const REPORT_LAG_MS = 700;
+
 /** Half-life of an adapter's measured use, in milliseconds: long against one
  * request, short against a shift in demand. */
 const USE_HALF_LIFE_MS = 8000;
@@ -31,6 +43,9 @@
 const LATE_FACTOR = 1.05;
 const EASE_FACTOR = 0.99;
 
+/** What a fetch that is late still takes, in milliseconds. */
+const PROLONGED_MS = 40;
+
 /** A held-recently adapter's load against a fetch. */
 const RECENT_FRACTION = 0.1;
 
@@ -105,7 +120,9 @@
   readonly #recent = new Set<string>();
   #unloading = new Set<string>();
   #pending: WantedOrder | undefined;
-  #resyncAfter = 0;
+  /** When an order was refused, until a report has told why. */
+  #refusedAt: number | undefined;
+  #storeBusy = false;
   #fetchMs = FETCH_MS;
   #changes = 0;
 
@@ -120,7 +137,12 @@
 
   /** Whether a report is needed before the next order. */
   get needsReport(): boolean {
-    return this.#orderCount === undefined;
+    return this.#orderCount === undefined || this.#refusedAt !== undefined;
+  }
+
+  /** Tells whether the weight store is busy over all engines. */
+  noteStore(busy: boolean): void {
+    this.#storeBusy = busy;
   }
 
   /** Loads that are under way and come from the weight store. */
@@ -152,11 +174,11 @@
   /** Whether a wish for this adapter can be met soon. */
   canTake(adapter: string, now: number): boolean {
     if (this.#wishes.has(adapter)) return true;
-    if (this.#wishes.size >= FETCHES_AT_ONCE) return false;
+    if (this.#wishes.size >= WISHES_MAX) return false;
     // An older version that is in use.
     if (this.#held.has(adapter) && !this.#isQuiet(adapter, now)) return false;
-    const free = this.#places - this.#held.size;
-    return free > this.#wishes.size || this.#victim(now) !== undefined;
+    if (this.#held.size < this.#places) return true;
+    return this.#unloading.size > 0 || this.#victim(now) !== undefined;
   }
 
   /** Asks for an adapter. Nothing happens if it is there or asked for. */
@@ -190,9 +212,7 @@
   next(now: number, versionOf: (adapter: string) => number):
     | WantedOrder
     | undefined {
-    if (this.#pending !== undefined || this.#orderCount === undefined) {
-      return undefined;
-    }
+    if (this.#pending !== undefined || this.needsReport) return undefined;
     const order = this.#nextWish(now) ?? this.#makeRoom(now, versionOf);
     if (order === undefined) return undefined;
     this.#pending = order;
@@ -216,8 +236,8 @@
         this.#apply(order, "done", now, 0);
         return;
       case "refused":
-        this.#orderCount = undefined;
-        this.#resyncAfter = now;
+        // Too many fetches, another order under way, or another count.
+        this.#refusedAt = now;
         return;
       case "unknown":
         // The next order carries the same count: either it is accepted, and
@@ -230,12 +250,18 @@
   takeReport(report: EngineReport, model: string, now: number): void {
     if (this.#pending !== undefined) return;
     const known = this.#orderCount;
-    if (known !== undefined && report.orderCount < known) return;
+    const refusedAt = this.#refusedAt;
+    const older = known !== undefined && report.orderCount < known;
+    if (older && (refusedAt === undefined || now < refusedAt + REPORT_LAG_MS)) {
+      return;
+    }
+    this.#refusedAt = undefined;
     const held = report.models.find((m) => m.name === model)?.adapters ?? [];
-    if (known === undefined || report.orderCount > known) {
+    if (known === undefined || report.orderCount !== known) {
       this.#adopt(report, held, now);
       return;
     }
+    if (refusedAt !== undefined) this.#prolong(report.fetching, now);
     this.#finishWaiting(held, report.fetching);
   }
 
@@ -276,6 +302,16 @@
     this.#changes += 1;
   }
 
+  /** Fetches that were thought to be over are not. */
+  #prolong(fetching: readonly HeldAdapter[], now: number): void {
+    for (const { name } of fetching) {
+      const place = this.#held.get(name);
+      if (place === undefined || place.readyAt > now) continue;
+      this.#held.set(name, { ...place, readyAt: now + PROLONGED_MS });
+      this.#changes += 1;
+    }
+  }
+
   /** Same count: only what waited for running requests may have ended. */
   #finishWaiting(
     held: readonly HeldAdapter[],
@@ -330,8 +366,8 @@
   }
 
   #nextWish(now: number): WantedOrder | undefined {
-    if (now < this.#resyncAfter) return undefined;
-    if (this.fetching(now) >= FETCHES_AT_ONCE) return undefined;
+    const limit = this.#storeBusy ? FETCHES_WHEN_BUSY : FETCHES_AT_ONCE;
+    if (this.fetching(now) >= limit) return undefined;
     let wish: Wish | undefined;
     for (const candidate of this.#wishes.values()) {
       if (this.find(candidate.adapter, candidate.version) !== undefined) {
--- a/packages/serving/src/adapter_places_test.ts
+++ b/packages/serving/src/adapter_places_test.ts
@@ -69,6 +69,48 @@
   expect(places.next(100, noVersion)?.orderCount).toBe(4);
 });
 
+test("a refusal for too many fetches loses nothing of what is known", () => {
+  const places = placesWith(9, [], 3);
+  places.want("a", 0, 0);
+  places.next(0, noVersion);
+  places.settle("done", 0, 1);
+  places.want("b", 0, 300);
+  places.next(300, noVersion);
+  places.settle("refused", 300, 1);
+  // Older than the last accepted order: says nothing.
+  places.takeReport(reportOf(3), MODEL, 400);
+  expect(places.next(400, noVersion)).toBeUndefined();
+  places.takeReport(reportOf(4, [], held("a")), MODEL, 500);
+  expect(places.find("a", 0)?.readyAt).toBeGreaterThan(500);
+  expect(places.next(500, noVersion)).toMatchObject({
+    adapter: "b",
+    orderCount: 4,
+  });
+});
+
+test("a count that stays lower than ours is right in the end", () => {
+  const places = placesWith(9, [], 3);
+  places.want("a", 0, 0);
+  places.next(0, noVersion);
+  places.settle("done", 0, 1);
+  places.want("b", 0, 10);
+  places.next(10, noVersion);
+  places.settle("refused", 10, 1);
+  places.takeReport(reportOf(3, held("a")), MODEL, 1000);
+  expect(places.next(1000, noVersion)?.orderCount).toBe(3);
+});
+
+test("cold crowd: while the weight store is busy two are fetched at once", () => {
+  const places = placesWith(9, []);
+  places.noteStore(true);
+  for (let i = 0; i < 8; i += 1) places.want(`a${i}`, 0, 0);
+  for (let i = 0; i < 2; i += 1) {
+    expect(places.next(0, noVersion)?.action).toBe("load");
+    places.settle("done", 0, 1);
+  }
+  expect(places.next(0, noVersion)).toBeUndefined();
+});
+
 test("held and fetched adapters never exceed the places", () => {
   const places = placesWith(3, ["a", "b"]);
   let now = 10_000;
--- a/packages/serving/src/choose_engine.ts
+++ b/packages/serving/src/choose_engine.ts
@@ -30,6 +30,15 @@
 /** A load, in slots, beyond which an engine gets no request at all. */
 const FULL_LIMIT = 2.5;
 
+/** A leaving engine serves requests on its adapters for this long, in
+ * milliseconds: the time of a fetch elsewhere, short against the time that the
+ * deployments give a leaving engine. */
+const LEAVING_USED_MS = 800;
+
+/** Requests that an engine runs without its tokens becoming slower than callers
+ * expect, whatever its slots: prompts are read between the tokens of others. */
+const COMFORTABLE_LOAD = 32;
+
 /** Fetches that an engine carries out at once. */
 const FETCHES_AT_ONCE = 4;
 
@@ -92,7 +101,8 @@
    * ```
    */
   choose(need: Need, around: Surroundings): Choice {
-    const open = this.#board.ofService(need.service).filter((view) =>
+    const all = this.#board.ofService(need.service);
+    const open = all.filter((view) =>
       !view.engine.leaving && !need.excluded.has(view.engine.key)
     );
     // With every engine said to be down, the report is more likely wrong.
@@ -102,7 +112,15 @@
     if (need.model === undefined || need.adapter === undefined) {
       return chooseAny(usable, need, around);
     }
-    return this.#chooseForAdapter(usable, need, around);
+    const choice = this.#chooseForAdapter(usable, need, around);
+    if (choice.kind === "send") return choice;
+    const leaving = all.find((view) =>
+      isLeavingHolder(view, need, around.now) &&
+      !need.excluded.has(view.engine.key)
+    );
+    if (leaving === undefined) return choice;
+    const spreadTo = choice.kind === "load" ? choice.view : undefined;
+    return { kind: "send", view: leaving, spreadTo };
   }
 
   /** The order of engines for an adapter. */
@@ -238,6 +256,21 @@
   return { kind: "send", view: best, spreadTo: undefined };
 }
 
+/** Whether a leaving engine holds the adapter and still has the time for one
+ * more request, while the adapter is fetched elsewhere. */
+function isLeavingHolder(
+  view: EngineView,
+  need: Need,
+  now: number,
+): boolean {
+  const { engine, leavingSince, adapters } = view;
+  if (!engine.leaving || leavingSince === undefined || view.down) return false;
+  if (engine.remainingMs !== undefined) return false;
+  const held = adapters.get(need.adapter ?? "");
+  return now - leavingSince < LEAVING_USED_MS && held !== undefined &&
+    held.version >= need.version && held.readyAt <= now;
+}
+
 function fetchesAt(view: EngineView, now: number): number {
   let count = 0;
   for (const { readyAt } of view.adapters.values()) if (readyAt > now) count++;
@@ -245,7 +278,8 @@
 }
 
 function loadShare(view: EngineView, now: number): number {
-  return view.load(now) / Math.max(1, view.engine.slots);
+  const slots = Math.min(view.engine.slots, COMFORTABLE_LOAD);
+  return view.load(now) / Math.max(1, slots);
 }
 
 function costOf(view: EngineView, around: Surroundings): number {
--- a/packages/serving/src/choose_engine_test.ts
+++ b/packages/serving/src/choose_engine_test.ts
@@ -116,7 +116,7 @@
   const { chooser, board } = setUp(3);
   for (const view of board.all()) {
     view.adapters = new Map([["a1", there]]);
-    view.inFlight = 26;
+    view.inFlight = 26; // of 10 slots
   }
   expect(chooser.choose(need(), around)).toEqual({
     kind: "none",
@@ -149,6 +149,27 @@
   expect(choice.kind === "load" && choice.view).not.toBe(first);
 });
 
+test("release: a leaving holder serves while its adapter is fetched", () => {
+  const { chooser, board, rank } = setUp(3);
+  const [first, second] = rank;
+  if (first === undefined) throw new Error("no engine");
+  first.adapters = new Map([["a1", there]]);
+  first.told = true;
+  const list = [0, 1, 2].map((i) =>
+    engine(`e${i}`, "z1", `e${i}` === first.engine.id)
+  );
+  board.setEngines(list, NOW);
+  expect(chooser.choose(need(), { ...around, now: NOW + 100 })).toMatchObject({
+    kind: "send",
+    view: first,
+    spreadTo: second,
+  });
+  expect(chooser.choose(need(), { ...around, now: NOW + 2000 })).toMatchObject({
+    kind: "load",
+    view: second,
+  });
+});
+
 test("a new version: the older serves meanwhile, then no longer", () => {
   const { chooser, rank } = setUp(4);
   const [first, second] = rank;
--- a/packages/serving/src/engine_board.ts
+++ b/packages/serving/src/engine_board.ts
@@ -33,18 +33,23 @@
   told = false;
   /** The instance that orders there gets no answer from it. */
   down = false;
+  /** When the engine was first seen to leave, by the steady clock. */
+  leavingSince: number | undefined;
   inFlight = 0;
   readonly health = new EngineHealth();
   readonly #peers = new Map<string, PeerCount>();
 
   constructor(engine: Engine) {
     this.engine = engine;
+    // What it did before it was first seen is not known: it may be about to go.
+    if (engine.leaving) this.leavingSince = -Infinity;
     this.adapters = listedAdapters(engine);
   }
 
   /** Takes a newer entry of the list. What the ordering instance tells of the
    * adapters is newer than the entry. */
-  refresh(engine: Engine): void {
+  refresh(engine: Engine, now: number): void {
+    if (engine.leaving) this.leavingSince ??= now;
     this.engine = engine;
     if (!this.told) this.adapters = listedAdapters(engine);
   }
@@ -90,7 +95,7 @@
   }
 
   /** Puts a new list in force. Returns the views that are gone. */
-  setEngines(engines: readonly Engine[]): readonly EngineView[] {
+  setEngines(engines: readonly Engine[], now = 0): readonly EngineView[] {
     const seen = new Set<string>();
     for (const engine of engines) {
       seen.add(engine.key);
@@ -98,7 +103,7 @@
       if (view === undefined) {
         this.#views.set(engine.key, new EngineView(engine));
       } else {
-        view.refresh(engine);
+        view.refresh(engine, now);
       }
     }
     const gone = [...this.#views.values()].filter((v) =>
