--- a/packages/gateway/src/engine_connections.ts
+++ b/packages/gateway/src/engine_connections.ts
@@ -26,7 +26,18 @@
 
 /** An agent that drops a connection on which bytes come unasked. */
 class EngineAgent extends Agent {
+  #retired = false;
+
+  /** Keeps no connection any longer than its request. */
+  retire(): void {
+    this.#retired = true;
+    for (const idle of Object.values(this.freeSockets)) {
+      for (const socket of idle ?? []) socket.destroy();
+    }
+  }
+
   override keepSocketAlive(stream: Duplex): boolean {
+    if (this.#retired) return false;
     const socket = stream as Socket;
     socket.setKeepAlive(true, PROBE_IDLE_MS);
     socket.on("data", destroyOnData);
@@ -110,15 +121,19 @@
     return this.#agents.keys();
   }
 
-  /** Closes the connections of an engine that is gone. */
-  drop(engineKey: string): void {
-    this.#agents.get(engineKey)?.destroy();
+  /** Closes the idle connections of an engine that is gone from the list. It
+   * finishes what it runs, so the others close after their answers. */
+  retire(engineKey: string): void {
+    const agent = this.#agents.get(engineKey);
+    if (agent === undefined) return;
     this.#agents.delete(engineKey);
+    agent.retire();
   }
 
   /** Closes all connections. */
   close(): void {
-    for (const key of [...this.#agents.keys()]) this.drop(key);
+    for (const agent of this.#agents.values()) agent.destroy();
+    this.#agents.clear();
   }
 
   #agent(key: string): EngineAgent {
--- /dev/null
+++ b/packages/gateway/src/engine_connections_test.ts
@@ -0,0 +1,91 @@
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { Engine } from "@banyanlb/serving";
+import { expect, test } from "vitest";
+import { EngineConnections } from "./engine_connections.ts";
+
+const LIMITS = { maxConnections: 10, instances: 1 };
+const OUT = {
+  method: "GET",
+  path: "/",
+  headers: ["Host", "h"],
+  body: undefined,
+};
+
+async function startEngine(
+  handle: Parameters<typeof createServer>[1],
+): Promise<{ readonly server: Server; readonly engine: Engine }> {
+  const server = createServer(handle);
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const engine: Engine = {
+    key: "e@1",
+    id: "e",
+    service: "s",
+    host: "127.0.0.1",
+    port,
+    zone: "z",
+    slots: 1,
+    leaving: false,
+    remainingMs: undefined,
+    models: [],
+  };
+  return { server, engine };
+}
+
+function read(connections: EngineConnections, engine: Engine) {
+  return new Promise<string>((resolve, reject) => {
+    const { req } = connections.send(engine, OUT, LIMITS);
+    req.on("error", reject);
+    req.on("response", (answer) => {
+      let text = "";
+      answer.on("data", (chunk: Buffer) => (text += chunk.toString()));
+      answer.on("error", reject);
+      answer.on("end", () => resolve(text));
+    });
+  });
+}
+
+test("an engine that leaves the list finishes what it runs", async () => {
+  const { server, engine } = await startEngine((_, res) => {
+    res.write("first ");
+    setTimeout(() => res.end("last"), 60);
+  });
+  const connections = new EngineConnections();
+  const answer = read(connections, engine);
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  connections.retire(engine.key);
+  expect(await answer).toBe("first last");
+  server.close();
+});
+
+test("bytes that come unasked end a connection before its next use", async () => {
+  let connectionCount = 0;
+  const { server, engine } = await startEngine((_, res) => {
+    // The answer lets go of its connection when it ends.
+    const { socket } = res;
+    res.end("answer");
+    setTimeout(() => socket?.write("HTTP/1.1 200 OK\r\n\r\nstray"), 10);
+  });
+  server.on("connection", () => (connectionCount += 1));
+  const connections = new EngineConnections();
+  expect(await read(connections, engine)).toBe("answer");
+  await new Promise((resolve) => setTimeout(resolve, 40));
+  expect(await read(connections, engine)).toBe("answer");
+  expect(connectionCount).toBe(2);
+  connections.close();
+  server.close();
+});
+
+test("a connection is used again", async () => {
+  let connectionCount = 0;
+  const { server, engine } = await startEngine((_, res) => res.end("answer"));
+  server.on("connection", () => (connectionCount += 1));
+  const connections = new EngineConnections();
+  await read(connections, engine);
+  await new Promise((resolve) => setTimeout(resolve, 10));
+  await read(connections, engine);
+  expect(connectionCount).toBe(1);
+  connections.close();
+  server.close();
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -270,7 +270,7 @@
     this.#membership.wake();
     const keys = new Set([...this.#board.all()].map((v) => v.engine.key));
     for (const key of this.#connections.keys()) {
-      if (!keys.has(key)) this.#connections.drop(key);
+      if (!keys.has(key)) this.#connections.retire(key);
     }
     for (const workspace of table.configuration.workspaces) {
       this.#rates.get(workspace.name)?.setLimit({
