Measure how far fetches slow each other down; queue the late behind the rest

Fetch times were assumed and held places too long; the share of the slowdown now follows requests that came too early. Beyond 1.2 times an engine's slots a request gets a lower urgency, since it would miss its target and delay others.

--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -43,7 +43,7 @@
  * bounds in milliseconds. Engines answer at once, an order may be sent again,
  * and requests wait for its adapter. */
 const ORDER_TIMEOUT_FACTOR = 8;
-const ORDER_TIMEOUT_MIN_MS = 60;
+const ORDER_TIMEOUT_MIN_MS = 40;
 const ORDER_TIMEOUT_MAX_MS = 400;
 
 /** Weight of one order's time in the usual time. */
@@ -51,7 +51,7 @@
 
 /** Pause after an order without answer, in milliseconds; longer for an engine
  * that counts as down. */
-const ORDER_PAUSE_MS = 30;
+const ORDER_PAUSE_MS = 10;
 const DOWN_PAUSE_MS = 400;
 
 interface Waiter {
--- a/packages/gateway/src/engine_connections.ts
+++ b/packages/gateway/src/engine_connections.ts
@@ -18,8 +18,9 @@
  * calls and connections that are closing need the rest. */
 const CONNECTIONS_FRACTION = 0.85;
 
-/** Idle connections are closed by us after this time, in milliseconds. */
-const IDLE_MS = 12_000;
+/** Idle connections are closed by us after this time, in milliseconds, unless
+ * the engine states less. New ones are dear. */
+const IDLE_MS = 30_000;
 
 /** Idle connections are probed after this time, in milliseconds. */
 const PROBE_IDLE_MS = 1000;
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -31,12 +31,12 @@
 
 /** Longest watches: a bound on how long a silent connection goes unnoticed if
  * no peer knows better. */
-const WATCH_MS = 8000;
+const WATCH_MS = 15_000;
 const ENGINES_WATCH_MS = 4000;
 
 /** Engines write often; changes within this time are taken in one call. A
  * leaving engine must be known within a few seconds. */
-const ENGINES_GATHER_MS = 800;
+const ENGINES_GATHER_MS = 1000;
 
 /** Requests go to an older version of an adapter for this long at most after a
  * newer one was announced: half of the time that the deployment allows. */
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -37,10 +37,10 @@
 /** How many members, first by name, look after lapsed ones. */
 const CARETAKERS = 2;
 
-const WATCH_MS = 10_000;
+const WATCH_MS = 15_000;
 /** Members renew often; new ones introduce themselves, so the list is no
  * hurry. */
-const MEMBERS_GATHER_MS = 6000;
+const MEMBERS_GATHER_MS = 10_000;
 const ASSIGNMENT_NAME = "engines";
 
 /** A member's entry. */
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -53,7 +53,11 @@
 /** Engines that may refuse one request unrun before it is refused. */
 const REFUSALS_MAX = 4;
 
-/** Added to the urgency of a request that has missed its target. */
+/** Load against slots beyond which a further request would miss its target in
+ * the engine's queue: an engine starts one every 50 ms or so. */
+const CROWDED_LOAD = 1.2;
+
+/** Added to the urgency of a request that will miss its target. */
 const LATE_URGENCY = 4;
 
 /** An error answer is kept to be passed on if no retry succeeds, up to here. */
@@ -524,7 +528,11 @@
       engineId: view.engine.id,
       workspace: workspace?.name,
       version: announced > 0 ? held?.version ?? announced : undefined,
-      urgency: urgencyOf(priority, route, now - this.#in.arrivedAt),
+      urgency: urgencyOf(
+        priority,
+        now - this.#in.arrivedAt > route.targetLatencyMs ||
+          view.load(now) > view.engine.slots * CROWDED_LOAD,
+      ),
       lastEventId: this.#lastEventId,
       bodyBytes: body?.length,
     });
@@ -778,11 +786,10 @@
   answer.once("close", done);
 }
 
-/** 0 is first. A request that has missed its target goes behind those that can
+/** 0 is first. A request that will miss its target goes behind those that can
  * still meet theirs; among equals priority decides. */
-function urgencyOf(priority: number, route: Route, waitedMs: number): number {
-  const late = waitedMs > route.targetLatencyMs ? LATE_URGENCY : 0;
-  return Math.min(9, priority + late);
+function urgencyOf(priority: number, isLate: boolean): number {
+  return Math.min(9, priority + (isLate ? LATE_URGENCY : 0));
 }
 
 function returnSeconds(): number {
--- a/packages/serving/src/adapter_places.ts
+++ b/packages/serving/src/adapter_places.ts
@@ -38,10 +38,13 @@
  * The first guess; later ones are measured. */
 const FETCH_MS = 250;
 
-/** How the measured time grows when a request came too early, and shrinks with
- * each load: a few early requests move it, calm minutes move it back. */
-const LATE_FACTOR = 1.05;
-const EASE_FACTOR = 0.99;
+/** How far fetches slow each other down is measured: the share of the assumed
+ * slowdown grows when a request came too early and shrinks with each load, so
+ * that about one request in fifteen comes early. */
+const LATE_STEP = 0.1;
+const EASE_STEP = 0.007;
+const SLOWDOWN_SHARE_MIN = 0.3;
+const SLOWDOWN_SHARE_MAX = 2;
 
 /** What a fetch that is late still takes, in milliseconds. */
 const PROLONGED_MS = 40;
@@ -123,7 +126,7 @@
   /** When an order was refused, until a report has told why. */
   #refusedAt: number | undefined;
   #storeBusy = false;
-  #fetchMs = FETCH_MS;
+  #slowdownShare = 1;
   #changes = 0;
 
   constructor(places: number) {
@@ -270,7 +273,10 @@
     const place = this.#held.get(adapter);
     if (place === undefined) return;
     if (place.readyAt >= now + ms) return;
-    this.#fetchMs = Math.min(this.#fetchMs * LATE_FACTOR, FETCH_MS * 2);
+    this.#slowdownShare = Math.min(
+      SLOWDOWN_SHARE_MAX,
+      this.#slowdownShare + LATE_STEP,
+    );
     // Fetches share the weight store: the others are late as well.
     for (const other of this.#held.values()) {
       if (other.adapter !== adapter && other.readyAt <= now) continue;
@@ -292,7 +298,7 @@
       this.#held.set(name, { adapter: name, version, readyAt: 0 });
     }
     for (const { name, version } of report.fetching) {
-      const readyAt = before.get(name)?.readyAt ?? now + this.#fetchMs;
+      const readyAt = before.get(name)?.readyAt ?? now + FETCH_MS;
       this.#held.set(name, { adapter: name, version, readyAt });
     }
     this.#unloading = new Set(
@@ -352,8 +358,12 @@
       return;
     }
     const recent = this.#recent.has(adapter) && !this.#held.has(adapter);
-    this.#fetchMs = Math.max(FETCH_MS, this.#fetchMs * EASE_FACTOR);
-    const load = this.#fetchMs * slowdown * (recent ? RECENT_FRACTION : 1);
+    this.#slowdownShare = Math.max(
+      SLOWDOWN_SHARE_MIN,
+      this.#slowdownShare - EASE_STEP,
+    );
+    const stretch = 1 + Math.max(0, slowdown - 1) * this.#slowdownShare;
+    const load = FETCH_MS * stretch * (recent ? RECENT_FRACTION : 1);
     this.#held.set(adapter, {
       adapter,
       version,
