--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -89,11 +89,20 @@
   readonly #callers: CallerServer;
   readonly #readiness: CallerServer;
   readonly #steering: CallerServer;
+  readonly #metricsPage: CallerServer;
   readonly #timers: NodeJS.Timeout[] = [];
   #leaving = false;
   #leavingSince = Infinity;
 
-  constructor(settings: InstanceSettings, log: EventLog) {
+  constructor(
+    settings: InstanceSettings,
+    options: {
+      readonly log: EventLog;
+      /** Log lines left out so far. */
+      readonly droppedLines: () => number;
+    },
+  ) {
+    const { log } = options;
     this.#settings = settings;
     this.#log = log;
     const addressText = (a: { host: string; port: number }) =>
@@ -177,6 +186,10 @@
     });
     this.#readiness = server((req, res) => this.#answerReadiness(req, res));
     this.#steering = server((req, res) => this.#answerSteering(req, res));
+    this.#metricsPage = server((_, res) => {
+      this.#metrics.set("log_lines_dropped", options.droppedLines());
+      res.end(this.#metrics.render());
+    });
     this.#knowledge.onChange = () => this.#onKnowledge();
   }
 
@@ -189,6 +202,7 @@
       this.#callers.listen(this.#settings.callers),
       this.#readiness.listen(this.#settings.readiness),
       this.#steering.listen(this.#settings.steering),
+      this.#metricsPage.listen(this.#settings.metrics),
     ]);
     for (const seed of this.#settings.seeds) {
       if (seed === this.#self.peerAddress) continue;
@@ -243,7 +257,14 @@
     this.#connections.close();
     this.#control.close();
     this.#store.close();
-    for (const s of [this.#callers, this.#readiness, this.#steering]) s.close();
+    for (
+      const listener of [
+        this.#callers,
+        this.#readiness,
+        this.#steering,
+        this.#metricsPage,
+      ]
+    ) listener.close();
   }
 
   get #ready(): boolean {
@@ -343,10 +364,6 @@
   }
 
   #answerReadiness(req: IncomingMessage, res: ServerResponse): void {
-    if (req.url === "/metrics") {
-      res.end(this.#metrics.render());
-      return;
-    }
     const known = this.#protocol.isReadiness(req.url ?? "");
     res.statusCode = known ? (this.#ready ? 200 : 503) : 404;
     res.end();
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -17,13 +17,17 @@
   );
   process.exit(2);
 }
+const stream = new LogStream(process.stdout);
 const log = new EventLog(
   pino(
     { base: undefined, timestamp: pino.stdTimeFunctions.epochTime },
-    new LogStream(process.stdout),
+    stream,
   ),
 );
-const gateway = new Gateway(decodeSettings(readFileSync(path, "utf8")), log);
+const gateway = new Gateway(decodeSettings(readFileSync(path, "utf8")), {
+  log,
+  droppedLines: () => stream.dropped,
+});
 
 process.on("uncaughtException", (err) => {
   log.write(events.UNEXPECTED, { error: err.stack ?? String(err) });
--- a/packages/gateway/src/metrics.ts
+++ b/packages/gateway/src/metrics.ts
@@ -24,6 +24,11 @@
     this.#counters.set(key, (this.#counters.get(key) ?? 0) + by);
   }
 
+  /** Sets a counter that is kept elsewhere. */
+  set(name: string, value: number): void {
+    this.#counters.set(name, value);
+  }
+
   /** Notes a time in milliseconds. */
   time(name: string, labels: string, ms: number): void {
     const key = `${name}|${labels}`;
