--- a/packages/gateway/src/digests.ts
+++ b/packages/gateway/src/digests.ts
@@ -3,11 +3,12 @@
  * @module
  */
 import type { EventLog } from "@banyanlb/core";
-import type {
-  EngineBoard,
-  Member,
-  MemberTable,
-  TokenRate,
+import {
+  BehindWatch,
+  type EngineBoard,
+  type Member,
+  type MemberTable,
+  type TokenRate,
 } from "@banyanlb/serving";
 import type { AdapterLoader } from "./adapter_loader.ts";
 import * as events from "./events.ts";
@@ -26,9 +27,6 @@
  * digest may have been lost with its connection. */
 const REPEAT_HELD = 10;
 
-/** A peer that is ahead of the store's watch for this long is asked. */
-const BEHIND_MS = 500;
-
 /** Time allowed for a peer's full list, in milliseconds. */
 const PULL_TIMEOUT_MS = 800;
 
@@ -53,7 +51,11 @@
   #seq = 0;
   readonly #acks = new Map<string, number>();
   readonly #told = new Map<string, number>();
-  readonly #behindSince = new Map<string, number>();
+  readonly #behind = {
+    configuration: new BehindWatch(),
+    engines: new BehindWatch(),
+    versions: new BehindWatch(),
+  };
   readonly #alive = new Set<string>();
   readonly #pulling = new Set<string>();
 
@@ -186,18 +188,17 @@
    * watch may be dead, or the store turns this instance away. */
   #compare(member: Member, digest: Digest, now: number): void {
     SHARED_KINDS.forEach((kind, i) => {
-      const theirs = digest.revs[i] ?? 0;
       const follower = this.#parts.knowledge.follower(kind);
-      if (follower.revision >= theirs) {
-        this.#behindSince.delete(kind);
-        return;
+      const theirs = digest.revs[i] ?? 0;
+      const behind = this.#behind[kind].note({
+        mine: follower.revision,
+        theirs,
+        now,
+      });
+      // A process that knows nothing yet does not wait.
+      if (behind || (!follower.known && theirs > 0)) {
+        void this.#pull(member, kind);
       }
-      const since = this.#behindSince.get(kind);
-      if (since === undefined) {
-        this.#behindSince.set(kind, now);
-        if (follower.known) return;
-      } else if (now - since < BEHIND_MS && follower.known) return;
-      void this.#pull(member, kind);
     });
   }
 
@@ -217,7 +218,6 @@
     if (list === undefined) return;
     const { knowledge, log } = this.#parts;
     if (knowledge.follower(kind).adopt(list)) {
-      this.#behindSince.delete(kind);
       log.write(events.TAKEN_FROM_PEER, {
         kind,
         peer: member.name,
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -8,6 +8,7 @@
   type Configuration,
   type Engine,
   type EngineBoard,
+  keepLapsedUntil,
   type RecordStore,
   RouteTable,
   type StoredRecord,
@@ -22,13 +23,6 @@
 import { KindFollower } from "./kind_follower.ts";
 import type { SharedKind } from "./peer_messages.ts";
 
-/** An engine whose entry vanished around an outage of the store is kept for
- * this long: entries that lapsed are back within two seconds. */
-const LAPSED_KEPT_MS = 2200;
-
-/** After trouble with the store, removals within this time may be lapses. */
-const LAPSES_FOLLOW_MS = 4000;
-
 /** Longest watches: a bound on how long a silent connection goes unnoticed if
  * no peer knows better. */
 const WATCH_MS = 15_000;
@@ -215,17 +209,18 @@
         this.#log.write(events.ENGINE_ENTRY_IGNORED, { name: record.name });
       }
     }
-    const mayBeLapse = now - this.#troubleAt < LAPSES_FOLLOW_MS;
     const ids = new Set([...engines.values()].map((e) => e.id));
     for (const engine of this.#engines.values()) {
       if (engines.has(engine.key)) continue;
-      const kept = mayBeLapse && !engine.leaving && !ids.has(engine.id);
-      if (kept && !this.#lapsed.has(engine.key)) {
-        this.#lapsed.set(engine.key, { engine, until: now + LAPSED_KEPT_MS });
-      }
+      const until = keepLapsedUntil({
+        leaving: engine.leaving || ids.has(engine.id),
+        troubleAt: this.#troubleAt,
+        now,
+      });
+      if (until !== undefined) this.#lapsed.set(engine.key, { engine, until });
       this.#log.write(events.ENGINE_CHANGED, {
         engine: engine.key,
-        state: kept ? "lapsed" : "gone",
+        state: until === undefined ? "gone" : "lapsed",
       });
     }
     for (const [key, engine] of engines) {
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -4,10 +4,12 @@
  */
 export * from "./adapter_places.ts";
 export * from "./assignment.ts";
+export * from "./behind_watch.ts";
 export * from "./choose_engine.ts";
 export * from "./engine_board.ts";
 export * from "./engine_health.ts";
 export * from "./event_framer.ts";
+export * from "./lapsed_entries.ts";
 export * from "./member_table.ts";
 export * from "./order_lease.ts";
 export * from "./ports.ts";
