--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -33,8 +33,9 @@
 /** A request waits this long at most for its adapter, in milliseconds. */
 const LOAD_WAIT_MS = 2500;
 
-/** Wait after a request came too early, in milliseconds. */
-const EARLY_MS = 30;
+/** A request that is refused this long after its adapter should have been there
+ * did not come too early: the adapter is gone, in milliseconds. */
+const LATEST_MS = 200;
 
 /** Calls in a row without answer after which an engine counts as down. */
 const DOWN_AFTER = 2;
@@ -236,9 +237,9 @@
     const { adapter, version } = want;
     const place = engine.places.find(adapter, version);
     if (want.early === true) {
-      if (place === undefined || place.readyAt <= now - EARLY_MS * 4) {
+      if (place === undefined || place.readyAt <= now - LATEST_MS) {
         engine.places.doubt();
-      } else engine.places.delay(adapter, now, EARLY_MS);
+      } else engine.places.delay(adapter, now);
     } else if (place !== undefined && place.readyAt <= now) {
       return Promise.resolve(true);
     }
--- a/packages/gateway/src/digests.ts
+++ b/packages/gateway/src/digests.ts
@@ -27,6 +27,10 @@
  * digest may have been lost with its connection. */
 const REPEAT_HELD = 10;
 
+/** A peer that was found just now gets the levels of the rates for this long,
+ * and takes them from one that has run longer by as much, in milliseconds. */
+const NEW_PEER_MS = 1500;
+
 /** Time allowed for a peer's full list, in milliseconds. */
 const PULL_TIMEOUT_MS = 800;
 
@@ -56,7 +60,8 @@
     engines: new BehindWatch(),
     versions: new BehindWatch(),
   };
-  readonly #alive = new Set<string>();
+  /** Peers that are alive, with the time at which they were found. */
+  readonly #alive = new Map<string, number>();
   readonly #pulling = new Set<string>();
 
   constructor(parts: DigestParts) {
@@ -94,6 +99,7 @@
       used: Object.fromEntries(
         [...rates].map(([name, rate]) => [name, Math.round(rate.used)]),
       ),
+      up: Math.round(performance.now()),
       down: loader.down(),
       fetches: loader.fetches,
     };
@@ -102,6 +108,7 @@
       const digest: Digest = {
         ...common,
         ack: this.#acks.get(member.name) ?? 0,
+        levels: this.#levelsFor(member.name),
         held: this.#heldFor(member.name, held),
         use: useByOwner.get(member.name),
       };
@@ -117,7 +124,7 @@
     const member = members.get(from);
     if (member === undefined) return;
     if (!this.#alive.has(from)) {
-      this.#alive.add(from);
+      this.#alive.set(from, now);
       log.write(events.PEER_FOUND, { peer: from });
     }
     members.hear(from, now, {
@@ -139,6 +146,11 @@
     for (const [name, used] of Object.entries(digest.used)) {
       rates.get(name)?.learn(from, member.incarnation, used);
     }
+    if (digest.up > now + NEW_PEER_MS && now < NEW_PEER_MS * 2) {
+      for (const [name, level] of Object.entries(digest.levels ?? {})) {
+        rates.get(name)?.adopt(level);
+      }
+    }
     loader.learnFetches(from, digest.fetches);
     for (const [key, use] of Object.entries(digest.use ?? {})) {
       loader.learnUse(from, key, use);
@@ -158,6 +170,14 @@
     this.#compare(member, digest, now);
   }
 
+  #levelsFor(peer: string): Readonly<Record<string, number>> | undefined {
+    const foundAt = this.#alive.get(peer) ?? -Infinity;
+    if (performance.now() - foundAt > NEW_PEER_MS) return undefined;
+    return Object.fromEntries(
+      [...this.#parts.rates].map(([name, r]) => [name, Math.round(r.level)]),
+    );
+  }
+
   #heldFor(
     peer: string,
     held: readonly (readonly [string, number, readonly HeldRow[]])[],
@@ -177,7 +197,7 @@
 
   #noteSilence(): void {
     const now = performance.now();
-    for (const name of this.#alive) {
+    for (const name of this.#alive.keys()) {
       if (this.#parts.members.isAlive(name, now)) continue;
       this.#alive.delete(name);
       this.#parts.log.write(events.PEER_LOST, { peer: name });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -116,7 +116,7 @@
       incarnation: randomUUID().slice(0, 8),
     };
     this.#store = new ObjectStoreClient(settings.store);
-    this.#members = new MemberTable(settings.name);
+    this.#members = new MemberTable(settings.name, performance.now());
     this.#knowledge = new Knowledge(this.#store, { board: this.#board, log });
     this.#membership = new Membership(this.#store, {
       self: this.#self,
@@ -294,7 +294,8 @@
       if (!keys.has(key)) this.#connections.retire(key);
     }
     for (const workspace of table.configuration.workspaces) {
-      this.#rates.get(workspace.name)?.setLimit({
+      // All of them, also before their first request: peers tell their use.
+      this.#rateOf(workspace)?.setLimit({
         perSecond: workspace.ratePerSecond,
         burst: workspace.burst,
       });
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -34,6 +34,10 @@
   readonly flight: Readonly<Record<string, number>>;
   /** Units used by each workspace since this process started. */
   readonly used: Readonly<Record<string, number>>;
+  /** How long the sender has run, in milliseconds. */
+  readonly up: number;
+  /** The level of each workspace's rate, for a peer that was found just now. */
+  readonly levels?: Readonly<Record<string, number>>;
   /** Adapters of the engines at which the sender orders, if they changed. */
   readonly held?: Readonly<Record<string, readonly HeldRow[]>>;
   /** Those of these engines that give no answer. */
--- a/packages/serving/src/adapter_places.ts
+++ b/packages/serving/src/adapter_places.ts
@@ -46,6 +46,11 @@
 const SLOWDOWN_SHARE_MIN = 0.3;
 const SLOWDOWN_SHARE_MAX = 2;
 
+/** Wait after the first request that came too early, in milliseconds, and how
+ * often it doubles. */
+const EARLY_MS = 30;
+const EARLY_DOUBLINGS = 3;
+
 /** What a fetch that is late still takes, in milliseconds. */
 const PROLONGED_MS = 40;
 
@@ -127,6 +132,8 @@
   #refusedAt: number | undefined;
   #storeBusy = false;
   #slowdownShare = 1;
+  /** Requests that came too early since an adapter was ordered. */
+  readonly #early = new Map<string, number>();
   #changes = 0;
 
   constructor(places: number) {
@@ -268,11 +275,14 @@
     this.#finishWaiting(held, report.fetching);
   }
 
-  /** A request came before the adapter was there. */
-  delay(adapter: string, now: number, ms: number): void {
+  /** A request came before the adapter was there. Each further one waits twice
+   * as long, so that no request spends all of its tries on one late fetch. */
+  delay(adapter: string, now: number): void {
     const place = this.#held.get(adapter);
-    if (place === undefined) return;
-    if (place.readyAt >= now + ms) return;
+    if (place === undefined || place.readyAt > now) return;
+    const early = this.#early.get(adapter) ?? 0;
+    this.#early.set(adapter, early + 1);
+    const ms = EARLY_MS * 2 ** Math.min(early, EARLY_DOUBLINGS);
     this.#slowdownShare = Math.min(
       SLOWDOWN_SHARE_MAX,
       this.#slowdownShare + LATE_STEP,
@@ -357,6 +367,7 @@
       }
       return;
     }
+    this.#early.delete(adapter);
     const recent = this.#recent.has(adapter) && !this.#held.has(adapter);
     this.#slowdownShare = Math.max(
       SLOWDOWN_SHARE_MIN,
--- a/packages/serving/src/adapter_places_test.ts
+++ b/packages/serving/src/adapter_places_test.ts
@@ -223,3 +223,29 @@
   expect(first).toBeGreaterThan(250);
   expect(second).toBeLessThan(50);
 });
+
+test("a late fetch: each request that comes early waits twice as long", () => {
+  const places = placesWith(4, []);
+  places.want("a", 0, 0);
+  places.next(0, noVersion);
+  places.settle("done", 0, 1);
+  const waits: number[] = [];
+  let now = places.find("a", 0)?.readyAt ?? 0;
+  for (let i = 0; i < 4; i += 1) {
+    places.delay("a", now);
+    const readyAt = places.find("a", 0)?.readyAt ?? 0;
+    waits.push(readyAt - now);
+    now = readyAt;
+  }
+  expect(waits).toEqual([30, 60, 120, 240]);
+});
+
+test("several requests that come early together count once", () => {
+  const places = placesWith(4, []);
+  places.want("a", 0, 0);
+  places.next(0, noVersion);
+  places.settle("done", 0, 1);
+  const now = places.find("a", 0)?.readyAt ?? 0;
+  for (let i = 0; i < 5; i += 1) places.delay("a", now);
+  expect((places.find("a", 0)?.readyAt ?? 0) - now).toBe(30);
+});
--- a/packages/serving/src/member_table.ts
+++ b/packages/serving/src/member_table.ts
@@ -8,6 +8,10 @@
  * at the usual pace, so that a busy moment takes nobody out. */
 export const SILENT_AFTER_MS = 1200;
 
+/** How long after its start a process may not have heard of all others, in
+ * milliseconds: they start within a second of each other, and dial anew. */
+const INTRODUCTION_MS = 1500;
+
 interface Heard {
   readonly at: number;
   readonly leaving: boolean;
@@ -22,9 +26,12 @@
   #members: ReadonlyMap<string, Member> = new Map();
   readonly #heard = new Map<string, Heard>();
   readonly #self: string;
+  readonly #startedAt: number;
 
-  constructor(self: string) {
+  /** `now` is when this process started. */
+  constructor(self: string, now: number) {
     this.#self = self;
+    this.#startedAt = now;
   }
 
   /** Puts the list of the store in force. Members that are heard of stay, also
@@ -96,9 +103,14 @@
     return 1 + this.list().filter((m) => this.isAlive(m.name, now)).length;
   }
 
-  /** Part of all members that is silent. */
+  /** Part of all members that is silent. Soon after the start of this process
+   * those that it has not heard yet do not count: after the loss of all
+   * instances everybody is about to be heard. */
   silentShare(now: number): number {
-    const total = this.#members.size + 1;
-    return 1 - this.aliveCount(now) / total;
+    const known = now < this.#startedAt + INTRODUCTION_MS
+      ? this.list().filter((m) => this.#heard.has(m.name))
+      : this.list();
+    const silent = known.filter((m) => !this.isAlive(m.name, now)).length;
+    return silent / (this.#members.size + 1);
   }
 }
--- a/packages/serving/src/member_table_test.ts
+++ b/packages/serving/src/member_table_test.ts
@@ -23,7 +23,7 @@
 const state = { ready: true, leaving: false, tenure: undefined };
 
 test("a lost instance leaves the answers once it is silent", () => {
-  const table = new MemberTable("self");
+  const table = new MemberTable("self", -10_000);
   table.setMembers(all, 0);
   for (const m of all) table.hear(m.name, 0, state);
   expect(table.ready(SILENT_AFTER_MS - 1)).toHaveLength(4);
@@ -32,7 +32,7 @@
 });
 
 test("instances that leave or are not ready are not named", () => {
-  const table = new MemberTable("self");
+  const table = new MemberTable("self", -10_000);
   table.setMembers(all, 0);
   table.hear("a1", 0, { ...state, leaving: true });
   table.hear("a2", 0, { ...state, ready: false });
@@ -40,7 +40,7 @@
 });
 
 test("an instance that the store turns away stays known to its peers", () => {
-  const table = new MemberTable("self");
+  const table = new MemberTable("self", -10_000);
   table.introduce(member("new", "a", "north"));
   table.hear("new", 0, state);
   table.setMembers(all, 100);
@@ -60,3 +60,12 @@
 test("whole region lost: callers get every instance there is", () => {
   expect(steer(all, { zone: "c", region: "south" })).toHaveLength(4);
 });
+
+test("return of all: peers not heard yet do not count as silent", () => {
+  const table = new MemberTable("self", 0);
+  table.setMembers(all, 0);
+  expect(table.silentShare(500)).toBe(0);
+  table.hear("a1", 200, state);
+  expect(table.silentShare(1450)).toBeCloseTo(1 / 5);
+  expect(table.silentShare(2000)).toBeCloseTo(4 / 5);
+});
--- a/packages/serving/src/token_rate.ts
+++ b/packages/serving/src/token_rate.ts
@@ -8,9 +8,10 @@
  * @module
  */
 
-/** Share of the burst that a process starts with: its predecessor may have
- * spent the rest, and callers stay under the rate as a rule. */
-const START_FRACTION = 0.25;
+/** Share of the burst that a process starts with. After the loss of all
+ * instances callers return together and need more than the rate; a single
+ * process that starts takes the level of one that ran before. */
+const START_FRACTION = 0.6;
 
 /** Part of the burst that large requests leave to small ones: a call of an
  * application costs a fraction of a generation, and must not starve beside
@@ -77,6 +78,11 @@
     this.#level = Math.max(-this.#limit.burst, this.#level - (used - before));
   }
 
+  /** Takes the level of an instance that has run for longer, if it is lower. */
+  adopt(level: number): void {
+    this.#level = Math.min(this.#level, level);
+  }
+
   /** Takes `units` if there are that many, and tells so. */
   take(units: number): boolean {
     if (this.#level < this.#needed(units)) return false;
--- a/packages/serving/src/token_rate_test.ts
+++ b/packages/serving/src/token_rate_test.ts
@@ -88,3 +88,19 @@
   while (rate.take(1200));
   expect(rate.take(200)).toBe(true);
 });
+
+test("instances restarted in series bring no new units", () => {
+  const old = new TokenRate(LIMIT, 0);
+  old.refill(10_000, 0);
+  while (old.take(50));
+  const fresh = new TokenRate(LIMIT, 10_000);
+  fresh.adopt(old.level);
+  expect(fresh.take(50)).toBe(false);
+});
+
+test("return of all: callers that come back together find room", () => {
+  const rate = new TokenRate({ perSecond: 90_000, burst: 90_000 }, 0);
+  let passed = 0;
+  while (rate.take(1200)) passed += 1200;
+  expect(passed).toBeGreaterThan(40_000);
+});
