--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -5,13 +5,11 @@
  */
 import type { EventLog } from "@banyanlb/core";
 import {
-  AdapterPlaces,
   type BelievedAdapter,
   type EngineBoard,
   type EngineControl,
   type EngineView,
   type MemberTable,
-  type OrderOutcome,
   type RouteTable,
   type WantedOrder,
 } from "@banyanlb/serving";
@@ -20,6 +18,11 @@
 import type { Membership } from "./membership.ts";
 import type { GatewayMetrics } from "./metrics.ts";
 import type { HeldRow } from "./peer_messages.ts";
+import {
+  ORDER_TIMEOUT_MAX_MS,
+  OrderedEngine,
+  outcomeOf,
+} from "./ordered_engine.ts";
 import type { PeerLinks } from "./peer_links.ts";
 
 /** Time between reports of an engine whose table is in order, in milliseconds;
@@ -40,59 +43,11 @@
 /** Calls in a row without answer after which an engine counts as down. */
 const DOWN_AFTER = 2;
 
-/** Time allowed for an order's answer: this many times the usual, within
- * bounds in milliseconds. Engines answer at once, an order may be sent again,
- * and requests wait for its adapter. */
-const ORDER_TIMEOUT_FACTOR = 8;
-const ORDER_TIMEOUT_MIN_MS = 40;
-const ORDER_TIMEOUT_MAX_MS = 400;
-
-/** Weight of one order's time in the usual time. */
-const ORDER_TIME_WEIGHT = 0.2;
-
 /** Pause after an order without answer, in milliseconds; longer for an engine
  * that counts as down. */
 const ORDER_PAUSE_MS = 10;
 const DOWN_PAUSE_MS = 400;
 
-interface Waiter {
-  readonly adapter: string;
-  readonly version: number;
-  readonly until: number;
-  readonly resolve: (ok: boolean) => void;
-}
-
-/** One engine at which this instance orders. */
-class OrderedEngine {
-  readonly places: AdapterPlaces;
-  readonly model: string;
-  readonly waiters = new Set<Waiter>();
-  /** Requests in flight by adapter, of each instance. */
-  readonly flight = new Map<string, ReadonlyMap<string, number>>();
-  reportAt = 0;
-  reporting = false;
-  ordering = false;
-  orderAfter = 0;
-  /** Usual time from an order to its answer, in milliseconds. */
-  orderMs = ORDER_TIMEOUT_MAX_MS / ORDER_TIMEOUT_FACTOR;
-  /** Calls in a row without answer. */
-  unanswered = 0;
-  modelOrdered = false;
-  modelCount: number | undefined;
-
-  get orderTimeoutMs(): number {
-    return Math.min(
-      ORDER_TIMEOUT_MAX_MS,
-      Math.max(ORDER_TIMEOUT_MIN_MS, this.orderMs * ORDER_TIMEOUT_FACTOR),
-    );
-  }
-
-  constructor(places: number, model: string) {
-    this.places = new AdapterPlaces(places);
-    this.model = model;
-  }
-}
-
 /** What the loader needs. */
 export interface LoaderOptions {
   readonly self: string;
@@ -376,11 +331,7 @@
     const outcome = outcomeOf(order.action, answer);
     const now = performance.now();
     this.#noteAnswer(view, engine, answer !== "unknown");
-    const took = now - sentAt;
-    // The way may have become slower.
-    engine.orderMs = answer === "unknown"
-      ? Math.min(engine.orderMs * 1.5, ORDER_TIMEOUT_MAX_MS)
-      : engine.orderMs + (took - engine.orderMs) * ORDER_TIME_WEIGHT;
+    engine.noteOrderTime(now - sentAt, answer !== "unknown");
     engine.places.settle(outcome, now, Math.max(1, this.#slowdown()));
     metrics.add(
       "orders_total",
@@ -486,19 +437,3 @@
     );
   }
 }
-
-function outcomeOf(
-  action: "load" | "unload",
-  answer: string,
-): OrderOutcome {
-  switch (answer) {
-    case "accepted":
-      return action === "load" ? "done" : "waiting";
-    case "complete":
-      return action === "load" ? "held" : "done";
-    case "unknown":
-      return "unknown";
-    default:
-      return "refused";
-  }
-}
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -137,6 +137,20 @@
   text: "ownership of an engine changed",
 };
 
+/** A peer's message could not be read; its connection is dialled again. */
+export const PEER_MESSAGE_BROKEN: LogEvent = {
+  id: 826,
+  severity: "error",
+  text: "message of a peer not taken in",
+};
+
+/** Members or the assignment could not be looked after; tried again soon. */
+export const CHECK_FAILED: LogEvent = {
+  id: 827,
+  severity: "warn",
+  text: "members and assignment not checked",
+};
+
 /** An order was sent and answered. */
 export const ORDERED: LogEvent = {
   id: 830,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -34,7 +34,8 @@
 import { GatewayMetrics } from "./metrics.ts";
 import type { PeerMessage } from "./peer_messages.ts";
 import { PeerLinks, type Respond } from "./peer_links.ts";
-import { answerPlain, Relay } from "./relay.ts";
+import { answerPlain } from "./own_answer.ts";
+import { Relay } from "./relay.ts";
 import { UseCounts } from "./use_counts.ts";
 
 /** Time between digests, in milliseconds: how old other instances' counts may
@@ -128,10 +129,11 @@
       takesOrders: (service) =>
         this.#knowledge.table?.findService(service)?.engineClass !== undefined,
     });
-    this.#links = new PeerLinks(
-      this.#self,
-      (from, message, respond) => this.#onPeer(from, message, respond),
-    );
+    this.#links = new PeerLinks(this.#self, {
+      onMessage: (from, message, respond) =>
+        this.#onPeer(from, message, respond),
+      onBroken: (reason) => log.write(events.PEER_MESSAGE_BROKEN, { reason }),
+    });
     this.#loader = new AdapterLoader({
       self: settings.name,
       board: this.#board,
@@ -160,7 +162,6 @@
     const relay = new Relay({
       protocol: this.#protocol,
       table: () => this.#knowledge.table,
-      board: this.#board,
       chooser: new EngineChooser(this.#board),
       loader: this.#loader,
       connections: this.#connections,
--- a/packages/gateway/src/main.ts
+++ b/packages/gateway/src/main.ts
@@ -6,42 +6,76 @@
 import { EventLog } from "@banyanlb/core";
 import { decodeSettings, SETTINGS_PATH_VARIABLE } from "@banyanlb/platform";
 import pino from "pino";
+import sade from "sade";
 import * as events from "./events.ts";
 import { Gateway } from "./gateway.ts";
 import { LogStream } from "./log_stream.ts";
 
-const path = process.env[SETTINGS_PATH_VARIABLE];
-if (path === undefined) {
-  console.error(
-    `${SETTINGS_PATH_VARIABLE} is not set; set it to the settings file's path`,
+const VERSION = "0.1.0";
+
+/** Exit code for settings that cannot be used. */
+const BAD_SETTINGS = 2;
+
+function readSettings(path: string) {
+  return decodeSettings(readFileSync(path, "utf8"));
+}
+
+function fail(message: string): never {
+  console.error(message);
+  process.exit(BAD_SETTINGS);
+}
+
+async function serve(path: string): Promise<void> {
+  const settings = readSettings(path);
+  const stream = new LogStream(process.stdout);
+  const log = new EventLog(
+    pino(
+      { base: undefined, timestamp: pino.stdTimeFunctions.epochTime },
+      stream,
+    ),
   );
-  process.exit(2);
+  const gateway = new Gateway(settings, {
+    log,
+    droppedLines: () => stream.dropped,
+  });
+  process.on("uncaughtException", (err) => {
+    log.write(events.UNEXPECTED, { error: err.stack ?? String(err) });
+  });
+  process.on("unhandledRejection", (err) => {
+    log.write(events.UNEXPECTED, { error: String(err) });
+  });
+  process.on("SIGTERM", () => void gateway.stop().then(() => process.exit(0)));
+  process.on("SIGHUP", () => {
+    try {
+      readSettings(path);
+      log.write(events.SETTINGS_READ);
+    } catch (err) {
+      log.write(events.SETTINGS_REFUSED, { error: String(err) });
+    }
+  });
+  await gateway.start();
 }
-const stream = new LogStream(process.stdout);
-const log = new EventLog(
-  pino(
-    { base: undefined, timestamp: pino.stdTimeFunctions.epochTime },
-    stream,
-  ),
-);
-const gateway = new Gateway(decodeSettings(readFileSync(path, "utf8")), {
-  log,
-  droppedLines: () => stream.dropped,
-});
 
-process.on("uncaughtException", (err) => {
-  log.write(events.UNEXPECTED, { error: err.stack ?? String(err) });
-});
-process.on("unhandledRejection", (err) => {
-  log.write(events.UNEXPECTED, { error: String(err) });
-});
-process.on("SIGTERM", () => void gateway.stop().then(() => process.exit(0)));
-process.on("SIGHUP", () => {
-  try {
-    decodeSettings(readFileSync(path, "utf8"));
-    log.write(events.SETTINGS_READ);
-  } catch (err) {
-    log.write(events.SETTINGS_REFUSED, { error: String(err) });
-  }
-});
-await gateway.start();
+sade("banyanlb-gateway", true)
+  .version(VERSION)
+  .describe("Serves callers on this machine until SIGTERM.")
+  .option(
+    "--settings",
+    `Path of the settings file; by default from ${SETTINGS_PATH_VARIABLE}`,
+  )
+  .option("--check", "Check the settings file and exit")
+  .action(async (options: { settings?: string; check?: boolean }) => {
+    const path = options.settings ?? process.env[SETTINGS_PATH_VARIABLE];
+    if (path === undefined) {
+      fail(
+        `no settings file; name one with --settings or set ${SETTINGS_PATH_VARIABLE}`,
+      );
+    }
+    try {
+      if (options.check === true) readSettings(path);
+      else await serve(path);
+    } catch (err) {
+      fail(`${path}: ${err instanceof Error ? err.message : String(err)}`);
+    }
+  })
+  .parse(process.argv);
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -104,14 +104,16 @@
       waitMs: WATCH_MS,
       gatherMs: MEMBERS_GATHER_MS,
       onRecords: (records) => this.#setMembers(records),
-      onReachable: () => undefined,
+      onReachable: (reachable, reason) =>
+        this.#noteReachable("members", reachable, reason),
     });
     this.#followAssignment = new KindFollower(store, {
       kind: "assignment",
       waitMs: WATCH_MS,
       gatherMs: 0,
       onRecords: (records) => this.#setAssignment(records),
-      onReachable: () => undefined,
+      onReachable: (reachable, reason) =>
+        this.#noteReachable("assignment", reachable, reason),
     });
   }
 
@@ -168,10 +170,10 @@
       try {
         await step();
       } catch (err) {
-        // Each step is tried again; a renewal that fails is logged there.
-        if (!(err instanceof StoreCallError)) {
-          this.#options.log.write(events.UNEXPECTED, { error: String(err) });
-        }
+        const event = err instanceof StoreCallError
+          ? events.CHECK_FAILED
+          : events.UNEXPECTED;
+        this.#options.log.write(event, { error: String(err) });
       }
       await new Promise<void>((resolve) => {
         setTimeout(resolve, everyMs);
@@ -180,6 +182,11 @@
     }
   }
 
+  #noteReachable(kind: string, reachable: boolean, reason: string): void {
+    if (reachable) this.#options.log.write(events.STORE_BACK, { kind });
+    else this.#options.log.write(events.STORE_LOST, { kind, reason });
+  }
+
   async #renew(): Promise<void> {
     const { self, clocks, log } = this.#options;
     const sentAt = clocks.read();
--- a/packages/gateway/src/peer_links.ts
+++ b/packages/gateway/src/peer_links.ts
@@ -28,12 +28,18 @@
 /** Sends one message back. */
 export type Respond = (message: PeerMessage) => void;
 
-/** Called for each message with the name of its sender. */
-export type OnMessage = (
-  from: string,
-  message: PeerMessage,
-  respond: Respond,
-) => void;
+/** What the links tell. */
+export interface PeerLinksOptions {
+  /** Called for each message with the name of its sender. */
+  readonly onMessage: (
+    from: string,
+    message: PeerMessage,
+    respond: Respond,
+  ) => void;
+  /** Called when a message could not be read or taken in. Its connection is
+   * closed and dialled again. */
+  readonly onBroken: (reason: string) => void;
+}
 
 interface Waiting {
   readonly resolve: (reply: PeerMessage | undefined) => void;
@@ -44,6 +50,7 @@
 class PeerLink {
   readonly address: string;
   readonly #hello: PeerMessage;
+  readonly #onBroken: (reason: string) => void;
   readonly #waiting = new Map<number, Waiting>();
   #socket: Socket | undefined;
   #nextNumber = 1;
@@ -52,9 +59,14 @@
   /** When the peer last showed that it receives, or the link was made. */
   provenAt = 0;
 
-  constructor(address: string, hello: PeerMessage) {
+  constructor(
+    address: string,
+    hello: PeerMessage,
+    onBroken: (reason: string) => void,
+  ) {
     this.address = address;
     this.#hello = hello;
+    this.#onBroken = onBroken;
   }
 
   send(message: PeerMessage): boolean {
@@ -125,7 +137,7 @@
     readLines(socket, (message) => {
       this.provenAt = performance.now();
       if ("n" in message) this.#settle(message.n, message);
-    });
+    }, this.#onBroken);
     socket.setNoDelay(true);
     socket.connect(Number(port), host);
     socket.write(`${JSON.stringify(this.#hello)}\n`);
@@ -136,14 +148,14 @@
 /** All connections to and from peers. */
 export class PeerLinks {
   readonly #self: Member;
-  readonly #onMessage: OnMessage;
+  readonly #options: PeerLinksOptions;
   readonly #links = new Map<string, PeerLink>();
   readonly #accepted = new Set<Socket>();
   readonly #server: Server;
 
-  constructor(self: Member, onMessage: OnMessage) {
+  constructor(self: Member, options: PeerLinksOptions) {
     this.#self = self;
-    this.#onMessage = onMessage;
+    this.#options = options;
     this.#server = createServer((socket) => this.#accept(socket));
   }
 
@@ -193,7 +205,8 @@
   #link(address: string): PeerLink {
     let link = this.#links.get(address);
     if (link === undefined) {
-      link = new PeerLink(address, { t: "hello", member: this.#self });
+      const hello: PeerMessage = { t: "hello", member: this.#self };
+      link = new PeerLink(address, hello, this.#options.onBroken);
       this.#links.set(address, link);
     }
     return link;
@@ -212,23 +225,32 @@
     readLines(socket, (message) => {
       if (message.t === "hello") from = message.member.name;
       if (from === undefined) socket.destroy();
-      else this.#onMessage(from, message, respond);
-    });
+      else this.#options.onMessage(from, message, respond);
+    }, this.#options.onBroken);
   }
 }
 
-function readLines(socket: Socket, onLine: (message: PeerMessage) => void) {
+function readLines(
+  socket: Socket,
+  onLine: (message: PeerMessage) => void,
+  onBroken: (reason: string) => void,
+): void {
   let rest = "";
   socket.setEncoding("utf8");
   socket.on("data", (chunk: string) => {
     const lines = (rest + chunk).split("\n");
     rest = lines.pop() ?? "";
-    if (rest.length > LINE_MAX_BYTES) socket.destroy();
+    if (rest.length > LINE_MAX_BYTES) {
+      onBroken(`a message is longer than ${LINE_MAX_BYTES} bytes`);
+      socket.destroy();
+      return;
+    }
     for (const line of lines) {
       try {
         onLine(JSON.parse(line) as PeerMessage);
       } catch (err) {
-        socket.destroy(err instanceof Error ? err : new Error(String(err)));
+        onBroken(String(err));
+        socket.destroy();
         return;
       }
     }
--- /dev/null
+++ b/packages/gateway/src/relay_parts.ts
@@ -0,0 +1,40 @@
+/** The parts that a request passes through.
+ *
+ * @module
+ */
+import type { EventLog } from "@banyanlb/core";
+import type {
+  CallerProtocol,
+  EngineChooser,
+  MemberTable,
+  RetryAllowance,
+  Route,
+  RouteTable,
+  Surroundings,
+  TokenRate,
+  Workspace,
+} from "@banyanlb/serving";
+import type { AdapterLoader } from "./adapter_loader.ts";
+import type { EngineConnections } from "./engine_connections.ts";
+import type { GatewayMetrics } from "./metrics.ts";
+import type { UseCounts } from "./use_counts.ts";
+
+/** The parts that a request passes through. */
+export interface RelayParts {
+  readonly protocol: CallerProtocol;
+  readonly table: () => RouteTable | undefined;
+  readonly chooser: EngineChooser;
+  readonly loader: AdapterLoader;
+  readonly connections: EngineConnections;
+  readonly members: MemberTable;
+  readonly rateOf: (workspace: Workspace) => TokenRate | undefined;
+  readonly allowanceOf: (service: string) => RetryAllowance;
+  readonly versionOf: (model: string, adapter: string) => number;
+  readonly isOlderAllowed: (model: string, adapter: string) => boolean;
+  readonly around: (now: number) => Surroundings;
+  readonly use: UseCounts;
+  /** Whether a request that takes so long can end before this process does. */
+  readonly hasTimeFor: (route: Route) => boolean;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+}
