Keep the newest revision with the records; one constant for fetches at once

Read once more: each digest, five a second, walked all records of three kinds to find their newest revision, which changes only with the records; it is kept with them now. The number of fetches that an engine carries out at once stood in two modules.

--- a/packages/gateway/src/kind_follower.ts
+++ b/packages/gateway/src/kind_follower.ts
@@ -32,6 +32,7 @@
   readonly #store: RecordStore;
   readonly #options: FollowOptions;
   #records: ReadonlyMap<string, StoredRecord> = new Map();
+  #newest = 0;
   #revision = 0;
   #known = false;
   #watch: AbortController | undefined;
@@ -50,11 +51,7 @@
 
   /** The revision of the newest change of this kind that is known. */
   get newest(): number {
-    let newest = 0;
-    for (const record of this.#records.values()) {
-      if (record.revision > newest) newest = record.revision;
-    }
-    return newest;
+    return this.#newest;
   }
 
   /** The revision up to which the store's changes are known. */
@@ -132,15 +129,24 @@
       if (removed) records.delete(record.name);
       else records.set(record.name, record);
     }
-    this.#records = records;
-    this.#options.onRecords(records);
+    this.#setRecords(records);
   }
 
   #replace(list: RecordList): void {
-    this.#records = new Map(list.records.map((r) => [r.name, r]));
     this.#revision = list.revision;
     this.#known = true;
-    this.#options.onRecords(this.#records);
+    this.#setRecords(new Map(list.records.map((r) => [r.name, r])));
+  }
+
+  /** Puts a state in force. The newest revision is kept with it, since each
+   * digest to a peer tells it. */
+  #setRecords(records: ReadonlyMap<string, StoredRecord>): void {
+    this.#records = records;
+    this.#newest = 0;
+    for (const { revision } of records.values()) {
+      if (revision > this.#newest) this.#newest = revision;
+    }
+    this.#options.onRecords(records);
   }
 
   #note(reachable: boolean, reason: string): void {
--- a/packages/serving/src/adapter_places.ts
+++ b/packages/serving/src/adapter_places.ts
@@ -16,7 +16,7 @@
 import type { EngineReport, HeldAdapter } from "./types.ts";
 
 /** Adapters that one engine fetches at once; more are refused by it. */
-const FETCHES_AT_ONCE = 4;
+export const FETCHES_AT_ONCE = 4;
 
 /** The same while the weight store is busy: fetches then share its speed, and
  * a few at a time finish sooner on average than all together. */
--- a/packages/serving/src/choose_engine.ts
+++ b/packages/serving/src/choose_engine.ts
@@ -7,6 +7,7 @@
  * @module
  */
 import { rankByRendezvous } from "@banyanlb/core";
+import { FETCHES_AT_ONCE } from "./adapter_places.ts";
 import type { EngineBoard, EngineView } from "./engine_board.ts";
 
 /** Cost of the way to another zone, in units of a full engine: a tie-break. */
@@ -39,9 +40,6 @@
  * expect, whatever its slots: prompts are read between the tokens of others. */
 const COMFORTABLE_LOAD = 32;
 
-/** Fetches that an engine carries out at once. */
-const FETCHES_AT_ONCE = 4;
-
 /** Cost of an engine whose fetches are all taken: a cold crowd then fetches at
  * the next engine of its order, since waiting costs more than another place. */
 const FETCHES_TAKEN_COST = 0.6;
