Outlive answers to other requests; report instances that end by themselves

Cause: an answer with a foreign id is destroyed unread. If it has been received whole by then, undici's body emits its abort as an error event; nobody listens, and the process ends. Seen in the listed cell whole_answers/sent/target_crossed: the entry instances exited with code 1, UND_ERR_ABORTED, and all callers steered to them were reset, also after the fault was lifted. The cell held as long as one instance survived, so it was red in some runs only.

Ruled out: load of the machine (the exit shows in a call of its own, see the test), the recovery of permits, the stand-in's count of crossed answers.

The matrix now breaks a cell in which an instance ends by itself with an error.

--- a/packages/daemon/src/target_client.ts
+++ b/packages/daemon/src/target_client.ts
@@ -142,7 +142,12 @@
         signal: call.signal,
         checkStart: call.checkStart,
       };
-      return ok(await agent.request(options));
+      const answer = await agent.request(options);
+      // Whoever reads the body gets its error from the reading. A body that is
+      // destroyed unread emits it all the same, and without a listener that
+      // would end the process.
+      answer.body.on("error", () => undefined);
+      return ok(answer);
     } catch (cause) {
       if (cause instanceof NotStartedError) throw cause.reason;
       return err(describeFailure(cause));
--- a/packages/daemon/src/target_client_test.ts
+++ b/packages/daemon/src/target_client_test.ts
@@ -2,6 +2,7 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
+import { checkAnswerId } from "./relay.ts";
 import { TargetClient } from "./target_client.ts";
 
 let client: TargetClient;
@@ -14,7 +15,11 @@
   server = createServer((req, res) => {
     received.push(`${req.socket.remoteAddress} ${req.url}`);
     if (req.url === "/reset") req.socket.destroy();
-    else res.end("done");
+    else if (req.url === "/crossed") {
+      res.setHeader("x-request-id", "another");
+      res.write("the first part");
+      res.end("the last part");
+    } else res.end("done");
   });
   await new Promise<void>((resolve) => {
     server.listen(0, "127.0.0.1", resolve);
@@ -73,3 +78,15 @@
   expect(result._unsafeUnwrapErr().may_have_run).toBe(true);
   expect(received).toEqual(["127.0.0.7 /reset"]);
 });
+
+test("an answer to another request is dropped and does not end the process", async () => {
+  const uncaught: unknown[] = [];
+  const note = (err: unknown) => uncaught.push(err);
+  process.on("uncaughtException", note);
+  const result = await client.send(targetAt(portOf()), callOf("/crossed"));
+  const answer = result._unsafeUnwrap();
+  expect(() => checkAnswerId(answer, "mine")).toThrow(/another request/);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  process.off("uncaughtException", note);
+  expect(uncaught).toEqual([]);
+});
--- a/packages/standins/src/launcher.ts
+++ b/packages/standins/src/launcher.ts
@@ -78,6 +78,11 @@
       this.#child.pid !== undefined;
   }
 
+  /** Whether the process ended by itself with an error. */
+  get crashed(): boolean {
+    return this.#child.exitCode !== null && this.#child.exitCode !== 0;
+  }
+
   /** Port of the ready line. */
   get port(): number {
     return this.#ready?.port ?? 0;
--- a/packages/trials/src/matrix/runner.ts
+++ b/packages/trials/src/matrix/runner.ts
@@ -121,7 +121,14 @@
     const random = createRandom(seedOf(this.#options.seed, cell));
     const world = await this.#ready(cell, random);
     const fault = findFault(cell.fault);
-    return await cell.property.run({ world, step: cell.step, fault, random });
+    const verdict = await cell.property.run({
+      world,
+      step: cell.step,
+      fault,
+      random,
+    });
+    const violations = [...verdict.violations, ...world.crashes()];
+    return { ...verdict, violations };
   }
 
   async #ready(cell: CellName, random: () => number): Promise<World> {
--- a/packages/trials/src/matrix/world.ts
+++ b/packages/trials/src/matrix/world.ts
@@ -120,6 +120,16 @@
       .flatMap((instance, i) => instance.process?.running ? [i] : []);
   }
 
+  /** What the last lines of instances say that ended by themselves: no fault of
+   * the matrix makes a process exit with an error. */
+  crashes(): readonly string[] {
+    return this.cluster.instances.flatMap(({ name, process }) =>
+      process?.crashed === true
+        ? [`${name} ended by itself: ${process.log.slice(-12).join(" | ")}`]
+        : []
+    );
+  }
+
   /** The site of faults that concern a target: its owner, and an entry that
    * is not its owner. */
   async siteOf(target: string): Promise<Site> {
