Let the busiest engine leave in the matrix

Cause: the trial made the first engine of the list leave.

The engine with the most starts leaves now; the bound and the judge stay as they are, and the trial is stricter.

--- a/packages/trials/src/matrix/properties/leaving_target.ts
+++ b/packages/trials/src/matrix/properties/leaving_target.ts
@@ -118,13 +118,13 @@
     const { fault, world } = cell;
     const announce = announcements[cell.step];
     if (announce === undefined) throw new Error(`no step ${cell.step}`);
-    const site = await world.siteOf(world.engines[0]?.name ?? "");
     for (const { control } of world.engines) {
       await control.setFaults({ slow_token_ms: SLOW_TOKEN_MS });
     }
     const traffic = this.#startTraffic(cell);
     await world.sleep(BEFORE_MS);
-    const before = await this.#countStarts(world, site.target);
+    const { target: busiest, starts: before } = await this.#busiest(world);
+    const site = await world.siteOf(busiest);
     const injected = fault.inject(world, site);
     await world.sleep(FAULT_FIRST_MS);
     const announced = announce(world, site);
@@ -173,10 +173,17 @@
       );
   }
 
-  async #countStarts(world: World, target: string): Promise<number> {
-    const records = await readEngines(world);
-    return records.find((row) => row.target === target)?.record.requests
-      .length ?? 0;
+  /** The engine that the traffic uses most: the others may get no request
+   * after the bound by chance alone. */
+  async #busiest(
+    world: World,
+  ): Promise<{ readonly target: string; readonly starts: number }> {
+    const rows = (await readEngines(world)).map(({ target, record }) => ({
+      target,
+      starts: record.requests.length,
+    }));
+    const none = { target: world.engines[0]?.name ?? "", starts: 0 };
+    return rows.reduce((a, b) => b.starts > a.starts ? b : a, none);
   }
 
   #startTraffic({ random, world }: Cell): Traffic {
