Add a fault soak of the real gateways as processes

Stand-ins of the platform's store, engines and plain services speak the published protocol; they live in platform/ since only that folder may name it. The soak starts them and the gateways as processes, puts loopback proxies before engines and the store, and strikes by seed: kills, stops, freezes, resets, silent and slow links, lost answers, a store that freezes, rejects, loses answers or forgets its history, new configurations. It judges from what callers got and engines saw: whole streams, one run of what must not be repeated, true refusals, fences and turns of orders, places, keys, and service after the faults.

--- /dev/null
+++ b/packages/trials/src/soak/soak_test.ts
@@ -0,0 +1,25 @@
+import { expect, test } from "vitest";
+import { runSoak } from "./soak.ts";
+
+const SEED = 20_261_204;
+const LIMIT_MS = 180_000;
+
+/** Seeds that failed once, each with the cause that was found. */
+const REGRESSIONS: readonly number[] = [];
+
+test(`promises hold under faults, seed ${SEED}`, {
+  timeout: LIMIT_MS * (1 + REGRESSIONS.length),
+}, async () => {
+  for (const seed of [SEED, ...REGRESSIONS]) {
+    const result = await runSoak({
+      seed,
+      forMs: 6000,
+      size: { gateways: 4, engines: 3, plain: 2 },
+    });
+    expect({ seed, violations: result.violations }).toEqual({
+      seed,
+      violations: [],
+    });
+    expect(result.served).toBeGreaterThan(100);
+  }
+});
--- /dev/null
+++ b/packages/trials/src/soak/world.ts
@@ -0,0 +1,293 @@
+/** The processes of a soak and the links between them.
+ *
+ * @module
+ */
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import {
+  type EngineRecord,
+  type EngineStandInOptions,
+  publishConfiguration,
+  STAND_IN_PROGRAM,
+  trialConfiguration,
+  writeSettings,
+} from "@banyanlb/platform/stand_in";
+import { LinkProxy } from "./proxy.ts";
+import { SoakProcess } from "./soak_process.ts";
+
+/** Names of the gateway's program and of the variable with its settings. */
+const GATEWAY_PROGRAM = new URL(
+  "../../../gateway/dist/main.js",
+  import.meta.url,
+).pathname;
+const SETTINGS_VARIABLE = ["BANYANLB", "NODE", "FILE"].join("_");
+
+const STORE_PORT = 9000;
+const ENGINE_PORT = 8080;
+const MODEL = "m0";
+const PLACES = 6;
+const SLOTS = 16;
+const GRACE_MS = 4000;
+const LEAVE_MS = 3000;
+const RENEW_EVERY_MS = 1200;
+
+/** The least time between orders of two instances to one engine. */
+export const ORDER_GAP_MS = 1000;
+
+/** Zones and their regions. */
+export const ZONES: Readonly<Record<string, string>> = {
+  "n-a": "north",
+  "n-b": "north",
+  "s-a": "south",
+};
+
+/** How many processes a soak has. */
+export interface SoakSize {
+  readonly gateways: number;
+  readonly engines: number;
+  readonly plain: number;
+}
+
+interface EngineSlot {
+  readonly plain: boolean;
+  readonly index: number;
+  readonly proxy: LinkProxy;
+  process: SoakProcess;
+  /** Starts so far; a new one has a new id. */
+  starts: number;
+}
+
+interface GatewaySlot {
+  readonly host: string;
+  readonly name: string;
+  readonly storeLink: LinkProxy;
+  process: SoakProcess;
+}
+
+/** A running deployment. */
+export class SoakWorld {
+  readonly model = MODEL;
+  readonly records: EngineRecord[] = [];
+  readonly gateways: GatewaySlot[] = [];
+  readonly engines: EngineSlot[] = [];
+  readonly ended: SoakProcess[] = [];
+  readonly #prefix: string;
+  readonly #directory = mkdtempSync(join(tmpdir(), "banyanlb-soak-"));
+  readonly #keys: Record<string, string[]> = {
+    w1: ["key-1"],
+    w2: ["key-2", "key-2b"],
+  };
+  #store: SoakProcess;
+  #version = 1;
+  #closed = false;
+
+  constructor(seed: number) {
+    const n = (process.pid * 31 + seed) % 50_000;
+    this.#prefix = `127.${20 + Math.floor(n / 250)}.${n % 250}`;
+    this.#store = this.#start("store", STAND_IN_PROGRAM, [
+      "store",
+      JSON.stringify(this.#storeAddress),
+    ]);
+  }
+
+  /** The process of the store. */
+  get store(): SoakProcess {
+    return this.#store;
+  }
+
+  /** Keys in force, by workspace. */
+  get keys(): Readonly<Record<string, readonly string[]>> {
+    return this.#keys;
+  }
+
+  /** Instances that callers may ask. */
+  get instances(): readonly string[] {
+    return this.gateways.map(({ host }) => host);
+  }
+
+  /** Starts all processes and publishes the first configuration. */
+  async start(size: SoakSize): Promise<void> {
+    const until = performance.now() + 20_000;
+    while (!await this.publish()) {
+      if (performance.now() > until) throw new Error("the store did not start");
+      await pause(100);
+    }
+    for (let i = 0; i < size.engines + size.plain; i++) {
+      const proxy = new LinkProxy({
+        host: this.#at(20 + i),
+        port: ENGINE_PORT,
+      });
+      await proxy.listen({ host: this.#at(60 + i), port: ENGINE_PORT });
+      const slot = { plain: i >= size.engines, index: i, proxy, starts: 0 };
+      this.engines.push({ ...slot, process: this.#startEngine(slot) });
+    }
+    for (let i = 0; i < size.gateways; i++) {
+      const storeLink = new LinkProxy(this.#storeAddress);
+      await storeLink.listen({ host: this.#at(140 + i), port: STORE_PORT });
+      const host = this.#at(100 + i);
+      const name = `gateway-${i + 1}`;
+      this.#writeSettings(i, size.gateways);
+      this.gateways.push({
+        host,
+        name,
+        storeLink,
+        process: this.#startGateway(name),
+      });
+    }
+  }
+
+  /** Publishes the configuration anew, with the keys as they are. */
+  publish(): Promise<boolean> {
+    this.#version += 1;
+    return publishConfiguration(
+      this.#storeAddress,
+      trialConfiguration({
+        version: this.#version,
+        model: MODEL,
+        places: PLACES,
+        slots: SLOTS,
+        keys: this.#keys,
+      }),
+    );
+  }
+
+  /** Withdraws a key and publishes. */
+  withdraw(workspace: string, key: string): Promise<boolean> {
+    this.#keys[workspace] = (this.#keys[workspace] ?? [])
+      .filter((k) => k !== key);
+    return this.publish();
+  }
+
+  /** Starts a gateway again, if it has ended. */
+  restartGateway(slot: GatewaySlot): void {
+    if (slot.process.running || this.#closed) return;
+    this.ended.push(slot.process);
+    slot.process = this.#startGateway(slot.name);
+  }
+
+  /** Starts an engine again, if it has ended. */
+  restartEngine(slot: EngineSlot): void {
+    if (slot.process.running || this.#closed) return;
+    slot.starts += 1;
+    slot.process = this.#startEngine(slot);
+  }
+
+  /** Gateways that ended by themselves. */
+  crashes(): readonly string[] {
+    const all = [...this.ended, ...this.gateways.map((g) => g.process)];
+    return all.filter((p) => p.crashed)
+      .map((p) =>
+        `${p.name} ended by itself: ${p.lines.slice(-5).join(" | ")}`
+      );
+  }
+
+  /** The lines that gateways wrote, for a finding. */
+  logs(): readonly string[] {
+    const all = [...this.ended, ...this.gateways.map((g) => g.process)];
+    return all.flatMap((p) => p.lines.map((line) => `${p.name} ${line}`));
+  }
+
+  /** Ends all processes. */
+  async close(): Promise<void> {
+    this.#closed = true;
+    const processes = [
+      this.#store,
+      ...this.gateways.map((g) => g.process),
+      ...this.engines.map((e) => e.process),
+    ];
+    await Promise.all(processes.map((p) => p.end()));
+    for (const { storeLink } of this.gateways) storeLink.close();
+    for (const { proxy } of this.engines) proxy.close();
+    rmSync(this.#directory, { recursive: true, force: true });
+  }
+
+  get #storeAddress() {
+    return { host: this.#at(1), port: STORE_PORT };
+  }
+
+  #at(last: number): string {
+    return `${this.#prefix}.${last}`;
+  }
+
+  #start(
+    name: string,
+    script: string,
+    args: readonly string[],
+    rest: {
+      readonly env?: Readonly<Record<string, string>>;
+      readonly onLine?: (line: string) => void;
+    } = {},
+  ): SoakProcess {
+    return new SoakProcess({ name, script, args, ...rest });
+  }
+
+  #startEngine(
+    slot: {
+      readonly plain: boolean;
+      readonly index: number;
+      readonly starts: number;
+    },
+  ): SoakProcess {
+    const { plain, index, starts } = slot;
+    const zones = Object.keys(ZONES);
+    const options: EngineStandInOptions = {
+      // Every second start keeps its id.
+      id: `e-${index}-${Math.floor(starts / 2)}`,
+      service: plain ? "plain" : "engines",
+      zone: zones[index % zones.length] ?? "",
+      host: this.#at(20 + index),
+      port: ENGINE_PORT,
+      advertised: `${this.#at(60 + index)}:${ENGINE_PORT}`,
+      store: this.#storeAddress,
+      slots: SLOTS,
+      places: plain ? 0 : PLACES,
+      model: MODEL,
+      renewEveryMs: RENEW_EVERY_MS,
+      leaveMs: LEAVE_MS,
+    };
+    return this.#start(options.id, STAND_IN_PROGRAM, [
+      "engine",
+      JSON.stringify(options),
+    ], {
+      onLine: (line) => {
+        if (line.startsWith("{")) {
+          this.records.push(JSON.parse(line) as EngineRecord);
+        }
+      },
+    });
+  }
+
+  #settingsPath(name: string): string {
+    return join(this.#directory, `${name}.json`);
+  }
+
+  #writeSettings(index: number, count: number): void {
+    const zones = Object.keys(ZONES);
+    const name = `gateway-${index + 1}`;
+    const text = writeSettings({
+      name,
+      host: this.#at(100 + index),
+      zone: zones[index % zones.length] ?? "",
+      zones: ZONES,
+      seeds: Array.from(
+        { length: Math.min(3, count) },
+        (_, i) => this.#at(100 + i),
+      ),
+      store: `${this.#at(140 + index)}:${STORE_PORT}`,
+      orderGapMs: ORDER_GAP_MS,
+      graceMs: GRACE_MS,
+    });
+    writeFileSync(this.#settingsPath(name), text);
+  }
+
+  #startGateway(name: string): SoakProcess {
+    return this.#start(name, GATEWAY_PROGRAM, [], {
+      env: { [SETTINGS_VARIABLE]: this.#settingsPath(name) },
+    });
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
