Keep rates by the deployment's window instead of a bucket

Now each instance keeps the use of the last window. What others may have used since they told it is estimated: as before, or as this instance in proportion. At the start 0.8 of the limit counts as used and leaves the window evenly.

--- a/packages/serving/src/token_rate.ts
+++ b/packages/serving/src/token_rate.ts
@@ -1,17 +1,27 @@
 /** A workspace's rate over all instances, kept from what each one tells.
  *
- * Every instance runs the same bucket: it takes out its own use at once and the
- * others' when they tell it. An instance that does not hear from a peer counts
- * the peer's equal share as used, so parts that are cut off from each other
- * cannot spend more than the rate between them.
+ * Within any window of the deployment's length a workspace may use its rate
+ * times the window, and its burst once. Every instance keeps the same window:
+ * it counts its own use at once and the others' when they tell it. What they
+ * have used since is estimated, or a flood would pass at all instances until
+ * they have heard of each other. An instance that
+ * does not hear from a peer leaves the peer's equal share alone, so parts that
+ * are cut off from each other cannot use more than the limit between them.
  *
  * @module
  */
 
-/** Share of the burst that a process starts with. After the loss of all
- * instances callers return together and need more than the rate; a single
- * process that starts takes the level of one that ran before. */
-const START_FRACTION = 0.6;
+/** Use is counted in slots of this length, in milliseconds: what has left the
+ * window is known that exactly. */
+const SLOT_MS = 250;
+
+/** Part of the limit that counts as used when a process starts: others may have
+ * used it just before all instances were lost. It leaves the window like any
+ * other use. A single process that starts takes the level of one that ran. */
+const START_USED_FRACTION = 0.8;
+
+/** Slots from which the others' use of late is taken. */
+const RECENT_SLOTS = 3;
 
 /** Part of the burst that large requests leave to small ones: a call of an
  * application costs a fraction of a generation, and must not starve beside
@@ -21,24 +31,119 @@
 /** A request is large from this part of the burst. */
 const LARGE_FRACTION = 0.005;
 
+/** How fast the assumed age of the others' counts falls when they tell more
+ * often, for each count. */
+const AGE_DECAY = 0.95;
+
 /** A workspace's limits, in units. */
 export interface RateLimit {
   readonly perSecond: number;
   readonly burst: number;
 }
 
-/** The bucket of one workspace as one instance sees it. */
+/** Units by slot, for a window that moves with time. */
+class SlotWindow {
+  readonly #units: number[];
+  #slot: number;
+  #total = 0;
+
+  constructor(slots: number, now: number) {
+    this.#units = new Array<number>(slots).fill(0);
+    this.#slot = Math.floor(now / SLOT_MS);
+  }
+
+  get total(): number {
+    return this.#total;
+  }
+
+  advance(now: number): void {
+    const slot = Math.floor(now / SLOT_MS);
+    const steps = Math.min(slot - this.#slot, this.#units.length);
+    for (let i = 1; i <= steps; i++) {
+      const index = this.#index(slot - steps + i);
+      this.#total -= this.#units[index] ?? 0;
+      this.#units[index] = 0;
+    }
+    this.#slot = Math.max(slot, this.#slot);
+  }
+
+  add(units: number): void {
+    const index = this.#index(this.#slot);
+    this.#units[index] = (this.#units[index] ?? 0) + units;
+    this.#total += units;
+  }
+
+  /** Adds units as if they had been used evenly over the whole window. */
+  addEvenly(units: number): void {
+    const each = Math.ceil(units / this.#units.length);
+    for (let i = 0; i < this.#units.length; i++) {
+      this.#units[i] = (this.#units[i] ?? 0) + each;
+      this.#total += each;
+    }
+  }
+
+  /** Units of the latest slots. */
+  recent(slots: number): number {
+    let sum = 0;
+    for (let i = 0; i < Math.min(slots, this.#units.length); i++) {
+      sum += this.#units[this.#index(this.#slot - i)] ?? 0;
+    }
+    return sum;
+  }
+
+  /** Units a millisecond over the whole window; the latest slot is under way. */
+  perMs(now: number): number {
+    const passed = (this.#units.length - 1) * SLOT_MS + now % SLOT_MS;
+    return this.#total / Math.max(SLOT_MS, passed);
+  }
+
+  /** Milliseconds until this many units have left the window. */
+  waitMs(units: number, now: number): number {
+    const { length } = this.#units;
+    let left = units;
+    for (let i = length - 1; i >= 0; i--) {
+      const slot = this.#slot - i;
+      left -= this.#units[this.#index(slot)] ?? 0;
+      if (left <= 0) return Math.max(0, (slot + length) * SLOT_MS - now);
+    }
+    return length * SLOT_MS;
+  }
+
+  #index(slot: number): number {
+    const { length } = this.#units;
+    return ((slot % length) + length) % length;
+  }
+}
+
+/** The use of one workspace as one instance sees it. */
 export class TokenRate {
   #limit: RateLimit;
-  #level: number;
-  #at: number;
+  readonly #windowMs: number;
+  readonly #window: SlotWindow;
+  readonly #own: SlotWindow;
+  /** The others' use of late. */
+  readonly #others: SlotWindow;
+  #now: number;
+  #silentShare = 0;
   #used = 0;
+  /** Age of the others' counts, in milliseconds. */
+  #ageMs = 0;
   readonly #peerUsed = new Map<string, { incarnation: string; used: number }>();
 
-  constructor(limit: RateLimit, now: number) {
+  constructor(
+    limit: RateLimit,
+    options: { readonly now: number; readonly windowMs: number },
+  ) {
+    const { now, windowMs } = options;
     this.#limit = limit;
-    this.#level = limit.burst * START_FRACTION;
-    this.#at = now;
+    this.#windowMs = windowMs;
+    this.#now = now;
+    // One more, so that nothing leaves too early.
+    const slots = Math.ceil(windowMs / SLOT_MS) + 1;
+    this.#window = new SlotWindow(slots, now);
+    this.#own = new SlotWindow(slots, now);
+    this.#others = new SlotWindow(RECENT_SLOTS, now);
+    this.#window.addEvenly(this.#allowed * START_USED_FRACTION);
   }
 
   /** Units that this process has let pass since its start. */
@@ -48,59 +153,101 @@
 
   /** Units left; below zero after others have told of their use. */
   get level(): number {
-    return this.#level;
+    return this.#allowed - this.#window.total - this.#untold;
   }
 
-  /** Puts another limit in force. A lower burst takes effect at once. */
+  /** Puts another limit in force. */
   setLimit(limit: RateLimit): void {
     this.#limit = limit;
-    this.#level = Math.min(this.#level, limit.burst);
   }
 
-  /** Refills up to `now`. `silentShare` is the part of all instances that has
-   * not been heard of lately. */
-  refill(now: number, silentShare: number): void {
-    const elapsed = Math.max(0, now - this.#at) / 1000;
-    this.#at = now;
-    const rate = this.#limit.perSecond * (1 - silentShare);
-    this.#level = Math.min(this.#limit.burst, this.#level + elapsed * rate);
+  /** Moves the window to `now`. `silentShare` is the part of all instances that
+   * has not been heard of lately. */
+  advance(now: number, silentShare: number): void {
+    this.#now = now;
+    this.#silentShare = silentShare;
+    this.#window.advance(now);
+    this.#own.advance(now);
+    this.#others.advance(now);
   }
 
-  /** A peer tells how much it has let pass since its start. */
-  learn(peer: string, incarnation: string, used: number): void {
+  /** A peer tells how much it has let pass since its start; it does so every
+   * `everyMs`. */
+  learn(
+    peer: string,
+    told: {
+      readonly incarnation: string;
+      readonly used: number;
+      readonly everyMs: number;
+    },
+  ): void {
+    const { incarnation, used, everyMs } = told;
     const known = this.#peerUsed.get(peer);
     const before = known?.incarnation === incarnation ? known.used : undefined;
     if (before !== undefined && used < before) return;
     this.#peerUsed.set(peer, { incarnation, used });
+    this.#ageMs = Math.max(everyMs, this.#ageMs * AGE_DECAY);
     // A peer heard of for the first time: its past use lies before this
     // process's own level.
     if (before === undefined) return;
-    this.#level = Math.max(-this.#limit.burst, this.#level - (used - before));
+    this.#window.add(used - before);
+    this.#others.add(used - before);
   }
 
   /** Takes the level of an instance that has run for longer, if it is lower. */
   adopt(level: number): void {
-    this.#level = Math.min(this.#level, level);
+    if (level < this.level) this.#window.addEvenly(this.level - level);
   }
 
-  /** Takes `units` if there are that many, and tells so. */
+  /** Takes `units` if there are that many, and tells so.
+   *
+   * @example
+   * ```ts
+   * rate.advance(performance.now(), 0);
+   * if (!rate.take(1200)) refuse(rate.waitMs(1200));
+   * ```
+   */
   take(units: number): boolean {
-    if (this.#level < this.#needed(units)) return false;
-    this.#level -= units;
+    if (this.level < this.#needed(units)) return false;
+    this.#window.add(units);
+    this.#own.add(units);
     this.#used += units;
     return true;
   }
 
   /** Puts back what a request took that did not run. */
   giveBack(units: number): void {
-    this.#level = Math.min(this.#limit.burst, this.#level + units);
+    this.#window.add(-units);
+    this.#own.add(-units);
     this.#used -= units;
   }
 
-  /** Milliseconds until `units` are there, at the full rate. */
+  /** Milliseconds until `units` are there if nobody else uses any. */
   waitMs(units: number): number {
-    const missing = this.#needed(units) - this.#level;
-    return Math.max(0, missing / this.#limit.perSecond * 1000);
+    const missing = this.#needed(units) - this.level;
+    return missing <= 0 ? 0 : this.#window.waitMs(missing, this.#now);
+  }
+
+  get #allowed(): number {
+    const { perSecond, burst } = this.#limit;
+    const limit = perSecond * this.#windowMs / 1000 + burst;
+    return limit * (1 - this.#silentShare);
+  }
+
+  /** What the others may have used since they told it last: as much as before,
+   * or as this instance has, in proportion. */
+  get #untold(): number {
+    const asBefore = this.#others.perMs(this.#now) * this.#ageMs;
+    const slots = Math.ceil(this.#ageMs / SLOT_MS) + 1;
+    const asHere = this.#own.recent(slots) * (1 / this.#share - 1);
+    return Math.max(asBefore, asHere);
+  }
+
+  /** Part of all use in the window that was this instance's, or an equal one. */
+  get #share(): number {
+    const equal = 1 / (this.#peerUsed.size + 1);
+    const part = this.#own.total / Math.max(1, this.#window.total);
+    return Math.min(1, Math.max(equal, part));
   }
 
   /** The level at which a request may pass. */
@@ -109,6 +256,6 @@
     const reserved = units > burst * LARGE_FRACTION
       ? burst * RESERVED_FRACTION
       : 0;
-    return Math.min(units + reserved, burst);
+    return Math.min(units + reserved, this.#allowed);
   }
 }
