Spread hot adapters before prompts stop the streams beside them

By requests at the engine at once, as the log shows them: below ten, 1 in 100 streams paused, from fifteen on 1 in 10; engines had 89 to 189 requests each. Ruled out: cold adapters (77 of the 88 streams were on held ones) and repeats.

An adapter is fetched at a second engine from eight requests of difference on (before: half of the engine's slots, sixteen); small engines as before.

--- a/packages/serving/src/choose_engine.ts
+++ b/packages/serving/src/choose_engine.ts
@@ -21,8 +21,13 @@
 const FAILURE_COST = 2;
 
 /** How much cheaper an engine without the adapter must be before the adapter
- * is fetched there too. A fetch costs about as much as half a request. */
-const SPREAD_ADVANTAGE = 0.5;
+ * is fetched there too, in requests: from fifteen on, the prompts of some stop
+ * the streams of the others for too long in one of ten requests, below eight in
+ * one of a hundred; a fetch costs about a third of a late request. */
+const SPREAD_REQUESTS = 8;
+
+/** The same for small engines, in units of a full one. */
+const SPREAD_SHARE_MAX = 0.5;
 
 /** Load against slots from which a request waits for a further copy instead of
  * joining an engine's queue. */
@@ -176,12 +181,13 @@
       }
     }
     const candidates = new Set(usable);
-    const other = best !== undefined && bestCost < SPREAD_ADVANTAGE
+    const spreadFrom = best === undefined ? 0 : spreadShare(best);
+    const other = best !== undefined && bestCost < spreadFrom
       ? undefined
       : this.#cheapestWithout(candidates, need, around);
     if (best !== undefined) {
       const spread = other !== undefined && coming === undefined &&
-        bestCost - other.cost > SPREAD_ADVANTAGE;
+        bestCost - other.cost > spreadFrom;
       if (loadShare(best, now) < QUEUE_LIMIT || other === undefined) {
         if (loadShare(best, now) > FULL_LIMIT) {
           return { kind: "none", reason: "full" };
@@ -218,7 +224,7 @@
       if (held !== undefined) continue;
       if (!view.holdsModel(need.model ?? "")) continue;
       if (!around.canOrder(view.engine.key)) continue;
-      const cost = costOf(view, around) + position * SPREAD_ADVANTAGE +
+      const cost = costOf(view, around) + position * spreadShare(view) +
         FETCHES_TAKEN_COST *
           Math.floor(fetchesAt(view, around.now) / FETCHES_AT_ONCE);
       if (loadShare(view, around.now) < FULL_LIMIT && cost < bestCost) {
@@ -275,9 +281,16 @@
   return count;
 }
 
+function spreadShare(view: EngineView): number {
+  return Math.min(SPREAD_SHARE_MAX, SPREAD_REQUESTS / comfortableLoad(view));
+}
+
+function comfortableLoad(view: EngineView): number {
+  return Math.max(1, Math.min(view.engine.slots, COMFORTABLE_LOAD));
+}
+
 function loadShare(view: EngineView, now: number): number {
-  const slots = Math.min(view.engine.slots, COMFORTABLE_LOAD);
-  return view.load(now) / Math.max(1, slots);
+  return view.load(now) / comfortableLoad(view);
 }
 
 function costOf(view: EngineView, around: Surroundings): number {
--- a/packages/serving/src/choose_engine_test.ts
+++ b/packages/serving/src/choose_engine_test.ts
@@ -10,7 +10,12 @@
 const SERVICE = "llm";
 const NOW = 1000;
 
-function engine(id: string, zone = "z1", leaving = false): Engine {
+function engine(
+  id: string,
+  zone = "z1",
+  leaving = false,
+  slots = 10,
+): Engine {
   return {
     key: `${id}@1`,
     id,
@@ -18,17 +23,20 @@
     host: "127.0.0.1",
     port: 1,
     zone,
-    slots: 10,
+    slots,
     leaving,
     remainingMs: undefined,
     models: [{ name: "m", adapters: [] }],
   };
 }
 
-function setUp(count: number) {
+function setUp(count: number, slots?: number) {
   const board = new EngineBoard();
   board.setEngines(
-    Array.from({ length: count }, (_, i) => engine(`e${i}`)),
+    Array.from(
+      { length: count },
+      (_, i) => engine(`e${i}`, "z1", false, slots),
+    ),
   );
   const chooser = new EngineChooser(board);
   return { board, chooser, rank: chooser.rank(SERVICE, "a1") };
@@ -79,6 +87,31 @@
   });
 });
 
+test("hot adapter on large engines: it spreads before prompts stop streams", () => {
+  const { chooser, rank } = setUp(5, 32);
+  const [first, second] = rank;
+  if (first === undefined) throw new Error("no engine");
+  first.adapters = new Map([["a1", there]]);
+  first.inFlight = 7;
+  expect(chooser.choose(need(), around)).toMatchObject({ spreadTo: undefined });
+  first.inFlight = 10;
+  expect(chooser.choose(need(), around)).toMatchObject({
+    view: first,
+    spreadTo: second,
+  });
+});
+
+test("cold crowd on large engines: the next engine is used before it hurts", () => {
+  const { chooser, rank } = setUp(5, 32);
+  const [first, second] = rank;
+  if (first === undefined) throw new Error("no engine");
+  first.inFlight = 10;
+  expect(chooser.choose(need(), around)).toEqual({
+    kind: "load",
+    view: second,
+  });
+});
+
 test("hot adapter: it spreads to a further engine before it queues", () => {
   const { chooser, rank } = setUp(5);
   const [first, second] = rank;
