--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -68,11 +68,18 @@
   readonly #peerFetches = new Map<string, number>();
   /** Engines at which somebody orders. */
   #engineCount = 1;
+  /** State of list and assignment in which engines were taken up. */
+  #tookUpIn = "";
 
   constructor(options: LoaderOptions) {
     this.#options = options;
   }
 
+  /** Whether this instance orders at no engine. */
+  get isIdle(): boolean {
+    return this.#engines.size === 0;
+  }
+
   /** Fetches under way at the engines of this instance. */
   get fetches(): number {
     const now = performance.now();
@@ -216,15 +223,12 @@
     const { board, knowledge, membership, self } = this.#options;
     const table = knowledge.table;
     if (table === undefined) return;
-    let count = 0;
-    for (const view of board.all()) {
-      const key = view.engine.key;
-      if (membership.ownerOf(key) !== undefined) count += 1;
-      if (membership.ownerOf(key) !== self || this.#engines.has(key)) continue;
-      const created = this.#create(view, table);
-      if (created !== undefined) this.#engines.set(key, created);
+    const { version } = table.configuration;
+    const state = `${board.generation} ${membership.fence} ${version}`;
+    if (state !== this.#tookUpIn) {
+      this.#tookUpIn = state;
+      this.#takeUp(table);
     }
-    this.#engineCount = count;
     for (const [key, engine] of this.#engines) {
       if (
         board.get(key) === undefined || membership.ownerOf(key) !== self
@@ -237,6 +241,21 @@
     }
   }
 
+  /** Finds engines that this instance orders at since the last change. */
+  #takeUp(table: RouteTable): void {
+    const { board, membership, self } = this.#options;
+    let count = 0;
+    for (const view of board.all()) {
+      const key = view.engine.key;
+      const owner = membership.ownerOf(key);
+      if (owner !== undefined) count += 1;
+      if (owner !== self || this.#engines.has(key)) continue;
+      const created = this.#create(view, table);
+      if (created !== undefined) this.#engines.set(key, created);
+    }
+    this.#engineCount = count;
+  }
+
   #create(view: EngineView, table: RouteTable): OrderedEngine | undefined {
     const engineClass = table.findService(view.engine.service)?.engineClass;
     const model = engineClass?.models[0];
--- a/packages/gateway/src/digests.ts
+++ b/packages/gateway/src/digests.ts
@@ -6,12 +6,16 @@
 import {
   BehindWatch,
   type EngineBoard,
+  type EngineView,
   type Member,
   type MemberTable,
+  sumsLoads,
+  ticksBetweenDigests,
   type TokenRate,
 } from "@banyanlb/serving";
 import type { AdapterLoader } from "./adapter_loader.ts";
 import * as events from "./events.ts";
+import type { KindFollower } from "./kind_follower.ts";
 import type { Knowledge } from "./knowledge.ts";
 import type { Membership } from "./membership.ts";
 import {
@@ -19,13 +23,23 @@
   type HeldRow,
   type PullReply,
   SHARED_KINDS,
+  type SharedKind,
 } from "./peer_messages.ts";
 import type { PeerLinks } from "./peer_links.ts";
 import type { AdapterUse, UseCounts } from "./use_counts.ts";
 
-/** Held adapters are told again after this many digests, also if unchanged: a
+/** Time between ticks, in milliseconds: how old near instances' counts may
+ * be. */
+export const DIGEST_MS = 200;
+
+/** What is told only when it changes is told again after this many digests: a
  * digest may have been lost with its connection. */
-const REPEAT_HELD = 10;
+const REPEAT_AFTER = 10;
+
+/** Counts of requests are valid for this many digests after the one that told
+ * them, and no less than this time, in milliseconds. */
+const COUNTS_VALID_DIGESTS = 4;
+const COUNTS_VALID_MS = 1500;
 
 /** A peer that was found just now gets the levels of the rates for this long,
  * and takes them from one that has run longer by as much, in milliseconds. */
@@ -34,6 +48,37 @@
 /** Time allowed for a peer's full list, in milliseconds. */
 const PULL_TIMEOUT_MS = 800;
 
+/** Units that a workspace has used. */
+type UsedUnits = readonly [name: string, units: number];
+
+/** An engine's adapters, with the number of changes so far. */
+type HeldAdapters = readonly [
+  engine: string,
+  changes: number,
+  rows: readonly HeldRow[],
+];
+
+/** An engine and the instance that orders there. */
+interface OwnedEngine {
+  readonly view: EngineView;
+  readonly key: string;
+  readonly owner: string | undefined;
+}
+
+/** A peer as digests know it: what it was told, and what it confirmed. */
+interface KnownPeer {
+  readonly incarnation: string;
+  /** The newest tick received from it. */
+  ack: number;
+  /** When it was found alive; undefined while it is silent. */
+  aliveSince: number | undefined;
+  /** Digests sent to it, and the tick of the last one. */
+  sent: number;
+  sentAt: number;
+  readonly toldHeld: Map<string, number>;
+  readonly toldUsed: Map<string, number>;
+}
+
 /** What this module needs. */
 export interface DigestParts {
   readonly self: Member;
@@ -45,74 +90,91 @@
   readonly rates: ReadonlyMap<string, TokenRate>;
   readonly use: UseCounts;
   readonly links: () => PeerLinks;
-  readonly state: () => { readonly ready: boolean; readonly leaving: boolean };
+  readonly state: () => {
+    readonly ready: boolean;
+    readonly leaving: boolean;
+    /** Whether callers use this instance. */
+    readonly serves: boolean;
+    /** Part of its time for which this instance is busy, in [0, 1]. */
+    readonly busy: number;
+  };
   readonly log: EventLog;
 }
 
 /** Sends and takes in digests. */
 export class Digests {
   readonly #parts: DigestParts;
+  /** Number of the current tick. */
   #seq = 0;
-  readonly #acks = new Map<string, number>();
-  readonly #told = new Map<string, number>();
+  readonly #peers = new Map<string, KnownPeer>();
   readonly #behind = {
     configuration: new BehindWatch(),
-    engines: new BehindWatch(),
-    versions: new BehindWatch(),
+    // Most instances read these seldom, and hear of changes here.
+    engines: new BehindWatch(0),
+    versions: new BehindWatch(0),
+    assignment: new BehindWatch(0),
   };
-  /** Peers that are alive, with the time at which they were found. */
-  readonly #alive = new Map<string, number>();
   readonly #pulling = new Set<string>();
+  /** The newest revisions that were pushed, in the order of the kinds. */
+  #pushed: readonly number[] = [];
 
   constructor(parts: DigestParts) {
     this.#parts = parts;
   }
 
-  /** Sends one digest to each peer. */
-  send(): void {
-    const { members, membership, board, loader, self, use } = this.#parts;
-    const { knowledge, rates } = this.#parts;
+  /** Tells all peers at once if this instance, which reads for them, has seen a
+   * change that they should know. */
+  pushNews(): void {
+    const newest = SHARED_KINDS.map((kind) => this.#newest(kind));
+    if (!newest.some((revision, i) => revision > (this.#pushed[i] ?? 0))) {
+      return;
+    }
+    this.#pushed = newest;
+    this.send(true);
+  }
+
+  /** Sends a digest to each peer whose turn it is; to all if `urgent`. */
+  send(urgent = false): void {
+    const { members, membership, loader, self, use, board } = this.#parts;
     this.#seq += 1;
-    const flight: Record<string, number> = {};
-    const useByOwner = new Map<string, Record<string, AdapterUse>>();
-    for (const view of board.all()) {
+    const peers = members.list();
+    const engines = [...board.all()].map((view): OwnedEngine => {
       const key = view.engine.key;
-      if (view.inFlight > 0) flight[key] = view.inFlight;
-      const taken = use.take(key);
-      const owner = membership.ownerOf(key);
-      if (owner === self.name) loader.learnUse(owner, key, taken ?? {});
-      else if (owner !== undefined && taken !== undefined) {
-        const engines = useByOwner.get(owner) ?? {};
-        engines[key] = taken;
-        useByOwner.set(owner, engines);
-      }
+      return { view, key, owner: membership.ownerOf(key) };
+    });
+    let orders = false;
+    for (const { key, owner } of engines) {
+      if (owner !== self.name) continue;
+      orders = true;
+      loader.learnUse(owner, key, use.take(key) ?? {});
     }
-    const { ready, leaving } = this.#parts.state();
     const common = {
-      t: "digest" as const,
-      seq: this.#seq,
-      ready,
-      leaving,
-      tenure: membership.tenure,
-      revs: SHARED_KINDS.map((kind) => knowledge.follower(kind).newest),
-      flight,
-      used: Object.fromEntries(
-        [...rates].map(([name, rate]) => [name, Math.round(rate.used)]),
-      ),
-      up: Math.round(performance.now()),
-      down: loader.down(),
-      fetches: loader.fetches,
+      ...this.#common(),
+      orders: orders ? true as const : undefined,
     };
     const held = loader.held();
-    for (const member of members.list()) {
+    const used = [...this.#parts.rates].map(([name, rate]) =>
+      [name, Math.round(rate.used)] as UsedUnits
+    );
+    const own = { ...self, serves: common.serves === true, orders };
+    for (const member of peers) {
+      const part = members.partOf(member);
+      const every = ticksBetweenDigests(own, part, peers.length);
+      const peer = this.#peer(member);
+      if (!urgent && this.#seq - peer.sentAt < every) continue;
+      peer.sent += 1;
+      peer.sentAt = this.#seq;
       const digest: Digest = {
         ...common,
-        ack: this.#acks.get(member.name) ?? 0,
-        levels: this.#levelsFor(member.name),
-        held: this.#heldFor(member.name, held),
-        use: useByOwner.get(member.name),
+        ack: peer.ack,
+        every: every === 1 ? undefined : every,
+        flight: this.#flightFor(member.name, engines),
+        used: changed(used, peer),
+        levels: this.#levelsFor(peer),
+        held: heldFor(peer, held),
+        use: this.#useFor(member.name, engines),
       };
-      this.#parts.links().send(member.peerAddress, digest);
+      this.#parts.links().send(member.peerAddress, digest, every * DIGEST_MS);
     }
     this.#noteSilence();
   }
@@ -123,35 +185,45 @@
     const now = performance.now();
     const member = members.get(from);
     if (member === undefined) return;
-    if (!this.#alive.has(from)) {
-      this.#alive.set(from, now);
+    const peer = this.#peer(member);
+    if (peer.aliveSince === undefined) {
+      peer.aliveSince = now;
       log.write(events.PEER_FOUND, { peer: from });
     }
+    const everyMs = (digest.every ?? 1) * DIGEST_MS;
     members.hear(from, now, {
       ready: digest.ready,
-      leaving: digest.leaving,
+      leaving: digest.leaving === true,
       tenure: digest.tenure,
+      everyMs,
+      serves: digest.serves === true,
+      orders: digest.orders === true,
+      busy: (digest.busy ?? 0) / 100,
+      reachesStore: digest.cut !== true,
     });
-    this.#acks.set(from, digest.seq);
-    if (digest.ack >= this.#seq - 3) {
-      this.#parts.links().prove(member.peerAddress);
+    peer.ack = digest.seq;
+    if (digest.ack > 0) {
+      const age = Math.max(0, this.#seq - digest.ack) * DIGEST_MS;
+      this.#parts.links().prove(member.peerAddress, now - age);
     }
+    const validMs = Math.max(COUNTS_VALID_MS, everyMs * COUNTS_VALID_DIGESTS);
     for (const view of board.all()) {
       const key = view.engine.key;
-      view.learnCount(from, digest.flight[key] ?? 0, now);
+      view.learnCount(from, digest.flight?.[key] ?? 0, now + validMs);
       if (this.#parts.membership.ownerOf(key) === from) {
-        view.down = digest.down.includes(key);
+        view.down = digest.down?.includes(key) === true;
       }
     }
-    for (const [name, used] of Object.entries(digest.used)) {
-      rates.get(name)?.learn(from, member.incarnation, used);
+    for (const [name, used] of Object.entries(digest.used ?? {})) {
+      const { incarnation } = member;
+      rates.get(name)?.learn(from, { incarnation, used, everyMs });
     }
     if (digest.up > now + NEW_PEER_MS && now < NEW_PEER_MS * 2) {
       for (const [name, level] of Object.entries(digest.levels ?? {})) {
         rates.get(name)?.adopt(level);
       }
     }
-    loader.learnFetches(from, digest.fetches);
+    loader.learnFetches(from, digest.fetches ?? 0);
     for (const [key, use] of Object.entries(digest.use ?? {})) {
       loader.learnUse(from, key, use);
     }
@@ -170,36 +242,106 @@
     this.#compare(member, digest, now);
   }
 
-  #levelsFor(peer: string): Readonly<Record<string, number>> | undefined {
-    const foundAt = this.#alive.get(peer) ?? -Infinity;
-    if (performance.now() - foundAt > NEW_PEER_MS) return undefined;
-    return Object.fromEntries(
-      [...this.#parts.rates].map(([name, r]) => [name, Math.round(r.level)]),
-    );
+  /** The follower of a kind. */
+  follower(kind: SharedKind): KindFollower {
+    const { knowledge, membership } = this.#parts;
+    return kind === "assignment"
+      ? membership.assignmentFollower
+      : knowledge.follower(kind);
+  }
+
+  #newest(kind: SharedKind): number {
+    return kind === "engines"
+      ? this.#parts.knowledge.enginesNews
+      : this.follower(kind).newest;
   }
 
-  #heldFor(
+  /** What all peers are told alike. */
+  #common() {
+    const { membership, knowledge, loader } = this.#parts;
+    const { ready, leaving, serves, busy } = this.#parts.state();
+    const down = loader.down();
+    const fetches = loader.fetches;
+    return {
+      t: "digest" as const,
+      seq: this.#seq,
+      ready,
+      leaving: leaving ? true as const : undefined,
+      serves: serves ? true as const : undefined,
+      busy: Math.round(busy * 100) || undefined,
+      cut: knowledge.reachesStore ? undefined : true as const,
+      tenure: membership.tenure,
+      revs: SHARED_KINDS.map((kind) => this.#newest(kind)),
+      up: Math.round(performance.now()),
+      down: down.length === 0 ? undefined : down,
+      fetches: fetches === 0 ? undefined : fetches,
+    };
+  }
+
+  /** What is known of a peer, from nothing if its process is a new one. */
+  #peer(member: Member): KnownPeer {
+    const known = this.#peers.get(member.name);
+    if (known?.incarnation === member.incarnation) return known;
+    const peer = {
+      incarnation: member.incarnation,
+      ack: 0,
+      aliveSince: undefined,
+      sent: 0,
+      sentAt: -Infinity,
+      toldHeld: new Map<string, number>(),
+      toldUsed: new Map<string, number>(),
+    };
+    this.#peers.set(member.name, peer);
+    return peer;
+  }
+
+  /** Requests at engines that this instance answers for towards a peer. */
+  #flightFor(
     peer: string,
-    held: readonly (readonly [string, number, readonly HeldRow[]])[],
-  ): Readonly<Record<string, readonly HeldRow[]>> | undefined {
-    const rows: Record<string, readonly HeldRow[]> = {};
-    let any = false;
-    for (const [key, changes, list] of held) {
-      const told = `${peer} ${key}`;
-      const repeat = this.#seq % REPEAT_HELD === 0;
-      if (this.#told.get(told) === changes && !repeat) continue;
-      this.#told.set(told, changes);
-      rows[key] = list;
-      any = true;
+    engines: readonly OwnedEngine[],
+  ): Readonly<Record<string, number>> | undefined {
+    const { members, self } = this.#parts;
+    const now = performance.now();
+    const sums = sumsLoads(members.list().length);
+    const flight: Record<string, number> = {};
+    for (const { view, key, owner } of engines) {
+      const count = sums && owner === self.name
+        ? view.loadBeside(peer, now)
+        : !sums || owner === undefined || owner === peer
+        ? view.inFlight
+        : 0;
+      if (count > 0) flight[key] = count;
     }
-    return any ? rows : undefined;
+    return isEmpty(flight) ? undefined : flight;
+  }
+
+  #useFor(
+    peer: string,
+    engines: readonly OwnedEngine[],
+  ): Readonly<Record<string, AdapterUse>> | undefined {
+    const byEngine: Record<string, AdapterUse> = {};
+    for (const { key, owner } of engines) {
+      if (owner !== peer) continue;
+      const taken = this.#parts.use.take(key);
+      if (taken !== undefined) byEngine[key] = taken;
+    }
+    return isEmpty(byEngine) ? undefined : byEngine;
+  }
+
+  #levelsFor(peer: KnownPeer): Readonly<Record<string, number>> | undefined {
+    const since = peer.aliveSince ?? -Infinity;
+    if (performance.now() - since > NEW_PEER_MS) return undefined;
+    return Object.fromEntries(
+      [...this.#parts.rates].map(([name, r]) => [name, Math.round(r.level)]),
+    );
   }
 
   #noteSilence(): void {
     const now = performance.now();
-    for (const name of this.#alive.keys()) {
+    for (const [name, peer] of this.#peers) {
+      if (peer.aliveSince === undefined) continue;
       if (this.#parts.members.isAlive(name, now)) continue;
-      this.#alive.delete(name);
+      this.#peers.delete(name);
       this.#parts.log.write(events.PEER_LOST, { peer: name });
     }
   }
@@ -208,7 +350,7 @@
    * watch may be dead, or the store turns this instance away. */
   #compare(member: Member, digest: Digest, now: number): void {
     SHARED_KINDS.forEach((kind, i) => {
-      const follower = this.#parts.knowledge.follower(kind);
+      const follower = this.follower(kind);
       const theirs = digest.revs[i] ?? 0;
       const behind = this.#behind[kind].note({
         mine: follower.revision,
@@ -224,7 +366,7 @@
 
   async #pull(
     member: Member,
-    kind: typeof SHARED_KINDS[number],
+    kind: SharedKind,
   ): Promise<void> {
     if (this.#pulling.has(kind)) return;
     this.#pulling.add(kind);
@@ -236,8 +378,8 @@
     this.#pulling.delete(kind);
     const list = (reply as PullReply | undefined)?.list;
     if (list === undefined) return;
-    const { knowledge, log } = this.#parts;
-    if (knowledge.follower(kind).adopt(list)) {
+    const { log } = this.#parts;
+    if (this.follower(kind).adopt(list)) {
       log.write(events.TAKEN_FROM_PEER, {
         kind,
         peer: member.name,
@@ -246,3 +388,40 @@
     }
   }
 }
+
+/** Use of workspaces that the peer was not told of yet. */
+function changed(
+  used: readonly UsedUnits[],
+  peer: KnownPeer,
+): Readonly<Record<string, number>> | undefined {
+  const news: Record<string, number> = {};
+  for (const [name, units] of used) {
+    if (peer.toldUsed.get(name) === units && !isRepeat(peer)) continue;
+    peer.toldUsed.set(name, units);
+    news[name] = units;
+  }
+  return isEmpty(news) ? undefined : news;
+}
+
+/** Engines whose adapters have changed since the peer was told. */
+function heldFor(
+  peer: KnownPeer,
+  held: readonly HeldAdapters[],
+): Readonly<Record<string, readonly HeldRow[]>> | undefined {
+  const rows: Record<string, readonly HeldRow[]> = {};
+  for (const [key, changes, list] of held) {
+    if (peer.toldHeld.get(key) === changes && !isRepeat(peer)) continue;
+    peer.toldHeld.set(key, changes);
+    rows[key] = list;
+  }
+  return isEmpty(rows) ? undefined : rows;
+}
+
+function isRepeat(peer: KnownPeer): boolean {
+  return peer.sent % REPEAT_AFTER === 0;
+}
+
+function isEmpty(fields: Readonly<Record<string, unknown>>): boolean {
+  for (const _ in fields) return false;
+  return true;
+}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -85,6 +85,9 @@
   #call: EngineCall | undefined;
   #taken = 0;
   #firstByteAt: number | undefined;
+  /** The longest pause between two pieces of a stream, in milliseconds. */
+  #longestPauseMs = 0;
+  #lastPieceAt: number | undefined;
 
   constructor(parts: RelayParts, input: ExchangeInput) {
     this.#parts = parts;
@@ -152,7 +155,7 @@
     const units = workspace.countsTokens
       ? caller.tokens ?? workspace.plainTokens
       : 1;
-    rate.refill(performance.now(), this.#silentShare());
+    rate.advance(performance.now(), this.#silentShare());
     if (!rate.take(units)) {
       const wait = Math.min(5, Math.max(0.2, rate.waitMs(units) / 1000));
       this.#parts.log.write(events.OVER_RATE, {
@@ -290,7 +293,7 @@
     this.#refusedUnrun += 1;
     if (this.#refusedUnrun > REFUSALS_MAX || now >= this.#endsAt) return false;
     return this.#parts.allowanceOf(this.#in.service)
-      .tryRepeat(now, this.#parts.members.aliveCount(now));
+      .tryRepeat(now, this.#parts.members.sharingCount(now));
   }
 
   /** Whether a request that may have run may go to another engine. */
@@ -300,7 +303,7 @@
     }
     if (now >= this.#endsAt) return false;
     return this.#parts.allowanceOf(this.#in.service)
-      .tryRepeat(now, this.#parts.members.aliveCount(now));
+      .tryRepeat(now, this.#parts.members.sharingCount(now));
   }
 
   /** Whether a request that its engine leaves without a byte may go elsewhere:
@@ -350,6 +353,13 @@
     });
   }
 
+  #notePiece(): void {
+    const now = performance.now();
+    const pauseMs = now - (this.#lastPieceAt ?? now);
+    this.#longestPauseMs = Math.max(this.#longestPauseMs, pauseMs);
+    this.#lastPieceAt = now;
+  }
+
   #passKept(kept: KeptAnswer): void {
     const { res } = this.#in;
     res.writeHead(kept.status, withLength(kept.headers, kept.body.length));
@@ -379,6 +389,7 @@
       runs: this.#runs,
       loads: this.#loads,
       firstMs: Math.round((this.#firstByteAt ?? now) - arrivedAt),
+      pauseMs: Math.round(this.#longestPauseMs) || undefined,
       ms: Math.round(now - arrivedAt),
     });
   }
@@ -411,9 +422,10 @@
       path: req.url ?? "/",
       headers,
       body,
+      once: !this.#repeatable,
     }, {
       maxConnections: this.#in.maxConnections,
-      instances: members.aliveCount(now),
+      instances: members.sharingCount(now),
     });
     this.#call = call;
     view.inFlight += 1;
@@ -608,6 +620,7 @@
     watchStall();
     answer.on("data", (chunk: Buffer) => {
       if (settle.ended()) return;
+      this.#notePiece();
       watchStall();
       let bytes = chunk;
       if (route.resumable) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,7 @@
   MemberTable,
   RetryAllowance,
   type Route,
-  steer,
+  Steering,
   type Surroundings,
   SystemClocks,
   TokenRate,
@@ -26,11 +26,12 @@
 } from "@banyanlb/platform";
 import { AdapterLoader } from "./adapter_loader.ts";
 import { CallerServer } from "./caller_server.ts";
-import { Digests } from "./digests.ts";
+import { DIGEST_MS, Digests } from "./digests.ts";
 import { EngineConnections } from "./engine_connections.ts";
 import * as events from "./events.ts";
 import { Knowledge } from "./knowledge.ts";
 import { Membership } from "./membership.ts";
+import { OwnLoad } from "./own_load.ts";
 import { GatewayMetrics } from "./metrics.ts";
 import type { PeerMessage } from "./peer_messages.ts";
 import { PeerLinks, type Respond } from "./peer_links.ts";
@@ -38,12 +39,13 @@
 import { Relay } from "./relay.ts";
 import { UseCounts } from "./use_counts.ts";
 
-/** Time between digests, in milliseconds: how old other instances' counts may
- * be. */
-const DIGEST_MS = 200;
+/** Time between checks of what has changed with time, in milliseconds. */
+const TICK_MS = 200;
 
-/** Time between steps of the loader, in milliseconds. */
-const TICK_MS = 50;
+/** Time between steps of the loader, in milliseconds; longer where it orders
+ * nowhere, since each wake-up of many idle instances costs. */
+const LOADER_TICK_MS = 50;
+const LOADER_IDLE_MS = 250;
 
 /** How long callers keep the addresses, in seconds: short against the time in
  * which a lost instance would be missed. */
@@ -63,6 +65,10 @@
 /** It ends this long before it would be killed. */
 const KILL_MARGIN_MS = 250;
 
+/** Instances of a region that read the store for all: one may be cut off from
+ * the store, and is not known to be so for seconds. */
+const READERS_PER_REGION = 2;
+
 /** Longest header block that callers may send; the configuration's limit is
  * not known before the listener opens. */
 const HEADER_MAX_BYTES = 64 * 1024;
@@ -85,6 +91,8 @@
   readonly #links: PeerLinks;
   readonly #loader: AdapterLoader;
   readonly #digests: Digests;
+  readonly #load = new OwnLoad();
+  readonly #steer = new Steering();
   readonly #rates = new Map<string, TokenRate>();
   readonly #allowances = new Map<string, RetryAllowance>();
   readonly #callers: CallerServer;
@@ -92,6 +100,9 @@
   readonly #steering: CallerServer;
   readonly #metricsPage: CallerServer;
   readonly #timers: NodeJS.Timeout[] = [];
+  #loaderTimer: NodeJS.Timeout | undefined;
+  /** Whether this instance reads the store for others. */
+  #reads = true;
   #leaving = false;
   #leavingSince = Infinity;
 
@@ -115,10 +126,15 @@
       peerAddress: addressText(settings.peers),
       callerAddress: addressText(settings.callers),
       incarnation: randomUUID().slice(0, 8),
+      cores: settings.cores,
     };
     this.#store = new ObjectStoreClient(settings.store);
     this.#members = new MemberTable(settings.name, performance.now());
-    this.#knowledge = new Knowledge(this.#store, { board: this.#board, log });
+    this.#knowledge = new Knowledge(this.#store, {
+      board: this.#board,
+      log,
+      readsForOthers: () => this.#reads,
+    });
     this.#membership = new Membership(this.#store, {
       self: this.#self,
       members: this.#members,
@@ -126,6 +142,15 @@
       clocks: this.#clocks,
       log,
       orderGapMs: settings.bounds.orderGapMs,
+      readsForOthers: () => this.#reads,
+      onAssigned: () => {
+        this.#loader.tick();
+        this.#pushNews();
+      },
+      onStoreLost: () => {
+        this.#knowledge.redial();
+        this.#membership.redial();
+      },
       takesOrders: (service) =>
         this.#knowledge.table?.findService(service)?.engineClass !== undefined,
     });
@@ -156,7 +181,12 @@
       rates: this.#rates,
       use,
       links: () => this.#links,
-      state: () => ({ ready: this.#ready, leaving: this.#leaving }),
+      state: () => ({
+        ready: this.#ready,
+        leaving: this.#leaving,
+        serves: this.#load.serves,
+        busy: this.#load.busy,
+      }),
       log,
     });
     const relay = new Relay({
@@ -180,6 +210,7 @@
     const server = (handle: (q: IncomingMessage, s: ServerResponse) => void) =>
       new CallerServer(handle, { maxHeaderBytes: HEADER_MAX_BYTES });
     this.#callers = server((req, res) => {
+      this.#load.countRequest(performance.now());
       relay.serve(req, res).catch((err: unknown) => {
         log.write(events.UNEXPECTED, { error: String(err) });
         res.destroy();
@@ -192,6 +223,7 @@
       res.end(this.#metrics.render());
     });
     this.#knowledge.onChange = () => this.#onKnowledge();
+    this.#knowledge.onNews = () => this.#pushNews();
   }
 
   /** Opens the listeners and starts to follow the store. */
@@ -214,6 +246,7 @@
       setInterval(() => this.#digests.send(), DIGEST_MS),
       setInterval(() => this.#tick(), TICK_MS),
     );
+    this.#runLoader();
     this.#log.write(events.STARTED, {
       name: this.#self.name,
       zone: this.#self.zone,
@@ -232,7 +265,7 @@
     this.#leavingSince = since;
     this.#log.write(events.STOPPING, { active: this.#callers.active });
     this.#callers.leave();
-    this.#digests.send();
+    this.#digests.send(true);
     const endsAt = since + this.#settings.bounds.graceMs - KILL_MARGIN_MS;
     while (performance.now() < endsAt) {
       const waited = performance.now() - since;
@@ -252,6 +285,7 @@
   /** Ends everything at once. */
   close(): void {
     for (const timer of this.#timers) clearInterval(timer);
+    clearTimeout(this.#loaderTimer);
     this.#knowledge.close();
     this.#membership.close();
     this.#links.close();
@@ -272,6 +306,11 @@
     return this.#knowledge.ready && !this.#leaving;
   }
 
+  /** Those that read for others tell them at once what has changed. */
+  #pushNews(): void {
+    if (this.#reads) this.#digests.pushNews();
+  }
+
   #hasTimeFor(route: Route): boolean {
     if (!this.#leaving) return true;
     const passed = performance.now() - this.#leavingSince;
@@ -280,9 +319,33 @@
     return left > route.timeoutMs;
   }
 
-  #tick(): void {
-    this.#knowledge.expireLapsed(performance.now());
+  /** Decides whether this is one of its region's instances that read the store
+   * for all: strong ones, since many ask them. */
+  #chooseReaders(now: number): void {
+    const before = this.#members.reachingStore(now).filter((m) =>
+      m.region === this.#self.region && isBefore(m, this.#self)
+    );
+    const reads = before.length < READERS_PER_REGION;
+    if (reads && !this.#reads) {
+      this.#knowledge.wake();
+      this.#membership.read();
+    }
+    this.#reads = reads;
+  }
+
+  #runLoader(): void {
     this.#loader.tick();
+    this.#loaderTimer = setTimeout(
+      () => this.#runLoader(),
+      this.#loader.isIdle ? LOADER_IDLE_MS : LOADER_TICK_MS,
+    );
+  }
+
+  #tick(): void {
+    const now = performance.now();
+    this.#load.tick(now);
+    this.#chooseReaders(now);
+    this.#knowledge.expireLapsed(now);
   }
 
   #onKnowledge(): void {
@@ -311,7 +374,10 @@
         perSecond: workspace.ratePerSecond,
         burst: workspace.burst,
       };
-      rate = new TokenRate(limit, performance.now());
+      rate = new TokenRate(limit, {
+        now: performance.now(),
+        windowMs: this.#settings.bounds.rateWindowMs,
+      });
       this.#rates.set(workspace.name, rate);
     }
     return rate;
@@ -356,7 +422,7 @@
         });
         return;
       case "pull": {
-        const list = this.#knowledge.follower(message.kind).snapshot();
+        const list = this.#digests.follower(message.kind).snapshot();
         respond({ t: "pulled", n: message.n, list });
         return;
       }
@@ -376,8 +442,9 @@
     if (question === undefined) {
       return answerPlain(res, 404, { id: undefined, reason: "no_route" });
     }
-    const ready = [...this.#members.ready(performance.now())];
-    if (this.#ready) ready.push(this.#self);
+    const now = performance.now();
+    const ready = [...this.#members.ready(now)];
+    if (this.#ready) ready.push({ ...this.#self, busy: this.#load.busy });
     if (ready.length === 0) {
       return answerPlain(res, 503, {
         id: undefined,
@@ -390,6 +457,12 @@
       this.#settings.bounds.steeringKeepMaxSeconds,
     );
     res.setHeader("content-type", "application/json");
-    res.end(this.#protocol.writeSteering(steer(ready, question), keep));
+    const addresses = this.#steer.steer(ready, question, now);
+    res.end(this.#protocol.writeSteering(addresses, keep));
   }
 }
+
+/** The order in which instances read for others. */
+function isBefore(a: Member, b: Member): boolean {
+  return a.cores === b.cores ? a.name < b.name : a.cores > b.cores;
+}
--- a/packages/gateway/src/kind_follower.ts
+++ b/packages/gateway/src/kind_follower.ts
@@ -14,13 +14,16 @@
  * that instances do not return together. */
 const RETRY_PAUSE_MS = 250;
 
+/** Longest wait of the first watch after a failure, in milliseconds. */
+const BACK_WAIT_MS = 500;
+
 /** How a follower works. */
 export interface FollowOptions {
   readonly kind: RecordKind;
   /** Longest wait of one watch, in milliseconds. */
   readonly waitMs: number;
   /** Least time between two watches: changes that come meanwhile are one call. */
-  readonly gatherMs: number;
+  readonly gatherMs: () => number;
   /** Called with every new state. */
   readonly onRecords: (records: ReadonlyMap<string, StoredRecord>) => void;
   /** Called when a call fails, and when one succeeds after that. */
@@ -32,10 +35,13 @@
   readonly #store: RecordStore;
   readonly #options: FollowOptions;
   #records: ReadonlyMap<string, StoredRecord> = new Map();
+  /** Revisions at which records were removed, of the latest change only. */
+  #removed: ReadonlyMap<string, number> = new Map();
   #newest = 0;
   #revision = 0;
   #known = false;
   #watch: AbortController | undefined;
+  #wake: (() => void) | undefined;
   #reachable = true;
   #closed = false;
 
@@ -59,6 +65,11 @@
     return this.#revision;
   }
 
+  /** The revision at which a record was found removed by the latest change. */
+  removedAt(name: string): number {
+    return this.#removed.get(name) ?? this.#revision;
+  }
+
   /** The state as a list, for a peer. */
   snapshot(): RecordList | undefined {
     if (!this.#known) return undefined;
@@ -69,7 +80,8 @@
   adopt(list: RecordList): boolean {
     if (this.#known && list.revision <= this.#revision) return false;
     this.#replace(list);
-    this.redial();
+    // The store should have told it: its connection may be dead.
+    if (this.#options.gatherMs() === 0) this.redial();
     return true;
   }
 
@@ -78,6 +90,21 @@
     this.#watch?.abort(new Error("watch dialled again"));
   }
 
+  /** Ends a pause between watches: what is known may be old. */
+  wake(): void {
+    this.#wake?.();
+  }
+
+  #pause(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, ms);
+      this.#wake = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
   /** Follows until closed. */
   async run(): Promise<void> {
     let listed = false;
@@ -90,11 +117,14 @@
           listed = true;
         }
         this.#note(true, "");
-        if (listed && this.#options.gatherMs > 0) {
-          await pause(this.#options.gatherMs);
-        }
+        const gatherMs = this.#options.gatherMs();
+        if (gatherMs > 0) await this.#pause(gatherMs);
       } catch (err) {
         if (this.#closed) return;
+        if (this.#watch?.signal.aborted === true) {
+          this.#watch = undefined;
+          continue;
+        }
         if (err instanceof StoreCallError && err.failure === "history_gone") {
           listed = false;
           continue;
@@ -109,6 +139,7 @@
   close(): void {
     this.#closed = true;
     this.redial();
+    this.wake();
   }
 
   async #watchOnce(): Promise<void> {
@@ -117,7 +148,9 @@
     const from = this.#revision;
     const { changes, revision } = await this.#store.watch(this.#options.kind, {
       revision: from,
-      waitMs: this.#options.waitMs,
+      // After a failure an answer is wanted soon: it shows that the store is
+      // back.
+      waitMs: this.#reachable ? this.#options.waitMs : BACK_WAIT_MS,
       signal: watch.signal,
     });
     // A peer's list may have overtaken this answer.
@@ -125,15 +158,20 @@
     this.#revision = revision;
     if (changes.length === 0) return;
     const records = new Map(this.#records);
+    const gone = new Map<string, number>();
     for (const { removed, record } of changes) {
-      if (removed) records.delete(record.name);
-      else records.set(record.name, record);
+      if (removed) {
+        records.delete(record.name);
+        gone.set(record.name, record.revision);
+      } else records.set(record.name, record);
     }
+    this.#removed = gone;
     this.#setRecords(records);
   }
 
   #replace(list: RecordList): void {
     this.#revision = list.revision;
+    this.#removed = new Map();
     this.#known = true;
     this.#setRecords(new Map(list.records.map((r) => [r.name, r])));
   }
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -21,17 +21,26 @@
 } from "@banyanlb/platform";
 import * as events from "./events.ts";
 import { KindFollower } from "./kind_follower.ts";
-import type { SharedKind } from "./peer_messages.ts";
+
+/** Kinds that are followed here. */
+type KnownKind = "configuration" | "engines" | "versions";
 
 /** Longest watches: a bound on how long a silent connection goes unnoticed if
  * no peer knows better. */
-const WATCH_MS = 15_000;
-const ENGINES_WATCH_MS = 4000;
+const WATCH_MS = 25_000;
+const ENGINES_WATCH_MS = 2000;
 
 /** Engines write often; changes within this time are taken in one call. A
  * leaving engine must be known within a few seconds. */
 const ENGINES_GATHER_MS = 1000;
 
+/** Versions are announced in groups. */
+const VERSIONS_GATHER_MS = 100;
+
+/** The same for instances that hear from others what has changed: calls to the
+ * store are dear. */
+const GATHER_SELDOM_MS = 8000;
+
 /** Requests go to an older version of an adapter for this long at most after a
  * newer one was announced: half of the time that the deployment allows. */
 const OLDER_ALLOWED_MS = 2500;
@@ -46,26 +55,36 @@
 export class Knowledge {
   readonly #log: EventLog;
   readonly #board: EngineBoard;
-  readonly #followers: Readonly<Record<SharedKind, KindFollower>>;
+  readonly #followers: Readonly<Record<KnownKind, KindFollower>>;
   #table: RouteTable | undefined;
   #engines: ReadonlyMap<string, Engine> = new Map();
   readonly #lapsed = new Map<string, { engine: Engine; until: number }>();
   #versions: ReadonlyMap<string, KnownVersion> = new Map();
   #versionsSeen = false;
+  /** Revision of the newest change of which engines there are. */
+  #enginesNews = 0;
+  readonly #unreachable = new Set<string>();
   #troubleAt = -Infinity;
   readonly #ignored = new Set<string>();
   /** Called when the configuration or the engines have changed. */
   onChange: () => void = () => undefined;
+  /** Called when there may be something that peers should know. */
+  onNews: () => void = () => undefined;
 
   constructor(
     store: RecordStore,
-    options: { readonly board: EngineBoard; readonly log: EventLog },
+    options: {
+      readonly board: EngineBoard;
+      readonly log: EventLog;
+      /** Whether this instance reads the store for others. */
+      readonly readsForOthers: () => boolean;
+    },
   ) {
     this.#board = options.board;
     this.#log = options.log;
     const follow = (
-      kind: SharedKind,
-      gatherMs: number,
+      kind: KnownKind,
+      gatherMs: () => number,
       waitMs: number,
       onRecords: (records: ReadonlyMap<string, StoredRecord>) => void,
     ) =>
@@ -73,26 +92,31 @@
         kind,
         waitMs,
         gatherMs,
-        onRecords,
+        onRecords: (records) => {
+          onRecords(records);
+          this.onNews();
+        },
         onReachable: (reachable, reason) =>
           this.#noteReachable(kind, reachable, reason),
       });
+    const gatherFor = (ms: number) => () =>
+      options.readsForOthers() ? ms : GATHER_SELDOM_MS;
     this.#followers = {
       configuration: follow(
         "configuration",
-        0,
+        () => 0,
         WATCH_MS,
         (r) => this.#setConfiguration(r),
       ),
       engines: follow(
         "engines",
-        ENGINES_GATHER_MS,
+        gatherFor(ENGINES_GATHER_MS),
         ENGINES_WATCH_MS,
         (r) => this.#setEngines(r),
       ),
       versions: follow(
         "versions",
-        0,
+        gatherFor(VERSIONS_GATHER_MS),
         WATCH_MS,
         (r) => this.#setVersions(r),
       ),
@@ -115,10 +139,31 @@
   }
 
   /** The follower of a kind. */
-  follower(kind: SharedKind): KindFollower {
+  follower(kind: KnownKind): KindFollower {
     return this.#followers[kind];
   }
 
+  /** The revision of the newest change of which engines there are: their other
+   * changes need not be told. */
+  get enginesNews(): number {
+    return this.#enginesNews;
+  }
+
+  /** Drops all watches: connections often go silent together. */
+  redial(): void {
+    for (const follower of Object.values(this.#followers)) follower.redial();
+  }
+
+  /** Reads at once what is read seldom otherwise. */
+  wake(): void {
+    for (const follower of Object.values(this.#followers)) follower.wake();
+  }
+
+  /** Whether the store answers. */
+  get reachesStore(): boolean {
+    return this.#unreachable.size === 0;
+  }
+
   /** The newest announced version of an adapter; 0 if none was announced. */
   versionOf(model: string, adapter: string): number {
     return this.#versions.get(adapterKey(model, adapter))?.version ?? 0;
@@ -155,6 +200,11 @@
 
   #noteReachable(kind: string, reachable: boolean, reason: string): void {
     this.#troubleAt = performance.now();
+    if (reachable) this.#unreachable.delete(kind);
+    else {
+      this.#unreachable.add(kind);
+      this.redial();
+    }
     if (reachable) this.#log.write(events.STORE_BACK, { kind });
     else this.#log.write(events.STORE_LOST, { kind, reason });
   }
@@ -203,8 +253,11 @@
     const engines = new Map<string, Engine>();
     for (const record of records.values()) {
       const engine = decodeEngine(record);
-      if (engine !== undefined) engines.set(engine.key, engine);
-      else if (!this.#ignored.has(record.name)) {
+      if (engine !== undefined) {
+        engines.set(engine.key, engine);
+        const before = this.#engines.get(engine.key);
+        if (before?.leaving !== engine.leaving) this.#noteNews(record.revision);
+      } else if (!this.#ignored.has(record.name)) {
         this.#ignored.add(record.name);
         this.#log.write(events.ENGINE_ENTRY_IGNORED, { name: record.name });
       }
@@ -212,6 +265,7 @@
     const ids = new Set([...engines.values()].map((e) => e.id));
     for (const engine of this.#engines.values()) {
       if (engines.has(engine.key)) continue;
+      this.#noteNews(this.#followers.engines.removedAt(engine.id));
       const until = keepLapsedUntil({
         leaving: engine.leaving || ids.has(engine.id),
         troubleAt: this.#troubleAt,
@@ -241,6 +295,10 @@
     this.#publishEngines();
   }
 
+  #noteNews(revision: number): void {
+    this.#enginesNews = Math.max(this.#enginesNews, revision);
+  }
+
   #publishEngines(): void {
     const lapsed = [...this.#lapsed.values()].map(({ engine }) => engine);
     this.#board.setEngines(
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -24,6 +24,10 @@
 /** Time between renewals, in milliseconds: three within a term. */
 const RENEW_MS = 2000;
 
+/** The same for an instance that orders nowhere and looks after nobody: it
+ * needs its entry only to be found. */
+const RENEW_IDLE_MS = 10_000;
+
 /** Time between checks of silent members and of the assignment. */
 const CHECK_MS = 500;
 
@@ -37,10 +41,12 @@
 /** How many members, first by name, look after lapsed ones. */
 const CARETAKERS = 2;
 
-const WATCH_MS = 15_000;
+const WATCH_MS = 25_000;
 /** Members renew often; new ones introduce themselves, so the list is no
  * hurry. */
-const MEMBERS_GATHER_MS = 10_000;
+const MEMBERS_GATHER_MS = 20_000;
+/** Instances that read for others tell them of a new assignment. */
+const GATHER_SELDOM_MS = 8000;
 const ASSIGNMENT_NAME = "engines";
 
 /** A member's entry. */
@@ -71,6 +77,12 @@
   readonly log: EventLog;
   /** The least time between orders of two owners, in milliseconds. */
   readonly orderGapMs: number;
+  /** Whether this instance reads the store for others. */
+  readonly readsForOthers: () => boolean;
+  /** Called when another assignment is in force. */
+  readonly onAssigned: () => void;
+  /** Called when a call to the store fails. */
+  readonly onStoreLost: () => void;
   /** Whether engines of this service take orders. */
   readonly takesOrders: (service: string) => boolean;
 }
@@ -85,6 +97,7 @@
   readonly #followAssignment: KindFollower;
   readonly #startedAt = performance.now();
   #assignment: StoredAssignment = {};
+  #owners: ReadonlyMap<string, string> = new Map();
   #fence = 0;
   #entry: StoredRecord | undefined;
   #tenure: string | undefined;
@@ -92,6 +105,7 @@
   readonly #mayOrderAt = new Map<string, number>();
   #renewals = 0;
   #wakeCheck: (() => void) | undefined;
+  #wakeRenewal: (() => void) | undefined;
   #closed = false;
 
   constructor(store: RecordStore, options: MembershipOptions) {
@@ -102,7 +116,7 @@
     this.#followMembers = new KindFollower(store, {
       kind: "members",
       waitMs: WATCH_MS,
-      gatherMs: MEMBERS_GATHER_MS,
+      gatherMs: () => MEMBERS_GATHER_MS,
       onRecords: (records) => this.#setMembers(records),
       onReachable: (reachable, reason) =>
         this.#noteReachable("members", reachable, reason),
@@ -110,7 +124,7 @@
     this.#followAssignment = new KindFollower(store, {
       kind: "assignment",
       waitMs: WATCH_MS,
-      gatherMs: 0,
+      gatherMs: () => options.readsForOthers() ? 0 : GATHER_SELDOM_MS,
       onRecords: (records) => this.#setAssignment(records),
       onReachable: (reachable, reason) =>
         this.#noteReachable("assignment", reachable, reason),
@@ -129,7 +143,7 @@
 
   /** The instance that orders at an engine. */
   ownerOf(engineKey: string): string | undefined {
-    return this.#assignment[engineKey]?.owner.split("#")[0];
+    return this.#owners.get(engineKey);
   }
 
   /** Whether this instance may order at the engine in this event-loop turn. */
@@ -139,19 +153,41 @@
       this.#lease.holds();
   }
 
+  /** The follower of the assignment. */
+  get assignmentFollower(): KindFollower {
+    return this.#followAssignment;
+  }
+
   /** Engines came or went: the assignment is checked at once. */
   wake(): void {
     this.#wakeCheck?.();
   }
 
+  /** Drops all watches: connections often go silent together. */
+  redial(): void {
+    this.#followMembers.redial();
+    this.#followAssignment.redial();
+  }
+
+  /** Reads at once what is read seldom otherwise. */
+  read(): void {
+    this.#followAssignment.wake();
+  }
+
   /** Starts renewals and checks. */
   start(): void {
     void this.#followMembers.run();
     void this.#followAssignment.run();
-    void this.#repeat(RENEW_MS, () => this.#renew());
-    void this.#repeat(CHECK_MS, () => this.#check(), (wake) => {
-      this.#wakeCheck = wake;
-    });
+    void this.#repeat(
+      () => this.#needsLease() ? RENEW_MS : RENEW_IDLE_MS,
+      () => this.#renew(),
+      (wake) => (this.#wakeRenewal = wake),
+    );
+    void this.#repeat(
+      () => CHECK_MS,
+      () => this.#check(),
+      (wake) => (this.#wakeCheck = wake),
+    );
   }
 
   /** Ends them. */
@@ -162,9 +198,9 @@
   }
 
   async #repeat(
-    everyMs: number,
+    everyMs: () => number,
     step: () => Promise<void>,
-    onPause: (wake: () => void) => void = () => undefined,
+    onPause: (wake: () => void) => void,
   ): Promise<void> {
     while (!this.#closed) {
       try {
@@ -176,7 +212,7 @@
         this.#options.log.write(event, { error: String(err) });
       }
       await new Promise<void>((resolve) => {
-        setTimeout(resolve, everyMs);
+        setTimeout(resolve, everyMs());
         onPause(resolve);
       });
     }
@@ -184,7 +220,10 @@
 
   #noteReachable(kind: string, reachable: boolean, reason: string): void {
     if (reachable) this.#options.log.write(events.STORE_BACK, { kind });
-    else this.#options.log.write(events.STORE_LOST, { kind, reason });
+    else {
+      this.#options.log.write(events.STORE_LOST, { kind, reason });
+      this.#options.onStoreLost();
+    }
   }
 
   async #renew(): Promise<void> {
@@ -207,6 +246,7 @@
       const known = this.#entry !== undefined;
       if (known || err.failure !== "conflict") {
         log.write(events.RENEWAL_FAILED, { failure: err.failure });
+        if (err.failure === "unknown") this.#options.onStoreLost();
       }
       // A write without answer may have been done, and an earlier process may
       // have left an entry: its tenure goes on.
@@ -235,8 +275,15 @@
     if (record === undefined || record.revision <= this.#fence) return;
     const before = this.#assignment;
     this.#assignment = record.value as StoredAssignment;
+    this.#owners = new Map(
+      Object.entries(this.#assignment).map(([key, { owner }]) => [
+        key,
+        owner.split("#")[0] ?? owner,
+      ]),
+    );
     this.#fence = record.revision;
     this.#claim(before);
+    this.#options.onAssigned();
   }
 
   /** Takes up the engines that the assignment gives to this instance. */
@@ -258,6 +305,7 @@
         : before[key] === undefined
         ? movedAt + orderGapMs + WALL_CLOCK_SKEW_MS - Date.now()
         : orderGapMs;
+      if (this.#mayOrderAt.size === 0) this.#wakeRenewal?.();
       this.#mayOrderAt.set(key, performance.now() + Math.max(0, wait));
       log.write(events.OWNERSHIP_CHANGED, { engine: key, owner, waitMs: wait });
     }
@@ -266,15 +314,36 @@
     }
   }
 
-  async #check(): Promise<void> {
-    if (performance.now() - this.#startedAt < SETTLE_MS) return;
-    if (!this.#lease.holds() || !this.#followMembers.known) return;
-    const { self, members } = this.#options;
+  /** The names of those members that are heard of. */
+  #alive(): readonly string[] {
+    const { members } = this.#options;
     const now = performance.now();
-    const alive = members.list().filter((m) => members.isAlive(m.name, now))
+    return members.list().filter((m) => members.isAlive(m.name, now))
       .map((m) => m.name);
-    const caretakers = [self.name, ...alive].sort().slice(0, CARETAKERS);
+  }
+
+  #caretakers(alive: readonly string[]): readonly string[] {
+    return [this.#options.self.name, ...alive].sort().slice(0, CARETAKERS);
+  }
+
+  /** Whether a renewal must never be missed. */
+  #needsLease(): boolean {
+    const settling = performance.now() - this.#startedAt < SETTLE_MS * 2;
+    return settling || this.#mayOrderAt.size > 0 ||
+      this.#caretakers(this.#alive()).includes(this.#options.self.name);
+  }
+
+  async #check(): Promise<void> {
+    if (performance.now() - this.#startedAt < SETTLE_MS) return;
+    const { self } = this.#options;
+    const alive = this.#alive();
+    const caretakers = this.#caretakers(alive);
     if (!caretakers.includes(self.name)) return;
+    if (!this.#followMembers.known) return;
+    if (!this.#lease.holds()) {
+      this.#wakeRenewal?.();
+      return;
+    }
     await this.#removeLapsed(new Set(alive));
     if (caretakers[0] === self.name) await this.#assign(alive);
   }
@@ -323,11 +392,11 @@
     const open = planAssignment(
       kept,
       engines.filter(({ key }) => kept[key] === undefined),
-      [self, ...others].flatMap(({ name, zone }) => {
+      [self, ...others].flatMap(({ name, zone, cores }) => {
         const tenure = name === self.name ? this.#tenure : tenureOf(name);
         return tenure === undefined
           ? []
-          : [{ owner: `${name}#${tenure}`, zone }];
+          : [{ owner: `${name}#${tenure}`, zone, cores }];
       }),
     );
     const planned: Assignment = { ...kept, ...open };
@@ -350,6 +419,7 @@
       value,
       revision: this.#fence === 0 ? undefined : this.#fence,
     });
+    this.#followAssignment.wake();
     log.write(events.ASSIGNMENT_WRITTEN, {
       engines: keys.length,
       revision: record.revision,
--- a/packages/gateway/src/peer_links.ts
+++ b/packages/gateway/src/peer_links.ts
@@ -15,9 +15,10 @@
 /** Time allowed for a connection to be made, in milliseconds. */
 const DIAL_TIMEOUT_MS = 800;
 
-/** A peer that acknowledged no digest for this long does not get them: the
- * connection is dead, although it was not closed. */
-const UNACKNOWLEDGED_MS = 1500;
+/** A peer that received no digest for this long does not get them: the
+ * connection is dead, although it was not closed. To this come the two pauses
+ * between digests and their acknowledgements. */
+const UNACKNOWLEDGED_MS = 1100;
 
 /** Unsent bytes beyond which a connection counts as stuck. */
 const STUCK_BYTES = 1024 * 1024;
@@ -56,8 +57,11 @@
   #nextNumber = 1;
   #dialAfter = 0;
   #closed = false;
-  /** When the peer last showed that it receives, or the link was made. */
+  /** When something was sent that the peer is known to have received, or when
+   * the link was made. */
   provenAt = 0;
+  /** Time between digests on this link, in milliseconds. */
+  digestMs = 0;
 
   constructor(
     address: string,
@@ -110,7 +114,7 @@
     const socket = this.#socket;
     if (socket !== undefined) {
       const dead = socket.destroyed || socket.writableLength > STUCK_BYTES ||
-        now - this.provenAt > UNACKNOWLEDGED_MS;
+        now - this.provenAt > UNACKNOWLEDGED_MS + 2 * this.digestMs;
       if (!dead) return socket;
       socket.destroy();
       this.#socket = undefined;
@@ -167,9 +171,12 @@
     });
   }
 
-  /** Sends a message to the peer at this address; false if it cannot be. */
-  send(address: string, message: PeerMessage): boolean {
-    return this.#link(address).send(message);
+  /** Sends a message to the peer at this address; false if it cannot be. The
+   * next one follows within `digestMs`, if given. */
+  send(address: string, message: PeerMessage, digestMs?: number): boolean {
+    const link = this.#link(address);
+    if (digestMs !== undefined) link.digestMs = digestMs;
+    return link.send(message);
   }
 
   /** Asks the peer at this address; undefined if no answer came in time. */
@@ -181,9 +188,10 @@
     return this.#link(address).ask(build, timeoutMs);
   }
 
-  /** The peer at this address showed that it receives. */
-  prove(address: string): void {
-    this.#link(address).provenAt = performance.now();
+  /** The peer at this address has received what was sent at `sentAt`. */
+  prove(address: string, sentAt: number): void {
+    const link = this.#link(address);
+    link.provenAt = Math.max(link.provenAt, sentAt);
   }
 
   /** Ends connections to addresses that are not among `addresses`. */
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -5,7 +5,12 @@
 import type { Member, RecordList } from "@banyanlb/serving";
 
 /** Kinds of records that peers pass on to each other. */
-export const SHARED_KINDS = ["configuration", "engines", "versions"] as const;
+export const SHARED_KINDS = [
+  "configuration",
+  "engines",
+  "versions",
+  "assignment",
+] as const;
 
 /** One of these kinds. */
 export type SharedKind = typeof SHARED_KINDS[number];
@@ -19,21 +24,32 @@
 /** An adapter held: name, version, milliseconds until it can serve. */
 export type HeldRow = readonly [string, number, number];
 
-/** What one instance tells the others a few times a second. */
+/** What one instance tells the others a few times a second. Fields that are
+ * left out are false, empty or unchanged. */
 export interface Digest {
   readonly t: "digest";
-  /** Number of this digest, and the last one received from the peer. */
+  /** The tick of this digest, and the newest one received from the peer. */
   readonly seq: number;
   readonly ack: number;
+  /** Ticks until the next digest at most; 1 if left out. */
+  readonly every?: number;
   readonly ready: boolean;
-  readonly leaving: boolean;
+  /** Callers use the sender; the sender orders at engines. */
+  readonly serves?: true;
+  readonly orders?: true;
+  /** The store does not answer the sender. */
+  readonly cut?: true;
+  /** Part of the sender's time for which it is busy, in percent. */
+  readonly busy?: number;
+  readonly leaving?: true;
   readonly tenure: string | undefined;
   /** The newest revision known of each shared kind. */
   readonly revs: readonly number[];
-  /** Requests at each engine. */
-  readonly flight: Readonly<Record<string, number>>;
-  /** Units used by each workspace since this process started. */
-  readonly used: Readonly<Record<string, number>>;
+  /** Requests at engines: the sender's own, or those of all instances but the
+   * receiver where the sender sums them up. Engines left out have none. */
+  readonly flight?: Readonly<Record<string, number>>;
+  /** Units used by workspaces since this process started, where changed. */
+  readonly used?: Readonly<Record<string, number>>;
   /** How long the sender has run, in milliseconds. */
   readonly up: number;
   /** The level of each workspace's rate, for a peer that was found just now. */
@@ -41,9 +57,9 @@
   /** Adapters of the engines at which the sender orders, if they changed. */
   readonly held?: Readonly<Record<string, readonly HeldRow[]>>;
   /** Those of these engines that give no answer. */
-  readonly down: readonly string[];
-  /** Fetches under way at these engines. */
-  readonly fetches: number;
+  readonly down?: readonly string[];
+  /** Fetches under way at these engines; 0 if left out. */
+  readonly fetches?: number;
   /** Use of adapters at engines of the receiver: started, running. */
   readonly use?: Readonly<
     Record<string, Readonly<Record<string, readonly [number, number]>>>
--- a/packages/gateway/src/use_counts.ts
+++ b/packages/gateway/src/use_counts.ts
@@ -40,6 +40,11 @@
     if (count !== undefined) count.running -= 1;
   }
 
+  /** Whether there is use to tell of. */
+  has(engineKey: string): boolean {
+    return this.#engines.has(engineKey);
+  }
+
   /** What has been used since the last call, and what is running. */
   take(engineKey: string): AdapterUse | undefined {
     const adapters = this.#engines.get(engineKey);
--- a/packages/serving/src/assignment.ts
+++ b/packages/serving/src/assignment.ts
@@ -11,6 +11,8 @@
 export interface Candidate {
   readonly owner: string;
   readonly zone: string;
+  /** Processor power: callers use the strong machines. */
+  readonly cores: number;
 }
 
 /** An engine without an owner. */
@@ -20,12 +22,14 @@
 }
 
 /** Gives the `open` engines to members of their zone if there are any, else to
- * any: to the one with the fewest engines, then by hash. Those of `kept` stay
- * where they are, since each move costs a pause in orders.
+ * any: to the one with the fewest engines, then to the weakest, then by hash.
+ * Those of `kept` stay where they are, since each move costs a pause in orders.
  *
  * @example
  * ```ts
- * planAssignment({}, [{ key: "e-1", zone: "a" }], [{ owner: "m", zone: "b" }]);
+ * planAssignment({}, [{ key: "e-1", zone: "a" }], [
+ *   { owner: "m", zone: "b", cores: 1 },
+ * ]);
  * ```
  */
 export function planAssignment(
@@ -57,13 +61,16 @@
 ): string | undefined {
   let best: string | undefined;
   let bestCount = Infinity;
+  let bestCores = Infinity;
   let bestHash = 0;
-  for (const { owner } of members) {
+  for (const { owner, cores } of members) {
     const count = counts.get(owner) ?? 0;
     const hash = hashToUnit(`${engine} ${owner}`);
-    if (count < bestCount || (count === bestCount && hash > bestHash)) {
+    const order = count - bestCount || cores - bestCores || bestHash - hash;
+    if (order < 0 || best === undefined) {
       best = owner;
       bestCount = count;
+      bestCores = cores;
       bestHash = hash;
     }
   }
--- a/packages/serving/src/behind_watch.ts
+++ b/packages/serving/src/behind_watch.ts
@@ -9,9 +9,15 @@
 
 /** One kind of records. */
 export class BehindWatch {
+  readonly #waitMs: number;
   #target = 0;
   #since = 0;
 
+  /** `waitMs` is how long a peer may be ahead. */
+  constructor(waitMs = BEHIND_MS) {
+    this.#waitMs = waitMs;
+  }
+
   /** Takes in a peer's revision; tells whether the peer should be asked now.
    * Peers that lag as well do not put the time back.
    *
@@ -33,6 +39,6 @@
       this.#target = theirs;
       this.#since = now;
     }
-    return theirs > mine && now - this.#since >= BEHIND_MS;
+    return theirs > mine && now - this.#since >= this.#waitMs;
   }
 }
--- a/packages/serving/src/engine_board.ts
+++ b/packages/serving/src/engine_board.ts
@@ -16,13 +16,9 @@
 /** Held adapters of one engine, by their name within the model. */
 export type BelievedAdapters = ReadonlyMap<string, BelievedAdapter>;
 
-/** How long an instance's count of its requests stays valid, in milliseconds:
- * several rounds of updates. A lost instance's requests end with it. */
-const PEER_COUNT_VALID_MS = 1500;
-
 interface PeerCount {
   readonly count: number;
-  readonly at: number;
+  readonly until: number;
 }
 
 /** One engine as this instance believes it to be. */
@@ -54,21 +50,29 @@
     if (!this.told) this.adapters = listedAdapters(engine);
   }
 
-  /** A peer tells how many of its requests are at the engine. */
-  learnCount(peer: string, count: number, now: number): void {
-    this.#peers.set(peer, { count, at: now });
+  /** A peer tells how many requests at the engine it answers for: its own, or
+   * those of all others if it orders there. Counts until `until`, since a lost
+   * instance's requests end with it. */
+  learnCount(peer: string, count: number, until: number): void {
+    if (count === 0) this.#peers.delete(peer);
+    else this.#peers.set(peer, { count, until });
   }
 
   /** Requests at the engine, of all instances. */
   load(now: number): number {
     let load = this.inFlight;
-    for (const [peer, { count, at }] of this.#peers) {
-      if (now - at > PEER_COUNT_VALID_MS) this.#peers.delete(peer);
+    for (const [peer, { count, until }] of this.#peers) {
+      if (now > until) this.#peers.delete(peer);
       else load += count;
     }
     return load;
   }
 
+  /** Requests at the engine of all instances but this peer. */
+  loadBeside(peer: string, now: number): number {
+    return this.load(now) - (this.#peers.get(peer)?.count ?? 0);
+  }
+
   /** Whether the model itself is there. */
   holdsModel(model: string): boolean {
     return this.engine.models.some((m) => m.name === model);
--- a/packages/serving/src/member_table.ts
+++ b/packages/serving/src/member_table.ts
@@ -2,12 +2,18 @@
  *
  * @module
  */
+import type { FleetPart } from "./digest_pace.ts";
+import type { ReadyMember } from "./steering.ts";
 import type { Member } from "./types.ts";
 
-/** How long an instance that fell silent still counts as alive: five updates
- * at the usual pace, so that a busy moment takes nobody out. */
+/** How long an instance that fell silent still counts as alive, in
+ * milliseconds: five updates at the usual pace, so that a busy moment takes
+ * nobody out. */
 export const SILENT_AFTER_MS = 1200;
 
+/** The same in updates, for an instance that is heard of less often. */
+const SILENT_AFTER_UPDATES = 2.5;
+
 /** How long after its start a process may not have heard of all others, in
  * milliseconds: they start within a second of each other, and dial anew. */
 const INTRODUCTION_MS = 1500;
@@ -16,6 +22,16 @@
   readonly at: number;
   readonly leaving: boolean;
   readonly ready: boolean;
+  /** Time between its updates at most, in milliseconds. */
+  readonly everyMs: number;
+  /** Whether callers use it. */
+  readonly serves: boolean;
+  /** Whether it orders at engines. */
+  readonly orders: boolean;
+  /** Part of its time for which it is busy, in [0, 1]. */
+  readonly busy: number;
+  /** Whether the store answers it. */
+  readonly reachesStore: boolean;
   /** Under which it may own engines; undefined if the store did not confirm
    * one yet. */
   readonly tenure: string | undefined;
@@ -81,7 +97,7 @@
   /** Whether the member was heard within the time allowed. */
   isAlive(name: string, now: number): boolean {
     const heard = this.#heard.get(name);
-    return heard !== undefined && now - heard.at < SILENT_AFTER_MS;
+    return heard !== undefined && now - heard.at < silentAfterMs(heard);
   }
 
   /** The tenure that a member told. */
@@ -90,19 +106,54 @@
   }
 
   /** Members that callers may be sent to. */
-  ready(now: number): readonly Member[] {
-    return this.list().filter((m) => {
+  ready(now: number): readonly ReadyMember[] {
+    return this.list().flatMap((m) => {
       const heard = this.#heard.get(m.name);
-      return heard !== undefined && heard.ready && !heard.leaving &&
-        now - heard.at < SILENT_AFTER_MS;
+      const usable = heard !== undefined && heard.ready && !heard.leaving &&
+        now - heard.at < silentAfterMs(heard);
+      return usable ? [{ ...m, busy: heard.busy }] : [];
     });
   }
 
+  /** Members that callers use. */
+  serving(now: number): readonly Member[] {
+    return this.list().filter((m) =>
+      this.isAlive(m.name, now) && this.#heard.get(m.name)?.serves === true
+    );
+  }
+
+  /** What a member does for callers; all, as long as it was not heard of. */
+  partOf(member: Member): FleetPart {
+    const heard = this.#heard.get(member.name);
+    const { zone, region } = member;
+    return {
+      zone,
+      region,
+      serves: heard?.serves ?? true,
+      orders: heard?.orders ?? true,
+    };
+  }
+
+  /** Members whose view of the store is fresh. */
+  reachingStore(now: number): readonly Member[] {
+    return this.list().filter((m) =>
+      this.isAlive(m.name, now) &&
+      this.#heard.get(m.name)?.reachesStore === true
+    );
+  }
+
   /** Members alive, this one among them. */
   aliveCount(now: number): number {
     return 1 + this.list().filter((m) => this.isAlive(m.name, now)).length;
   }
 
+  /** Instances among which a common allowance is divided: those that callers
+   * use, and no fewer than half of those alive, since others may step in. */
+  sharingCount(now: number): number {
+    const serving = 1 + this.serving(now).length;
+    return Math.max(serving, Math.ceil(this.aliveCount(now) / 2));
+  }
+
   /** Part of all members that is silent. Soon after the start of this process
    * those that it has not heard yet do not count: after the loss of all
    * instances everybody is about to be heard. */
@@ -114,3 +165,7 @@
     return silent / (this.#members.size + 1);
   }
 }
+
+function silentAfterMs({ everyMs }: Heard): number {
+  return Math.max(SILENT_AFTER_MS, everyMs * SILENT_AFTER_UPDATES);
+}
--- a/packages/serving/src/types.ts
+++ b/packages/serving/src/types.ts
@@ -144,6 +144,8 @@
   readonly callerAddress: string;
   /** Differs with each start of its process. */
   readonly incarnation: string;
+  /** Processor power, in cores of the usual speed. */
+  readonly cores: number;
 }
 
 /** Joins a model's and an adapter's name, as caches and tables key them. */
--- a/packages/trials/src/soak/soak_process.ts
+++ b/packages/trials/src/soak/soak_process.ts
@@ -45,6 +45,11 @@
     this.#child.stdin?.on("error", () => undefined);
   }
 
+  /** Process id. */
+  get pid(): number {
+    return this.#child.pid ?? 0;
+  }
+
   /** Whether it ended by itself with an error. */
   get crashed(): boolean {
     return this.#child.exitCode !== null && this.#child.exitCode !== 0;
