Move the window of a rate also when peers tell their use

Cause: what peers told was counted in the slot of this instance's last own request. After seconds without a request of the workspace it left the window at once, so an instance to which callers moved saw an empty window and could pass a whole limit more; and a process that started could take a level that was too low. Found by reading; the new test ("shift of callers") fails without the step.

--- a/packages/gateway/src/digests.ts
+++ b/packages/gateway/src/digests.ts
@@ -216,11 +216,11 @@
     }
     for (const [name, used] of Object.entries(digest.used ?? {})) {
       const { incarnation } = member;
-      rates.get(name)?.learn(from, { incarnation, used, everyMs });
+      rates.get(name)?.learn(from, { incarnation, used, everyMs, now });
     }
     if (digest.up > now + NEW_PEER_MS && now < NEW_PEER_MS * 2) {
       for (const [name, level] of Object.entries(digest.levels ?? {})) {
-        rates.get(name)?.adopt(level);
+        rates.get(name)?.adopt(level, now);
       }
     }
     loader.learnFetches(from, digest.fetches ?? 0);
@@ -332,7 +332,9 @@
     const since = peer.aliveSince ?? -Infinity;
     if (performance.now() - since > NEW_PEER_MS) return undefined;
     return Object.fromEntries(
-      [...this.#parts.rates].map(([name, r]) => [name, Math.round(r.level)]),
+      [...this.#parts.rates].map((
+        [name, r],
+      ) => [name, Math.round(r.levelAt(performance.now()))]),
     );
   }
 
--- a/packages/serving/src/token_rate.ts
+++ b/packages/serving/src/token_rate.ts
@@ -4,9 +4,9 @@
  * times the window, and its burst once. Every instance keeps the same window:
  * it counts its own use at once and the others' when they tell it. What they
  * have used since is estimated, or a flood would pass at all instances until
- * they have heard of each other. An instance that
- * does not hear from a peer leaves the peer's equal share alone, so parts that
- * are cut off from each other cannot use more than the limit between them.
+ * they have heard of each other. An instance that does not hear from a peer
+ * leaves the peer's equal share alone, so parts that are cut off from each other
+ * cannot use more than the limit between them.
  *
  * @module
  */
@@ -151,11 +151,18 @@
     return this.#used;
   }
 
-  /** Units left; below zero after others have told of their use. */
+  /** Units left at the last step; below zero after others have told of their
+   * use. */
   get level(): number {
     return this.#allowed - this.#window.total - this.#untold;
   }
 
+  /** Units left now. */
+  levelAt(now: number): number {
+    this.advance(now, this.#silentShare);
+    return this.level;
+  }
+
   /** Puts another limit in force. */
   setLimit(limit: RateLimit): void {
     this.#limit = limit;
@@ -171,17 +178,21 @@
     this.#others.advance(now);
   }
 
-  /** A peer tells how much it has let pass since its start; it does so every
-   * `everyMs`. */
+  /** A peer tells `now` how much it has let pass since its start; it does so
+   * every `everyMs`. */
   learn(
     peer: string,
     told: {
       readonly incarnation: string;
       readonly used: number;
       readonly everyMs: number;
+      readonly now: number;
     },
   ): void {
-    const { incarnation, used, everyMs } = told;
+    const { incarnation, used, everyMs, now } = told;
+    // This instance may have had no request for long: what is told now must not
+    // count as used then.
+    this.advance(now, this.#silentShare);
     const known = this.#peerUsed.get(peer);
     const before = known?.incarnation === incarnation ? known.used : undefined;
     if (before !== undefined && used < before) return;
@@ -195,8 +206,9 @@
   }
 
   /** Takes the level of an instance that has run for longer, if it is lower. */
-  adopt(level: number): void {
-    if (level < this.level) this.#window.addEvenly(this.level - level);
+  adopt(level: number, now: number): void {
+    const own = this.levelAt(now);
+    if (level < own) this.#window.addEvenly(own - level);
   }
 
   /** Takes `units` if there are that many, and tells so.
--- a/packages/serving/src/token_rate_test.ts
+++ b/packages/serving/src/token_rate_test.ts
@@ -48,8 +48,12 @@
     rates.forEach((rate, i) =>
       rates.forEach((other, j) => {
         if (i === j || !connected(i, j)) return;
-        const told = { incarnation: "one", used: other.used, everyMs: tellMs };
-        rate.learn(`${j}`, told);
+        rate.learn(`${j}`, {
+          incarnation: "one",
+          used: other.used,
+          everyMs: tellMs,
+          now,
+        });
       })
     );
   }
@@ -124,14 +128,25 @@
 test("a restarted peer's use counts from its restart", () => {
   const rate = settled(LIMIT);
   const learn = (incarnation: string, used: number) =>
-    rate.learn("p", { incarnation, used, everyMs: 0 });
+    rate.learn("p", { incarnation, used, everyMs: 0, now: 0 });
   learn("one", 500);
   learn("one", 900);
-  expect(rate.level).toBe(9600);
+  expect(rate.levelAt(0)).toBe(9600);
   learn("two", 100);
-  expect(rate.level).toBe(9600);
+  expect(rate.levelAt(0)).toBe(9600);
   learn("two", 300);
-  expect(rate.level).toBe(9400);
+  expect(rate.levelAt(0)).toBe(9400);
+});
+
+test("shift of callers: an instance without requests knows what others used", () => {
+  const rate = settled(LIMIT);
+  const learn = (used: number, now: number) =>
+    rate.learn("p", { incarnation: "one", used, everyMs: 0, now });
+  learn(0, 0);
+  learn(9900, 30_000);
+  rate.advance(30_200, 0);
+  expect(rate.take(500)).toBe(false);
+  expect(rate.levelAt(60_000)).toBe(allowed(LIMIT));
 });
 
 test("use leaves after the window, and the wait says when", () => {
@@ -150,7 +165,7 @@
 test("a request above the limit passes when nothing was used", () => {
   const rate = settled(LIMIT);
   expect(rate.take(10_500)).toBe(true);
-  expect(rate.level).toBe(-500);
+  expect(rate.levelAt(0)).toBe(-500);
 });
 
 test("generations that use up the rate leave room for small calls", () => {
@@ -163,7 +178,7 @@
   const old = settled(LIMIT);
   while (old.take(50));
   const fresh = new TokenRate(LIMIT, { now: 0, windowMs: WINDOW_MS });
-  fresh.adopt(old.level);
+  fresh.adopt(old.levelAt(0), 0);
   expect(fresh.take(50)).toBe(false);
 });
 
