--- a/packages/gateway/src/digests.ts
+++ b/packages/gateway/src/digests.ts
@@ -20,7 +20,6 @@
 import type { Membership } from "./membership.ts";
 import {
   type Digest,
-  type HeldRow,
   type PullReply,
   SHARED_KINDS,
   type SharedKind,
@@ -48,15 +47,9 @@
 /** Time allowed for a peer's full list, in milliseconds. */
 const PULL_TIMEOUT_MS = 800;
 
-/** Units that a workspace has used. */
-type UsedUnits = readonly [name: string, units: number];
-
-/** An engine's adapters, with the number of changes so far. */
-type HeldAdapters = readonly [
-  engine: string,
-  changes: number,
-  rows: readonly HeldRow[],
-];
+/** Something told when it changes: its name, a number that differs after each
+ * change, and the value to tell. */
+type ToldRow<T> = readonly [name: string, state: number, value: T];
 
 /** An engine and the instance that orders there. */
 interface OwnedEngine {
@@ -153,10 +146,12 @@
       orders: orders ? true as const : undefined,
     };
     const held = loader.held();
-    const used = [...this.#parts.rates].map(([name, rate]) =>
-      [name, Math.round(rate.used)] as UsedUnits
-    );
+    const used = [...this.#parts.rates].map(([name, rate]): ToldRow<number> => {
+      const units = Math.round(rate.used);
+      return [name, units, units];
+    });
     const own = { ...self, serves: common.serves === true, orders };
+    const sums = sumsLoads(peers.length);
     for (const member of peers) {
       const part = members.partOf(member);
       const every = ticksBetweenDigests(own, part, peers.length);
@@ -168,10 +163,10 @@
         ...common,
         ack: peer.ack,
         every: every === 1 ? undefined : every,
-        flight: this.#flightFor(member.name, engines),
-        used: changed(used, peer),
+        flight: this.#flightFor(member.name, engines, sums),
+        used: newsFor(peer, peer.toldUsed, used),
         levels: this.#levelsFor(peer),
-        held: heldFor(peer, held),
+        held: newsFor(peer, peer.toldHeld, held),
         use: this.#useFor(member.name, engines),
       };
       this.#parts.links().send(member.peerAddress, digest, every * DIGEST_MS);
@@ -299,10 +294,10 @@
   #flightFor(
     peer: string,
     engines: readonly OwnedEngine[],
+    sums: boolean,
   ): Readonly<Record<string, number>> | undefined {
-    const { members, self } = this.#parts;
+    const { self } = this.#parts;
     const now = performance.now();
-    const sums = sumsLoads(members.list().length);
     const flight: Record<string, number> = {};
     for (const { view, key, owner } of engines) {
       const count = sums && owner === self.name
@@ -329,12 +324,13 @@
   }
 
   #levelsFor(peer: KnownPeer): Readonly<Record<string, number>> | undefined {
-    const since = peer.aliveSince ?? -Infinity;
-    if (performance.now() - since > NEW_PEER_MS) return undefined;
+    const now = performance.now();
+    if (now - (peer.aliveSince ?? -Infinity) > NEW_PEER_MS) return undefined;
     return Object.fromEntries(
-      [...this.#parts.rates].map((
-        [name, r],
-      ) => [name, Math.round(r.levelAt(performance.now()))]),
+      [...this.#parts.rates].map(([name, rate]) => [
+        name,
+        Math.round(rate.levelAt(now)),
+      ]),
     );
   }
 
@@ -391,34 +387,22 @@
   }
 }
 
-/** Use of workspaces that the peer was not told of yet. */
-function changed(
-  used: readonly UsedUnits[],
+/** The values that have changed since the peer was told, by name; they count as
+ * told from then on. */
+function newsFor<T>(
   peer: KnownPeer,
-): Readonly<Record<string, number>> | undefined {
-  const news: Record<string, number> = {};
-  for (const [name, units] of used) {
-    if (peer.toldUsed.get(name) === units && !isRepeat(peer)) continue;
-    peer.toldUsed.set(name, units);
-    news[name] = units;
+  told: Map<string, number>,
+  rows: readonly ToldRow<T>[],
+): Readonly<Record<string, T>> | undefined {
+  const news: Record<string, T> = {};
+  for (const [name, state, value] of rows) {
+    if (told.get(name) === state && !isRepeat(peer)) continue;
+    told.set(name, state);
+    news[name] = value;
   }
   return isEmpty(news) ? undefined : news;
 }
 
-/** Engines whose adapters have changed since the peer was told. */
-function heldFor(
-  peer: KnownPeer,
-  held: readonly HeldAdapters[],
-): Readonly<Record<string, readonly HeldRow[]>> | undefined {
-  const rows: Record<string, readonly HeldRow[]> = {};
-  for (const [key, changes, list] of held) {
-    if (peer.toldHeld.get(key) === changes && !isRepeat(peer)) continue;
-    peer.toldHeld.set(key, changes);
-    rows[key] = list;
-  }
-  return isEmpty(rows) ? undefined : rows;
-}
-
 function isRepeat(peer: KnownPeer): boolean {
   return peer.sent % REPEAT_AFTER === 0;
 }
--- a/packages/gateway/src/kind_follower.ts
+++ b/packages/gateway/src/kind_follower.ts
@@ -17,6 +17,10 @@
 /** Longest wait of the first watch after a failure, in milliseconds. */
 const BACK_WAIT_MS = 500;
 
+/** Least time between watches of an instance that hears from others what has
+ * changed, in milliseconds: calls to the store are dear. */
+export const GATHER_SELDOM_MS = 8000;
+
 /** How a follower works. */
 export interface FollowOptions {
   readonly kind: RecordKind;
--- a/packages/gateway/src/knowledge.ts
+++ b/packages/gateway/src/knowledge.ts
@@ -20,7 +20,7 @@
   decodeVersion,
 } from "@banyanlb/platform";
 import * as events from "./events.ts";
-import { KindFollower } from "./kind_follower.ts";
+import { GATHER_SELDOM_MS, KindFollower } from "./kind_follower.ts";
 
 /** Kinds that are followed here. */
 type KnownKind = "configuration" | "engines" | "versions";
@@ -37,10 +37,6 @@
 /** Versions are announced in groups. */
 const VERSIONS_GATHER_MS = 100;
 
-/** The same for instances that hear from others what has changed: calls to the
- * store are dear. */
-const GATHER_SELDOM_MS = 8000;
-
 /** Requests go to an older version of an adapter for this long at most after a
  * newer one was announced: half of the time that the deployment allows. */
 const OLDER_ALLOWED_MS = 2500;
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -19,7 +19,7 @@
   type TwoClocks,
 } from "@banyanlb/serving";
 import * as events from "./events.ts";
-import { KindFollower } from "./kind_follower.ts";
+import { GATHER_SELDOM_MS, KindFollower } from "./kind_follower.ts";
 
 /** Time between renewals, in milliseconds: three within a term. */
 const RENEW_MS = 2000;
@@ -45,8 +45,6 @@
 /** Members renew often; new ones introduce themselves, so the list is no
  * hurry. */
 const MEMBERS_GATHER_MS = 20_000;
-/** Instances that read for others tell them of a new assignment. */
-const GATHER_SELDOM_MS = 8000;
 const ASSIGNMENT_NAME = "engines";
 
 /** A member's entry. */
--- a/packages/trials/src/soak/faults.ts
+++ b/packages/trials/src/soak/faults.ts
@@ -2,6 +2,7 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import type { SoakWorld } from "./world.ts";
 
 /** A fault: strikes, and returns what lifts it. */
@@ -136,7 +137,3 @@
   await Promise.all(holding);
   return struck;
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/trials/src/soak/soak.ts
+++ b/packages/trials/src/soak/soak.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import { createRandom } from "../harness/random.ts";
 import { SoakCaller } from "./callers.ts";
 import { runFaults } from "./faults.ts";
@@ -124,7 +125,3 @@
   }
   return counts;
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/trials/src/soak/world.ts
+++ b/packages/trials/src/soak/world.ts
@@ -2,9 +2,11 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { SETTINGS_PATH_VARIABLE } from "@banyanlb/platform";
 import {
   type EngineRecord,
   type EngineStandInOptions,
@@ -16,12 +18,11 @@
 import { LinkProxy } from "./proxy.ts";
 import { SoakProcess } from "./soak_process.ts";
 
-/** Names of the gateway's program and of the variable with its settings. */
+/** The gateway's program. */
 const GATEWAY_PROGRAM = new URL(
   "../../../gateway/dist/main.js",
   import.meta.url,
 ).pathname;
-const SETTINGS_VARIABLE = ["BANYANLB", "NODE", "FILE"].join("_");
 
 const STORE_PORT = 9000;
 const ENGINE_PORT = 8080;
@@ -283,11 +284,7 @@
 
   #startGateway(name: string): SoakProcess {
     return this.#start(name, GATEWAY_PROGRAM, [], {
-      env: { [SETTINGS_VARIABLE]: this.#settingsPath(name) },
+      env: { [SETTINGS_PATH_VARIABLE]: this.#settingsPath(name) },
     });
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
