Log what watches are answered, and which configuration handled a request

Cause: the logs could not tell the hypotheses of the missed configuration apart: from which revision a watch started, what it was answered, whence the configuration in force came and how old it was when a request arrived.

Change: events 817 (watch interrupted), 818 (watch answered) and 819 (configuration ignored: not decodable or older); 812 gets the source and the number of malformed entries skipped; 840, 841 and 842 get the version and the age of the configuration. No logic changes.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -64,7 +64,8 @@
   text: "store available again",
 };
 
-/** A newer version of the configuration has been applied. */
+/** A newer version of the configuration has been applied. `source` tells whether
+ * it came from a watch or a list of the store, or from a peer. */
 export const CONFIGURATION_APPLIED: LogEvent = {
   id: 812,
   severity: "info",
@@ -101,6 +102,33 @@
   text: "records fetched from a peer",
 };
 
+/** A watch of one kind of record ended without a reply: its call failed, it was
+ * restarted, or the store no longer has the changes since `from`, the revision
+ * at which it started. `waitedMs` is how long it had waited. */
+export const WATCH_INTERRUPTED: LogEvent = {
+  id: 817,
+  severity: "info",
+  text: "watch interrupted",
+};
+
+/** The store replied to a watch. Written for every watch of the configuration,
+ * and for the first reply to another kind after an interrupted watch. `from` is
+ * the revision at which the watch started, `revision` the one at which it
+ * continues, and `changes` how many changes the reply contained. */
+export const WATCH_ANSWERED: LogEvent = {
+  id: 818,
+  severity: "info",
+  text: "watch answered",
+};
+
+/** A configuration was received that is not put in force: it could not be
+ * decoded, or its version is lower than the one in force. */
+export const CONFIGURATION_IGNORED: LogEvent = {
+  id: 819,
+  severity: "warn",
+  text: "configuration ignored; the one in force stays",
+};
+
 /** The first digest of a peer was received, or the first after the peer had
  * been unresponsive. */
 export const PEER_REACHABLE: LogEvent = {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -25,7 +25,10 @@
 import type { EngineRequest } from "./engine_connections.ts";
 import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
 import * as events from "./events.ts";
-import type { RelayDependencies } from "./relay_dependencies.ts";
+import type {
+  ConfigurationInUse,
+  RelayDependencies,
+} from "./relay_dependencies.ts";
 import { trackCompletion } from "./response_completion.ts";
 
 /** Time between a request's deadline and the moment when the gateway aborts its
@@ -76,6 +79,9 @@
   readonly maxConnections: number;
   readonly body: Buffer | undefined;
   readonly arrivedAt: number;
+  /** The version of the configuration that applies, and its age on arrival, for
+   * the log. */
+  readonly configuration: ConfigurationInUse;
   readonly refuse: (
     status: number,
     reason: string,
@@ -393,6 +399,7 @@
       status,
       runs: this.#runCount,
       ms: Math.round(performance.now() - this.#input.arrivedAt),
+      ...this.#input.configuration,
     });
   }
 
@@ -437,6 +444,7 @@
       firstMs: Math.round((this.#firstByteAt ?? now) - arrivedAt),
       pauseMs: Math.round(this.#longestPauseMs) || undefined,
       ms: Math.round(now - arrivedAt),
+      ...this.#input.configuration,
     });
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -201,6 +201,8 @@
     const relay = new Relay({
       protocol: this.#protocol,
       routeTable: () => this.#storeView.routeTable,
+      configurationAgeMs: (now) =>
+        this.#storeView.follower("configuration").ageMs(now),
       chooser: new EngineChooser(this.#engineTable),
       loader: this.#loader,
       connections: this.#connections,
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -132,6 +132,7 @@
       onRecords: (records) => this.#setMembers(records),
       onReachabilityChange: (reachable, reason) =>
         this.#onReachabilityChange("members", reachable, reason),
+      log: options.log,
     });
     this.#assignmentFollower = new RecordFollower(store, {
       kind: "assignment",
@@ -141,6 +142,7 @@
       onRecords: (records) => this.#setAssignment(records),
       onReachabilityChange: (reachable, reason) =>
         this.#onReachabilityChange("assignment", reachable, reason),
+      log: options.log,
     });
   }
 
--- a/packages/gateway/src/record_follower.ts
+++ b/packages/gateway/src/record_follower.ts
@@ -2,6 +2,7 @@
  *
  * @module
  */
+import type { EventLog } from "@banyanlb/core";
 import {
   type RecordKind,
   type RecordList,
@@ -9,6 +10,7 @@
   StoreCallError,
   type StoredRecord,
 } from "@banyanlb/serving";
+import * as events from "./events.ts";
 
 /** Minimum pause after a failed call, in milliseconds. The pause is random, up
  * to twice as long, so that instances do not retry at the same time. */
@@ -22,6 +24,10 @@
  * expensive. */
 export const NON_READER_WATCH_PAUSE_MS = 8000;
 
+/** How records reached this instance: in a reply to a watch, in a list that was
+ * read from the store, or from a peer. */
+export type RecordSource = "watch" | "list" | "peer";
+
 /** Settings and callbacks of a follower. */
 export interface RecordFollowerOptions {
   readonly kind: RecordKind;
@@ -31,9 +37,13 @@
    * read in one call. */
   readonly watchPauseMs: () => number;
   /** Called with all records of the kind after each change. */
-  readonly onRecords: (records: ReadonlyMap<string, StoredRecord>) => void;
+  readonly onRecords: (
+    records: ReadonlyMap<string, StoredRecord>,
+    source: RecordSource,
+  ) => void;
   /** Called when calls begin to fail, and when one succeeds after that. */
   readonly onReachabilityChange: (reachable: boolean, reason: string) => void;
+  readonly log: EventLog;
 }
 
 /** Keeps the newest records of one kind; never goes back to an older
@@ -50,6 +60,9 @@
   #watchAbort: AbortController | undefined;
   #endPause: (() => void) | undefined;
   #isReachable = true;
+  /** Whether no watch has been answered since one was interrupted. */
+  #wasInterrupted = false;
+  #heardAt = -Infinity;
   #isClosed = false;
 
   constructor(store: RecordStore, options: RecordFollowerOptions) {
@@ -62,6 +75,12 @@
     return this.#hasState;
   }
 
+  /** Time since a reply of the store or of a peer last showed the records, in
+   * milliseconds. */
+  ageMs(now: number): number {
+    return now - this.#heardAt;
+  }
+
   /** The highest revision among the records. */
   get newestRevision(): number {
     return this.#newestRevision;
@@ -88,7 +107,7 @@
    * returns whether it is. */
   adopt(list: RecordList): boolean {
     if (this.#hasState && list.revision <= this.#revision) return false;
-    this.#applyList(list);
+    this.#applyList(list, "peer");
     // A watch without pauses should have received the change from the store
     // first, so its connection may be dead.
     if (this.#options.watchPauseMs() === 0) this.reconnect();
@@ -124,7 +143,7 @@
         if (hasList) await this.#watchOnce();
         else {
           const list = await this.#store.list(this.#options.kind);
-          if (list.revision >= this.#revision) this.#applyList(list);
+          if (list.revision >= this.#revision) this.#applyList(list, "list");
           hasList = true;
         }
         this.#setReachable(true, "");
@@ -156,14 +175,38 @@
   async #watchOnce(): Promise<void> {
     const watch = new AbortController();
     this.#watchAbort = watch;
-    const watchedFrom = this.#revision;
-    const { changes, revision } = await this.#store.watch(this.#options.kind, {
-      revision: watchedFrom,
+    const { kind, log } = this.#options;
+    const from = this.#revision;
+    const startedAt = performance.now();
+    const waitedMs = () => Math.round(performance.now() - startedAt);
+    const { changes, revision } = await this.#store.watch(kind, {
+      revision: from,
       // After a failure the wait is short, because the reply shows that the
       // store is available again.
       waitMs: this.#isReachable ? this.#options.waitMs : RECOVERY_WAIT_MS,
       signal: watch.signal,
+    }).catch((err: unknown) => {
+      this.#wasInterrupted = true;
+      const reason = watch.signal.aborted ? "restarted" : String(err);
+      log.write(events.WATCH_INTERRUPTED, {
+        kind,
+        from,
+        waitedMs: waitedMs(),
+        reason,
+      });
+      throw err;
     });
+    if (kind === "configuration" || this.#wasInterrupted) {
+      log.write(events.WATCH_ANSWERED, {
+        kind,
+        from,
+        revision,
+        changes: changes.length,
+        waitedMs: waitedMs(),
+      });
+    }
+    this.#wasInterrupted = false;
+    this.#heardAt = performance.now();
     // A newer list from a peer may have been applied during the watch.
     if (revision < this.#revision) return;
     this.#revision = revision;
@@ -177,25 +220,29 @@
       } else records.set(record.name, record);
     }
     this.#removalRevisions = removalRevisions;
-    this.#applyRecords(records);
+    this.#applyRecords(records, "watch");
   }
 
-  #applyList(list: RecordList): void {
+  #applyList(list: RecordList, source: RecordSource): void {
+    this.#heardAt = performance.now();
     this.#revision = list.revision;
     this.#removalRevisions = new Map();
     this.#hasState = true;
-    this.#applyRecords(new Map(list.records.map((r) => [r.name, r])));
+    this.#applyRecords(new Map(list.records.map((r) => [r.name, r])), source);
   }
 
   /** Puts records in force. Their highest revision is computed once here, since
    * each digest to a peer reports it. */
-  #applyRecords(records: ReadonlyMap<string, StoredRecord>): void {
+  #applyRecords(
+    records: ReadonlyMap<string, StoredRecord>,
+    source: RecordSource,
+  ): void {
     this.#records = records;
     this.#newestRevision = 0;
     for (const { revision } of records.values()) {
       if (revision > this.#newestRevision) this.#newestRevision = revision;
     }
-    this.#options.onRecords(records);
+    this.#options.onRecords(records, source);
   }
 
   #setReachable(reachable: boolean, reason: string): void {
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -9,7 +9,10 @@
 import * as events from "./events.ts";
 import { Exchange } from "./exchange.ts";
 import { readBody } from "./read_body.ts";
-import type { RelayDependencies } from "./relay_dependencies.ts";
+import type {
+  ConfigurationInUse,
+  RelayDependencies,
+} from "./relay_dependencies.ts";
 
 /** Relays callers' requests to engines. */
 export class Relay {
@@ -24,6 +27,11 @@
     const { protocol, metrics, log } = this.#deps;
     const arrivedAt = performance.now();
     const caller = protocol.readRequest(req.rawHeaders);
+    const routeTable = this.#deps.routeTable();
+    const configuration: ConfigurationInUse = {
+      configuration: routeTable?.configuration.version,
+      configurationAgeMs: Math.round(this.#deps.configurationAgeMs(arrivedAt)),
+    };
     const refuse = (status: number, reason: string, waitSeconds?: number) => {
       metrics.add("refusals_total", `reason="${reason}"`);
       log.write(events.REQUEST_REFUSED, {
@@ -32,10 +40,10 @@
         reason,
         waitSeconds,
         ms: Math.round(performance.now() - arrivedAt),
+        ...configuration,
       });
       sendErrorResponse(res, status, { id: caller.id, reason, waitSeconds });
     };
-    const routeTable = this.#deps.routeTable();
     if (routeTable === undefined) return refuse(503, "no_configuration", 0.5);
     if (caller.id === undefined || req.headers.host === undefined) {
       return refuse(400, "malformed");
@@ -72,6 +80,7 @@
       maxConnections: routeTable.findService(service)?.maxConnections ?? 64,
       body,
       arrivedAt,
+      configuration,
       refuse,
     });
     await exchange.run();
--- a/packages/gateway/src/relay_dependencies.ts
+++ b/packages/gateway/src/relay_dependencies.ts
@@ -19,10 +19,22 @@
 import type { EngineConnections } from "./engine_connections.ts";
 import type { GatewayMetrics } from "./metrics.ts";
 
+/** The configuration that applied to a request, as log lines report it. */
+export interface ConfigurationInUse {
+  /** Its version; undefined if this instance has none yet. */
+  readonly configuration: number | undefined;
+  /** Time since the configuration was last shown to be the newest, in
+   * milliseconds. */
+  readonly configurationAgeMs: number;
+}
+
 /** Dependencies that the relay uses for every request. */
 export interface RelayDependencies {
   readonly protocol: CallerProtocol;
   readonly routeTable: () => RouteTable | undefined;
+  /** Time since a reply of the store or of a peer last showed the
+   * configuration, in milliseconds. */
+  readonly configurationAgeMs: (now: number) => number;
   readonly chooser: EngineChooser;
   readonly loader: AdapterLoader;
   readonly connections: EngineConnections;
--- a/packages/gateway/src/relay_test.ts
+++ b/packages/gateway/src/relay_test.ts
@@ -112,6 +112,7 @@
   const relay = new Relay({
     protocol: new PlatformCallerProtocol(),
     routeTable: () => routeTable,
+    configurationAgeMs: () => 0,
     chooser: new EngineChooser(engineTable),
     loader: {
       load: options.load ?? (() => Promise.resolve(false)),
--- a/packages/gateway/src/store_view.ts
+++ b/packages/gateway/src/store_view.ts
@@ -6,7 +6,6 @@
 import type { EventLog } from "@banyanlb/core";
 import {
   adapterKey,
-  type Configuration,
   type Engine,
   type EngineTable,
   keepExpiredUntil,
@@ -24,6 +23,7 @@
 import {
   NON_READER_WATCH_PAUSE_MS,
   RecordFollower,
+  type RecordSource,
 } from "./record_follower.ts";
 
 /** Kinds of records that the view follows. */
@@ -72,6 +72,8 @@
   readonly #unreachableKinds = new Set<string>();
   #reachabilityChangedAt = -Infinity;
   readonly #ignoredEntries = new Set<string>();
+  /** Revision of the last configuration that was logged as ignored. */
+  #ignoredConfigurationRevision = 0;
   /** Called when the configuration or the engines have changed. */
   onChange: () => void = () => undefined;
   /** Called after records from the store or a peer were applied. */
@@ -92,18 +94,22 @@
       kind: FollowedKind,
       watchPauseMs: () => number,
       waitMs: number,
-      onRecords: (records: ReadonlyMap<string, StoredRecord>) => void,
+      onRecords: (
+        records: ReadonlyMap<string, StoredRecord>,
+        source: RecordSource,
+      ) => void,
     ) =>
       new RecordFollower(store, {
         kind,
         waitMs,
         watchPauseMs,
-        onRecords: (records) => {
-          onRecords(records);
+        onRecords: (records, source) => {
+          onRecords(records, source);
           this.onRecordsApplied();
         },
         onReachabilityChange: (reachable, reason) =>
           this.#onReachabilityChange(kind, reachable, reason),
+        log: options.log,
       });
     const watchPauseFor = (readerPauseMs: number) => () =>
       options.isStoreReader() ? readerPauseMs : NON_READER_WATCH_PAUSE_MS;
@@ -112,7 +118,7 @@
         "configuration",
         () => 0,
         WATCH_WAIT_MS,
-        (r) => this.#setConfiguration(r),
+        (r, source) => this.#setConfiguration(r, source),
       ),
       engines: createFollower(
         "engines",
@@ -222,20 +228,36 @@
     else this.#log.write(events.STORE_UNAVAILABLE, { kind, reason });
   }
 
-  #setConfiguration(records: ReadonlyMap<string, StoredRecord>): void {
+  #setConfiguration(
+    records: ReadonlyMap<string, StoredRecord>,
+    source: RecordSource,
+  ): void {
     const record = records.get(CONFIGURATION_NAME);
     if (record === undefined) return;
-    const decoded: Configuration | undefined = decodeConfiguration(
-      record.value,
-    );
+    const decoded = decodeConfiguration(record.value);
     const current = this.#routeTable?.configuration.version;
-    if (decoded === undefined) return;
-    if (current !== undefined && decoded.version <= current) return;
-    this.#routeTable = new RouteTable(decoded);
+    const version = decoded?.configuration.version ?? -Infinity;
+    const { revision } = record;
+    if (decoded === undefined || version < (current ?? -Infinity)) {
+      if (revision === this.#ignoredConfigurationRevision) return;
+      this.#ignoredConfigurationRevision = revision;
+      this.#log.write(events.CONFIGURATION_IGNORED, {
+        reason: decoded === undefined ? "not decodable" : "older version",
+        version: decoded?.configuration.version,
+        revision,
+        source,
+        inForce: current,
+      });
+      return;
+    }
+    if (version === current) return;
+    this.#routeTable = new RouteTable(decoded.configuration);
     this.#log.write(events.CONFIGURATION_APPLIED, {
-      version: decoded.version,
-      revision: record.revision,
+      version,
+      revision,
       before: current,
+      source,
+      skippedEntries: decoded.skippedEntries || undefined,
     });
     this.onChange();
   }
