--- /dev/null
+++ b/packages/gateway/src/testing/fake_record_store.ts
@@ -0,0 +1,219 @@
+/** A record store in memory, whose watches, lists and history can fail.
+ *
+ * @module
+ */
+import {
+  type RecordChange,
+  type RecordKind,
+  type RecordList,
+  RecordStore,
+  StoreCallError,
+  type StoredRecord,
+} from "@banyanlb/serving";
+
+interface Watch {
+  readonly kind: RecordKind;
+  readonly from: number;
+  /** Whether the watch is never told of changes. */
+  readonly isDeaf: boolean;
+  reply(): void;
+  fail(err: Error): void;
+}
+
+interface LoggedChange extends RecordChange {
+  readonly kind: RecordKind;
+  readonly revision: number;
+}
+
+/** How calls other than watches are answered. */
+export type ReadMode = "serve" | "silent" | "reject" | "stale";
+
+/** Keeps records in memory and answers watches as the store does. */
+export class FakeRecordStore extends RecordStore {
+  /** How lists are answered. `stale`: with the records of `freezeLists`. */
+  readMode: ReadMode = "serve";
+  /** Whether watches, also those that start from now on, hear of no change. */
+  areWatchesDeaf = false;
+  /** Whether a watch that waited in vain is answered with the newest revision,
+   * even if it missed a change. */
+  skipsMissedChanges = false;
+  /** Number of calls, by method. */
+  readonly calls = { list: 0, watch: 0, get: 0 };
+  readonly #records = new Map<RecordKind, Map<string, StoredRecord>>();
+  readonly #stale = new Map<RecordKind, RecordList>();
+  readonly #watches = new Set<Watch>();
+  #history: LoggedChange[] = [];
+  #revision = 100;
+  #oldestRevision = 100;
+
+  /** The revision of the newest change. */
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Number of watches that wait for a reply. */
+  get waitingWatches(): number {
+    return this.#watches.size;
+  }
+
+  /** Writes a record without a condition; returns its revision. */
+  write(kind: RecordKind, name: string, value: unknown): number {
+    this.#revision += 1;
+    const record = { name, revision: this.#revision, value };
+    this.#recordsOf(kind).set(name, record);
+    this.#logChange(kind, { removed: false, record });
+    return this.#revision;
+  }
+
+  /** Removes a record. The change carries the record's last revision. */
+  erase(kind: RecordKind, name: string): void {
+    const record = this.#recordsOf(kind).get(name);
+    if (record === undefined) return;
+    this.#revision += 1;
+    this.#recordsOf(kind).delete(name);
+    this.#logChange(kind, { removed: true, record });
+  }
+
+  /** Keeps the present records as the answer to lists in mode `stale`. */
+  freezeLists(): void {
+    for (const kind of this.#records.keys()) {
+      this.#stale.set(kind, this.#currentList(kind));
+    }
+  }
+
+  /** Drops the history: a watch from an older revision fails from now on.
+   * Watches that are waiting are not told. */
+  compact(): void {
+    this.#history = [];
+    this.#oldestRevision = this.#revision;
+  }
+
+  /** Resets the connections on which watches are waiting, one after another:
+   * first those of the kinds not in `lastKinds`. Resolves when all are reset;
+   * watches that have started meanwhile go on. */
+  async resetWatches(lastKinds: readonly RecordKind[] = []): Promise<void> {
+    const watches = [...this.#watches].sort((a, b) =>
+      Number(lastKinds.includes(a.kind)) - Number(lastKinds.includes(b.kind))
+    );
+    for (const watch of watches) {
+      watch.fail(new StoreCallError("unknown", "read ECONNRESET"));
+      await delay(1);
+    }
+  }
+
+  override list(kind: RecordKind): Promise<RecordList> {
+    this.calls.list += 1;
+    switch (this.readMode) {
+      case "serve":
+        return Promise.resolve(this.#currentList(kind));
+      case "stale":
+        return Promise.resolve(
+          this.#stale.get(kind) ?? { records: [], revision: 100 },
+        );
+      case "silent":
+        return delay(1200).then(() => {
+          throw new StoreCallError("unknown", "no response within 1200 ms");
+        });
+      case "reject":
+        return Promise.reject(new StoreCallError("rejected", "status 503"));
+    }
+  }
+
+  override get(
+    kind: RecordKind,
+    name: string,
+  ): Promise<StoredRecord | undefined> {
+    this.calls.get += 1;
+    return Promise.resolve(this.#recordsOf(kind).get(name));
+  }
+
+  override watch(
+    kind: RecordKind,
+    options: {
+      readonly revision: number;
+      readonly waitMs: number;
+      readonly signal: AbortSignal;
+    },
+  ): Promise<
+    { readonly changes: readonly RecordChange[]; readonly revision: number }
+  > {
+    this.calls.watch += 1;
+    const { revision: from, waitMs, signal } = options;
+    const isDeaf = this.areWatchesDeaf;
+    if (!isDeaf && from < this.#oldestRevision) {
+      return Promise.reject(new StoreCallError("history_gone", "status 410"));
+    }
+    return new Promise((resolve, reject) => {
+      const settle = (finish: () => void) => {
+        clearTimeout(timer);
+        this.#watches.delete(watch);
+        finish();
+      };
+      const watch: Watch = {
+        kind,
+        from,
+        isDeaf,
+        reply: () =>
+          settle(() => {
+            const changes = isDeaf && this.skipsMissedChanges
+              ? []
+              : this.#changesSince(kind, from);
+            resolve({ changes, revision: this.#revision });
+          }),
+        fail: (err) => settle(() => reject(err)),
+      };
+      const timer = setTimeout(() => watch.reply(), waitMs);
+      this.#watches.add(watch);
+      signal.addEventListener("abort", () => {
+        watch.fail(new StoreCallError("unknown", "aborted"));
+      }, { once: true });
+      if (!isDeaf && this.#changesSince(kind, from).length > 0) watch.reply();
+    });
+  }
+
+  override put(): Promise<StoredRecord> {
+    return Promise.reject(new StoreCallError("rejected", "read only"));
+  }
+
+  override remove(): Promise<void> {
+    return Promise.reject(new StoreCallError("rejected", "read only"));
+  }
+
+  override close(): void {
+    for (const watch of this.#watches) {
+      watch.fail(new StoreCallError("unknown", "closed"));
+    }
+  }
+
+  #recordsOf(kind: RecordKind): Map<string, StoredRecord> {
+    let records = this.#records.get(kind);
+    if (records === undefined) {
+      records = new Map();
+      this.#records.set(kind, records);
+    }
+    return records;
+  }
+
+  #currentList(kind: RecordKind): RecordList {
+    return {
+      records: [...this.#recordsOf(kind).values()],
+      revision: this.#revision,
+    };
+  }
+
+  #logChange(kind: RecordKind, change: RecordChange): void {
+    this.#history.push({ ...change, kind, revision: this.#revision });
+    if (this.areWatchesDeaf) return;
+    for (const watch of this.#watches) {
+      if (watch.kind === kind && !watch.isDeaf) watch.reply();
+    }
+  }
+
+  #changesSince(kind: RecordKind, from: number): readonly RecordChange[] {
+    return this.#history.filter((c) => c.kind === kind && c.revision > from);
+  }
+}
+
+function delay(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
