Confirm records by lists and peers instead of trusting a silent watch

Cause: the follower took a watch that waits for a healthy one. When the store drops its history it resets the watches. The reset of one kind's watch restarted those of the others at once, and a watch that starts in that moment is accepted but hears neither the change nor that the history is gone. Where this hit the configuration's watch on all instances, nobody was ahead and no peer could help.

The class of fault: silence is taken for the evidence that nothing is new. Two more faults of it are mended here: the revision of a watch counted as the revision up to which records are complete, so that a newer record of a peer did not count as ahead, and so that a peer's list could remove a record that the peer had missed.

Change: records of all kinds are confirmed regularly by a complete list or by a peer that holds the same ones (Confirmation, RecordConfirmer, SharedRecords); lists are merged record by record (RecordSet). A watch that does not report a known change is restarted.

Ruled out: that only the restart at once is at fault; a watch on a connection that goes silent without a reset has the same effect until its time-out of 26 s (store_view_test, 'a silent watch does not hide a change', fails without lists).

--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -18,13 +18,8 @@
 import * as events from "./events.ts";
 import type { Membership } from "./membership.ts";
 import type { PeerLinks } from "./peer_links.ts";
-import {
-  type Digest,
-  type PullReply,
-  SHARED_KINDS,
-  type SharedKind,
-} from "./peer_messages.ts";
-import type { RecordFollower } from "./record_follower.ts";
+import { type Digest, SHARED_KINDS } from "./peer_messages.ts";
+import type { SharedRecords } from "./shared_records.ts";
 import type { StoreView } from "./store_view.ts";
 import type { AdapterUsage, AdapterUsageCounts } from "./adapter_usage.ts";
 
@@ -47,9 +42,6 @@
  * peer that has been running for longer than it by more than this time. */
 const NEW_PEER_MS = 1500;
 
-/** Timeout of a request for a peer's full list of records, in milliseconds. */
-const PULL_TIMEOUT_MS = 800;
-
 /** A value that is sent when it changes: its name, a number that differs after
  * each change, and the value itself. */
 type DeltaRow<T> = readonly [name: string, state: number, value: T];
@@ -85,6 +77,7 @@
   readonly engineTable: EngineTable;
   readonly loader: AdapterLoader;
   readonly storeView: StoreView;
+  readonly records: SharedRecords;
   readonly rates: ReadonlyMap<string, TokenRate>;
   readonly use: AdapterUsageCounts;
   readonly links: () => PeerLinks;
@@ -113,7 +106,6 @@
     versions: new LagDetector(0),
     assignment: new LagDetector(0),
   };
-  readonly #pendingPulls = new Set<string>();
   /** The newest revisions announced so far, in the order of `SHARED_KINDS`. */
   #announcedRevisions: readonly number[] = [];
 
@@ -124,7 +116,7 @@
   /** Sends a digest to all peers at once if a shared kind has a newer revision
    * than the last one announced. Called by store readers. */
   announceChanges(): void {
-    const revisions = SHARED_KINDS.map((kind) => this.#newestRevision(kind));
+    const revisions = this.#newestRevisions();
     if (
       !revisions.some((revision, i) =>
         revision > (this.#announcedRevisions[i] ?? 0)
@@ -270,18 +262,9 @@
     this.#compareRevisions(member, digest, now);
   }
 
-  /** The follower of a kind of records. */
-  follower(kind: SharedKind): RecordFollower {
-    const { storeView, membership } = this.#options;
-    return kind === "assignment"
-      ? membership.assignmentFollower
-      : storeView.follower(kind);
-  }
-
-  #newestRevision(kind: SharedKind): number {
-    return kind === "engines"
-      ? this.#options.storeView.engineSetRevision
-      : this.follower(kind).newestRevision;
+  #newestRevisions(): readonly number[] {
+    const { records } = this.#options;
+    return SHARED_KINDS.map((kind) => records.summary(kind).revision);
   }
 
   /** The fields that are the same in the digests to all peers. */
@@ -299,7 +282,7 @@
       busy: Math.round(busy * 100) || undefined,
       cut: storeView.reachesStore ? undefined : true as const,
       tenure: membership.tenure,
-      revs: SHARED_KINDS.map((kind) => this.#newestRevision(kind)),
+      revs: this.#newestRevisions(),
       up: Math.round(performance.now()),
       down: down.length === 0 ? undefined : down,
       fetches: fetches === 0 ? undefined : fetches,
@@ -388,44 +371,26 @@
    * this instance's watch has delivered: the watch may be dead, or the store
    * may be rejecting this instance. */
   #compareRevisions(member: Member, digest: Digest, now: number): void {
+    const { records } = this.#options;
     SHARED_KINDS.forEach((kind, i) => {
-      const follower = this.follower(kind);
+      const follower = records.follower(kind);
       const announcedRevision = digest.revs[i] ?? 0;
       const isBehind = this.#lagDetectors[kind].observe({
-        ownRevision: follower.revision,
+        // The revision up to which the watch has reported changes says nothing
+        // about changes that it missed. For engines it is used nonetheless,
+        // because the revision of a removal may differ between instances.
+        ownRevision: kind === "engines"
+          ? Math.max(follower.revision, records.summary(kind).revision)
+          : follower.newestRevision,
         peerRevision: announcedRevision,
         now,
       });
       // A process without any records of the kind does not wait for the store.
       if (isBehind || (!follower.known && announcedRevision > 0)) {
-        void this.#pull(member, kind);
+        void records.pull(member, kind);
       }
     });
   }
-
-  async #pull(
-    member: Member,
-    kind: SharedKind,
-  ): Promise<void> {
-    if (this.#pendingPulls.has(kind)) return;
-    this.#pendingPulls.add(kind);
-    const reply = await this.#options.links().ask(
-      member.peerAddress,
-      (n) => ({ t: "pull", n, kind }),
-      PULL_TIMEOUT_MS,
-    );
-    this.#pendingPulls.delete(kind);
-    const list = (reply as PullReply | undefined)?.list;
-    if (list === undefined) return;
-    const { log } = this.#options;
-    if (this.follower(kind).adopt(list)) {
-      log.write(events.RECORDS_FETCHED_FROM_PEER, {
-        kind,
-        peer: member.name,
-        revision: list.revision,
-      });
-    }
-  }
 }
 
 /** The values that have changed since they were last sent to the peer, by name;
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -129,6 +129,23 @@
   text: "configuration ignored; the one in force stays",
 };
 
+/** A watch had not reported a change that a list or a peer had brought some
+ * time before. It is restarted. */
+export const WATCH_SILENT: LogEvent = {
+  id: 828,
+  severity: "warn",
+  text: "watch has not reported a known change; restarted",
+};
+
+/** The store did not answer a list that was to confirm the records of one kind,
+ * or answered with an older list. `ageMs` is the time since the records were
+ * last confirmed. Written for the first failure in a row. */
+export const CONFIRMATION_FAILED: LogEvent = {
+  id: 829,
+  severity: "warn",
+  text: "records not confirmed by the store",
+};
+
 /** The first digest of a peer was received, or the first after the peer had
  * been unresponsive. */
 export const PEER_REACHABLE: LogEvent = {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { EventLog } from "@banyanlb/core";
 import {
+  aggregatesLoads,
   EngineChooser,
   EngineTable,
   type Member,
@@ -37,7 +38,9 @@
 import { OwnLoad } from "./own_load.ts";
 import { PeerLinks, type SendReply } from "./peer_links.ts";
 import type { PeerMessage } from "./peer_messages.ts";
+import { RecordConfirmer } from "./record_confirmer.ts";
 import { Relay } from "./relay.ts";
+import { SharedRecords } from "./shared_records.ts";
 import { StoreView } from "./store_view.ts";
 
 /** Time between runs of the periodic work, in milliseconds: load measurement,
@@ -76,6 +79,9 @@
  * only after seconds. */
 const STORE_READERS_PER_REGION = 2;
 
+/** Number of instances that this one asks in turn to confirm its records. */
+const LEADS_MAX = 2;
+
 /** Maximum size of a request's header block, in bytes. The limit of the
  * configuration is not available yet when the listener opens. */
 const HEADER_MAX_BYTES = 64 * 1024;
@@ -97,6 +103,8 @@
   readonly #membership: Membership;
   readonly #links: PeerLinks;
   readonly #loader: AdapterLoader;
+  readonly #records: SharedRecords;
+  readonly #recordConfirmer: RecordConfirmer;
   readonly #digestExchange: DigestExchange;
   readonly #ownLoad = new OwnLoad();
   readonly #steeringPolicy = new Steering();
@@ -110,6 +118,8 @@
   #loaderTimer: NodeJS.Timeout | undefined;
   /** Whether this instance reads the store on behalf of its region. */
   #isStoreReader = true;
+  /** The instances that confirm the records of this one, the lead first. */
+  #leads: readonly Member[] = [];
   #isDraining = false;
   #drainStartedAt = Infinity;
 
@@ -141,6 +151,7 @@
       engineTable: this.#engineTable,
       log,
       isStoreReader: () => this.#isStoreReader,
+      changeKnownMs: settings.bounds.changeKnownMs,
     });
     this.#membership = new Membership(this.#store, {
       self: this.#self,
@@ -149,6 +160,7 @@
       clocks: this.#clocks,
       log,
       orderGapMs: settings.bounds.orderGapMs,
+      changeKnownMs: settings.bounds.changeKnownMs,
       isStoreReader: () => this.#isStoreReader,
       onAssignmentChange: () => {
         this.#loader.tick();
@@ -179,6 +191,23 @@
       log,
       metrics: this.#metrics,
     });
+    this.#records = new SharedRecords({
+      followers: {
+        configuration: this.#storeView.follower("configuration"),
+        engines: this.#storeView.follower("engines"),
+        versions: this.#storeView.follower("versions"),
+        assignment: this.#membership.assignmentFollower,
+      },
+      engineSet: () => this.#storeView.engineSet,
+      links: () => this.#links,
+      log,
+    });
+    this.#recordConfirmer = new RecordConfirmer({
+      records: this.#records,
+      unshared: [this.#membership.memberFollower],
+      leads: () => this.#leads,
+      links: () => this.#links,
+    });
     const use = new AdapterUsageCounts();
     this.#digestExchange = new DigestExchange({
       self: this.#self,
@@ -187,6 +216,7 @@
       engineTable: this.#engineTable,
       loader: this.#loader,
       storeView: this.#storeView,
+      records: this.#records,
       rates: this.#rates,
       use,
       links: () => this.#links,
@@ -236,6 +266,14 @@
     );
     this.#metricsServer = createCallerServer((_, res) => {
       this.#metrics.set("log_lines_dropped", options.droppedLogLines());
+      this.#metrics.set(
+        "configuration_version",
+        this.#storeView.routeTable?.configuration.version ?? 0,
+      );
+      this.#metrics.set(
+        "configuration_age_ms",
+        this.#storeView.follower("configuration").ageMs(performance.now()),
+      );
       res.end(this.#metrics.render());
     });
     this.#storeView.onChange = () => this.#onStoreViewChange();
@@ -263,6 +301,7 @@
       setInterval(() => this.#digestExchange.send(), DIGEST_TICK_MS),
       setInterval(() => this.#tick(), TICK_MS),
     );
+    this.#recordConfirmer.start();
     this.#runLoader();
     this.#log.write(events.STARTED, {
       name: this.#self.name,
@@ -304,6 +343,7 @@
   close(): void {
     for (const timer of this.#timers) clearInterval(timer);
     clearTimeout(this.#loaderTimer);
+    this.#recordConfirmer.close();
     this.#storeView.close();
     this.#membership.close();
     this.#links.close();
@@ -339,11 +379,18 @@
     return remainingMs > route.timeoutMs;
   }
 
-  /** Decides whether this instance is one of its region's store readers. The
-   * instances with the most cores are preferred, since many peers pull records
-   * from them. */
+  /** Decides whether this instance is one of its region's store readers, and
+   * which instances confirm its records: those before it in its region, or in
+   * the whole fleet if that is small. The instances with the most cores are
+   * preferred, since many peers pull records from them. */
   #updateStoreReader(now: number): void {
-    const preceding = this.#members.membersReachingStore(now).filter((m) =>
+    const reaching = this.#members.membersReachingStore(now);
+    const isFleetSmall = !aggregatesLoads(this.#members.list().length);
+    this.#leads = reaching.filter((m) =>
+      (isFleetSmall || m.region === this.#self.region) &&
+      (!this.#storeView.reachesStore || precedesAsReader(m, this.#self))
+    ).sort((a, b) => precedesAsReader(a, b) ? -1 : 1).slice(0, LEADS_MAX);
+    const preceding = reaching.filter((m) =>
       m.region === this.#self.region && precedesAsReader(m, this.#self)
     );
     const isStoreReader = preceding.length < STORE_READERS_PER_REGION;
@@ -449,11 +496,18 @@
           },
         );
         return;
-      case "pull": {
-        const list = this.#digestExchange.follower(message.kind).snapshot();
-        sendReply({ t: "pulled", n: message.n, list });
+      case "confirm":
+        sendReply({
+          t: "confirmed",
+          n: message.n,
+          kinds: this.#records.confirmedRows(performance.now()),
+        });
+        return;
+      case "pull":
+        sendReply(
+          this.#records.pullReply(message.n, message.kind, performance.now()),
+        );
         return;
-      }
       default:
         return;
     }
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -9,6 +9,8 @@
 import {
   type Assignment,
   type ClockPair,
+  type ConfirmationTimes,
+  confirmationTimes,
   type EngineTable,
   ExpiryDetector,
   type Member,
@@ -56,6 +58,18 @@
  * list often, and new members introduce themselves to their peers, so the list
  * is read rarely. */
 const MEMBERS_WATCH_PAUSE_MS = 20_000;
+
+/** Factor of the time within which a new assignment must be known, compared
+ * with other changes: an instance with an old one only asks the wrong owner. */
+const ASSIGNMENT_KNOWN_FACTOR = 2;
+
+/** When the members are confirmed, in milliseconds. They are not compared with
+ * those of peers. */
+const MEMBERS_CONFIRMATION_TIMES: ConfirmationTimes = {
+  leadMs: 20_000,
+  askMs: Infinity,
+  readMs: 20_000,
+};
 const ASSIGNMENT_RECORD_NAME = "engines";
 
 /** A member's entry in the store. */
@@ -88,6 +102,8 @@
   /** Minimum time between the orders of an old and a new owner of an engine, in
    * milliseconds. */
   readonly orderGapMs: number;
+  /** Time within which a change must be known here, in milliseconds. */
+  readonly changeKnownMs: number;
   /** Whether this instance reads the store on behalf of its region. */
   readonly isStoreReader: () => boolean;
   /** Called when a new assignment is in force. */
@@ -129,6 +145,7 @@
       kind: "members",
       waitMs: WATCH_WAIT_MS,
       watchPauseMs: () => MEMBERS_WATCH_PAUSE_MS,
+      confirmationTimes: MEMBERS_CONFIRMATION_TIMES,
       onRecords: (records) => this.#setMembers(records),
       onReachabilityChange: (reachable, reason) =>
         this.#onReachabilityChange("members", reachable, reason),
@@ -139,6 +156,9 @@
       waitMs: WATCH_WAIT_MS,
       watchPauseMs: () =>
         options.isStoreReader() ? 0 : NON_READER_WATCH_PAUSE_MS,
+      confirmationTimes: confirmationTimes(
+        options.changeKnownMs * ASSIGNMENT_KNOWN_FACTOR,
+      ),
       onRecords: (records) => this.#setAssignment(records),
       onReachabilityChange: (reachable, reason) =>
         this.#onReachabilityChange("assignment", reachable, reason),
@@ -171,6 +191,11 @@
       this.#lease.isHeld();
   }
 
+  /** The follower of the members. */
+  get memberFollower(): RecordFollower {
+    return this.#memberFollower;
+  }
+
   /** The follower of the assignment. */
   get assignmentFollower(): RecordFollower {
     return this.#assignmentFollower;
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -98,6 +98,28 @@
   readonly ok: boolean;
 }
 
+/** Asks which records the receiver knows to be the newest. */
+export interface ConfirmRequest {
+  readonly t: "confirm";
+  readonly n: number;
+}
+
+/** The records of one kind at the sender: their newest revision, their
+ * fingerprint, and the time since they were known to be the newest, in
+ * milliseconds; null if they never were. */
+export type ConfirmedRow = readonly [
+  revision: number,
+  fingerprint: number,
+  ageMs: number | null,
+];
+
+/** The reply to a `ConfirmRequest`, in the order of `SHARED_KINDS`. */
+export interface ConfirmReply {
+  readonly t: "confirmed";
+  readonly n: number;
+  readonly kinds: readonly ConfirmedRow[];
+}
+
 /** Requests all records of a kind. */
 export interface PullRequest {
   readonly t: "pull";
@@ -111,6 +133,9 @@
   readonly t: "pulled";
   readonly n: number;
   readonly list: RecordList | undefined;
+  /** Time since the list was known to be the newest, in milliseconds; null if
+   * it never was. */
+  readonly age?: number | null;
 }
 
 /** Any message between instances. */
@@ -119,5 +144,7 @@
   | Digest
   | LoadRequest
   | LoadReply
+  | ConfirmRequest
+  | ConfirmReply
   | PullRequest
   | PullReply;
--- /dev/null
+++ b/packages/gateway/src/record_confirmer.ts
@@ -0,0 +1,92 @@
+/** Confirms regularly that the records of this instance are the newest.
+ *
+ * @module
+ */
+import type { Member } from "@banyanlb/serving";
+import type { PeerLinks } from "./peer_links.ts";
+import { SHARED_KINDS } from "./peer_messages.ts";
+import type { RecordFollower } from "./record_follower.ts";
+import type { SharedRecords } from "./shared_records.ts";
+
+/** Time between checks of whether records must be confirmed, in
+ * milliseconds. */
+const CHECK_INTERVAL_MS = 200;
+
+/** Timeout of a question to a peer, in milliseconds: it ends before this
+ * instance has to read the store itself. */
+const ASK_TIMEOUT_MS = 250;
+
+/** Parts of the gateway that the confirmer uses. */
+export interface RecordConfirmerOptions {
+  readonly records: SharedRecords;
+  /** Followers of records that are not shared with peers. */
+  readonly unshared: readonly RecordFollower[];
+  /** The instances that read the store on behalf of this one, the lead first;
+   * none if this instance is the lead. */
+  readonly leads: () => readonly Member[];
+  readonly links: () => Pick<PeerLinks, "ask">;
+}
+
+/** Asks peers and reads the store so that each kind of records stays
+ * confirmed. */
+export class RecordConfirmer {
+  readonly #options: RecordConfirmerOptions;
+  #timer: NodeJS.Timeout | undefined;
+  #isAsking = false;
+  /** Number of questions that were not answered; selects the next lead to
+   * ask. */
+  #unanswered = 0;
+
+  constructor(options: RecordConfirmerOptions) {
+    this.#options = options;
+  }
+
+  /** Starts the regular checks. */
+  start(): void {
+    this.#timer = setInterval(
+      () => this.check(performance.now()),
+      CHECK_INTERVAL_MS,
+    );
+  }
+
+  /** Stops the checks. */
+  close(): void {
+    clearInterval(this.#timer);
+  }
+
+  /** Confirms the records that need it at `now`. */
+  check(now: number): void {
+    const { records, unshared } = this.#options;
+    const leads = this.#options.leads();
+    const isLead = leads.length === 0;
+    let mustAsk = false;
+    for (const kind of SHARED_KINDS) {
+      const follower = records.follower(kind);
+      follower.restartSilentWatch();
+      const step = follower.nextConfirmationStep(now, isLead);
+      if (step === "read") void follower.confirm();
+      if (step !== "none" && !isLead) mustAsk = true;
+    }
+    for (const follower of unshared) {
+      follower.restartSilentWatch();
+      if (follower.nextConfirmationStep(now, true) === "read") {
+        void follower.confirm();
+      }
+    }
+    const lead = leads[this.#unanswered % leads.length];
+    if (mustAsk && lead !== undefined) void this.#ask(lead, now);
+  }
+
+  async #ask(lead: Member, askedAt: number): Promise<void> {
+    if (this.#isAsking) return;
+    this.#isAsking = true;
+    const reply = await this.#options.links().ask(
+      lead.peerAddress,
+      (n) => ({ t: "confirm", n }),
+      ASK_TIMEOUT_MS,
+    );
+    this.#isAsking = false;
+    if (reply?.t !== "confirmed") this.#unanswered += 1;
+    else this.#options.records.applyConfirmedRows(lead, reply.kinds, askedAt);
+  }
+}
--- a/packages/gateway/src/record_follower.ts
+++ b/packages/gateway/src/record_follower.ts
@@ -1,11 +1,19 @@
 /** Follows all records of one kind in the store.
+ *
+ * A watch brings changes within milliseconds, but nothing shows whether it still
+ * hears of them. Therefore the records are also confirmed regularly, see
+ * `Confirmation`.
  *
  * @module
  */
 import type { EventLog } from "@banyanlb/core";
 import {
+  Confirmation,
+  type ConfirmationStep,
+  type ConfirmationTimes,
   type RecordKind,
   type RecordList,
+  RecordSet,
   type RecordStore,
   StoreCallError,
   type StoredRecord,
@@ -19,6 +27,9 @@
 /** Longest wait of the first watch after a failure, in milliseconds. */
 const RECOVERY_WAIT_MS = 500;
 
+/** Timeout of a list that confirms the records, in milliseconds. */
+const CONFIRM_TIMEOUT_MS = 400;
+
 /** Pause between watches of an instance that is not a store reader, in
  * milliseconds. Its peers announce changes to it, and calls to the store are
  * expensive. */
@@ -36,7 +47,9 @@
   /** Pause between two watches, in milliseconds; changes within the pause are
    * read in one call. */
   readonly watchPauseMs: () => number;
-  /** Called with all records of the kind after each change. */
+  readonly confirmationTimes: ConfirmationTimes;
+  /** Called with all records of the kind after the first list and after each
+   * change. */
   readonly onRecords: (
     records: ReadonlyMap<string, StoredRecord>,
     source: RecordSource,
@@ -46,28 +59,40 @@
   readonly log: EventLog;
 }
 
+/** A watch that waits for its reply. */
+interface PendingWatch {
+  readonly abort: AbortController;
+  readonly from: number;
+  readonly startedAt: number;
+}
+
+/** Thrown when a watch was aborted in order to start a new one. */
+class WatchRestarted extends Error {}
+
 /** Keeps the newest records of one kind; never goes back to an older
  * revision. */
 export class RecordFollower {
   readonly #store: RecordStore;
   readonly #options: RecordFollowerOptions;
-  #records: ReadonlyMap<string, StoredRecord> = new Map();
-  /** Revisions at which the latest watch found records removed, by name. */
-  #removalRevisions: ReadonlyMap<string, number> = new Map();
-  #newestRevision = 0;
+  readonly #set = new RecordSet();
+  readonly #confirmation: Confirmation;
+  /** The store's revision from which the next watch starts. */
   #revision = 0;
   #hasState = false;
-  #watchAbort: AbortController | undefined;
+  #pendingWatch: PendingWatch | undefined;
+  /** A watch that has not reported a change that is already known. */
+  #suspectWatch: PendingWatch | undefined;
+  #isConfirming = false;
   #endPause: (() => void) | undefined;
   #isReachable = true;
   /** Whether no watch has been answered since one was interrupted. */
   #wasInterrupted = false;
-  #heardAt = -Infinity;
   #isClosed = false;
 
   constructor(store: RecordStore, options: RecordFollowerOptions) {
     this.#store = store;
     this.#options = options;
+    this.#confirmation = new Confirmation(options.confirmationTimes);
   }
 
   /** Whether a full list of the records was received. */
@@ -75,15 +100,9 @@
     return this.#hasState;
   }
 
-  /** Time since a reply of the store or of a peer last showed the records, in
-   * milliseconds. */
-  ageMs(now: number): number {
-    return now - this.#heardAt;
-  }
-
   /** The highest revision among the records. */
   get newestRevision(): number {
-    return this.#newestRevision;
+    return this.#set.newestRevision;
   }
 
   /** The store's revision up to which changes were received. */
@@ -91,33 +110,59 @@
     return this.#revision;
   }
 
-  /** The revision at which the latest watch found a record removed; the store's
-   * revision if the removal shows only from a full list. */
+  /** Equal on two instances that hold the same records. */
+  get fingerprint(): number {
+    return this.#set.fingerprint;
+  }
+
+  /** Whether the store did not answer the last list that was to confirm the
+   * records. */
+  get isConfirmationFailing(): boolean {
+    return this.#confirmation.isFailing;
+  }
+
+  /** Time since the records were last known to be the newest, in
+   * milliseconds; `Infinity` if they never were. */
+  ageMs(now: number): number {
+    return this.#confirmation.ageMs(now);
+  }
+
+  /** What to do at `now` to confirm the records. */
+  nextConfirmationStep(now: number, isLead: boolean): ConfirmationStep {
+    if (this.#isConfirming) return "none";
+    // The first list is read by `run`.
+    if (!this.#hasState) return isLead ? "none" : "ask";
+    return this.#confirmation.nextStep(now, isLead);
+  }
+
+  /** Records that the records were the newest at `at`, since a peer with the
+   * same records knew that they were. */
+  recordConfirmation(at: number): void {
+    this.#confirmation.record(at);
+  }
+
+  /** The revision at which a record was removed; the store's revision if the
+   * removal shows only from a full list. */
   removalRevisionOf(name: string): number {
-    return this.#removalRevisions.get(name) ?? this.#revision;
+    return this.#set.removalRevisionOf(name);
   }
 
   /** All records as a list for a peer; undefined if no list was received. */
   snapshot(): RecordList | undefined {
-    if (!this.#hasState) return undefined;
-    return { records: [...this.#records.values()], revision: this.#revision };
+    return this.#hasState ? this.#set.snapshot() : undefined;
   }
 
-  /** Applies a list that a peer received from the store, if it is newer;
-   * returns whether it is. */
-  adopt(list: RecordList): boolean {
-    if (this.#hasState && list.revision <= this.#revision) return false;
-    this.#applyList(list, "peer");
-    // A watch without pauses should have received the change from the store
-    // first, so its connection may be dead.
-    if (this.#options.watchPauseMs() === 0) this.reconnect();
-    return true;
+  /** Merges a list of a peer, which was the newest at `confirmedAt`; returns
+   * whether it contained anything new. */
+  adopt(list: RecordList, confirmedAt: number): boolean {
+    this.#confirmation.record(confirmedAt);
+    return this.#mergeList(list, "peer");
   }
 
   /** Aborts the current watch, whose connection may be dead, and starts a new
    * one. */
   reconnect(): void {
-    this.#watchAbort?.abort(new Error("watch restarted"));
+    this.#pendingWatch?.abort.abort(new Error("watch restarted"));
   }
 
   /** Ends a pause between watches: the records may be out of date. */
@@ -125,16 +170,6 @@
     this.#endPause?.();
   }
 
-  #pauseBetweenWatches(ms: number): Promise<void> {
-    return new Promise((resolve) => {
-      const timer = setTimeout(resolve, ms);
-      this.#endPause = () => {
-        clearTimeout(timer);
-        resolve();
-      };
-    });
-  }
-
   /** Follows the records until the follower is closed. */
   async run(): Promise<void> {
     let hasList = false;
@@ -142,8 +177,7 @@
       try {
         if (hasList) await this.#watchOnce();
         else {
-          const list = await this.#store.list(this.#options.kind);
-          if (list.revision >= this.#revision) this.#applyList(list, "list");
+          await this.#readList();
           hasList = true;
         }
         this.#setReachable(true, "");
@@ -151,10 +185,7 @@
         if (pauseMs > 0) await this.#pauseBetweenWatches(pauseMs);
       } catch (err) {
         if (this.#isClosed) return;
-        if (this.#watchAbort?.signal.aborted === true) {
-          this.#watchAbort = undefined;
-          continue;
-        }
+        if (err instanceof WatchRestarted) continue;
         if (err instanceof StoreCallError && err.failure === "history_gone") {
           hasList = false;
           continue;
@@ -165,6 +196,45 @@
     }
   }
 
+  /** Confirms the records by a list of the store. */
+  async confirm(): Promise<void> {
+    this.#isConfirming = true;
+    try {
+      await this.#readList({ timeoutMs: CONFIRM_TIMEOUT_MS });
+    } catch (err) {
+      if (this.#isClosed) return;
+      const { kind, log } = this.#options;
+      const now = performance.now();
+      if (!this.#confirmation.isFailing) {
+        log.write(events.CONFIRMATION_FAILED, {
+          kind,
+          ageMs: Math.round(this.ageMs(now)),
+          reason: String(err),
+        });
+      }
+      this.#confirmation.recordFailure(now, Math.random());
+    } finally {
+      this.#isConfirming = false;
+    }
+  }
+
+  /** Restarts the watch if it has still not reported a change that was known
+   * at the last call. */
+  restartSilentWatch(): void {
+    const watch = this.#pendingWatch;
+    if (watch !== undefined && watch === this.#suspectWatch) {
+      const { kind, log } = this.#options;
+      log.write(events.WATCH_SILENT, {
+        kind,
+        from: watch.from,
+        waitedMs: Math.round(performance.now() - watch.startedAt),
+        revision: this.newestRevision,
+      });
+      this.reconnect();
+    }
+    this.#suspectWatch = undefined;
+  }
+
   /** Stops following the records. */
   close(): void {
     this.#isClosed = true;
@@ -172,77 +242,95 @@
     this.readNow();
   }
 
+  #pauseBetweenWatches(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, ms);
+      this.#endPause = () => {
+        clearTimeout(timer);
+        resolve();
+      };
+    });
+  }
+
+  /** Reads a complete list. It confirms the records as of its request: a
+   * response may have been under way for long. */
+  async #readList(options?: { readonly timeoutMs: number }): Promise<void> {
+    const requestedAt = performance.now();
+    const knownRevision = Math.max(
+      this.#set.completeRevision,
+      this.#set.newestRevision,
+    );
+    const { kind } = this.#options;
+    const list = await this.#store.list(kind, options);
+    if (list.revision < knownRevision) {
+      throw new StoreCallError(
+        "rejected",
+        `list of revision ${list.revision} is older than ${knownRevision}`,
+      );
+    }
+    this.#confirmation.record(requestedAt);
+    this.#confirmation.recordContact();
+    this.#mergeList(list, "list");
+  }
+
   async #watchOnce(): Promise<void> {
-    const watch = new AbortController();
-    this.#watchAbort = watch;
     const { kind, log } = this.#options;
-    const from = this.#revision;
-    const startedAt = performance.now();
-    const waitedMs = () => Math.round(performance.now() - startedAt);
-    const { changes, revision } = await this.#store.watch(kind, {
-      revision: from,
-      // After a failure the wait is short, because the reply shows that the
-      // store is available again.
-      waitMs: this.#isReachable ? this.#options.waitMs : RECOVERY_WAIT_MS,
-      signal: watch.signal,
-    }).catch((err: unknown) => {
+    const watch: PendingWatch = {
+      abort: new AbortController(),
+      from: this.#revision,
+      startedAt: performance.now(),
+    };
+    this.#pendingWatch = watch;
+    const waitedMs = () => Math.round(performance.now() - watch.startedAt);
+    const { from } = watch;
+    try {
+      const { changes, revision } = await this.#store.watch(kind, {
+        revision: from,
+        // After a failure the wait is short, because the reply shows that the
+        // store is available again.
+        waitMs: this.#isReachable ? this.#options.waitMs : RECOVERY_WAIT_MS,
+        signal: watch.abort.signal,
+      });
+      if (kind === "configuration" || this.#wasInterrupted) {
+        log.write(events.WATCH_ANSWERED, {
+          kind,
+          from,
+          revision,
+          changes: changes.length,
+          waitedMs: waitedMs(),
+        });
+      }
+      this.#wasInterrupted = false;
+      this.#confirmation.recordContact();
+      this.#revision = Math.max(this.#revision, revision);
+      if (this.#set.mergeChanges(changes)) this.#notify("watch");
+    } catch (err) {
       this.#wasInterrupted = true;
-      const reason = watch.signal.aborted ? "restarted" : String(err);
+      const isRestart = watch.abort.signal.aborted;
       log.write(events.WATCH_INTERRUPTED, {
         kind,
         from,
         waitedMs: waitedMs(),
-        reason,
-      });
-      throw err;
-    });
-    if (kind === "configuration" || this.#wasInterrupted) {
-      log.write(events.WATCH_ANSWERED, {
-        kind,
-        from,
-        revision,
-        changes: changes.length,
-        waitedMs: waitedMs(),
+        reason: isRestart ? "restarted" : String(err),
       });
+      throw isRestart ? new WatchRestarted() : err;
+    } finally {
+      this.#pendingWatch = undefined;
     }
-    this.#wasInterrupted = false;
-    this.#heardAt = performance.now();
-    // A newer list from a peer may have been applied during the watch.
-    if (revision < this.#revision) return;
-    this.#revision = revision;
-    if (changes.length === 0) return;
-    const records = new Map(this.#records);
-    const removalRevisions = new Map<string, number>();
-    for (const { removed, record } of changes) {
-      if (removed) {
-        records.delete(record.name);
-        removalRevisions.set(record.name, record.revision);
-      } else records.set(record.name, record);
-    }
-    this.#removalRevisions = removalRevisions;
-    this.#applyRecords(records, "watch");
   }
 
-  #applyList(list: RecordList, source: RecordSource): void {
-    this.#heardAt = performance.now();
-    this.#revision = list.revision;
-    this.#removalRevisions = new Map();
+  #mergeList(list: RecordList, source: RecordSource): boolean {
+    const isFirst = !this.#hasState;
     this.#hasState = true;
-    this.#applyRecords(new Map(list.records.map((r) => [r.name, r])), source);
+    this.#revision = Math.max(this.#revision, list.revision);
+    const isChanged = this.#set.mergeList(list);
+    if (isChanged) this.#suspectWatch = this.#pendingWatch;
+    if (isChanged || isFirst) this.#notify(source);
+    return isChanged || isFirst;
   }
 
-  /** Puts records in force. Their highest revision is computed once here, since
-   * each digest to a peer reports it. */
-  #applyRecords(
-    records: ReadonlyMap<string, StoredRecord>,
-    source: RecordSource,
-  ): void {
-    this.#records = records;
-    this.#newestRevision = 0;
-    for (const { revision } of records.values()) {
-      if (revision > this.#newestRevision) this.#newestRevision = revision;
-    }
-    this.#options.onRecords(records, source);
+  #notify(source: RecordSource): void {
+    this.#options.onRecords(this.#set.records, source);
   }
 
   #setReachable(reachable: boolean, reason: string): void {
--- /dev/null
+++ b/packages/gateway/src/shared_records.ts
@@ -0,0 +1,133 @@
+/** The kinds of records that instances share: compares them with those of a
+ * peer, and fetches newer ones from it.
+ *
+ * @module
+ */
+import type { EventLog } from "@banyanlb/core";
+import type { Member } from "@banyanlb/serving";
+import * as events from "./events.ts";
+import type { PeerLinks } from "./peer_links.ts";
+import {
+  type ConfirmedRow,
+  type PullReply,
+  SHARED_KINDS,
+  type SharedKind,
+} from "./peer_messages.ts";
+import type { RecordFollower } from "./record_follower.ts";
+
+/** Timeout of a request for a peer's full list of records, in milliseconds. */
+const PULL_TIMEOUT_MS = 800;
+
+/** What identifies the records of one kind. */
+export interface RecordSummary {
+  /** The revision of the newest change that peers are told of. */
+  readonly revision: number;
+  /** Equal on two instances that hold the same records. */
+  readonly fingerprint: number;
+}
+
+/** Followers of the shared kinds, and what else the exchange with peers
+ * needs. */
+export interface SharedRecordsOptions {
+  readonly followers: Readonly<Record<SharedKind, RecordFollower>>;
+  /** The engines are compared by their set and by which are leaving. Their
+   * other fields change too often. */
+  readonly engineSet: () => RecordSummary;
+  readonly links: () => Pick<PeerLinks, "ask">;
+  readonly log: EventLog;
+}
+
+/** The records that instances share. */
+export class SharedRecords {
+  readonly #options: SharedRecordsOptions;
+  readonly #pendingPulls = new Set<SharedKind>();
+
+  constructor(options: SharedRecordsOptions) {
+    this.#options = options;
+  }
+
+  /** The follower of a kind of records. */
+  follower(kind: SharedKind): RecordFollower {
+    return this.#options.followers[kind];
+  }
+
+  /** The records of a kind, as peers compare them. */
+  summary(kind: SharedKind): RecordSummary {
+    if (kind === "engines") return this.#options.engineSet();
+    const { newestRevision, fingerprint } = this.follower(kind);
+    return { revision: newestRevision, fingerprint };
+  }
+
+  /** All kinds as reported to a peer that asks, in the order of
+   * `SHARED_KINDS`. */
+  confirmedRows(now: number): readonly ConfirmedRow[] {
+    return SHARED_KINDS.map((kind) => {
+      const { revision, fingerprint } = this.summary(kind);
+      return [revision, fingerprint, this.#reportedAgeMs(kind, now)];
+    });
+  }
+
+  /** Applies what a peer reported in reply to a question that was sent at
+   * `askedAt`. Records that are the same here are confirmed; newer ones are
+   * fetched. */
+  applyConfirmedRows(
+    member: Member,
+    rows: readonly ConfirmedRow[],
+    askedAt: number,
+  ): void {
+    SHARED_KINDS.forEach((kind, i) => {
+      const row = rows[i];
+      if (row === undefined) return;
+      const [revision, fingerprint, ageMs] = row;
+      const own = this.summary(kind);
+      if (!this.follower(kind).known) {
+        if (ageMs !== null) void this.pull(member, kind);
+      } else if (fingerprint === own.fingerprint) {
+        this.follower(kind).recordConfirmation(
+          confirmationTime(askedAt, ageMs),
+        );
+      } else if (revision > own.revision) void this.pull(member, kind);
+    });
+  }
+
+  /** Builds the reply to a peer that requests all records of a kind. */
+  pullReply(n: number, kind: SharedKind, now: number): PullReply {
+    const list = this.follower(kind).snapshot();
+    return { t: "pulled", n, list, age: this.#reportedAgeMs(kind, now) };
+  }
+
+  /** Fetches all records of a kind from a peer, unless a fetch of the kind is
+   * under way. */
+  async pull(member: Member, kind: SharedKind): Promise<void> {
+    if (this.#pendingPulls.has(kind)) return;
+    this.#pendingPulls.add(kind);
+    const askedAt = performance.now();
+    const reply = await this.#options.links().ask(
+      member.peerAddress,
+      (n) => ({ t: "pull", n, kind }),
+      PULL_TIMEOUT_MS,
+    );
+    this.#pendingPulls.delete(kind);
+    if (reply?.t !== "pulled" || reply.list === undefined) return;
+    const { list } = reply;
+    const confirmedAt = confirmationTime(askedAt, reply.age ?? null);
+    if (this.follower(kind).adopt(list, confirmedAt)) {
+      this.#options.log.write(events.RECORDS_FETCHED_FROM_PEER, {
+        kind,
+        peer: member.name,
+        revision: list.revision,
+      });
+    }
+  }
+
+  #reportedAgeMs(kind: SharedKind, now: number): number | null {
+    const ageMs = this.follower(kind).ageMs(now);
+    return Number.isFinite(ageMs) ? Math.ceil(ageMs) : null;
+  }
+}
+
+/** When a peer's records were known to be the newest. It counts from the
+ * question, since the reply may have been under way for long. */
+function confirmationTime(askedAt: number, ageMs: number | null): number {
+  return ageMs === null ? -Infinity : askedAt - ageMs;
+}
--- a/packages/gateway/src/store_view.ts
+++ b/packages/gateway/src/store_view.ts
@@ -6,8 +6,11 @@
 import type { EventLog } from "@banyanlb/core";
 import {
   adapterKey,
+  addFingerprints,
+  confirmationTimes,
   type Engine,
   type EngineTable,
+  fingerprintOfText,
   keepExpiredUntil,
   type RecordStore,
   RouteTable,
@@ -20,6 +23,7 @@
   decodeVersion,
 } from "@banyanlb/platform";
 import * as events from "./events.ts";
+import type { RecordSummary } from "./shared_records.ts";
 import {
   NON_READER_WATCH_PAUSE_MS,
   RecordFollower,
@@ -69,6 +73,7 @@
   /** Revision of the newest change of the set of engines or of whether one is
    * leaving. */
   #engineSetRevision = 0;
+  #engineSetFingerprint = 0;
   readonly #unreachableKinds = new Set<string>();
   #reachabilityChangedAt = -Infinity;
   readonly #ignoredEntries = new Set<string>();
@@ -86,6 +91,8 @@
       readonly log: EventLog;
       /** Whether this instance reads the store on behalf of its region. */
       readonly isStoreReader: () => boolean;
+      /** Time within which a change must be known here, in milliseconds. */
+      readonly changeKnownMs: number;
     },
   ) {
     this.#engineTable = options.engineTable;
@@ -103,6 +110,7 @@
         kind,
         waitMs,
         watchPauseMs,
+        confirmationTimes: confirmationTimes(options.changeKnownMs),
         onRecords: (records, source) => {
           onRecords(records, source);
           this.onRecordsApplied();
@@ -157,10 +165,14 @@
     return this.#followers[kind];
   }
 
-  /** Revision of the newest change of the set of engines or of whether one is
-   * leaving. Other changes of engines are not announced to peers. */
-  get engineSetRevision(): number {
-    return this.#engineSetRevision;
+  /** The newest change of the set of engines or of whether one is leaving, and
+   * the set's fingerprint. Other changes of engines are not announced to
+   * peers. */
+  get engineSet(): RecordSummary {
+    return {
+      revision: this.#engineSetRevision,
+      fingerprint: this.#engineSetFingerprint,
+    };
   }
 
   /** Restarts all watches: connections to the store often die together. */
@@ -173,9 +185,10 @@
     for (const follower of Object.values(this.#followers)) follower.readNow();
   }
 
-  /** Whether the store replies to the watches of all kinds. */
+  /** Whether the store replies to the calls of all kinds. */
   get reachesStore(): boolean {
-    return this.#unreachableKinds.size === 0;
+    return this.#unreachableKinds.size === 0 &&
+      !Object.values(this.#followers).some((f) => f.isConfirmationFailing);
   }
 
   /** The newest announced version of an adapter; 0 if none was announced. */
@@ -327,6 +340,11 @@
       if (listedIds.has(engine.id)) this.#missing.delete(engine.key);
     }
     this.#engines = engines;
+    this.#engineSetFingerprint = [...engines.values()].reduce(
+      (sum, { key, leaving }) =>
+        addFingerprints(sum, fingerprintOfText(`${key} ${leaving}`)),
+      0,
+    );
     this.#updateEngineTable();
   }
 
--- /dev/null
+++ b/packages/gateway/src/testing/fake_instance.ts
@@ -0,0 +1,144 @@
+/** The part of a gateway that keeps its records up to date, with peers that are
+ * called directly.
+ *
+ * @module
+ */
+import { EventLog } from "@banyanlb/core";
+import { EngineTable, type Member, type RecordStore } from "@banyanlb/serving";
+import { confirmationTimes } from "@banyanlb/serving";
+import pino from "pino";
+import type { PeerMessage } from "../peer_messages.ts";
+import { RecordConfirmer } from "../record_confirmer.ts";
+import { RecordFollower } from "../record_follower.ts";
+import { SharedRecords } from "../shared_records.ts";
+import { StoreView } from "../store_view.ts";
+
+/** The deployments' bound on the time from a change to its effect, in
+ * milliseconds. */
+export const APPLY_WITHIN_MS = 2500;
+
+/** Time that a message between instances takes, in milliseconds. */
+const MESSAGE_DELAY_MS = 8;
+
+/** An instance whose peers and store can fail. */
+export class FakeInstance {
+  readonly member: Member;
+  readonly view: StoreView;
+  readonly records: SharedRecords;
+  /** The instances that this one asks, the lead first. */
+  leads: readonly FakeInstance[] = [];
+  /** Whether messages to this instance get no reply. */
+  isSilent = false;
+  /** Number of questions that this instance has answered. */
+  answered = 0;
+  /** Log lines, each as its fields. */
+  readonly logged: Readonly<Record<string, unknown>>[] = [];
+  readonly #assignment: RecordFollower;
+  readonly #confirmer: RecordConfirmer;
+
+  constructor(name: string, store: RecordStore) {
+    this.member = {
+      name,
+      zone: "z",
+      region: "r",
+      peerAddress: name,
+      callerAddress: name,
+      incarnation: "1",
+      cores: 1,
+    };
+    const log = new EventLog(pino({}, {
+      write: (line: string) => void this.logged.push(JSON.parse(line)),
+    }));
+    this.view = new StoreView(store, {
+      engineTable: new EngineTable(),
+      log,
+      isStoreReader: () => true,
+      changeKnownMs: APPLY_WITHIN_MS,
+    });
+    this.#assignment = new RecordFollower(store, {
+      kind: "assignment",
+      waitMs: 25_000,
+      watchPauseMs: () => 0,
+      confirmationTimes: confirmationTimes(2 * APPLY_WITHIN_MS),
+      onRecords: () => undefined,
+      onReachabilityChange: (reachable) => {
+        if (!reachable) this.view.reconnect();
+      },
+      log,
+    });
+    const links = {
+      ask: (
+        address: string,
+        buildRequest: (n: number) => PeerMessage,
+        timeoutMs: number,
+      ) => this.#ask(address, buildRequest(1), timeoutMs),
+    };
+    this.records = new SharedRecords({
+      followers: {
+        configuration: this.view.follower("configuration"),
+        engines: this.view.follower("engines"),
+        versions: this.view.follower("versions"),
+        assignment: this.#assignment,
+      },
+      engineSet: () => this.view.engineSet,
+      links: () => links,
+      log,
+    });
+    this.#confirmer = new RecordConfirmer({
+      records: this.records,
+      unshared: [],
+      leads: () => this.leads.map(({ member }) => member),
+      links: () => links,
+    });
+  }
+
+  /** The version of the configuration in force. */
+  get version(): number | undefined {
+    return this.view.routeTable?.configuration.version;
+  }
+
+  /** Starts to follow the store. */
+  start(): void {
+    this.view.start();
+    void this.#assignment.run();
+    this.#confirmer.start();
+  }
+
+  /** Ends all activity. */
+  close(): void {
+    this.#confirmer.close();
+    this.view.close();
+    this.#assignment.close();
+  }
+
+  async #ask(
+    address: string,
+    request: PeerMessage,
+    timeoutMs: number,
+  ): Promise<PeerMessage | undefined> {
+    const peer = this.leads.find(({ member }) => member.name === address);
+    if (peer === undefined || peer.isSilent) {
+      await delay(timeoutMs);
+      return undefined;
+    }
+    await delay(MESSAGE_DELAY_MS);
+    const reply = JSON.stringify(peer.#reply(request));
+    await delay(MESSAGE_DELAY_MS);
+    return JSON.parse(reply) as PeerMessage;
+  }
+
+  #reply(request: PeerMessage): PeerMessage | undefined {
+    this.answered += 1;
+    const now = performance.now();
+    if (request.t === "confirm") {
+      const kinds = this.records.confirmedRows(now);
+      return { t: "confirmed", n: request.n, kinds };
+    }
+    if (request.t !== "pull") return undefined;
+    return this.records.pullReply(request.n, request.kind, now);
+  }
+}
+
+function delay(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/packages/gateway/src/testing/fake_record_store.ts
+++ b/packages/gateway/src/testing/fake_record_store.ts
@@ -32,6 +32,8 @@
 export class FakeRecordStore extends RecordStore {
   /** How lists are answered. `stale`: with the records of `freezeLists`. */
   readMode: ReadMode = "serve";
+  /** How long a list is under way after it was read, in milliseconds. */
+  listDelayMs = 0;
   /** Whether watches, also those that start from now on, hear of no change. */
   areWatchesDeaf = false;
   /** Whether a watch that waited in vain is answered with the newest revision,
@@ -101,18 +103,25 @@
     }
   }
 
-  override list(kind: RecordKind): Promise<RecordList> {
+  override list(
+    kind: RecordKind,
+    { timeoutMs = 1200 }: { readonly timeoutMs?: number } = {},
+  ): Promise<RecordList> {
     this.calls.list += 1;
     switch (this.readMode) {
-      case "serve":
-        return Promise.resolve(this.#currentList(kind));
+      case "serve": {
+        const list = this.#currentList(kind);
+        return this.listDelayMs === 0
+          ? Promise.resolve(list)
+          : delay(this.listDelayMs).then(() => list);
+      }
       case "stale":
         return Promise.resolve(
           this.#stale.get(kind) ?? { records: [], revision: 100 },
         );
       case "silent":
-        return delay(1200).then(() => {
-          throw new StoreCallError("unknown", "no response within 1200 ms");
+        return delay(timeoutMs).then(() => {
+          throw new StoreCallError("unknown", `no response in ${timeoutMs} ms`);
         });
       case "reject":
         return Promise.reject(new StoreCallError("rejected", "status 503"));
--- /dev/null
+++ b/packages/serving/src/confirmation_test.ts
@@ -0,0 +1,52 @@
+import { expect, test } from "vitest";
+import { Confirmation, confirmationTimes } from "./confirmation.ts";
+
+const BOUND_MS = 2500;
+const TICK_MS = 200;
+const READ_TIMEOUT_MS = 400;
+
+test("the lead reads, the others ask before they read", () => {
+  const times = confirmationTimes(BOUND_MS);
+  const confirmation = new Confirmation(times);
+  confirmation.record(0);
+  expect(confirmation.nextStep(times.leadMs, true)).toBe("read");
+  expect(confirmation.nextStep(times.leadMs, false)).toBe("none");
+  expect(confirmation.nextStep(times.askMs, false)).toBe("ask");
+  expect(confirmation.nextStep(times.readMs, false)).toBe("read");
+});
+
+// Without the lead, on a dead connection, and with the tick just missed.
+test("a change is read within the bound if the first read times out", () => {
+  const { readMs } = confirmationTimes(BOUND_MS);
+  const confirmation = new Confirmation(confirmationTimes(BOUND_MS));
+  confirmation.record(0);
+  let now = readMs + TICK_MS;
+  expect(confirmation.nextStep(now, false)).toBe("read");
+  now += READ_TIMEOUT_MS;
+  confirmation.recordFailure(now, 1);
+  while (confirmation.nextStep(now, false) !== "read") now += TICK_MS;
+  expect(now).toBeLessThan(BOUND_MS - TICK_MS);
+});
+
+test("reads pause for longer after each failure, until the store answers", () => {
+  const confirmation = new Confirmation(confirmationTimes(BOUND_MS));
+  const pauses: number[] = [];
+  let now = 0;
+  for (let i = 0; i < 6; i += 1) {
+    confirmation.recordFailure(now, 0.5);
+    const failedAt = now;
+    while (confirmation.nextStep(now, true) !== "read") now += 10;
+    pauses.push(now - failedAt);
+  }
+  expect(pauses).toEqual([200, 400, 800, 1600, 1600, 1600]);
+  confirmation.recordContact();
+  expect(confirmation.nextStep(now, true)).toBe("read");
+  expect(confirmation.isFailing).toBe(false);
+});
+
+test("an older confirmation does not replace a newer one", () => {
+  const confirmation = new Confirmation(confirmationTimes(BOUND_MS));
+  confirmation.record(900);
+  confirmation.record(400);
+  expect(confirmation.ageMs(1000)).toBe(100);
+});
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -12,10 +12,18 @@
   readonly value: unknown;
 }
 
-/** All records of a kind, as of a revision. */
+/** A record that was removed, and the revision of its removal. */
+export interface RecordRemoval {
+  readonly name: string;
+  readonly revision: number;
+}
+
+/** All records of a kind, complete as of a revision. */
 export interface RecordList {
   readonly records: readonly StoredRecord[];
   readonly revision: number;
+  /** Records that were removed after `revision`. */
+  readonly removals?: readonly RecordRemoval[];
 }
 
 /** One change of a record. */
@@ -54,8 +62,12 @@
 
 /** The deployment's store of records. Calls reject with `StoreCallError`. */
 export abstract class RecordStore {
-  /** All records of a kind, by a linearizable read. */
-  abstract list(kind: RecordKind): Promise<RecordList>;
+  /** All records of a kind, by a linearizable read. `timeoutMs`, if given, is
+   * the timeout of each call that the list takes. */
+  abstract list(
+    kind: RecordKind,
+    options?: { readonly timeoutMs: number },
+  ): Promise<RecordList>;
 
   /** One record, by a linearizable read; undefined if there is none. */
   abstract get(
