--- /dev/null
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -0,0 +1,184 @@
+/** A relay with engines on loopback, and a client for it.
+ *
+ * @module
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  request,
+  type RequestListener,
+  type Server,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+import { EventLog } from "@banyanlb/core";
+import { PlatformCallerProtocol, RESPONSE_HEADERS } from "@banyanlb/platform";
+import {
+  type Engine,
+  EngineChooser,
+  EngineTable,
+  MemberTable,
+  RetryBudget,
+  type Route,
+  RouteTable,
+} from "@banyanlb/serving";
+import pino from "pino";
+import type { AdapterLoader } from "../adapter_loader.ts";
+import { AdapterUsageCounts } from "../adapter_usage.ts";
+import { EngineConnections } from "../engine_connections.ts";
+import { GatewayMetrics } from "../metrics.ts";
+import { Relay } from "../relay.ts";
+
+/** The headers of an engine's response to the request of `sendRequest`. */
+export const SEALED_HEADERS = {
+  [RESPONSE_HEADERS.id]: "r1",
+  [RESPONSE_HEADERS.seal]: "s",
+};
+
+/** Ends what a test has started, in reverse order. */
+const cleanups: (() => void)[] = [];
+
+/** Registers an action that ends something a test has started. */
+export function addCleanup(cleanup: () => void): void {
+  cleanups.push(cleanup);
+}
+
+/** Ends everything that the last test has started. */
+export function cleanUp(): void {
+  for (const cleanup of cleanups.splice(0)) cleanup();
+}
+
+/** Starts an HTTP server on a free port. */
+export async function listen(handle: RequestListener): Promise<Server> {
+  const server = createServer(handle);
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  addCleanup(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  return server;
+}
+
+/** The port of a server. */
+export function portOf(server: Server): number {
+  return (server.address() as AddressInfo).port;
+}
+
+/** Starts a relay with one engine for each handler, or for each port on which
+ * an engine listens already. Returns the relay's port. */
+export async function startRelay(
+  handlers: readonly (RequestListener | number)[],
+  options: {
+    readonly route: Partial<Route>;
+    readonly adapters?: readonly string[];
+    readonly load?: () => Promise<boolean>;
+  },
+): Promise<number> {
+  const engines: Engine[] = [];
+  for (const [i, handle] of handlers.entries()) {
+    engines.push({
+      key: `e${i}@1`,
+      id: `e${i}`,
+      service: "svc",
+      host: "127.0.0.1",
+      port: typeof handle === "number" ? handle : portOf(await listen(handle)),
+      zone: "z",
+      slots: 8,
+      leaving: false,
+      remainingMs: undefined,
+      models: [{
+        name: "m",
+        adapters: (options.adapters ?? []).map((name) => ({
+          name,
+          version: 1,
+        })),
+      }],
+    });
+  }
+  const routeTable = new RouteTable({
+    version: 1,
+    routes: [{
+      name: "route",
+      host: "h",
+      pathPrefix: "/",
+      kind: "safe",
+      timeoutMs: 2000,
+      targetLatencyMs: 100,
+      priority: 0,
+      services: [{ service: "svc", weight: 1 }],
+      maxAttempts: 2,
+      isPublic: true,
+      resumable: false,
+      ...options.route,
+    }],
+    services: [],
+    workspaces: [],
+    limits: { headerTimeoutMs: 1, idleTimeoutMs: 1, maxBodyBytes: 1000 },
+  });
+  const engineTable = new EngineTable();
+  engineTable.setEngines(engines);
+  const connections = new EngineConnections();
+  addCleanup(() => connections.close());
+  const retryBudget = new RetryBudget({
+    ratio: 1,
+    windowMs: 10_000,
+    fixedRetries: 50,
+  });
+  const relay = new Relay({
+    protocol: new PlatformCallerProtocol(),
+    routeTable: () => routeTable,
+    configurationAgeMs: () => 0,
+    chooser: new EngineChooser(engineTable),
+    loader: {
+      load: options.load ?? (() => Promise.resolve(false)),
+    } as unknown as AdapterLoader,
+    connections,
+    members: new MemberTable("self", -10_000),
+    rateOf: () => undefined,
+    retryBudgetOf: () => retryBudget,
+    versionOf: () => 0,
+    isOlderAllowed: () => true,
+    selectionContextAt: (now) => ({
+      zone: "z",
+      regionOf: () => "r",
+      canOrder: () => true,
+      now,
+    }),
+    use: new AdapterUsageCounts(),
+    hasTimeFor: () => true,
+    log: new EventLog(pino({ level: "silent" })),
+    metrics: new GatewayMetrics(),
+  });
+  return portOf(await listen((req, res) => void relay.serve(req, res)));
+}
+
+/** A response as the caller received it. */
+export interface TestResponse {
+  readonly status: number;
+  readonly body: string;
+  readonly isComplete: boolean;
+}
+
+/** Sends a request to a relay; rejects if no response arrives. */
+export function sendRequest(
+  port: number,
+  headers: Record<string, string> = {},
+): Promise<TestResponse> {
+  return new Promise((resolve, reject) => {
+    const req = request({
+      host: "127.0.0.1",
+      port,
+      path: "/x",
+      agent: false,
+      headers: { host: "h", "request-id": "r1", deadline: "2000", ...headers },
+    });
+    req.on("error", reject);
+    req.on("response", (response: IncomingMessage) => {
+      let body = "";
+      const status = response.statusCode ?? 0;
+      response.on("data", (chunk: Buffer) => (body += chunk.toString()));
+      response.on("error", () => resolve({ status, body, isComplete: false }));
+      response.on("end", () => resolve({ status, body, isComplete: true }));
+    });
+    req.end();
+  });
+}
