Bound what an engine may send: head, body, event and refusal

What callers saw: with an engine whose head or body never ends, the caller waited until its deadline and got 504, the engine's connection stayed open for as long, and the body of a response that is not a stream was kept in memory whole, without a limit. The body of an error over 64 KiB was cut and passed on with the length of the rest, as if it were complete.

Cause: the deadline was the only limit on a response. The HTTP parser limits one head, but not a series of informational heads or empty lines.

Change: 256 KiB before a response, 8 MiB for a body or a stream, 48 MiB for all buffered bodies together, 1 MiB for one event; of a response that says not run 64 KiB and 200 ms are read. Beyond that the connection is closed; the attempt fails with response_too_large and follows the usual rules: 502 if the request may have run, another engine if it may be repeated, a visibly broken stream. An error that is too large is no longer cut but fails. The splitter of events no longer joins all chunks of an unfinished event for each new one.

--- a/packages/gateway/src/engine_connections.ts
+++ b/packages/gateway/src/engine_connections.ts
@@ -32,6 +32,14 @@
 /** Idle time after which TCP keep-alive probes are sent, in milliseconds. */
 const KEEP_ALIVE_PROBE_MS = 1000;
 
+/** Maximum number of bytes that an engine may send before the head of its
+ * response is complete, informational heads included. The parser limits one
+ * head only. The rest leaves room for a body that arrives with the head. */
+const HEAD_MAX_BYTES = 256 * 1024;
+
+/** Thrown when an engine sends more than a response may have. */
+export class ResponseTooLargeError extends Error {}
+
 /** State of a connection that is kept for its next request. */
 interface IdleConnection {
   readonly idleSince: number;
@@ -111,6 +119,20 @@
   return seconds === undefined ? undefined : Number(seconds) * 1000;
 }
 
+/** Closes the connection if the engine sends too much before its response. */
+function limitHead(req: ClientRequest, socket: Socket): void {
+  let receivedBytes = 0;
+  const countBytes = (chunk: Buffer) => {
+    receivedBytes += chunk.length;
+    if (receivedBytes <= HEAD_MAX_BYTES) return;
+    socket.destroy(new ResponseTooLargeError("response head too large"));
+  };
+  const stopCounting = () => socket.removeListener("data", countBytes);
+  socket.on("data", countBytes);
+  req.once("response", stopCounting);
+  req.once("close", stopCounting);
+}
+
 function destroyOnData(this: Socket): void {
   this.destroy();
 }
@@ -176,6 +198,7 @@
     });
     let isSent = false;
     req.on("socket", (socket: Socket) => {
+      limitHead(req, socket);
       if (!socket.connecting) {
         isSent = true;
         return;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -22,13 +22,17 @@
   BufferedResponse,
 } from "./attempt_outcome.ts";
 import { withContentLength, withoutContentLength } from "./content_length.ts";
-import type { EngineRequest } from "./engine_connections.ts";
+import {
+  type EngineRequest,
+  ResponseTooLargeError,
+} from "./engine_connections.ts";
 import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
 import * as events from "./events.ts";
 import type {
   ConfigurationInUse,
   RelayDependencies,
 } from "./relay_dependencies.ts";
+import { RESPONSE_MAX_BYTES, ResponseBuffer } from "./response_buffer.ts";
 import { trackCompletion } from "./response_completion.ts";
 
 /** Time between a request's deadline and the moment when the gateway aborts its
@@ -64,9 +68,14 @@
  * so that the engine serves it later. */
 const LATE_URGENCY_PENALTY = 4;
 
-/** Limit on the stored body of an error response, which is forwarded if no
- * retry succeeds. */
-const ERROR_BODY_MAX_BYTES = 64 * 1024;
+/** How much of the body of a response that states that the request was not run
+ * is read, in bytes, and for how long, in milliseconds, so that the connection
+ * can be used again. */
+const NOT_RUN_BODY_MAX_BYTES = 64 * 1024;
+const NOT_RUN_BODY_TIMEOUT_MS = 200;
+
+/** Maximum size of one event of a resumable stream, in bytes. */
+const EVENT_MAX_BYTES = 1024 * 1024;
 
 /** A request whose route, workspace, service and body have been determined. */
 export interface ExchangeInput {
@@ -529,7 +538,9 @@
       if (!request.isSent()) {
         return settle({ kind: "not_run", reason: "unreachable" });
       }
-      const reason = err.message.startsWith("Parse Error")
+      const reason = err instanceof ResponseTooLargeError
+        ? "response_too_large"
+        : err.message.startsWith("Parse Error")
         ? "garbled"
         : "connection_lost";
       settle(
@@ -559,13 +570,12 @@
       return settle(this.#failedOutcome("other_answer"));
     }
     if (responseHead.wasNotExecuted) {
-      response.resume();
       const reason = status === 421
         ? "adapter_missing"
         : caller.adapter !== undefined && status === 503
         ? "not_run"
         : "shed";
-      return onResponseEnd(response, () => settle({ kind: "not_run", reason }));
+      return skipBody(response, () => settle({ kind: "not_run", reason }));
     }
     const isSuccess = status >= 200 && status < 300;
     if (
@@ -607,17 +617,7 @@
     settle: AttemptSettler,
   ): void {
     const status = response.statusCode ?? 0;
-    const chunks: Buffer[] = [];
-    const isComplete = trackCompletion(response);
-    let sizeBytes = 0;
-    response.on("data", (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      if (sizeBytes <= ERROR_BODY_MAX_BYTES) chunks.push(chunk);
-    });
-    response.on("error", () => settle(this.#failedOutcome("connection_lost")));
-    response.on("end", () => {
-      if (settle.ended()) return;
-      if (!isComplete()) return settle(this.#failedOutcome("connection_lost"));
+    this.#bufferBody(response, settle, (body) => {
       if (this.#hasSentHeaders) {
         settle({ kind: "broken", reason: "engine_error" });
         return;
@@ -625,7 +625,7 @@
       const errorResponse = {
         status,
         headers: this.#deps.protocol.responseHeaders(response.rawHeaders),
-        body: Buffer.concat(chunks),
+        body,
       };
       if (status < 500) {
         view.health.recordResult("answered", performance.now());
@@ -648,14 +648,7 @@
     const { res } = this.#input;
     const status = response.statusCode ?? 200;
     const headers = this.#deps.protocol.responseHeaders(response.rawHeaders);
-    const chunks: Buffer[] = [];
-    const isComplete = trackCompletion(response);
-    response.on("data", (chunk: Buffer) => chunks.push(chunk));
-    response.on("error", () => settle(this.#failedOutcome("connection_lost")));
-    response.on("end", () => {
-      if (settle.ended()) return;
-      if (!isComplete()) return settle(this.#failedOutcome("connection_lost"));
-      const body = Buffer.concat(chunks);
+    this.#bufferBody(response, settle, (body) => {
       this.#hasSentHeaders = true;
       res.writeHead(status, withContentLength(headers, body.length));
       res.end(body);
@@ -664,6 +657,32 @@
     });
   }
 
+  /** Reads a whole body within the limits and passes it to `onBody`. A body that
+   * is too large or incomplete fails the attempt. Its room is kept until the
+   * caller has received the response. */
+  #bufferBody(
+    response: IncomingMessage,
+    settle: AttemptSettler,
+    onBody: (body: Buffer) => void,
+  ): void {
+    const buffer = new ResponseBuffer();
+    const isComplete = trackCompletion(response);
+    const fail = (reason: string) => {
+      buffer.release();
+      settle(this.#failedOutcome(reason));
+    };
+    this.#input.res.once("close", () => buffer.release());
+    response.on("data", (chunk: Buffer) => {
+      if (!settle.ended() && !buffer.push(chunk)) fail("response_too_large");
+    });
+    response.on("error", () => fail("connection_lost"));
+    response.on("end", () => {
+      if (settle.ended()) return;
+      if (isComplete()) onBody(buffer.concat());
+      else fail("connection_lost");
+    });
+  }
+
   /** Forwards a stream's bytes. A resumable stream is forwarded in whole events
    * only, so that another engine can continue it after the last one. */
   #forwardStream(
@@ -674,6 +693,7 @@
     const { res, route } = this.#input;
     this.#framer.reset();
     const isComplete = trackCompletion(response);
+    let receivedBytes = 0;
     let stallTimer: NodeJS.Timeout | undefined;
     const restartStallTimer = () => {
       clearTimeout(stallTimer);
@@ -694,6 +714,15 @@
         this.#lastEventId = framed.lastId ?? this.#lastEventId;
         bytes = framed.bytes;
       }
+      receivedBytes += chunk.length;
+      if (
+        receivedBytes > RESPONSE_MAX_BYTES ||
+        this.#framer.pendingBytes > EVENT_MAX_BYTES
+      ) {
+        clearTimeout(stallTimer);
+        settle({ kind: "broken", reason: "response_too_large" });
+        return;
+      }
       if (bytes.length === 0 || res.destroyed || settle.ended()) return;
       if (!res.write(bytes)) {
         response.pause();
@@ -727,12 +756,23 @@
   }
 }
 
-/** Calls `callback` when the response has been read to its end, so that its
- * connection can be reused, or when the connection has failed. */
-function onResponseEnd(response: IncomingMessage, callback: () => void): void {
-  response.once("end", callback);
-  response.once("error", callback);
-  response.once("close", callback);
+/** Skips a body whose content does not matter, so that its connection can be
+ * reused. Calls `callback` at the end of the body, when the connection has
+ * failed, or when the body turns out to be long or slow. */
+function skipBody(response: IncomingMessage, callback: () => void): void {
+  let sizeBytes = 0;
+  const finish = () => {
+    clearTimeout(timer);
+    callback();
+  };
+  const timer = setTimeout(finish, NOT_RUN_BODY_TIMEOUT_MS);
+  response.on("data", (chunk: Buffer) => {
+    sizeBytes += chunk.length;
+    if (sizeBytes > NOT_RUN_BODY_MAX_BYTES) finish();
+  });
+  response.once("end", finish);
+  response.once("error", finish);
+  response.once("close", finish);
 }
 
 /** The urgency value that the engine receives; 0 is served first. A request
--- a/packages/gateway/src/read_body.ts
+++ b/packages/gateway/src/read_body.ts
@@ -4,11 +4,12 @@
  * @module
  */
 import type { IncomingMessage } from "node:http";
+import { ByteBudget } from "./byte_budget.ts";
 
 /** Limit on the buffered bodies of all requests together, in bytes. */
 const BUFFERED_BODIES_MAX_BYTES = 64 * 1024 * 1024;
 
-let bufferedBytes = 0;
+const bufferedBodies = new ByteBudget(BUFFERED_BODIES_MAX_BYTES);
 
 /** Why a body was not read. */
 export type BodyFailure = "too_large" | "no_memory" | "broken";
@@ -29,15 +30,15 @@
     let sizeBytes = 0;
     req.on("data", (chunk: Buffer) => {
       sizeBytes += chunk.length;
-      bufferedBytes += chunk.length;
+      const hasRoom = bufferedBodies.take(chunk.length);
       if (sizeBytes > maxBytes) resolve("too_large");
-      else if (bufferedBytes > BUFFERED_BODIES_MAX_BYTES) resolve("no_memory");
+      else if (!hasRoom) resolve("no_memory");
       else chunks.push(chunk);
     });
     req.on("end", () => resolve(Buffer.concat(chunks)));
     req.on("error", () => resolve("broken"));
     req.on("close", () => {
-      bufferedBytes -= sizeBytes;
+      bufferedBodies.release(sizeBytes);
       resolve("broken");
     });
   });
--- /dev/null
+++ b/packages/gateway/src/response_buffer.ts
@@ -0,0 +1,43 @@
+/** Buffers the body of an engine's response within limits, since a faulty engine
+ * may send bytes without end.
+ *
+ * @module
+ */
+import { ByteBudget } from "./byte_budget.ts";
+
+/** Maximum size of the body of a response, in bytes. */
+export const RESPONSE_MAX_BYTES = 8 * 1024 * 1024;
+
+/** Maximum size of the buffered bodies of all responses together, in bytes. */
+const BUFFERED_RESPONSES_MAX_BYTES = 48 * 1024 * 1024;
+
+const bufferedResponses = new ByteBudget(BUFFERED_RESPONSES_MAX_BYTES);
+
+/** The body of one response, as far as it was received. */
+export class ResponseBuffer {
+  readonly #chunks: Buffer[] = [];
+  #sizeBytes = 0;
+
+  /** Adds a chunk; returns false, and keeps nothing, if the body has become
+   * larger than a response may be or than there is room for. */
+  push(chunk: Buffer): boolean {
+    this.#sizeBytes += chunk.length;
+    const hasRoom = bufferedResponses.take(chunk.length) &&
+      this.#sizeBytes <= RESPONSE_MAX_BYTES;
+    if (hasRoom) this.#chunks.push(chunk);
+    else this.release();
+    return hasRoom;
+  }
+
+  /** The body. */
+  concat(): Buffer {
+    return Buffer.concat(this.#chunks);
+  }
+
+  /** Drops the body and makes room for others. May be called again. */
+  release(): void {
+    bufferedResponses.release(this.#sizeBytes);
+    this.#sizeBytes = 0;
+    this.#chunks.length = 0;
+  }
+}
--- a/packages/serving/src/event_framer.ts
+++ b/packages/serving/src/event_framer.ts
@@ -5,6 +5,7 @@
  */
 
 const NEWLINE = 0x0a;
+const NO_BYTES = Buffer.alloc(0);
 
 /** Complete events that may be sent to the caller. */
 export interface FramedEvents {
@@ -13,13 +14,22 @@
   readonly lastId: string | undefined;
 }
 
+/** Number of bytes before a chunk that may belong to a blank line which the
+ * chunk completes. */
+const LOOK_BEHIND_BYTES = 3;
+
 /** Buffers the incomplete event at the end of the stream. */
 export class EventFramer {
-  #incomplete: Buffer = Buffer.alloc(0);
+  /** The chunks of the incomplete event. They are joined only when the event is
+   * complete, since an event may come in very many chunks. */
+  #incomplete: Buffer[] = [];
+  #pendingBytes = 0;
+  /** The last bytes of the incomplete event. */
+  #lastBytes: Buffer = NO_BYTES;
 
   /** Size of the incomplete event, in bytes. */
   get pendingBytes(): number {
-    return this.#incomplete.length;
+    return this.#pendingBytes;
   }
 
   /** Adds a chunk and returns the events that it completes.
@@ -30,18 +40,32 @@
    * ```
    */
   push(chunk: Buffer): FramedEvents {
-    const all = this.#incomplete.length === 0
+    const recent = this.#lastBytes.length === 0
       ? chunk
-      : Buffer.concat([this.#incomplete, chunk]);
-    const end = endOfEvents(all);
-    this.#incomplete = all.subarray(end);
+      : Buffer.concat([this.#lastBytes, chunk]);
+    this.#incomplete.push(chunk);
+    this.#pendingBytes += chunk.length;
+    this.#lastBytes = recent.subarray(-LOOK_BEHIND_BYTES);
+    const endInRecent = endOfEvents(recent);
+    if (endInRecent === 0) return { bytes: NO_BYTES, lastId: undefined };
+    const all = Buffer.concat(this.#incomplete);
+    const end = all.length - (recent.length - endInRecent);
+    const rest = all.subarray(end);
+    this.reset();
+    if (rest.length > 0) {
+      this.#incomplete.push(rest);
+      this.#pendingBytes = rest.length;
+      this.#lastBytes = rest.subarray(-LOOK_BEHIND_BYTES);
+    }
     const bytes = all.subarray(0, end);
-    return { bytes, lastId: end === 0 ? undefined : lastIdOf(bytes) };
+    return { bytes, lastId: lastIdOf(bytes) };
   }
 
   /** Drops the incomplete event, because its engine ended the stream early. */
   reset(): void {
-    this.#incomplete = Buffer.alloc(0);
+    this.#incomplete = [];
+    this.#pendingBytes = 0;
+    this.#lastBytes = NO_BYTES;
   }
 }
 
