Start a new poll of the fleet when an owner contradicts the view

What callers could see: after a slot had moved, an instance whose long poll sat on a dead connection sent its requests to the former owner for up to half a minute, and refused them.

A long poll that waits was taken for the evidence that the fleet is unchanged.

Change: FleetKeeper.recheck replaces the poll, at most once a second; the permit client calls it when an owner does not reply or no longer owns its target.

Ruled out: a plain read on each contradiction; 350 instances would fetch the object at once over the region's link when an owner is lost.

--- a/packages/daemon/src/permit_client.ts
+++ b/packages/daemon/src/permit_client.ts
@@ -60,6 +60,9 @@
   readonly owners: OwnerTable;
   readonly links: PeerLinks;
   readonly findOwner: FindOwner;
+  /** Called when an owner does not reply or no longer owns its target: the view
+   * of the fleet may be out of date. */
+  readonly onOwnerMoving: () => void;
 }
 
 /** One attempt to acquire a permit of a target. */
@@ -110,6 +113,7 @@
         throw this.#toRefusal(request, round.refused);
       }
       metrics.count("retried", { reason: "owner_changed" });
+      this.#deps.onOwnerMoving();
       await clock.sleep(OWNER_RETRY_DELAY_MS, request.signal);
     }
   }
--- a/packages/daemon/src/wiring.ts
+++ b/packages/daemon/src/wiring.ts
@@ -306,6 +306,7 @@
     owners,
     links,
     findOwner,
+    onOwnerMoving: () => fleet.recheck(),
   };
   const intent_log = new IntentLog({ store, clock, log, metrics });
   const isResponsible = () =>
--- a/packages/fleet/src/constants.ts
+++ b/packages/fleet/src/constants.ts
@@ -23,6 +23,10 @@
  * times the number of members, while the capacity of the links is limited. */
 export const COALESCE_MS_PER_MEMBER_SQUARED = 0.03;
 
+/** Minimum time between two long polls that are started because the view may be
+ * out of date, in milliseconds. */
+export const RECHECK_INTERVAL_MS = 1_000;
+
 /** Delay after a failed long poll, in milliseconds. */
 export const WATCH_RETRY_MS = 1_000;
 
--- a/packages/fleet/src/fleet_keeper.ts
+++ b/packages/fleet/src/fleet_keeper.ts
@@ -26,6 +26,7 @@
   removeChange,
 } from "./fleet_change.ts";
 import type { FleetError } from "./fleet_error.ts";
+import { RECHECK_INTERVAL_MS } from "./constants.ts";
 import { followFleet } from "./follow_fleet.ts";
 import {
   FleetObject,
@@ -64,6 +65,8 @@
   readonly #object: FleetObject;
   readonly #listeners = new Set<FleetListener>();
   readonly #stop = new AbortController();
+  #recheck = new AbortController();
+  #rechecked_at = -Infinity;
   #latest: StoredFleet | undefined;
   #view: FleetView | undefined;
   #move_in_doubt: MoveInDoubt | undefined;
@@ -180,6 +183,18 @@
     });
   }
 
+  /** Checks whether the store holds a newer fleet, at most once in
+   * `RECHECK_INTERVAL_MS`. Call it when another member contradicts this view:
+   * the long poll may wait on a connection that is dead. */
+  recheck(): void {
+    const now = this.#deps.clock.now();
+    if (now - this.#rechecked_at < RECHECK_INTERVAL_MS) return;
+    this.#rechecked_at = now;
+    const previous = this.#recheck;
+    this.#recheck = new AbortController();
+    previous.abort(new Error("checking for a newer fleet"));
+  }
+
   /** Stops following the fleet and waits for pending changes. */
   async close(): Promise<void> {
     this.#stop.abort();
@@ -221,6 +236,7 @@
     this.#follow_task ??= followFleet(this.#object, {
       ...this.#deps,
       signal: this.#stop.signal,
+      recheckSignal: () => this.#recheck.signal,
       version: () => this.#latest?.version,
       adopt: (object) => this.#adopt(object),
     });
--- a/packages/fleet/src/fleet_keeper_test.ts
+++ b/packages/fleet/src/fleet_keeper_test.ts
@@ -12,6 +12,7 @@
   type StoreKey,
 } from "@banyanlb/core";
 import fc from "fast-check";
+import { err } from "neverthrow";
 import { pino } from "pino";
 import { expect, test } from "vitest";
 import { joinChange } from "./fleet_change.ts";
@@ -45,11 +46,21 @@
   return { kind: "session", name: id };
 }
 
+/** The result of a call that is never answered, once it is aborted. */
+async function waitForAbort(signal: AbortSignal) {
+  await new Promise((resolve) =>
+    signal.addEventListener("abort", resolve, { once: true })
+  );
+  return err({ kind: "unavailable" as const, message: "aborted" });
+}
+
 class Harness {
   readonly store = new MemoryObjectStore();
   readonly clock = new ManualClock();
   readonly keepers = new Map<string, FleetKeeper>();
 
+  /** Keepers whose long polls never get a reply, as on a dead connection. */
+  readonly silent_polls = new Set<string>();
   readonly regressions: string[] = [];
   /** Id of the keeper that sent each `write_id`. */
   readonly writers = new Map<string, string>();
@@ -78,10 +89,14 @@
   }
 
   #storeOf(id: string): ObjectStore {
-    const { writers } = this;
+    const { writers, silent_polls } = this;
     return new Proxy(this.store, {
       get: (store, name) => (...args: unknown[]) => {
         const [key, base] = args as [StoreKey, { readonly value: PackedFleet }];
+        if (name === "watch" && silent_polls.has(id)) {
+          const { signal } = args[2] as { readonly signal: AbortSignal };
+          return waitForAbort(signal);
+        }
         if (name === "update") writers.set(base.value.w, id);
         if (name === "create" && key.kind === "fleet") {
           writers.set((args[1] as PackedFleet).w, id);
@@ -131,6 +146,26 @@
   }
 }
 
+// A long poll on a dead connection waits for half a minute. Until then every
+// request to a slot that has moved went to its former holder.
+test("a member whose long poll is silent learns of a move when it rechecks", async () => {
+  const harness = new Harness();
+  const holder = await harness.join("m0");
+  harness.silent_polls.add("m1");
+  const member = await harness.join("m1");
+  const known = member.view()?.generation ?? 0;
+  const [slot = 0] = holder.view()?.slotsHeldBy("m0") ?? [];
+  const moved = holder.moveSlots([{ slot, to: "m1" }]);
+  (await harness.runUntilSettled(moved))._unsafeUnwrap();
+  await harness.runUntilSettled(harness.clock.sleep(5_000));
+  expect(member.view()?.generation).toBe(known);
+  harness.silent_polls.clear();
+  member.recheck();
+  await harness.runUntilSettled(harness.clock.sleep(200));
+  expect(member.view()?.slots[slot]?.holder).toBe("m1");
+  await harness.close();
+});
+
 test("concurrent joins all succeed and one member creates the fleet", async () => {
   const harness = new Harness();
   const ids = Array.from({ length: 12 }, (_, i) => `m${i}`);
--- a/packages/fleet/src/follow_fleet.ts
+++ b/packages/fleet/src/follow_fleet.ts
@@ -19,6 +19,9 @@
   readonly log: EventLog;
   readonly metrics: Metrics;
   readonly signal: AbortSignal;
+  /** Returns a signal whose abortion replaces the current long poll by a new
+   * one. */
+  readonly recheckSignal: () => AbortSignal;
   /** Returns the version that was adopted last. */
   readonly version: () => string | undefined;
   /** Called with each fleet that was read. */
@@ -32,11 +35,13 @@
 ): Promise<void> {
   const { signal } = options;
   while (!signal.aborted) {
+    const recheck = options.recheckSignal();
     const result = await object.watch(options.version(), {
       wait_ms: WATCH_WAIT_MS,
-      signal,
+      signal: AbortSignal.any([signal, recheck]),
     });
     if (signal.aborted) return;
+    if (result.isErr() && recheck.aborted) continue;
     if (result.isErr()) {
       recordFailure(options, result.error.kind);
       await sleepUnlessAborted(options, WATCH_RETRY_MS);
