Withdraw the soak's key while the store's watches hear of nothing

Cause: the soak withdrew a key when all was well again and looked at the result 12 s later, so that an instance could miss the change for as long. That is one reason why it never showed the missed configuration.

Change: the stand-in of the store has a mode in which watches hear of no change, and loses its history by resetting them one after another. The soak withdraws its key in that mode, 3 s after the last fault, and the key must be refused 2.5 s after the store accepted the withdrawal, not 12 s. Later the history is lost.

--- a/packages/trials/src/soak/soak.ts
+++ b/packages/trials/src/soak/soak.ts
@@ -25,10 +25,18 @@
 
 const FINAL_PHASE_MS = 3000;
 
+/** Time from the end of the last fault to the withdrawal of a key, in
+ * milliseconds. From then on all instances are within reach. */
+const STABLE_MS = 3000;
+
 /** Time after the store accepted the withdrawal of a key from which the key
  * must be refused, in milliseconds. */
 const WITHDRAWAL_BOUND_MS = 2500;
 
+/** How long the store's watches hear of no change around the withdrawal, in
+ * milliseconds. After that the store loses its history. */
+const DEAF_MS = WITHDRAWAL_BOUND_MS + 1500;
+
 const WITHDRAWN_KEY = { workspace: "w2", key: "key-2b" } as const;
 
 /** Outcome of a soak. */
@@ -80,11 +88,17 @@
     await pause(WARM_UP_MS);
     const callerTasks = callers.map((caller) => caller.run());
     const faults = await runFaults(world, { random, durationMs: faultPhaseMs });
+    await pause(STABLE_MS);
+    world.store.write("deaf");
+    const historyLost = pause(DEAF_MS).then(() =>
+      world.store.write("lose_history")
+    );
     withdrawnAtMs = Date.now();
     while (!await world.withdraw(WITHDRAWN_KEY.workspace, WITHDRAWN_KEY.key)) {
       await pause(300);
     }
     const refusedFromMs = Date.now() + WITHDRAWAL_BOUND_MS;
+    await historyLost;
     await pause(RECOVERY_MS);
     const recoveredFromMs = Date.now();
     await pause(FINAL_PHASE_MS);
@@ -99,8 +113,7 @@
         recoveredFromMs,
       }),
       ...attempts.filter((a) =>
-        !a.isKeyValid && a.sentAt > Math.max(refusedFromMs, recoveredFromMs) &&
-        a.status === 200
+        !a.isKeyValid && a.sentAt > refusedFromMs && a.status === 200
       ).map((a) => `${a.id} was served with a withdrawn key`),
       ...world.describeCrashes(),
     ];
