--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -379,18 +379,22 @@
     return remainingMs > route.timeoutMs;
   }
 
-  /** Decides whether this instance is one of its region's store readers, and
-   * which instances confirm its records: those before it in its region, or in
-   * the whole fleet if that is small. The instances with the most cores are
-   * preferred, since many peers pull records from them. */
-  #updateStoreReader(now: number): void {
-    const reaching = this.#members.membersReachingStore(now);
+  /** Decides which instances confirm the records of this one: those that
+   * precede it as store readers in its region, or in the whole fleet if that is
+   * small. */
+  #updateLeads(now: number): void {
     const isFleetSmall = !aggregatesLoads(this.#members.list().length);
-    this.#leads = reaching.filter((m) =>
+    this.#leads = this.#members.membersReachingStore(now).filter((m) =>
       (isFleetSmall || m.region === this.#self.region) &&
       (!this.#storeView.reachesStore || precedesAsReader(m, this.#self))
     ).sort((a, b) => precedesAsReader(a, b) ? -1 : 1).slice(0, LEADS_MAX);
-    const preceding = reaching.filter((m) =>
+  }
+
+  /** Decides whether this instance is one of its region's store readers. The
+   * instances with the most cores are preferred, since many peers pull records
+   * from them. */
+  #updateStoreReader(now: number): void {
+    const preceding = this.#members.membersReachingStore(now).filter((m) =>
       m.region === this.#self.region && precedesAsReader(m, this.#self)
     );
     const isStoreReader = preceding.length < STORE_READERS_PER_REGION;
@@ -412,6 +416,7 @@
   #tick(): void {
     const now = performance.now();
     this.#ownLoad.tick(now);
+    this.#updateLeads(now);
     this.#updateStoreReader(now);
     this.#storeView.dropMissingEngines(now);
   }
--- a/packages/gateway/src/record_confirmer.ts
+++ b/packages/gateway/src/record_confirmer.ts
@@ -67,6 +67,7 @@
       if (step === "read") void follower.confirm();
       if (step !== "none" && !isLead) mustAsk = true;
     }
+    // No peer can confirm these.
     for (const follower of unshared) {
       follower.restartSilentWatch();
       if (follower.nextConfirmationStep(now, true) === "read") {
--- a/packages/serving/src/confirmation.ts
+++ b/packages/serving/src/confirmation.ts
@@ -15,6 +15,13 @@
 const RETRY_PAUSE_MS = 200;
 const RETRY_PAUSE_MAX_MS = 1600;
 
+/** Shares of the time within which a change must be known, after which an
+ * instance acts. The rest of that time is for the check that was just missed, a
+ * read that times out on a dead connection, and the read after it. */
+const LEAD_READ_SHARE = 0.28;
+const ASK_SHARE = 0.36;
+const READ_SHARE = 0.48;
+
 /** Ages of the last confirmation at which an instance acts, in milliseconds. */
 export interface ConfirmationTimes {
   /** The lead reads a list. */
@@ -29,9 +36,6 @@
 export type ConfirmationStep = "none" | "ask" | "read";
 
 /** The times with which a change is known everywhere within `boundMs`.
- *
- * Without the lead, a change is read `readMs` after the last confirmation, plus
- * a tick, the timeout of a read on a connection that is dead, and another read.
  *
  * @example
  * ```ts
@@ -40,9 +44,9 @@
  */
 export function confirmationTimes(boundMs: number): ConfirmationTimes {
   return {
-    leadMs: boundMs * 0.28,
-    askMs: boundMs * 0.36,
-    readMs: boundMs * 0.48,
+    leadMs: boundMs * LEAD_READ_SHARE,
+    askMs: boundMs * ASK_SHARE,
+    readMs: boundMs * READ_SHARE,
   };
 }
 
