--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -75,7 +75,7 @@
 const NOT_RUN_BODY_TIMEOUT_MS = 200;
 
 /** Maximum size of one event of a resumable stream, in bytes. */
-const EVENT_MAX_BYTES = 1024 * 1024;
+const EVENT_MAX_BYTES = 256 * 1024;
 
 /** A request whose route, workspace, service and body have been determined. */
 export interface ExchangeInput {
