--- a/packages/trials/src/soak/soak.ts
+++ b/packages/trials/src/soak/soak.ts
@@ -37,6 +37,9 @@
  * milliseconds. After that the store loses its history. */
 const DEAF_MS = WITHDRAWAL_BOUND_MS + 1500;
 
+/** Time within which the store must accept the withdrawal, in milliseconds. */
+const WITHDRAWAL_TIMEOUT_MS = 20_000;
+
 const WITHDRAWN_KEY = { workspace: "w2", key: "key-2b" } as const;
 
 /** Outcome of a soak. */
@@ -95,6 +98,9 @@
     );
     withdrawnAtMs = Date.now();
     while (!await world.withdraw(WITHDRAWN_KEY.workspace, WITHDRAWN_KEY.key)) {
+      if (Date.now() - withdrawnAtMs > WITHDRAWAL_TIMEOUT_MS) {
+        throw new Error(`seed ${seed}: the store accepts no configuration`);
+      }
       await pause(300);
     }
     const refusedFromMs = Date.now() + WITHDRAWAL_BOUND_MS;
