--- a/packages/gateway/src/relay_test.ts
+++ b/packages/gateway/src/relay_test.ts
@@ -15,6 +15,22 @@
   res.end("well");
 };
 
+// Without these fields the log cannot tell which configuration handled a
+// request, and how old it was.
+test("the line of each request names its configuration", async () => {
+  const lines: Readonly<Record<string, unknown>>[] = [];
+  const port = await startRelay([respondOk], {
+    route: { pathPrefix: "/x" },
+    onLog: (fields) => lines.push(fields),
+  });
+  await sendRequest(port);
+  await sendRequest(port, { host: "other" });
+  expect(lines).toMatchObject([
+    { status: 200, configuration: 1, configurationAgeMs: 70 },
+    { reason: "no_route", configuration: 1, configurationAgeMs: 70 },
+  ]);
+});
+
 test("an unsafe request whose response is lost gets 502 and is sent once", async () => {
   let requestCount = 0;
   const dropConnection: RequestListener = (req) => {
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -71,6 +71,8 @@
     readonly route: Partial<Route>;
     readonly adapters?: readonly string[];
     readonly load?: () => Promise<boolean>;
+    /** Receives the fields of each log line. */
+    readonly onLog?: (fields: Readonly<Record<string, unknown>>) => void;
   },
 ): Promise<number> {
   const engines: Engine[] = [];
@@ -126,7 +128,7 @@
   const relay = new Relay({
     protocol: new PlatformCallerProtocol(),
     routeTable: () => routeTable,
-    configurationAgeMs: () => 0,
+    configurationAgeMs: () => 70,
     chooser: new EngineChooser(engineTable),
     loader: {
       load: options.load ?? (() => Promise.resolve(false)),
@@ -145,7 +147,9 @@
     }),
     use: new AdapterUsageCounts(),
     hasTimeFor: () => true,
-    log: new EventLog(pino({ level: "silent" })),
+    log: new EventLog(pino({}, {
+      write: (line: string) => options.onLog?.(JSON.parse(line)),
+    })),
     metrics: new GatewayMetrics(),
   });
   return portOf(await listen((req, res) => void relay.serve(req, res)));
