Give answered orders in a test of the engine client more than 50 ms

Cause: the tests of statuses used the time-out of the test of an order that is never answered, 50 ms. On a busy machine the first connection of a process takes longer, and 'unknown' was received instead of the status's meaning.

Change: answered orders have 5 s, the unanswered one 1 s. The checks are the same; the one of status 503 is stricter, since a time-out has the same result that it expects.

--- a/packages/clients/src/openai_engine_client_test.ts
+++ b/packages/clients/src/openai_engine_client_test.ts
@@ -10,7 +10,11 @@
   adapter: "tolls",
   weights: "tolls/1",
 };
-const OPTIONS = { epoch: 7, timeout_ms: 50 };
+/** Time for an order that is answered at once. */
+const OPTIONS = { epoch: 7, timeout_ms: 5_000 };
+
+/** Time for an order that is never answered, which still has to arrive. */
+const UNANSWERED_OPTIONS = { epoch: 7, timeout_ms: 1_000 };
 
 const engines = new OpenAiEngineClient();
 let server: Server;
@@ -50,7 +54,11 @@
   const target = await serve((req) => {
     epoch = req.headers["x-fencing-epoch"];
   });
-  const result = await engines.evict(target, VERSION.name, OPTIONS);
+  const result = await engines.evict(
+    target,
+    VERSION.name,
+    UNANSWERED_OPTIONS,
+  );
   expect(result._unsafeUnwrapErr().kind).toBe("unknown");
   expect(epoch).toBe("7");
 });
