Log the shared parts of the prompt of each failed attempt

A line of a failed attempt named engine, kind and time, but not what the prompt shared with others nor whether an answer had begun, so a crash could not be connected to a part. Event 843 now has both.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -310,6 +310,11 @@
         ? outcome.answer.status
         : undefined,
       load: Math.round(view.load(now)),
+      parts: caller.sharedParts,
+      // Time since the first byte of a response, of this or an earlier attempt.
+      answeredMs: this.#firstByteAt === undefined
+        ? undefined
+        : Math.round(now - this.#firstByteAt),
       ms: Math.round(now - this.#input.arrivedAt),
     });
     if (reason === "adapter_missing" && this.#notRunCount < REFUSALS_MAX) {
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -170,6 +170,9 @@
   /** Declared tokens, prompt and output together. */
   readonly tokens: number | undefined;
   readonly lastEventId: string | undefined;
+  /** Ids of the parts of the prompt that other requests may share, in their
+   * order. The last part of a prompt is the request's own and not listed. */
+  readonly sharedParts: readonly string[];
 }
 
 /** Fields that are added to a request when it is forwarded to an engine. */
