Add a failing test of a prompt part that crashes engines

A relay with twelve engines that end when they begin to answer a prompt with one part: with the present code each request ends the engine that it is sent to and its repeat the next, until sound requests get 503 (expected 200, received 503).

--- /dev/null
+++ b/packages/gateway/src/relay_crashing_part_test.ts
@@ -0,0 +1,74 @@
+import type { RequestListener } from "node:http";
+import { afterEach, expect, test } from "vitest";
+import {
+  cleanUp,
+  listen,
+  portOf,
+  SEALED_HEADERS,
+  sendRequest,
+  startRelay,
+} from "./testing/start_relay.ts";
+
+afterEach(cleanUp);
+
+const FIRST_PART = "f0";
+const CRASHING_PART = "dead";
+const ENGINE_COUNT = 12;
+
+/** Crashes that a part may cause before requests with it are stopped. */
+const CRASHES_MAX = 3;
+
+/** Starts engines that end as soon as they begin to answer a prompt with
+ * `CRASHING_PART`. */
+async function startCrashingEngines() {
+  let crashCount = 0;
+  const ports: number[] = [];
+  for (let i = 0; i < ENGINE_COUNT; i += 1) {
+    const handle: RequestListener = (req, res) => {
+      res.writeHead(200, SEALED_HEADERS);
+      res.write("id: 1\ndata: a\n\n");
+      if (!String(req.headers["prompt-prefix"]).includes(CRASHING_PART)) {
+        res.end("id: 2\ndata: b\n\n");
+        return;
+      }
+      crashCount += 1;
+      setTimeout(() => {
+        server.close();
+        server.closeAllConnections();
+      }, 5);
+    };
+    const server = await listen(handle);
+    ports.push(portOf(server));
+  }
+  return { ports, crashCount: () => crashCount };
+}
+
+const promptOf = (...parts: readonly string[]) => ({
+  "prompt-prefix": parts.map((part) => `${part}:10`).join(","),
+});
+
+// Each request with such a part ended the engine that it was sent to, its
+// repeat the next one, until no engine of the service was left.
+test("requests with a prompt part that crashes engines stop reaching engines", async () => {
+  const engines = await startCrashingEngines();
+  const port = await startRelay(engines.ports, {
+    route: { kind: "stream", resumable: true, maxAttempts: 3 },
+  });
+  const sound = promptOf(FIRST_PART, "a1", "01");
+  expect((await sendRequest(port, sound)).isComplete).toBe(true);
+  const statuses: number[] = [];
+  for (let i = 0; i < ENGINE_COUNT; i += 1) {
+    const own = (i + 16).toString(16);
+    const response = await sendRequest(
+      port,
+      promptOf(FIRST_PART, "c6", CRASHING_PART, own),
+    );
+    statuses.push(response.status);
+    for (const middle of ["a1", "c6"]) {
+      expect(await sendRequest(port, promptOf(FIRST_PART, middle, own)))
+        .toMatchObject({ status: 200, isComplete: true });
+    }
+  }
+  expect(engines.crashCount()).toBeLessThanOrEqual(CRASHES_MAX);
+  expect(statuses.slice(-6)).toEqual(Array(6).fill(503));
+});
