--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -28,12 +28,14 @@
 } from "./engine_connections.ts";
 import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
 import * as events from "./events.ts";
+import { RateCharge } from "./rate_charge.ts";
 import type {
   ConfigurationInUse,
   RelayDependencies,
 } from "./relay_dependencies.ts";
 import { RESPONSE_MAX_BYTES, ResponseBuffer } from "./response_buffer.ts";
 import { trackCompletion } from "./response_completion.ts";
+import { skipBody } from "./skip_body.ts";
 
 /** Time between a request's deadline and the moment when the gateway aborts its
  * attempt: an engine sends its own response when the deadline that it received
@@ -68,12 +70,6 @@
  * so that the engine serves it later. */
 const LATE_URGENCY_PENALTY = 4;
 
-/** How much of the body of a response that states that the request was not run
- * is read, in bytes, and for how long, in milliseconds, so that the connection
- * can be used again. */
-const NOT_RUN_BODY_MAX_BYTES = 64 * 1024;
-const NOT_RUN_BODY_TIMEOUT_MS = 200;
-
 /** Maximum size of one event of a resumable stream, in bytes. */
 const EVENT_MAX_BYTES = 256 * 1024;
 
@@ -106,6 +102,7 @@
   readonly #deadline: number;
   readonly #excludedEngines = new Set<string>();
   readonly #framer = new EventFramer();
+  readonly #rateCharge: RateCharge;
   /** Attempts in which the engine may have run the request. */
   #runCount = 0;
   #notRunCount = 0;
@@ -115,7 +112,6 @@
   #hasCallerDisconnected = false;
   #hasSentHeaders = false;
   #engineRequest: EngineRequest | undefined;
-  #chargedUnits = 0;
   #firstByteAt: number | undefined;
   /** The longest pause between two chunks of a stream, in milliseconds. */
   #longestPauseMs = 0;
@@ -125,6 +121,7 @@
     this.#deps = deps;
     this.#input = input;
     const { caller, route, arrivedAt } = input;
+    this.#rateCharge = new RateCharge(deps, input.workspace, caller);
     this.#lastEventId = caller.lastEventId;
     this.#deadline = arrivedAt +
       Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
@@ -138,7 +135,10 @@
 
   async run(): Promise<void> {
     const { res, refuse } = this.#input;
-    if (!this.#chargeRate()) return;
+    const rateWaitSeconds = this.#rateCharge.take();
+    if (rateWaitSeconds !== undefined) {
+      return refuse(429, "over_rate", rateWaitSeconds);
+    }
     res.on("close", () => {
       if (res.writableFinished) return;
       this.#hasCallerDisconnected = true;
@@ -154,13 +154,13 @@
         this.#deps.log.write(events.CALLER_DISCONNECTED, {
           id: this.#input.caller.id,
         });
-        this.#refundRate();
+        if (this.#runCount === 0) this.#rateCharge.refund();
         return;
       }
       if (view === "wait") continue;
       if (typeof view === "string") {
         if (this.#runCount > 0) return this.#giveUp(view);
-        this.#refundRate();
+        this.#rateCharge.refund();
         return refuse(503, `${view}:${reason}`, retryAfterSeconds());
       }
       const outcome = await this.#runAttempt(view);
@@ -176,7 +176,7 @@
           : this.#canRepeat(now));
       if (!shouldContinue) {
         if (outcome.kind === "not_run" && this.#runCount === 0) {
-          this.#refundRate();
+          this.#rateCharge.refund();
           return refuse(503, reason, retryAfterSeconds());
         }
         return this.#giveUp(reason);
@@ -184,50 +184,6 @@
     }
   }
 
-  #chargeRate(): boolean {
-    const { workspace, caller, refuse } = this.#input;
-    if (workspace === undefined) return true;
-    const tokenRate = this.#deps.rateOf(workspace);
-    if (tokenRate === undefined) return true;
-    const units = workspace.countsTokens
-      ? caller.tokens ?? workspace.defaultTokens
-      : 1;
-    tokenRate.advance(performance.now(), this.#unresponsiveShare());
-    if (!tokenRate.tryTake(units)) {
-      const waitSeconds = Math.min(
-        5,
-        Math.max(0.2, tokenRate.waitMs(units) / 1000),
-      );
-      this.#deps.log.write(events.RATE_EXCEEDED, {
-        id: caller.id,
-        workspace: workspace.name,
-        units,
-        level: Math.round(tokenRate.level),
-        perSecond: workspace.ratePerSecond,
-        burst: workspace.burst,
-        silentShare: this.#unresponsiveShare(),
-      });
-      refuse(429, "over_rate", waitSeconds);
-      return false;
-    }
-    this.#chargedUnits = units;
-    return true;
-  }
-
-  #unresponsiveShare(): number {
-    return this.#deps.members.silentShare(performance.now());
-  }
-
-  #refundRate(): void {
-    const { workspace } = this.#input;
-    if (
-      workspace === undefined || this.#chargedUnits === 0 ||
-      this.#runCount > 0
-    ) return;
-    this.#deps.rateOf(workspace)?.refund(this.#chargedUnits);
-    this.#chargedUnits = 0;
-  }
-
   /** The newest announced version of the requested adapter; 0 if none was
    * announced. */
   #newestVersion(): number {
@@ -396,7 +352,7 @@
       return;
     }
     if (this.#runCount === 0) {
-      this.#refundRate();
+      this.#rateCharge.refund();
       return refuse(503, reason, retryAfterSeconds());
     }
     const status = reason === "timed_out" ? 504 : 502;
@@ -761,25 +717,6 @@
   }
 }
 
-/** Skips a body whose content does not matter, so that its connection can be
- * reused. Calls `callback` at the end of the body, when the connection has
- * failed, or when the body turns out to be long or slow. */
-function skipBody(response: IncomingMessage, callback: () => void): void {
-  let sizeBytes = 0;
-  const finish = () => {
-    clearTimeout(timer);
-    callback();
-  };
-  const timer = setTimeout(finish, NOT_RUN_BODY_TIMEOUT_MS);
-  response.on("data", (chunk: Buffer) => {
-    sizeBytes += chunk.length;
-    if (sizeBytes > NOT_RUN_BODY_MAX_BYTES) finish();
-  });
-  response.once("end", finish);
-  response.once("error", finish);
-  response.once("close", finish);
-}
-
 /** The urgency value that the engine receives; 0 is served first. A request
  * that will miss its target latency is served after requests that can still
  * meet their target latency; within each group the priority decides. */
