--- /dev/null
+++ b/packages/gateway/src/crash_watch_test.ts
@@ -0,0 +1,106 @@
+import { EventLog } from "@banyanlb/core";
+import {
+  type Engine,
+  type EngineProbe,
+  EngineView,
+  PartQuarantine,
+} from "@banyanlb/serving";
+import pino from "pino";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { CrashWatch } from "./crash_watch.ts";
+import { GatewayMetrics } from "./metrics.ts";
+
+beforeEach(() => void vi.useFakeTimers());
+afterEach(() => void vi.useRealTimers());
+
+function createView(key: string, leaving = false): EngineView {
+  const engine: Engine = {
+    key,
+    id: key,
+    service: "svc",
+    host: "h",
+    port: 1,
+    zone: "z",
+    slots: 8,
+    leaving,
+    remainingMs: undefined,
+    models: [],
+  };
+  return new EngineView(engine);
+}
+
+function createWatch(probe: EngineProbe) {
+  const lines: Readonly<Record<string, unknown>>[] = [];
+  const log = new EventLog(pino({}, {
+    write: (line: string) => void lines.push(JSON.parse(line)),
+  }));
+  const quarantine = new PartQuarantine("i1", {
+    onHold: () => undefined,
+    onRelease: () => undefined,
+    settleMs: () => 0,
+  });
+  let probes = 0;
+  const watch = new CrashWatch({
+    quarantine,
+    control: {
+      probe: () => {
+        probes += 1;
+        return Promise.resolve(probe);
+      },
+    },
+    log,
+    metrics: new GatewayMetrics(),
+  });
+  return { watch, quarantine, lines, probes: () => probes };
+}
+
+const cut = (id: string, parts: readonly string[], isSuspect = true) => ({
+  id,
+  parts,
+  isSuspect,
+});
+
+test("a crash has all requests of the engine that were cut off", async () => {
+  const { watch, quarantine, lines, probes } = createWatch("ended");
+  const view = createView("e1@1");
+  watch.recordCut(view, cut("r1", ["a", "b"]));
+  watch.recordCut(view, cut("r2", ["a"], false));
+  await vi.advanceTimersByTimeAsync(20);
+  watch.recordCut(view, cut("r3", ["c"]));
+  await vi.advanceTimersByTimeAsync(2000);
+  expect(probes()).toBe(1);
+  expect(quarantine.beliefOn("b").crashes).toBe(1);
+  expect(quarantine.beliefOn("c").crashes).toBe(1);
+  expect(lines).toMatchObject([{
+    event: 846,
+    engine: "e1@1",
+    cut: 3,
+    suspects: [
+      { id: "r1", parts: ["a 1/0", "b 1/0"] },
+      { id: "r3", parts: ["c 1/0"] },
+    ],
+    others: ["r2"],
+  }]);
+});
+
+// A reset of one connection, or an engine that is cut off, is no crash.
+test.each(["running", "unknown"] as const)(
+  "requests that break off are no crash if the engine is %s",
+  async (probe) => {
+    const { watch, quarantine, lines } = createWatch(probe);
+    for (let i = 0; i < 5; i += 1) {
+      watch.recordCut(createView("e1@1"), cut(`r${i}`, ["a"]));
+      await vi.advanceTimersByTimeAsync(3000);
+    }
+    expect(quarantine.beliefOn("a").crashes).toBe(0);
+    expect(lines).toEqual([]);
+  },
+);
+
+test("a leaving engine that ends has not crashed", async () => {
+  const { watch, quarantine, probes } = createWatch("ended");
+  watch.recordCut(createView("e1@1", true), cut("r1", ["a"]));
+  await vi.advanceTimersByTimeAsync(2000);
+  expect(probes()).toBe(0);
+  expect(quarantine.beliefOn("a").crashes).toBe(0);
+});
--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -11,6 +11,7 @@
   LagDetector,
   type Member,
   type MemberTable,
+  type PartQuarantine,
   ticksBetweenDigests,
   type TokenRate,
 } from "@banyanlb/serving";
@@ -42,6 +43,9 @@
  * peer that has been running for longer than it by more than this time. */
 const NEW_PEER_MS = 1500;
 
+/** Number of values that are no longer sent of which the last state is kept. */
+const SURPLUS_STATES_MAX = 64;
+
 /** A value that is sent when it changes: its name, a number that differs after
  * each change, and the value itself. */
 type DeltaRow<T> = readonly [name: string, state: number, value: T];
@@ -64,9 +68,12 @@
   /** Number of digests sent to the peer, and the tick of the last one. */
   digestsSent: number;
   lastSentTick: number;
-  /** The `state` of the row last sent, by engine key and by workspace. */
+  /** The `state` of the row last sent, by the row's name. */
   readonly sentHeldStates: Map<string, number>;
   readonly sentUsedStates: Map<string, number>;
+  readonly sentCrashStates: Map<string, number>;
+  readonly sentAnswerStates: Map<string, number>;
+  readonly sentHoldStates: Map<string, number>;
 }
 
 /** Parts of the gateway whose state digests report and update. */
@@ -80,6 +87,7 @@
   readonly records: SharedRecords;
   readonly rates: ReadonlyMap<string, TokenRate>;
   readonly use: AdapterUsageCounts;
+  readonly quarantine: PartQuarantine;
   readonly links: () => PeerLinks;
   readonly state: () => {
     readonly ready: boolean;
@@ -155,6 +163,9 @@
         return [name, units, units];
       },
     );
+    const { crashes, answers, holds } = this.#options.quarantine.report(
+      performance.now(),
+    );
     const selfRole = {
       ...self,
       serves: common.serves === true,
@@ -181,6 +192,9 @@
         levels: this.#rateLevelsFor(peer),
         held: changedRows(peer, peer.sentHeldStates, held),
         use: this.#adapterUseFor(member.name, engines),
+        crashes: changedRows(peer, peer.sentCrashStates, crashes),
+        answers: changedRows(peer, peer.sentAnswerStates, answers),
+        holds: changedRows(peer, peer.sentHoldStates, holds),
       };
       this.#options.links().send(
         member.peerAddress,
@@ -243,6 +257,7 @@
         rates.get(name)?.adoptLevel(level, now);
       }
     }
+    this.#options.quarantine.receive(from, digest, now);
     loader.recordPeerFetches(from, digest.fetches ?? 0);
     for (const [key, use] of Object.entries(digest.use ?? {})) {
       loader.recordAdapterUse(from, key, use);
@@ -302,6 +317,9 @@
       lastSentTick: -Infinity,
       sentHeldStates: new Map<string, number>(),
       sentUsedStates: new Map<string, number>(),
+      sentCrashStates: new Map<string, number>(),
+      sentAnswerStates: new Map<string, number>(),
+      sentHoldStates: new Map<string, number>(),
     };
     this.#peers.set(member.name, peer);
     return peer;
@@ -406,6 +424,12 @@
     sentStates.set(name, state);
     changed[name] = value;
   }
+  if (sentStates.size > rows.length + SURPLUS_STATES_MAX) {
+    const names = new Set(rows.map(([name]) => name));
+    for (const name of sentStates.keys()) {
+      if (!names.has(name)) sentStates.delete(name);
+    }
+  }
   return isEmpty(changed) ? undefined : changed;
 }
 
--- a/packages/gateway/src/digest_exchange_test.ts
+++ b/packages/gateway/src/digest_exchange_test.ts
@@ -1,5 +1,5 @@
 import { EventLog } from "@banyanlb/core";
-import { EngineTable, MemberTable } from "@banyanlb/serving";
+import { EngineTable, MemberTable, PartQuarantine } from "@banyanlb/serving";
 import pino from "pino";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import type { AdapterLoader } from "./adapter_loader.ts";
@@ -41,6 +41,11 @@
   });
   const members = new MemberTable(own.member.name, performance.now());
   members.add(peer.member);
+  const quarantine = new PartQuarantine(own.member.name, {
+    onHold: () => undefined,
+    onRelease: () => undefined,
+    settleMs: () => 0,
+  });
   const exchange = new DigestExchange({
     self: own.member,
     members,
@@ -53,12 +58,13 @@
     records: own.records,
     rates: new Map(),
     use: new AdapterUsageCounts(),
+    quarantine,
     links: () => ({ confirmDelivery: () => undefined }) as unknown as PeerLinks,
     state: () => ({ ready: true, leaving: false, serves: true, busy: 0 }),
     log: new EventLog(pino({ level: "silent" })),
   });
   let seq = 0;
-  const deliverDigest = () => {
+  const deliverDigest = (fields: Partial<Digest> = {}) => {
     seq += 1;
     const revs = peer.records.confirmedRows(performance.now())
       .map(([revision]) => revision);
@@ -70,11 +76,12 @@
       tenure: undefined,
       revs,
       up: 10_000,
+      ...fields,
     };
     exchange.receive(peer.member.name, digest);
   };
   await vi.advanceTimersByTimeAsync(1000);
-  return { stores, own, peer, deliverDigest };
+  return { stores, own, peer, quarantine, deliverDigest };
 }
 
 function writeConfiguration(store: FakeRecordStore, version: number): void {
@@ -125,3 +132,12 @@
   expect(own.version).toBe(2);
   expect(peer.answered).toBe(0);
 });
+
+test("what peers report of crashes holds a part here", async () => {
+  const { quarantine, deliverDigest } = await startPair();
+  const report = { ageMs: 20, suspects: [["first", "bad"]] };
+  deliverDigest({ crashes: { "e1@1": report }, answers: { first: [4, 9] } });
+  expect(quarantine.beliefOn("bad").isHeld).toBe(false);
+  deliverDigest({ crashes: { "e2@1": report } });
+  expect(quarantine.beliefOn("bad").isHeld).toBe(true);
+});
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -265,3 +265,54 @@
   severity: "info",
   text: "workspace rate limit exceeded",
 };
+
+/** An engine ended while it ran requests. `suspects` are the requests of this
+ * instance whose answers had not got past their beginning, each part of their
+ * prompts with the crashes and the answers that are known of it; `others` had
+ * got past it. */
+export const ENGINE_CRASHED: LogEvent = {
+  id: 846,
+  severity: "warn",
+  text: "engine crashed",
+};
+
+/** Requests with a part of a prompt are refused from now on, because the part
+ * explains crashes of engines. `reason` tells whether this instance concluded
+ * so from the evidence, or adopted it from a peer or from the store. */
+export const PART_HELD: LogEvent = {
+  id: 847,
+  severity: "warn",
+  text: "prompt part held: it crashes engines",
+};
+
+/** Requests with a part of a prompt are sent again: the evidence no longer
+ * speaks against it, its trial was answered, nobody asked for it for long, or a
+ * peer released it. */
+export const PART_RELEASED: LogEvent = {
+  id: 848,
+  severity: "info",
+  text: "prompt part released",
+};
+
+/** A request was refused because a part of its prompt is held. The fields are
+ * the evidence: crashes that the part explains, answers on it, trials, and how
+ * long it has been held. */
+export const PART_REFUSED: LogEvent = {
+  id: 849,
+  severity: "info",
+  text: "request with a held prompt part refused",
+};
+
+/** A request is sent to try whether a held part still crashes engines. */
+export const PART_TRIED: LogEvent = {
+  id: 850,
+  severity: "info",
+  text: "held prompt part tried",
+};
+
+/** The held prompt parts could not be read from the store or written to it. */
+export const HOLDS_NOT_STORED: LogEvent = {
+  id: 851,
+  severity: "warn",
+  text: "held prompt parts not read or written",
+};
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -8,6 +8,7 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import {
   type CallerRequest,
   type EngineChoice,
@@ -28,6 +29,7 @@
 } from "./engine_connections.ts";
 import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
 import * as events from "./events.ts";
+import type { PromptGuard } from "./prompt_guard.ts";
 import { RateCharge } from "./rate_charge.ts";
 import type {
   ConfigurationInUse,
@@ -73,6 +75,9 @@
 /** Maximum size of one event of a resumable stream, in bytes. */
 const EVENT_MAX_BYTES = 256 * 1024;
 
+/** The reason of a refusal because of a held part of the prompt. */
+const HELD_PART = "held_part";
+
 /** A request whose route, workspace, service and body have been determined. */
 export interface ExchangeInput {
   readonly req: IncomingMessage;
@@ -103,6 +108,7 @@
   readonly #excludedEngines = new Set<string>();
   readonly #framer = new EventFramer();
   readonly #rateCharge: RateCharge;
+  readonly #guard: PromptGuard;
   /** Attempts in which the engine may have run the request. */
   #runCount = 0;
   #notRunCount = 0;
@@ -122,6 +128,7 @@
     this.#input = input;
     const { caller, route, arrivedAt } = input;
     this.#rateCharge = new RateCharge(deps, input.workspace, caller);
+    this.#guard = deps.guardPrompt(caller);
     this.#lastEventId = caller.lastEventId;
     this.#deadline = arrivedAt +
       Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
@@ -135,6 +142,7 @@
 
   async run(): Promise<void> {
     const { res, refuse } = this.#input;
+    if (this.#guard.decide().kind === "refuse") return refuse(503, HELD_PART);
     const rateWaitSeconds = this.#rateCharge.take();
     if (rateWaitSeconds !== undefined) {
       return refuse(429, "over_rate", rateWaitSeconds);
@@ -163,6 +171,14 @@
         this.#rateCharge.refund();
         return refuse(503, `${view}:${reason}`, retryAfterSeconds());
       }
+      // The part may have been held while the adapter was loaded.
+      const decision = this.#guard.decide();
+      if (decision.kind === "refuse") return this.#giveUp(HELD_PART);
+      if (decision.kind === "wait") {
+        await setTimeoutPromise(decision.ms);
+        continue;
+      }
+      this.#guard.start(decision);
       const outcome = await this.#runAttempt(view);
       const now = performance.now();
       if (outcome.kind === "finished") return;
@@ -173,7 +189,7 @@
       const shouldContinue = outcome.kind === "moved" ||
         (outcome.kind === "not_run"
           ? this.#canResend(now)
-          : this.#canRepeat(now));
+          : this.#guard.mayRepeat(view) && this.#canRepeat(now));
       if (!shouldContinue) {
         if (outcome.kind === "not_run" && this.#runCount === 0) {
           this.#rateCharge.refund();
@@ -253,6 +269,7 @@
     const reason = "reason" in outcome ? outcome.reason : "engine_error";
     const isUnresponsive = reason === "silent" || reason === "unreachable" ||
       reason === "stalled";
+    if (reason === "connection_lost") this.#guard.recordCut(view);
     if (outcome.kind !== "not_run" || isUnresponsive) {
       view.health.recordResult(isUnresponsive ? "silent" : "failed", now);
     }
@@ -353,7 +370,11 @@
     }
     if (this.#runCount === 0) {
       this.#rateCharge.refund();
-      return refuse(503, reason, retryAfterSeconds());
+      // Nothing says when requests with a held part will be sent again.
+      const waitSeconds = reason === HELD_PART
+        ? undefined
+        : retryAfterSeconds();
+      return refuse(503, reason, waitSeconds);
     }
     const status = reason === "timed_out" ? 504 : 502;
     this.#recordRequestFailure(reason, status);
@@ -546,6 +567,7 @@
     }
     if (!isSuccess) return this.#handleErrorResponse(view, response, settle);
     view.health.recordResult("answered", performance.now());
+    this.#guard.recordHead();
     if (this.#hasSentHeaders) {
       return this.#forwardStream(view, response, settle);
     }
@@ -613,6 +635,7 @@
       this.#hasSentHeaders = true;
       res.writeHead(status, withContentLength(headers, body.length));
       res.end(body);
+      this.#guard.recordAnswer();
       this.#recordServed(status, view);
       settle({ kind: "finished" });
     });
@@ -668,6 +691,7 @@
     response.on("data", (chunk: Buffer) => {
       if (settle.ended()) return;
       this.#recordChunk();
+      this.#guard.recordBytes();
       restartStallTimer();
       let bytes = chunk;
       if (route.resumable) {
@@ -710,6 +734,7 @@
         return;
       }
       res.end();
+      this.#guard.recordAnswer();
       this.#recordServed(response.statusCode ?? 200, view);
       settle({ kind: "finished" });
     });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,6 @@
   RetryBudget,
   type Route,
   type SelectionContext,
-  Steering,
   SystemClocks,
   TokenRate,
   type Workspace,
@@ -31,7 +30,6 @@
 import { CallerServer } from "./caller_server.ts";
 import { DIGEST_TICK_MS, DigestExchange } from "./digest_exchange.ts";
 import { EngineConnections } from "./engine_connections.ts";
-import { sendErrorResponse } from "./error_response.ts";
 import * as events from "./events.ts";
 import { Membership } from "./membership.ts";
 import { GatewayMetrics } from "./metrics.ts";
@@ -39,8 +37,10 @@
 import { PeerLinks, type SendReply } from "./peer_links.ts";
 import type { PeerMessage } from "./peer_messages.ts";
 import { RecordConfirmer } from "./record_confirmer.ts";
+import { PromptProtection } from "./prompt_protection.ts";
 import { Relay } from "./relay.ts";
 import { SharedRecords } from "./shared_records.ts";
+import { SteeringEndpoint } from "./steering_endpoint.ts";
 import { StoreView } from "./store_view.ts";
 
 /** Time between runs of the periodic work, in milliseconds: load measurement,
@@ -53,10 +53,6 @@
 const LOADER_TICK_MS = 50;
 const LOADER_IDLE_TICK_MS = 250;
 
-/** How long callers may cache the addresses of a steering response, in seconds:
- * short compared with the time after which a lost instance would be missed. */
-const STEERING_CACHE_SECONDS = 1;
-
 /** How long a draining process still accepts streams, in milliseconds: the
  * longest streams last seconds and would be cut off when the grace period
  * ends. */
@@ -107,7 +103,7 @@
   readonly #recordConfirmer: RecordConfirmer;
   readonly #digestExchange: DigestExchange;
   readonly #ownLoad = new OwnLoad();
-  readonly #steeringPolicy = new Steering();
+  readonly #promptProtection: PromptProtection;
   readonly #rates = new Map<string, TokenRate>();
   readonly #retryBudgets = new Map<string, RetryBudget>();
   readonly #callerServer: CallerServer;
@@ -208,6 +204,15 @@
       leads: () => this.#leads,
       links: () => this.#links,
     });
+    this.#promptProtection = new PromptProtection({
+      self: this.#self,
+      members: this.#members,
+      store: this.#store,
+      control: this.#control,
+      reachesStore: () => this.#storeView.reachesStore,
+      log,
+      metrics: this.#metrics,
+    });
     const use = new AdapterUsageCounts();
     this.#digestExchange = new DigestExchange({
       self: this.#self,
@@ -219,6 +224,7 @@
       records: this.#records,
       rates: this.#rates,
       use,
+      quarantine: this.#promptProtection.quarantine,
       links: () => this.#links,
       state: () => ({
         ready: this.#isReady,
@@ -244,6 +250,7 @@
         this.#storeView.isOlderAllowed(model, adapter),
       selectionContextAt: (now) => this.#selectionContextAt(now),
       use,
+      guardPrompt: (caller) => this.#promptProtection.guard(caller),
       hasTimeFor: (route) => this.#hasTimeFor(route),
       log,
       metrics: this.#metrics,
@@ -261,8 +268,16 @@
     this.#readinessServer = createCallerServer((req, res) =>
       this.#serveReadiness(req, res)
     );
+    const steering = new SteeringEndpoint({
+      protocol: this.#protocol,
+      maxCacheSeconds: settings.bounds.maxSteeringTtlSeconds,
+      readyMembers: (now) => [
+        ...this.#members.ready(now),
+        ...(this.#isReady ? [{ ...this.#self, busy: this.#ownLoad.busy }] : []),
+      ],
+    });
     this.#steeringServer = createCallerServer((req, res) =>
-      this.#serveSteering(req, res)
+      steering.serve(req, res)
     );
     this.#metricsServer = createCallerServer((_, res) => {
       this.#metrics.set("log_lines_dropped", options.droppedLogLines());
@@ -284,6 +299,7 @@
   async start(): Promise<void> {
     this.#storeView.start();
     this.#membership.start();
+    this.#promptProtection.start();
     await Promise.all([
       this.#links.listen(this.#settings.peers),
       this.#callerServer.listen(this.#settings.callers),
@@ -344,6 +360,7 @@
     for (const timer of this.#timers) clearInterval(timer);
     clearTimeout(this.#loaderTimer);
     this.#recordConfirmer.close();
+    this.#promptProtection.close();
     this.#storeView.close();
     this.#membership.close();
     this.#links.close();
@@ -361,7 +378,8 @@
   }
 
   get #isReady(): boolean {
-    return this.#storeView.ready && !this.#isDraining;
+    return this.#storeView.ready && this.#promptProtection.isReady &&
+      !this.#isDraining;
   }
 
   /** Announces changed records to all peers at once if this instance is a store
@@ -523,34 +541,6 @@
     res.statusCode = isReadinessPath ? (this.#isReady ? 200 : 503) : 404;
     res.end();
   }
-
-  #serveSteering(req: IncomingMessage, res: ServerResponse): void {
-    const callerLocation = this.#protocol.readSteeringRequest(req.url ?? "");
-    if (callerLocation === undefined) {
-      return sendErrorResponse(res, 404, { id: undefined, reason: "no_route" });
-    }
-    const now = performance.now();
-    const ready = [...this.#members.ready(now)];
-    if (this.#isReady) ready.push({ ...this.#self, busy: this.#ownLoad.busy });
-    if (ready.length === 0) {
-      return sendErrorResponse(res, 503, {
-        id: undefined,
-        reason: "no_instance",
-        waitSeconds: 0.5,
-      });
-    }
-    const cacheSeconds = Math.min(
-      STEERING_CACHE_SECONDS,
-      this.#settings.bounds.maxSteeringTtlSeconds,
-    );
-    res.setHeader("content-type", "application/json");
-    const addresses = this.#steeringPolicy.selectAddresses(
-      ready,
-      callerLocation,
-      now,
-    );
-    res.end(this.#protocol.writeSteeringResponse(addresses, cacheSeconds));
-  }
 }
 
 /** Whether `a` is chosen as a store reader before `b`. */
--- /dev/null
+++ b/packages/gateway/src/hold_keeper_test.ts
@@ -0,0 +1,121 @@
+import { EventLog } from "@banyanlb/core";
+import {
+  PartQuarantine,
+  StoreCallError,
+  type StoredRecord,
+} from "@banyanlb/serving";
+import pino from "pino";
+import { describe, expect, test } from "vitest";
+import { HoldKeeper } from "./hold_keeper.ts";
+
+/** One record, written under a condition. */
+class FakeStore {
+  record: StoredRecord | undefined;
+  writes = 0;
+  isDown = false;
+
+  get(): Promise<StoredRecord | undefined> {
+    if (this.isDown) return Promise.reject(new StoreCallError("unknown", ""));
+    return Promise.resolve(structuredClone(this.record));
+  }
+
+  put(
+    _kind: string,
+    written: { name: string; value: unknown; revision: number | undefined },
+  ): Promise<StoredRecord> {
+    if (this.isDown) return Promise.reject(new StoreCallError("unknown", ""));
+    if (written.revision !== this.record?.revision) {
+      return Promise.reject(new StoreCallError("conflict", ""));
+    }
+    this.writes += 1;
+    const { name, value } = structuredClone(written);
+    this.record = { name, value, revision: this.writes };
+    return Promise.resolve(this.record);
+  }
+}
+
+function startKeeper(store: FakeStore, isWriter = true) {
+  const quarantine = new PartQuarantine("i1", {
+    onHold: () => undefined,
+    onRelease: () => undefined,
+    settleMs: () => 0,
+  });
+  const keeper = new HoldKeeper(store, {
+    quarantine,
+    isWriter: () => isWriter,
+    log: new EventLog(pino({ level: "silent" })),
+  });
+  return { quarantine, keeper };
+}
+
+function holdPart(quarantine: PartQuarantine, part: string): void {
+  const now = performance.now() - 1;
+  quarantine.recordCrash(`${part}1@1`, [[part]], now);
+  quarantine.recordCrash(`${part}2@1`, [[part]], now);
+  quarantine.report(performance.now());
+}
+
+describe("held parts in the store", () => {
+  test("are known to an instance that starts after all were lost", async () => {
+    const store = new FakeStore();
+    const first = startKeeper(store);
+    await first.keeper.check();
+    holdPart(first.quarantine, "bad");
+    await first.keeper.check();
+    const second = startKeeper(store);
+    expect(second.keeper.isReady).toBe(false);
+    await second.keeper.check();
+    expect(second.keeper.isReady).toBe(true);
+    expect(second.quarantine.beliefOn("bad").isHeld).toBe(true);
+  });
+
+  test("cost no call while nothing changes, and one writer only", async () => {
+    const store = new FakeStore();
+    const writer = startKeeper(store);
+    const other = startKeeper(store, false);
+    holdPart(writer.quarantine, "bad");
+    holdPart(other.quarantine, "worse");
+    for (let i = 0; i < 5; i += 1) {
+      await writer.keeper.check();
+      await other.keeper.check();
+    }
+    expect(store.writes).toBe(1);
+  });
+
+  test("are merged with those that another writer has stored", async () => {
+    const store = new FakeStore();
+    const [first, second] = [startKeeper(store), startKeeper(store)];
+    await second.keeper.check();
+    holdPart(first.quarantine, "bad");
+    await first.keeper.check();
+    holdPart(second.quarantine, "worse");
+    for (let i = 0; i < 3; i += 1) await second.keeper.check();
+    const third = startKeeper(store);
+    await third.keeper.check();
+    expect(third.quarantine.beliefOn("bad").isHeld).toBe(true);
+    expect(third.quarantine.beliefOn("worse").isHeld).toBe(true);
+  });
+
+  test("are read when the store is back", async () => {
+    const store = new FakeStore();
+    const first = startKeeper(store);
+    holdPart(first.quarantine, "bad");
+    await first.keeper.check();
+    store.isDown = true;
+    const second = startKeeper(store);
+    await second.keeper.check();
+    expect(second.keeper.isReady).toBe(false);
+    store.isDown = false;
+    await second.keeper.check();
+    expect(second.quarantine.beliefOn("bad").isHeld).toBe(true);
+  });
+
+  test("that cannot be decoded are ignored", async () => {
+    const store = new FakeStore();
+    store.record = { name: "parts", revision: 3, value: { parts: 7 } };
+    const { keeper, quarantine } = startKeeper(store);
+    await keeper.check();
+    expect(keeper.isReady).toBe(true);
+    expect(quarantine.size).toBe(0);
+  });
+});
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -2,7 +2,13 @@
  *
  * @module
  */
-import type { Member, RecordList } from "@banyanlb/serving";
+import type {
+  AnswerCounts,
+  CrashReport,
+  HoldRecord,
+  Member,
+  RecordList,
+} from "@banyanlb/serving";
 
 /** Kinds of records that peers pull from each other. */
 export const SHARED_KINDS = [
@@ -74,6 +80,13 @@
   readonly use?: Readonly<
     Record<string, Readonly<Record<string, readonly [number, number]>>>
   >;
+  /** Requests of the sender that were cut off at their beginning, by engine
+   * that crashed, if changed. */
+  readonly crashes?: Readonly<Record<string, CrashReport>>;
+  /** Answers at the sender by suspected prompt part, if changed. */
+  readonly answers?: Readonly<Record<string, AnswerCounts>>;
+  /** Prompt parts that are held or were released, if changed. */
+  readonly holds?: Readonly<Record<string, HoldRecord>>;
 }
 
 /** Requests that the owner of an engine load an adapter on it. */
--- /dev/null
+++ b/packages/gateway/src/prompt_protection.ts
@@ -0,0 +1,125 @@
+/** Protects engines from prompt parts that crash them: wires the quarantine to
+ * the log, to the store, and to the requests.
+ *
+ * @module
+ */
+import type { EventLog } from "@banyanlb/core";
+import {
+  aggregatesLoads,
+  type CallerRequest,
+  type EngineControl,
+  type Member,
+  type MemberTable,
+  PartQuarantine,
+  type RecordStore,
+  type TrialTurn,
+} from "@banyanlb/serving";
+import { CrashWatch } from "./crash_watch.ts";
+import * as events from "./events.ts";
+import { HoldKeeper } from "./hold_keeper.ts";
+import type { GatewayMetrics } from "./metrics.ts";
+import { PromptGuard } from "./prompt_guard.ts";
+
+/** Time after which all instances have reported their suspects in a crash, in
+ * milliseconds: two of the longest intervals between the digests of instances
+ * that callers use, in a small fleet and in one that sends fewer digests. */
+const SETTLE_MS = 450;
+const SETTLE_LARGE_FLEET_MS = 1000;
+
+/** Fraction of unresponsive members above which this instance may be the one
+ * that is cut off. */
+const CUT_OFF_SHARE = 0.5;
+
+/** Parts of the gateway that the protection uses. */
+export interface PromptProtectionOptions {
+  readonly self: Member;
+  readonly members: MemberTable;
+  readonly store: RecordStore;
+  readonly control: EngineControl;
+  /** Whether the store replies to this instance. */
+  readonly reachesStore: () => boolean;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+}
+
+/** The quarantine of this instance and what feeds it. */
+export class PromptProtection {
+  readonly quarantine: PartQuarantine;
+  readonly #options: PromptProtectionOptions;
+  readonly #crashWatch: CrashWatch;
+  readonly #holdKeeper: HoldKeeper;
+
+  constructor(options: PromptProtectionOptions) {
+    const { self, members, store, control, log, metrics } = options;
+    this.#options = options;
+    this.quarantine = new PartQuarantine(self.name, {
+      onHold: (_, held) => {
+        log.write(events.PART_HELD, { ...held });
+        this.#countHeld();
+      },
+      onRelease: (part, reason) => {
+        log.write(events.PART_RELEASED, {
+          part,
+          reason,
+          ...this.quarantine.beliefOn(part),
+        });
+        this.#countHeld();
+      },
+      settleMs: () =>
+        aggregatesLoads(members.list().length)
+          ? SETTLE_LARGE_FLEET_MS
+          : SETTLE_MS,
+    });
+    const { quarantine } = this;
+    this.#crashWatch = new CrashWatch({ quarantine, control, log, metrics });
+    this.#holdKeeper = new HoldKeeper(store, {
+      quarantine,
+      isWriter: () =>
+        options.reachesStore() &&
+        members.membersReachingStore(performance.now())
+          .every(({ name }) => self.name < name),
+      log,
+    });
+  }
+
+  /** Whether the parts that were held before this process started are known, as
+   * far as they can be. */
+  get isReady(): boolean {
+    return this.#holdKeeper.isReady;
+  }
+
+  /** Reads the held parts, and starts to keep them in the store. */
+  start(): void {
+    this.#holdKeeper.start();
+  }
+
+  /** Stops to keep the held parts in the store. */
+  close(): void {
+    this.#holdKeeper.close();
+  }
+
+  /** Creates the guard of a request. */
+  guard(caller: CallerRequest): PromptGuard {
+    const { log, metrics } = this.#options;
+    return new PromptGuard({
+      quarantine: this.quarantine,
+      crashWatch: this.#crashWatch,
+      trialTurn: () => this.#trialTurn(),
+      log,
+      metrics,
+    }, caller);
+  }
+
+  #trialTurn(): TrialTurn {
+    const { self, members } = this.#options;
+    const now = performance.now();
+    return {
+      instances: [self, ...members.serving(now)].map(({ name }) => name),
+      isCutOff: members.silentShare(now) > CUT_OFF_SHARE,
+    };
+  }
+
+  #countHeld(): void {
+    this.#options.metrics.set("held_parts", this.quarantine.size);
+  }
+}
--- a/packages/gateway/src/relay_dependencies.ts
+++ b/packages/gateway/src/relay_dependencies.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from "@banyanlb/core";
 import type {
   CallerProtocol,
+  CallerRequest,
   EngineChooser,
   MemberTable,
   RetryBudget,
@@ -18,6 +19,7 @@
 import type { AdapterUsageCounts } from "./adapter_usage.ts";
 import type { EngineConnections } from "./engine_connections.ts";
 import type { GatewayMetrics } from "./metrics.ts";
+import type { PromptGuard } from "./prompt_guard.ts";
 
 /** The configuration that applied to a request, as log lines report it. */
 export interface ConfigurationInUse {
@@ -45,6 +47,7 @@
   readonly isOlderAllowed: (model: string, adapter: string) => boolean;
   readonly selectionContextAt: (now: number) => SelectionContext;
   readonly use: AdapterUsageCounts;
+  readonly guardPrompt: (caller: CallerRequest) => PromptGuard;
   /** Whether a request on this route can end before this process exits. */
   readonly hasTimeFor: (route: Route) => boolean;
   readonly log: EventLog;
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -9,14 +9,17 @@
   type RequestListener,
   type Server,
 } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, connect } from "node:net";
 import { EventLog } from "@banyanlb/core";
 import { PlatformCallerProtocol, RESPONSE_HEADERS } from "@banyanlb/platform";
 import {
   type Engine,
+  type EngineAddress,
   EngineChooser,
+  type EngineProbe,
   EngineTable,
   MemberTable,
+  PartQuarantine,
   RetryBudget,
   type Route,
   RouteTable,
@@ -25,7 +28,9 @@
 import type { AdapterLoader } from "../adapter_loader.ts";
 import { AdapterUsageCounts } from "../adapter_usage.ts";
 import { EngineConnections } from "../engine_connections.ts";
+import { CrashWatch } from "../crash_watch.ts";
 import { GatewayMetrics } from "../metrics.ts";
+import { PromptGuard } from "../prompt_guard.ts";
 import { Relay } from "../relay.ts";
 
 /** The headers of an engine's response to the request of `sendRequest`. */
@@ -34,6 +39,10 @@
   [RESPONSE_HEADERS.seal]: "s",
 };
 
+/** Time after which the suspects of a crash are complete, in milliseconds. A
+ * relay without peers could do without. */
+const SETTLE_MS = 50;
+
 /** Ends what a test has started, in reverse order. */
 const cleanups: (() => void)[] = [];
 
@@ -125,6 +134,23 @@
     windowMs: 10_000,
     fixedRetries: 50,
   });
+  const log = new EventLog(pino({}, {
+    write: (line: string) => options.onLog?.(JSON.parse(line)),
+  }));
+  const metrics = new GatewayMetrics();
+  const control = { probe: probeByConnecting };
+  const quarantine = new PartQuarantine("self", {
+    onHold: () => undefined,
+    onRelease: () => undefined,
+    settleMs: () => SETTLE_MS,
+  });
+  const guardDependencies = {
+    quarantine,
+    crashWatch: new CrashWatch({ quarantine, control, log, metrics }),
+    trialTurn: () => ({ instances: ["self"], isCutOff: false }),
+    log,
+    metrics,
+  };
   const relay = new Relay({
     protocol: new PlatformCallerProtocol(),
     routeTable: () => routeTable,
@@ -146,15 +172,26 @@
       now,
     }),
     use: new AdapterUsageCounts(),
+    guardPrompt: (caller) => new PromptGuard(guardDependencies, caller),
     hasTimeFor: () => true,
-    log: new EventLog(pino({}, {
-      write: (line: string) => options.onLog?.(JSON.parse(line)),
-    })),
-    metrics: new GatewayMetrics(),
+    log,
+    metrics,
   });
   return portOf(await listen((req, res) => void relay.serve(req, res)));
 }
 
+/** Probes an engine without a request that its handler would count. */
+function probeByConnecting(engine: EngineAddress): Promise<EngineProbe> {
+  return new Promise((resolve) => {
+    const socket = connect(engine.port, engine.host);
+    socket.once("connect", () => {
+      socket.destroy();
+      resolve("running");
+    });
+    socket.once("error", () => resolve("ended"));
+  });
+}
+
 /** A response as the caller received it. */
 export interface TestResponse {
   readonly status: number;
--- /dev/null
+++ b/packages/serving/src/crash_evidence_test.ts
@@ -0,0 +1,162 @@
+import { describe, expect, test } from "vitest";
+import {
+  CrashEvidence,
+  EVIDENCE_MS,
+  type SharedParts,
+} from "./crash_evidence.ts";
+
+const BAD: SharedParts = ["first", "middle", "bad"];
+
+function recordCrashes(
+  evidence: CrashEvidence,
+  crashes: readonly (readonly SharedParts[])[],
+  reporter = "i1",
+): void {
+  crashes.forEach((suspects, i) =>
+    evidence.recordCrash(`e${i}@1`, { reporter, suspects, at: i })
+  );
+}
+
+function answer(evidence: CrashEvidence, parts: SharedParts, times: number) {
+  for (let i = 0; i < times; i += 1) evidence.recordAnswer(parts, i);
+}
+
+function causesOf(evidence: CrashEvidence): readonly string[] {
+  return evidence.explain(100, 100).map(({ part }) => part);
+}
+
+describe("the cause of crashes", () => {
+  test("is a part that two crashes have in common", () => {
+    const evidence = new CrashEvidence("i1");
+    recordCrashes(evidence, [[BAD, ["first", "x"]]]);
+    expect(causesOf(evidence)).toEqual([]);
+    recordCrashes(evidence, [[BAD, ["first", "x"]], [["first", "y"], BAD]]);
+    expect(evidence.explain(100, 100)).toEqual([
+      { part: "bad", engines: ["e0@1", "e1@1"] },
+    ]);
+  });
+
+  test("is not a part on which answers get past their beginning", () => {
+    const evidence = new CrashEvidence("i1");
+    recordCrashes(evidence, [[["first", "x"]], [["first", "y"]]]);
+    answer(evidence, ["first", "z"], 2);
+    expect(causesOf(evidence)).toEqual([]);
+  });
+
+  test("is not acquitted by one answer if several engines crashed", () => {
+    const evidence = new CrashEvidence("i1");
+    recordCrashes(evidence, [[BAD], [BAD], [BAD], [BAD]]);
+    answer(evidence, BAD, 1);
+    expect(causesOf(evidence)).toEqual(["bad"]);
+    answer(evidence, BAD, 2);
+    expect(causesOf(evidence)).toEqual([]);
+  });
+
+  test("is found although the part was answered well before", () => {
+    const evidence = new CrashEvidence("i1");
+    answer(evidence, BAD, 50);
+    recordCrashes(evidence, Array.from({ length: 6 }, () => [BAD]));
+    expect(causesOf(evidence)).toEqual(["bad"]);
+  });
+
+  test("is the first part if it crashes engines with any second one", () => {
+    const evidence = new CrashEvidence("i1");
+    recordCrashes(evidence, [[["bad", "x"]], [["bad", "x"]]]);
+    expect(causesOf(evidence)).toEqual(["x"]);
+    recordCrashes(evidence, [
+      [["bad", "x"]],
+      [["bad", "x"]],
+      [["bad", "y"]],
+    ]);
+    expect(causesOf(evidence)).toEqual(["bad"]);
+  });
+
+  test("stays open while a neighbour was in the same crashes", () => {
+    const evidence = new CrashEvidence("i1");
+    const neighbour: SharedParts = ["first", "x"];
+    answer(evidence, ["first"], 9);
+    recordCrashes(evidence, [[BAD, neighbour], [BAD, neighbour]]);
+    expect(causesOf(evidence)).toEqual([]);
+    recordCrashes(evidence, [[BAD, neighbour], [BAD, neighbour], [BAD]]);
+    expect(causesOf(evidence)).toEqual(["bad"]);
+  });
+
+  test("is one of two parts that are always together after four crashes", () => {
+    const evidence = new CrashEvidence("i1");
+    const crash: readonly SharedParts[] = [["a", "bad"], ["b", "c"]];
+    recordCrashes(evidence, [crash, crash, crash]);
+    expect(causesOf(evidence)).toEqual([]);
+    recordCrashes(evidence, [crash, crash, crash, crash]);
+    expect(causesOf(evidence).length).toBe(1);
+  });
+
+  test("may be two parts, each of its own crashes", () => {
+    const evidence = new CrashEvidence("i1");
+    answer(evidence, ["first"], 9);
+    const other: SharedParts = ["first", "worse"];
+    recordCrashes(evidence, [[BAD], [other], [BAD], [other]]);
+    expect([...causesOf(evidence)].sort()).toEqual(["bad", "worse"]);
+  });
+
+  test("is not a part that shared its crashes with the cause", () => {
+    const evidence = new CrashEvidence("i1");
+    const neighbour: SharedParts = ["first", "x"];
+    recordCrashes(evidence, [[BAD, neighbour], [BAD, neighbour], [BAD]]);
+    expect(causesOf(evidence)).toEqual(["bad"]);
+  });
+
+  test("is joined from the suspects of several instances", () => {
+    const evidence = new CrashEvidence("i1");
+    recordCrashes(evidence, [[["first", "x"]], [["first", "y"]]], "i1");
+    recordCrashes(evidence, [[BAD], [BAD]], "i2");
+    evidence.recordPeerAnswers("i2", "first", [4, 9]);
+    expect(causesOf(evidence)).toEqual(["bad"]);
+  });
+
+  test("is not sought for an engine that is cut off again and again", () => {
+    const evidence = new CrashEvidence("i1");
+    for (let i = 0; i < 9; i += 1) {
+      evidence.recordCrash("e1@1", { reporter: "i1", suspects: [BAD], at: i });
+    }
+    expect(causesOf(evidence)).toEqual([]);
+  });
+
+  test("is not sought while other suspects may be reported", () => {
+    const evidence = new CrashEvidence("i1");
+    recordCrashes(evidence, [[BAD], [BAD]]);
+    expect(evidence.explain(100, 0)).toEqual([]);
+    expect(evidence.explain(100, 1)).toMatchObject([{ part: "bad" }]);
+  });
+
+  test("is forgotten with its crashes", () => {
+    const evidence = new CrashEvidence("i1");
+    recordCrashes(evidence, [[BAD], [BAD]]);
+    expect(evidence.explain(EVIDENCE_MS + 10, EVIDENCE_MS)).toEqual([]);
+    expect(evidence.evidenceOn("bad").crashes).toBe(0);
+  });
+});
+
+test("the tables stay small in a fleet of 60 instances and 300 engines", () => {
+  const evidence = new CrashEvidence("i0");
+  for (let crash = 0; crash < 300; crash += 1) {
+    for (let instance = 0; instance < 60; instance += 1) {
+      const suspects = Array.from({ length: 4 }, (_, i) => [
+        "first",
+        ...Array.from(
+          { length: 30 },
+          (_, k) => `${crash}.${instance}.${i}.${k}`,
+        ),
+      ]);
+      evidence.recordCrash(`e${crash}@1`, {
+        reporter: `i${instance}`,
+        suspects,
+        at: crash,
+      });
+      evidence.recordAnswer([`p${crash}.${instance}`], crash);
+    }
+  }
+  const startedAt = performance.now();
+  expect(evidence.explain(300, 300).length).toBeLessThanOrEqual(1);
+  expect(performance.now() - startedAt).toBeLessThan(1000);
+  expect([...evidence.ownCrashes(-1)].length).toBeLessThanOrEqual(64);
+});
--- /dev/null
+++ b/packages/serving/src/part_quarantine.ts
@@ -0,0 +1,490 @@
+/** Keeps prompt parts that crash engines away from the engines.
+ *
+ * Every instance draws its conclusions from the same evidence, its own and that
+ * of its peers, and holds the parts that peers hold. A held part is tried again
+ * by one request of one instance at a time, a few times at most, and is
+ * released when that request is answered, when the evidence no longer speaks
+ * against it, or when nobody has asked for it for long.
+ *
+ * @module
+ */
+import {
+  type AnswerCounts,
+  CONVICTION_BALANCE,
+  CrashEvidence,
+  type Explanation,
+  type PartEvidence,
+  type SharedParts,
+} from "./crash_evidence.ts";
+import { fingerprintOfText } from "./fingerprint.ts";
+
+/** Time from the beginning of a hold to the first trial, in milliseconds. */
+export const FIRST_TRIAL_MS = 20_000;
+
+/** Factor by which the time to the next trial grows with each trial. */
+const TRIAL_BACKOFF = 4;
+
+/** Maximum number of trials of one hold. */
+export const TRIALS_MAX = 2;
+
+/** How long one instance may start the trial that is due before the next one
+ * may, in milliseconds, and the time at the end of a turn in which none starts,
+ * since the instances' views of time differ by a digest's delay. */
+const TRIAL_TURN_MS = 5000;
+const TRIAL_GUARD_MS = 1500;
+
+/** A held part that nobody has asked for is released after this time, in
+ * milliseconds. A released one is remembered as long, so that a peer that has
+ * not heard of the release does not bring the hold back. */
+export const IDLE_RELEASE_MS = 600_000;
+
+/** Maximum number of parts that are held or were released. */
+const PARTS_MAX = 256;
+
+/** Time for which a crash is reported to peers, in milliseconds: several
+ * digests, since single ones may be lost. */
+const REPORT_CRASHES_MS = 6000;
+
+/** Number of answers on a part up to which each one is reported to peers. */
+const REPORTED_SINGLY_MAX = 8;
+
+/** Why a part was held or released. */
+export type HoldReason = "evidence" | "peer" | "store";
+export type ReleaseReason = "evidence" | "trial" | "idle" | "peer";
+
+/** A hold as peers and the store exchange it. Of two, the one with the higher
+ * revision is newer. */
+export interface HoldRecord {
+  readonly revision: number;
+  readonly isHeld: boolean;
+  readonly crashes: number;
+  readonly trials: number;
+  /** Time since the part was held or released, in milliseconds. */
+  readonly ageMs: number;
+  /** Time until the next trial, in milliseconds; null if there is none. */
+  readonly trialInMs: number | null;
+  /** Time until the record is dropped, in milliseconds. */
+  readonly expiresInMs: number;
+}
+
+/** What an instance reports to its peers. Each value has a number that differs
+ * after each change. */
+export interface QuarantineReport {
+  /** Suspects of the reporter by the key of the engine that crashed. */
+  readonly crashes: readonly ReportRow<CrashReport>[];
+  readonly answers: readonly ReportRow<AnswerCounts>[];
+  readonly holds: readonly ReportRow<HoldRecord>[];
+}
+
+/** A named value of a report. */
+export type ReportRow<T> = readonly [name: string, state: number, value: T];
+
+/** The suspects of one instance in one crash. */
+export interface CrashReport {
+  readonly ageMs: number;
+  readonly suspects: readonly SharedParts[];
+}
+
+/** The values that a peer has reported, by name. */
+export interface PeerReport {
+  readonly crashes?: Readonly<Record<string, CrashReport>>;
+  readonly answers?: Readonly<Record<string, AnswerCounts>>;
+  readonly holds?: Readonly<Record<string, HoldRecord>>;
+}
+
+/** Why a request is refused: a part of its prompt is held. */
+export interface HeldPart extends PartEvidence {
+  readonly part: string;
+  readonly trials: number;
+  readonly heldMs: number;
+  readonly reason: HoldReason;
+}
+
+/** The decision on a prompt. */
+export type PromptDecision =
+  | { readonly kind: "send" }
+  /** Decide again after this time: crashes speak against a part, and the peers
+   * have yet to report which other requests were cut off. */
+  | { readonly kind: "wait"; readonly ms: number }
+  /** Send it as the trial of this part, after `startTrial`. */
+  | { readonly kind: "trial"; readonly part: string }
+  | { readonly kind: "refuse"; readonly held: HeldPart };
+
+/** Which instances may try a held part. */
+export interface TrialTurn {
+  /** Names of the instances that callers use, this one included. */
+  readonly instances: readonly string[];
+  /** Whether this instance may be cut off from the others; it then starts no
+   * trial. */
+  readonly isCutOff: boolean;
+}
+
+/** Called when parts are held or released, for the log. */
+export interface QuarantineListener {
+  readonly onHold: (part: string, hold: HeldPart) => void;
+  readonly onRelease: (part: string, reason: ReleaseReason) => void;
+}
+
+interface Hold {
+  revision: number;
+  isHeld: boolean;
+  /** Number of crashes that the part explained when it was held. */
+  crashes: number;
+  trials: number;
+  changedAt: number;
+  nextTrialAt: number;
+  expiresAt: number;
+  reason: HoldReason;
+}
+
+/** The parts that are held at this instance. */
+export class PartQuarantine {
+  readonly #self: string;
+  readonly #listener: QuarantineListener;
+  readonly #settleMs: () => number;
+  readonly #evidence: CrashEvidence;
+  readonly #holds = new Map<string, Hold>();
+  /** The parts that explain the crashes of the last minute, and the keys of the
+   * engines that crashed because of them. */
+  #causes: ReadonlySet<string> = new Set();
+  #explainedEngines: ReadonlySet<string> = new Set();
+  /** When a crash is settled, so that conclusions must be drawn again. */
+  #concludeAt = Infinity;
+
+  /** `self` is the name of this instance. `settleMs` is the time after which all
+   * peers have reported their suspects in a crash. */
+  constructor(
+    self: string,
+    options: QuarantineListener & { readonly settleMs: () => number },
+  ) {
+    this.#self = self;
+    this.#listener = options;
+    this.#settleMs = options.settleMs;
+    this.#evidence = new CrashEvidence(self);
+  }
+
+  /** Number of parts that are held. */
+  get size(): number {
+    let count = 0;
+    for (const { isHeld } of this.#holds.values()) if (isHeld) count += 1;
+    return count;
+  }
+
+  /** Decides whether a request with these parts may be sent.
+   *
+   * @example
+   * ```ts
+   * const decision = quarantine.decide(caller.sharedParts, () => turn, now);
+   * if (decision.kind === "refuse") refuse(503);
+   * ```
+   */
+  decide(
+    parts: SharedParts,
+    turn: () => TrialTurn,
+    now: number,
+  ): PromptDecision {
+    if (now >= this.#concludeAt) this.#conclude(now);
+    let trial: string | undefined;
+    let waitMs = 0;
+    for (const part of parts) {
+      const hold = this.#holds.get(part);
+      if (hold === undefined || !hold.isHeld) {
+        if (now < this.#concludeAt && this.#isSuspected(part)) {
+          const settledAt = (this.#evidence.lastCrashAt(part) ?? 0) +
+            this.#settleMs();
+          waitMs = Math.max(waitMs, settledAt - now);
+        }
+        continue;
+      }
+      if (now >= hold.expiresAt) {
+        this.#dropSurplus(now);
+        continue;
+      }
+      hold.expiresAt = now + IDLE_RELEASE_MS;
+      const mayTry = trial === undefined &&
+        now >= hold.nextTrialAt &&
+        hasTurn(part, this.#self, {
+          turn: turn(),
+          dueMs: now - hold.nextTrialAt,
+        });
+      if (!mayTry) return { kind: "refuse", held: this.#heldPart(part, now) };
+      trial = part;
+    }
+    if (waitMs > 0) return { kind: "wait", ms: waitMs };
+    return trial === undefined
+      ? { kind: "send" }
+      : { kind: "trial", part: trial };
+  }
+
+  /** Records that the trial of a held part is about to be sent. */
+  startTrial(part: string, now: number): void {
+    const hold = this.#holds.get(part);
+    if (hold === undefined) return;
+    hold.revision += 1;
+    hold.trials += 1;
+    hold.nextTrialAt = nextTrialAt(hold.trials, now);
+  }
+
+  /** Whether a request may be sent again after this engine cut it off before its
+   * answer got past its beginning. The crash of the engine counts although it
+   * is not confirmed yet: a request whose part is the cause is repeated once. */
+  mayRepeat(parts: SharedParts, engineKey: string): boolean {
+    const leftOut = new Set([...this.#explainedEngines, engineKey]);
+    return parts.every((part) => {
+      const { crashes, answers } = this.#evidence.evidenceOn(part, leftOut);
+      return crashes + 1 - answers < CONVICTION_BALANCE;
+    });
+  }
+
+  /** Records that an answer got past its beginning. `trial` is the part that the
+   * request tried, if any. */
+  recordAnswer(
+    parts: SharedParts,
+    options: { readonly trial: string | undefined; readonly now: number },
+  ): void {
+    const { trial, now } = options;
+    if (this.#evidence.recordAnswer(parts, now)) this.#conclude(now);
+    const hold = trial === undefined ? undefined : this.#holds.get(trial);
+    if (trial === undefined || hold?.isHeld !== true) return;
+    // One answer does not outweigh several recent crashes.
+    if (this.#causes.has(trial)) return;
+    this.#release(trial, hold, { reason: "trial", now });
+  }
+
+  /** Records the suspects of this instance on an engine that has crashed. */
+  recordCrash(
+    engineKey: string,
+    suspects: readonly SharedParts[],
+    now: number,
+  ): void {
+    this.#evidence.recordCrash(engineKey, {
+      reporter: this.#self,
+      suspects,
+      at: now,
+    });
+    this.#conclude(now);
+  }
+
+  /** What speaks for and against a part, and whether it is held. */
+  beliefOn(part: string): PartEvidence & { readonly isHeld: boolean } {
+    const isHeld = this.#holds.get(part)?.isHeld === true;
+    return { ...this.#evidence.evidenceOn(part), isHeld };
+  }
+
+  /** What peers are told. */
+  report(now: number): QuarantineReport {
+    if (now >= this.#concludeAt) this.#conclude(now);
+    const crashes = [...this.#evidence.ownCrashes(now - REPORT_CRASHES_MS)].map(
+      ([key, { at, suspects }]): ReportRow<CrashReport> => [
+        key,
+        suspects.length,
+        { ageMs: Math.round(now - at), suspects },
+      ],
+    );
+    const answers = [...this.#evidence.ownAnswers()].map(
+      ([part, counts]): ReportRow<AnswerCounts> => [
+        part,
+        reportState(counts),
+        counts,
+      ],
+    );
+    return { crashes, answers, holds: this.holdRecords(now) };
+  }
+
+  /** Applies what a peer reports. */
+  receive(peer: string, report: PeerReport, now: number): void {
+    const { crashes = {}, answers = {}, holds = {} } = report;
+    for (const [key, { ageMs, suspects }] of Object.entries(crashes)) {
+      const at = now - ageMs;
+      this.#evidence.recordCrash(key, { reporter: peer, suspects, at });
+    }
+    for (const [part, counts] of Object.entries(answers)) {
+      this.#evidence.recordPeerAnswers(peer, part, counts);
+    }
+    const isChanged = this.adopt(holds, "peer", now);
+    // The peer may have held or released a part on older evidence.
+    if (
+      isChanged || report.crashes !== undefined || report.answers !== undefined
+    ) this.#conclude(now);
+  }
+
+  /** The held and released parts, as peers and the store exchange them. */
+  holdRecords(now: number): readonly ReportRow<HoldRecord>[] {
+    return [...this.#holds].map(([part, hold]): ReportRow<HoldRecord> => [
+      part,
+      hold.revision,
+      {
+        revision: hold.revision,
+        isHeld: hold.isHeld,
+        crashes: hold.crashes,
+        trials: hold.trials,
+        ageMs: Math.round(now - hold.changedAt),
+        trialInMs: hold.nextTrialAt === Infinity
+          ? null
+          : Math.round(hold.nextTrialAt - now),
+        expiresInMs: Math.round(hold.expiresAt - now),
+      },
+    ]);
+  }
+
+  /** Adopts the records that are newer than those of this instance. Returns
+   * whether there were any. */
+  adopt(
+    records: Readonly<Record<string, HoldRecord>>,
+    source: "peer" | "store",
+    now: number,
+  ): boolean {
+    let isChanged = false;
+    for (const [part, record] of Object.entries(records)) {
+      const current = this.#holds.get(part);
+      // Whoever was asked for the part last decides when it expires.
+      if (current?.revision === record.revision) {
+        current.expiresAt = Math.max(
+          current.expiresAt,
+          now + Math.min(IDLE_RELEASE_MS, record.expiresInMs),
+        );
+      }
+      const isNewer = current === undefined ||
+        record.revision > current.revision ||
+        (record.revision === current.revision && record.isHeld &&
+          !current.isHeld);
+      if (!isNewer || record.expiresInMs <= 0) continue;
+      isChanged = true;
+      const wasHeld = current?.isHeld === true;
+      this.#holds.set(part, {
+        revision: record.revision,
+        isHeld: record.isHeld,
+        crashes: record.crashes,
+        trials: record.trials,
+        changedAt: now - record.ageMs,
+        nextTrialAt: record.trialInMs === null
+          ? Infinity
+          : now + record.trialInMs,
+        expiresAt: now + Math.min(IDLE_RELEASE_MS, record.expiresInMs),
+        reason: source,
+      });
+      if (record.isHeld && !wasHeld) {
+        this.#listener.onHold(part, this.#heldPart(part, now));
+      } else if (!record.isHeld && wasHeld) {
+        this.#listener.onRelease(part, "peer");
+      }
+    }
+    this.#dropSurplus(now);
+    return isChanged;
+  }
+
+  /** Holds the parts that explain the crashes, and releases those that the same
+   * evidence, now complete, no longer speaks against. */
+  #conclude(now: number): void {
+    const settleMs = this.#settleMs();
+    const explanations = this.#evidence.explain(now, now - settleMs);
+    this.#concludeAt = this.#evidence.firstCrashAfter(now - settleMs) +
+      settleMs;
+    this.#causes = new Set(explanations.map(({ part }) => part));
+    this.#explainedEngines = new Set(explanations.flatMap((e) => e.engines));
+    for (const [part, hold] of this.#holds) {
+      if (!hold.isHeld || this.#causes.has(part)) continue;
+      if (this.#isSuspected(part)) continue;
+      // Without all the evidence of the hold there is nothing to conclude.
+      const { crashes } = this.#evidence.evidenceOn(part);
+      if (crashes < hold.crashes) continue;
+      this.#release(part, hold, { reason: "evidence", now });
+    }
+    for (const explanation of explanations) this.#hold(explanation, now);
+  }
+
+  /** Whether crashes that no other part explains speak against this one. */
+  #isSuspected(part: string): boolean {
+    const { crashes, answers } = this.#evidence.evidenceOn(
+      part,
+      this.#explainedEngines,
+    );
+    return crashes - answers >= CONVICTION_BALANCE;
+  }
+
+  #hold({ part, engines }: Explanation, now: number): void {
+    const current = this.#holds.get(part);
+    if (current?.isHeld === true) return;
+    // A part that is held again has used up the trials of before.
+    const trials = current?.trials ?? 0;
+    this.#holds.set(part, {
+      revision: (current?.revision ?? 0) + 1,
+      isHeld: true,
+      crashes: engines.length,
+      trials,
+      changedAt: now,
+      nextTrialAt: nextTrialAt(trials, now),
+      expiresAt: now + IDLE_RELEASE_MS,
+      reason: "evidence",
+    });
+    this.#listener.onHold(part, this.#heldPart(part, now));
+    this.#dropSurplus(now);
+  }
+
+  #release(
+    part: string,
+    hold: Hold,
+    options: { readonly reason: ReleaseReason; readonly now: number },
+  ): void {
+    hold.isHeld = false;
+    hold.revision += 1;
+    hold.changedAt = options.now;
+    hold.expiresAt = options.now + IDLE_RELEASE_MS;
+    this.#listener.onRelease(part, options.reason);
+  }
+
+  #heldPart(part: string, now: number): HeldPart {
+    const hold = this.#holds.get(part);
+    const { crashes, answers } = this.#evidence.evidenceOn(part);
+    return {
+      part,
+      crashes: Math.max(crashes, hold?.crashes ?? 0),
+      answers,
+      trials: hold?.trials ?? 0,
+      heldMs: Math.round(now - (hold?.changedAt ?? now)),
+      reason: hold?.reason ?? "evidence",
+    };
+  }
+
+  /** Drops records that have expired, and those that expire first if there are
+   * too many. */
+  #dropSurplus(now: number): void {
+    const byExpiry = [...this.#holds].sort(([, a], [, b]) =>
+      a.expiresAt - b.expiresAt
+    );
+    for (const [part, hold] of byExpiry) {
+      if (now < hold.expiresAt && this.#holds.size <= PARTS_MAX) return;
+      if (hold.isHeld) this.#listener.onRelease(part, "idle");
+      this.#holds.delete(part);
+    }
+  }
+}
+
+/** Changes with each of the first answers, then less and less often, so that the
+ * answers on a popular part are not reported in each digest. */
+function reportState([before, since]: AnswerCounts): number {
+  const total = before + since;
+  return total < REPORTED_SINGLY_MAX
+    ? total
+    : REPORTED_SINGLY_MAX + Math.floor(total / REPORTED_SINGLY_MAX);
+}
+
+function nextTrialAt(trials: number, now: number): number {
+  return trials >= TRIALS_MAX
+    ? Infinity
+    : now + FIRST_TRIAL_MS * TRIAL_BACKOFF ** trials;
+}
+
+/** Whether an instance may start the trial of a part now. The instances take
+ * turns, so that the trial does not depend on one of them being asked. */
+function hasTurn(
+  part: string,
+  self: string,
+  trial: { readonly turn: TrialTurn; readonly dueMs: number },
+): boolean {
+  const { turn: { instances, isCutOff }, dueMs } = trial;
+  if (isCutOff) return false;
+  if (dueMs % TRIAL_TURN_MS > TRIAL_TURN_MS - TRIAL_GUARD_MS) return false;
+  const position = fingerprintOfText(part) + Math.floor(dueMs / TRIAL_TURN_MS);
+  return [...instances].sort()[position % instances.length] === self;
+}
--- /dev/null
+++ b/packages/serving/src/part_quarantine_test.ts
@@ -0,0 +1,426 @@
+import { describe, expect, test } from "vitest";
+import type { SharedParts } from "./crash_evidence.ts";
+import {
+  FIRST_TRIAL_MS,
+  IDLE_RELEASE_MS,
+  PartQuarantine,
+  type PeerReport,
+  type ReportRow,
+  TRIALS_MAX,
+} from "./part_quarantine.ts";
+
+const BAD: SharedParts = ["first", "bad"];
+const DIGEST_MS = 200;
+const SETTLE_MS = 450;
+
+/** As in digests: values are sent when they change, and all of them each tenth
+ * time. */
+const REFRESH_EVERY_DIGESTS = 10;
+
+/** Instances that exchange reports, and engines that end when a request with a
+ * bad part begins there. */
+class Fleet {
+  now = 0;
+  readonly instances = new Map<string, PartQuarantine>();
+  readonly cutOff = new Set<string>();
+  /** Requests that wait for a decision. */
+  #waiting: {
+    readonly name: string;
+    readonly parts: SharedParts;
+    readonly isBad: (parts: SharedParts) => boolean;
+    readonly resendAt: number;
+  }[] = [];
+  /** When requests with a bad part were sent. */
+  readonly sentAt: number[] = [];
+  /** Sound requests that were refused. */
+  refusedSound = 0;
+  #crashCount = 0;
+  #nextDigestAt = DIGEST_MS;
+  #digestCount = 0;
+  /** The states of the values last sent, by sender. */
+  readonly #sentStates = new Map<string, string>();
+
+  constructor(instanceCount: number) {
+    for (let i = 0; i < instanceCount; i += 1) this.start(`i${i}`);
+  }
+
+  /** Starts an instance without knowledge, or restarts it. */
+  start(name: string): void {
+    const ignore = () => undefined;
+    this.instances.set(
+      name,
+      new PartQuarantine(name, {
+        onHold: ignore,
+        onRelease: ignore,
+        settleMs: () => SETTLE_MS,
+      }),
+    );
+    this.#sentStates.clear();
+  }
+
+  /** Sends requests to one engine at once. A bad one ends the engine before any
+   * of them gets past its beginning. */
+  send(
+    requests: readonly (readonly [instance: string, parts: SharedParts])[],
+    isBad: (parts: SharedParts) => boolean,
+  ): void {
+    const sent = requests.flatMap(([name, parts]) => {
+      const decision = this.#decide(name, parts);
+      if (decision.kind === "wait") {
+        const resendAt = this.now + decision.ms;
+        this.#waiting.push({ name, parts, isBad, resendAt });
+        return [];
+      }
+      if (decision.kind !== "refuse") {
+        const trial = decision.kind === "trial" ? decision.part : undefined;
+        if (trial !== undefined) this.#get(name).startTrial(trial, this.now);
+        if (isBad(parts)) this.sentAt.push(this.now);
+        return [{ name, parts, trial }];
+      }
+      if (!isBad(parts)) this.refusedSound += 1;
+      return [];
+    });
+    if (sent.some(({ parts }) => isBad(parts))) {
+      this.crash(sent.map(({ name, parts }) => [name, parts]));
+      return;
+    }
+    for (const { name, parts, trial } of sent) {
+      this.#get(name).recordAnswer(parts, { trial, now: this.now });
+    }
+  }
+
+  /** An engine ends that runs these requests. */
+  crash(suspects: readonly (readonly [string, SharedParts])[]): void {
+    this.#crashCount += 1;
+    for (const name of new Set(suspects.map(([name]) => name))) {
+      this.#get(name).recordCrash(
+        `e${this.#crashCount}@1`,
+        suspects.filter(([other]) => other === name).map(([, parts]) => parts),
+        this.now,
+      );
+    }
+  }
+
+  /** Lets time pass; digests are exchanged. */
+  pass(ms: number): void {
+    const until = this.now + ms;
+    while (this.#nextDigestAt <= until) {
+      this.now = this.#nextDigestAt;
+      this.#nextDigestAt += DIGEST_MS;
+      this.#exchange();
+      this.#resend();
+    }
+    this.now = until;
+    this.#resend();
+  }
+
+  #resend(): void {
+    const due = this.#waiting.filter(({ resendAt }) => resendAt <= this.now);
+    this.#waiting = this.#waiting.filter((w) => !due.includes(w));
+    for (const { name, parts, isBad } of due) this.send([[name, parts]], isBad);
+  }
+
+  isHeldEverywhere(part: string): boolean {
+    return [...this.instances.values()].every((q) => q.beliefOn(part).isHeld);
+  }
+
+  #decide(name: string, parts: SharedParts) {
+    const turn = {
+      instances: [...this.instances.keys()],
+      isCutOff: this.cutOff.has(name),
+    };
+    return this.#get(name).decide(parts, () => turn, this.now);
+  }
+
+  #get(name: string): PartQuarantine {
+    const instance = this.instances.get(name);
+    if (instance === undefined) throw new Error(`no instance ${name}`);
+    return instance;
+  }
+
+  #exchange(): void {
+    this.#digestCount += 1;
+    if (this.#digestCount % REFRESH_EVERY_DIGESTS === 0) {
+      this.#sentStates.clear();
+    }
+    for (const [from, sender] of this.instances) {
+      const states = statesOf(sender, this.now);
+      if (this.#sentStates.get(from) === states) continue;
+      this.#sentStates.set(from, states);
+      const report = toPeerReport(sender, this.now);
+      for (const [to, receiver] of this.instances) {
+        if (from === to || this.cutOff.has(from) || this.cutOff.has(to)) {
+          continue;
+        }
+        receiver.receive(from, report, this.now);
+      }
+    }
+  }
+}
+
+function statesOf(sender: PartQuarantine, now: number): string {
+  return Object.values(sender.report(now)).flat().map(([name, state]) =>
+    `${name}=${state}`
+  ).join(" ");
+}
+
+function toPeerReport(sender: PartQuarantine, now: number): PeerReport {
+  const byName = <T>(rows: readonly ReportRow<T>[]) =>
+    Object.fromEntries(rows.map(([name, , value]) => [name, value]));
+  const { crashes, answers, holds } = sender.report(now);
+  return JSON.parse(JSON.stringify({
+    crashes: byName(crashes),
+    answers: byName(answers),
+    holds: byName(holds),
+  })) as PeerReport;
+}
+
+const isBad = (parts: SharedParts) => parts.includes("bad");
+
+/** Sends requests for a while: at each step one bad request and neighbours with
+ * the same first part, all at different instances and on a new engine. */
+function sendMixed(
+  fleet: Fleet,
+  options: {
+    readonly steps: number;
+    readonly stepMs: number;
+    readonly neighbours: number;
+  },
+): void {
+  const names = [...fleet.instances.keys()];
+  const nameAt = (i: number) => names[i % names.length] ?? "";
+  for (let step = 0; step < options.steps; step += 1) {
+    fleet.send([
+      [nameAt(step * 3), BAD],
+      ...Array.from(
+        { length: options.neighbours },
+        (_, i) => [nameAt(step + i), ["first", `s${step}.${i}`]] as const,
+      ),
+    ], isBad);
+    fleet.send([[nameAt(step * 5), ["first", `t${step}`]]], isBad);
+    fleet.pass(options.stepMs);
+  }
+}
+
+describe("a part that crashes engines", () => {
+  test.each([8, 60])(
+    "is held at all of %i instances after two crashes",
+    (n) => {
+      const fleet = new Fleet(n);
+      sendMixed(fleet, { steps: 40, stepMs: 300, neighbours: 5 });
+      expect(fleet.sentAt.length).toBeLessThanOrEqual(3);
+      expect(fleet.isHeldEverywhere("bad")).toBe(true);
+      expect(fleet.refusedSound).toBe(0);
+    },
+  );
+
+  test("is held although all crashes come at once", () => {
+    const fleet = new Fleet(8);
+    for (let i = 0; i < 8; i += 1) {
+      fleet.send([[`i${i}`, BAD], [`i${i}`, ["first", `n${i}`]]], isBad);
+    }
+    fleet.pass(DIGEST_MS);
+    sendMixed(fleet, { steps: 20, stepMs: 300, neighbours: 5 });
+    expect(fleet.sentAt.length).toBe(8);
+    expect(fleet.refusedSound).toBe(0);
+  });
+
+  test("is held behind many first parts", () => {
+    const fleet = new Fleet(8);
+    for (let i = 0; i < 20; i += 1) {
+      fleet.send([[`i${i % 8}`, [`f${i}`, "bad"]], ["i1", [`f${i}`]]], isBad);
+      fleet.pass(300);
+    }
+    expect(fleet.sentAt.length).toBeLessThanOrEqual(3);
+    for (let i = 0; i < 20; i += 1) fleet.send([["i0", [`f${i}`]]], isBad);
+    expect(fleet.refusedSound).toBe(0);
+  });
+
+  test("is found beside another one, before and after it", () => {
+    const fleet = new Fleet(8);
+    const isEither = (parts: SharedParts) =>
+      isBad(parts) || parts.includes("worse");
+    for (let i = 0; i < 40; i += 1) {
+      const part = i % 3 === 0 ? "worse" : "bad";
+      fleet.send([[`i${i % 8}`, ["first", part]], ["i1", ["first"]]], isEither);
+      fleet.send([["i2", ["first", "x"]]], isEither);
+      fleet.pass(250);
+    }
+    expect(fleet.sentAt.length).toBeLessThanOrEqual(6);
+    expect(fleet.isHeldEverywhere("bad")).toBe(true);
+    expect(fleet.isHeldEverywhere("worse")).toBe(true);
+    expect(fleet.refusedSound).toBe(0);
+  });
+
+  test("is held although engines also end by themselves", () => {
+    const fleet = new Fleet(8);
+    for (let i = 0; i < 30; i += 1) {
+      fleet.crash([[`i${i % 8}`, ["first", `session${i % 10}`]]]);
+      for (let k = 0; k < 10; k += 1) {
+        fleet.send([[`i${k % 8}`, ["first", `session${k}`]]], isBad);
+      }
+      fleet.send(
+        [[`i${(i * 3) % 8}`, BAD], ["i0", ["first", `a${i}`]]],
+        isBad,
+      );
+      fleet.pass(300);
+    }
+    expect(fleet.sentAt.length).toBeLessThanOrEqual(4);
+    expect(fleet.refusedSound).toBe(0);
+  });
+
+  test("is held when it ends the only engine of a model each time", () => {
+    const fleet = new Fleet(1);
+    for (let i = 0; i < 10; i += 1) {
+      fleet.send([["i0", BAD]], isBad);
+      fleet.pass(FIRST_TRIAL_MS / 10 - 1);
+    }
+    expect(fleet.sentAt.length).toBe(2);
+  });
+
+  test("is told from a neighbour of its first crashes by the next one", () => {
+    const fleet = new Fleet(8);
+    fleet.send([["i0", ["first"]], ["i1", ["first"]]], isBad);
+    for (let i = 0; i < 20; i += 1) {
+      const neighbours = i < 6 ? [["i1", ["first", "a"]] as const] : [];
+      fleet.send([[`i${i % 8}`, BAD], ...neighbours], isBad);
+      fleet.pass(300);
+    }
+    expect(fleet.sentAt.length).toBeLessThanOrEqual(5);
+    expect(fleet.isHeldEverywhere("bad")).toBe(true);
+    expect(fleet.isHeldEverywhere("a")).toBe(false);
+  });
+
+  test("is known to a new and to a restarted instance", () => {
+    const fleet = new Fleet(8);
+    sendMixed(fleet, { steps: 4, stepMs: 300, neighbours: 3 });
+    fleet.start("i3");
+    fleet.start("i8");
+    fleet.pass(DIGEST_MS);
+    expect(fleet.isHeldEverywhere("bad")).toBe(true);
+  });
+
+  test("costs an instance that is cut off two more crashes, the others none", () => {
+    const fleet = new Fleet(8);
+    fleet.cutOff.add("i7");
+    sendMixed(fleet, { steps: 8, stepMs: 300, neighbours: 3 });
+    const before = fleet.sentAt.length;
+    for (let i = 0; i < 10; i += 1) {
+      fleet.send([["i7", BAD]], isBad);
+      fleet.send([["i7", ["first", "x"]]], isBad);
+      fleet.pass(300);
+    }
+    expect(fleet.sentAt.length - before).toBeLessThanOrEqual(2);
+    fleet.cutOff.clear();
+    fleet.pass(DIGEST_MS * REFRESH_EVERY_DIGESTS);
+    expect(fleet.isHeldEverywhere("bad")).toBe(true);
+    expect(fleet.refusedSound).toBe(0);
+  });
+});
+
+describe("a held part", () => {
+  // Each instance that tried it anew would send one more request than the bound
+  // of three in all allows.
+  test.each([8, 60])("is tried at most twice by %i instances together", (n) => {
+    const fleet = new Fleet(n);
+    sendMixed(fleet, { steps: 5, stepMs: 300, neighbours: 3 });
+    const before = fleet.sentAt.length;
+    for (let i = 0; i < 1000; i += 1) {
+      fleet.send([[`i${i % n}`, BAD]], isBad);
+      fleet.send([["i0", ["first", "x"]]], isBad);
+      fleet.pass(203);
+    }
+    const trials = fleet.sentAt.slice(before);
+    expect(trials.length).toBe(TRIALS_MAX);
+    expect(trials[0]).toBeGreaterThanOrEqual(FIRST_TRIAL_MS);
+  });
+
+  test("is released everywhere when its trial is answered", () => {
+    const fleet = new Fleet(8);
+    sendMixed(fleet, { steps: 5, stepMs: 300, neighbours: 3 });
+    fleet.pass(FIRST_TRIAL_MS);
+    const isNoLongerBad = () => false;
+    for (let i = 0; i < 4000; i += 1) {
+      fleet.send([[`i${i % 8}`, BAD]], isNoLongerBad);
+      fleet.pass(50);
+    }
+    for (const instance of fleet.instances.values()) {
+      expect(instance.beliefOn("bad").isHeld).toBe(false);
+    }
+  });
+
+  test("is not tried by an instance that is cut off", () => {
+    const fleet = new Fleet(8);
+    sendMixed(fleet, { steps: 5, stepMs: 300, neighbours: 3 });
+    const before = fleet.sentAt.length;
+    fleet.cutOff.add("i2");
+    for (let i = 0; i < 600; i += 1) {
+      fleet.send([["i2", BAD]], isBad);
+      fleet.pass(200);
+    }
+    expect(fleet.sentAt.length).toBe(before);
+  });
+
+  test("is released when nobody has asked for it for long", () => {
+    const fleet = new Fleet(2);
+    sendMixed(fleet, { steps: 5, stepMs: 300, neighbours: 3 });
+    const before = fleet.sentAt.length;
+    fleet.now += IDLE_RELEASE_MS + 60_000;
+    fleet.send([["i0", BAD]], isBad);
+    expect(fleet.sentAt.length).toBe(before + 1);
+  });
+
+  test("stays held while any instance is asked for it", () => {
+    const fleet = new Fleet(2);
+    sendMixed(fleet, { steps: 5, stepMs: 300, neighbours: 3 });
+    const before = fleet.sentAt.length;
+    for (let i = 0; i < 5; i += 1) {
+      fleet.send([["i0", BAD]], isBad);
+      fleet.pass(IDLE_RELEASE_MS / 2);
+    }
+    const sentByFirst = fleet.sentAt.length;
+    fleet.send([["i1", BAD]], isBad);
+    expect(fleet.sentAt.length).toBe(sentByFirst);
+    expect(sentByFirst - before).toBeLessThanOrEqual(TRIALS_MAX);
+  });
+
+  test("is adopted from records of before a restart of all", () => {
+    const fleet = new Fleet(2);
+    sendMixed(fleet, { steps: 5, stepMs: 300, neighbours: 3 });
+    const records = fleet.instances.get("i0")?.holdRecords(fleet.now) ?? [];
+    fleet.start("i0");
+    fleet.instances.get("i0")?.adopt(
+      Object.fromEntries(records.map(([part, , record]) => [part, record])),
+      "store",
+      fleet.now,
+    );
+    fleet.start("i1");
+    fleet.pass(DIGEST_MS);
+    expect(fleet.isHeldEverywhere("bad")).toBe(true);
+  });
+
+  test("is one of a bounded number", () => {
+    const fleet = new Fleet(1);
+    for (let i = 0; i < 400; i += 1) {
+      for (let k = 0; k < 2; k += 1) fleet.crash([["i0", [`p${i}`]]]);
+      fleet.pass(1000);
+    }
+    expect(fleet.instances.get("i0")?.holdRecords(fleet.now).length)
+      .toBeLessThanOrEqual(256);
+  });
+});
+
+describe("a request that was cut off at its beginning", () => {
+  test("is repeated once, unless its parts are known to be sound", () => {
+    const fleet = new Fleet(1);
+    const quarantine = fleet.instances.get("i0");
+    expect(quarantine?.mayRepeat(BAD, "e1@1")).toBe(true);
+    fleet.crash([["i0", BAD]]);
+    expect(quarantine?.mayRepeat(BAD, "e1@1")).toBe(true);
+    expect(quarantine?.mayRepeat(BAD, "e2@1")).toBe(false);
+    for (let i = 0; i < 3; i += 1) {
+      quarantine?.recordAnswer(["first", "bad"], { trial: undefined, now: 1 });
+    }
+    expect(quarantine?.mayRepeat(BAD, "e2@1")).toBe(true);
+  });
+});
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -58,7 +58,8 @@
   | "engines"
   | "versions"
   | "members"
-  | "assignment";
+  | "assignment"
+  | "holds";
 
 /** The deployment's store of records. Calls reject with `StoreCallError`. */
 export abstract class RecordStore {
@@ -132,6 +133,12 @@
   | "other_engine"
   | "unknown";
 
+/** Whether an engine still runs.
+ *
+ * `ended`: nothing accepts connections at its address, or another engine does.
+ * `unknown`: no response; the engine may be cut off. */
+export type EngineProbe = "running" | "ended" | "unknown";
+
 /** Address of an engine; `id` identifies the engine that should be reached
  * there. */
 export interface EngineAddress {
@@ -154,6 +161,9 @@
    * response. */
   abstract report(engine: EngineAddress): Promise<EngineReport | undefined>;
 
+  /** Asks whether an engine still runs. Never rejects. */
+  abstract probe(engine: EngineAddress): Promise<EngineProbe>;
+
   /** Closes the connections to engines. */
   abstract close(): void;
 }
