Confirm crashes by the engine list where a probe gets no answer

A proxy or a balancer before an engine accepts the probe's connection although the engine has ended, so its crash was never judged. Now an engine that broke requests off, did not answer the probe and leaves the list within 10 s has crashed; one that answered has not.

Two tests without a network; crash_watch_test.ts holds.

--- a/packages/gateway/src/crash_watch.ts
+++ b/packages/gateway/src/crash_watch.ts
@@ -16,6 +16,11 @@
  * milliseconds. */
 const CRASH_MS = 1000;
 
+/** How long an engine that did not answer the probe may stay in the engine list
+ * until its crash is no longer confirmed, in milliseconds: engines that have
+ * ended are removed within a few heartbeats. */
+const LIST_CONFIRMS_MS = 10_000;
+
 /** Time from the first broken request to the log line, in milliseconds. */
 const LOG_DELAY_MS = 150;
 
@@ -42,6 +47,8 @@
   readonly startedAt: number;
   readonly requests: CutRequest[];
   isConfirmed: boolean;
+  /** Whether the probe showed that the engine still runs. */
+  isRuledOut: boolean;
 }
 
 /** Tells crashes of engines from single connections that break off, and records
@@ -63,27 +70,46 @@
     const { key } = view.engine;
     let crash = this.#crashes.get(key);
     if (crash === undefined || now - crash.startedAt > CRASH_MS) {
-      crash = { startedAt: now, requests: [], isConfirmed: false };
+      crash = {
+        startedAt: now,
+        requests: [],
+        isConfirmed: false,
+        isRuledOut: false,
+      };
       this.#crashes.set(key, crash);
-      void this.#confirm(view, crash);
+      void this.#probe(view, crash);
     }
     crash.requests.push(request);
     if (crash.isConfirmed && request.isSuspect) this.#recordCrash(key, crash);
   }
 
-  async #confirm(view: EngineView, crash: PossibleCrash): Promise<void> {
-    const { control, log, metrics } = this.#options;
-    const { key } = view.engine;
+  /** Confirms the crashes of engines that have left the list since. A proxy
+   * before an engine may accept connections although the engine has ended. */
+  recordEngineList(isListed: (engineKey: string) => boolean): void {
+    const now = performance.now();
+    for (const [key, crash] of this.#crashes) {
+      if (now - crash.startedAt > LIST_CONFIRMS_MS) this.#crashes.delete(key);
+      else if (!crash.isConfirmed && !crash.isRuledOut && !isListed(key)) {
+        this.#confirm(key, crash);
+      }
+    }
+  }
+
+  async #probe(view: EngineView, crash: PossibleCrash): Promise<void> {
+    const { control, metrics } = this.#options;
     const probe = await control.probe(view.engine);
     metrics.add("engine_crashes_total", `probe="${probe}"`);
-    if (probe === "ended") {
-      crash.isConfirmed = true;
-      this.#recordCrash(key, crash);
-    }
-    await new Promise((resolve) => setTimeout(resolve, LOG_DELAY_MS).unref());
-    if (crash.isConfirmed) log.write(events.ENGINE_CRASHED, this.#fields(key));
-    await new Promise((resolve) => setTimeout(resolve, CRASH_MS).unref());
-    if (this.#crashes.get(key) === crash) this.#crashes.delete(key);
+    crash.isRuledOut = probe === "running";
+    if (probe === "ended") this.#confirm(view.engine.key, crash);
+  }
+
+  #confirm(key: string, crash: PossibleCrash): void {
+    if (crash.isConfirmed) return;
+    crash.isConfirmed = true;
+    this.#recordCrash(key, crash);
+    setTimeout(() => {
+      this.#options.log.write(events.ENGINE_CRASHED, this.#fields(key, crash));
+    }, LOG_DELAY_MS).unref();
   }
 
   #recordCrash(key: string, crash: PossibleCrash): void {
@@ -97,8 +123,10 @@
 
   /** The requests that ran on the engine, and what was believed of the parts of
    * the suspects: crashes, answers, and whether the part was held. */
-  #fields(key: string): Readonly<Record<string, unknown>> {
-    const requests = this.#crashes.get(key)?.requests ?? [];
+  #fields(
+    key: string,
+    { requests }: PossibleCrash,
+  ): Readonly<Record<string, unknown>> {
     const suspects = requests.filter(({ isSuspect }) => isSuspect);
     const beliefs = new Map(
       suspects.flatMap(({ parts }) => parts).map((part) => {
--- a/packages/gateway/src/crash_watch_test.ts
+++ b/packages/gateway/src/crash_watch_test.ts
@@ -97,6 +97,26 @@
   },
 );
 
+test("an engine that answers no probe has crashed if it leaves the list", async () => {
+  const { watch, quarantine, lines } = createWatch("unknown");
+  watch.recordCut(createView("e1@1"), cut("r1", ["a"]));
+  await vi.advanceTimersByTimeAsync(3000);
+  watch.recordEngineList(() => true);
+  expect(quarantine.beliefOn("a").crashes).toBe(0);
+  watch.recordEngineList(() => false);
+  expect(quarantine.beliefOn("a").crashes).toBe(1);
+  await vi.advanceTimersByTimeAsync(200);
+  expect(lines).toMatchObject([{ event: 846, engine: "e1@1", cut: 1 }]);
+});
+
+test("an engine that still ran has not crashed if it leaves the list", async () => {
+  const { watch, quarantine } = createWatch("running");
+  watch.recordCut(createView("e1@1"), cut("r1", ["a"]));
+  await vi.advanceTimersByTimeAsync(3000);
+  watch.recordEngineList(() => false);
+  expect(quarantine.beliefOn("a").crashes).toBe(0);
+});
+
 test("a leaving engine that ends has not crashed", async () => {
   const { watch, quarantine, probes } = createWatch("ended");
   watch.recordCut(createView("e1@1", true), cut("r1", ["a"]));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -445,6 +445,7 @@
     this.#callerServer.setLimits(routeTable.configuration.limits);
     this.#membership.checkNow();
     const keys = new Set([...this.#engineTable.all()].map((v) => v.engine.key));
+    this.#promptProtection.recordEngineList((key) => keys.has(key));
     for (const key of this.#connections.engineKeys()) {
       if (!keys.has(key)) this.#connections.retire(key);
     }
--- a/packages/gateway/src/prompt_protection.ts
+++ b/packages/gateway/src/prompt_protection.ts
@@ -98,6 +98,11 @@
     this.#holdKeeper.close();
   }
 
+  /** Records that the engine list has changed. */
+  recordEngineList(isListed: (engineKey: string) => boolean): void {
+    this.#crashWatch.recordEngineList(isListed);
+  }
+
   /** Creates the guard of a request. */
   guard(caller: CallerRequest): PromptGuard {
     const { log, metrics } = this.#options;
