Send a crashing prompt part among the faults of the soak

Checked: from 3 s after the fifth crash, and once no fault has been in effect for 3 s, at most three more reach engines.

--- a/packages/trials/src/soak/callers.ts
+++ b/packages/trials/src/soak/callers.ts
@@ -5,6 +5,7 @@
  */
 import { Agent, request } from "node:http";
 import {
+  CRASHING_PART,
   requestHeaders,
   resolveAddresses,
   TRIAL_HOST,
@@ -25,6 +26,13 @@
 /** How long a caller avoids an address that failed, in milliseconds. */
 const FAILED_ADDRESS_MS = 1000;
 
+/** First part of every prompt. */
+const FIRST_PART = "f0";
+
+/** Ratio of the streams that have a part which crashes engines, while such
+ * requests are sent. */
+const CRASHING_RATIO = 0.1;
+
 /** Settings that the callers of a soak share. */
 export interface CallerOptions {
   readonly random: () => number;
@@ -39,6 +47,8 @@
   /** Whether a key has been valid from `sinceMs`, a time as in `Date.now`,
    * until now. */
   readonly isKeyValidSince: (key: string, sinceMs: number) => boolean;
+  /** Whether some streams have a part that crashes engines. */
+  readonly sendsCrashingPart: () => boolean;
 }
 
 /** One caller, with its own connection pool. */
@@ -118,8 +128,18 @@
       workspace,
       model: kind === "stream" ? adapter : undefined,
       sentAt: Date.now(),
+      isCrashing: kind === "stream" && this.#options.sendsCrashingPart() &&
+        random() < CRASHING_RATIO,
     };
-    const response = await this.#sendRequest(address, { ...attempt, key });
+    const ownPart = this.#requestCount.toString(16);
+    const parts = attempt.isCrashing
+      ? [FIRST_PART, CRASHING_PART, ownPart]
+      : [FIRST_PART, ownPart];
+    const response = await this.#sendRequest(address, {
+      ...attempt,
+      key,
+      parts: kind === "stream" ? parts : undefined,
+    });
     if (response.status === 0) this.#failedAtMs.set(address, performance.now());
     this.#attempts.push({
       ...attempt,
@@ -136,6 +156,7 @@
       readonly kind: RequestKind;
       readonly model: string | undefined;
       readonly key: string;
+      readonly parts: readonly string[] | undefined;
     },
   ): Promise<
     Pick<Attempt, "status" | "responseId" | "body" | "complete">
@@ -161,6 +182,7 @@
           key: req.key,
           deadlineMs: REQUEST_DEADLINE_MS,
           ...(req.model === undefined ? {} : { model: req.model }),
+          ...(req.parts === undefined ? {} : { parts: req.parts }),
         }),
       });
       const timer = setTimeout(
--- a/packages/trials/src/soak/checks.ts
+++ b/packages/trials/src/soak/checks.ts
@@ -28,6 +28,8 @@
   readonly body: string;
   /** Whether the response ended without being cut off. */
   readonly complete: boolean;
+  /** Whether the prompt has a part that crashes engines. */
+  readonly isCrashing: boolean;
   /** Whether the key was valid from the start of the attempt to its end. */
   readonly isKeyValid: boolean;
 }
@@ -41,6 +43,9 @@
   readonly orderGapMs: number;
   /** Time as in `Date.now` from which requests must be served again. */
   readonly recoveredFromMs: number;
+  /** Time as in `Date.now` from which no fault has been in effect for the time
+   * in which instances must know of each other's crashes. */
+  readonly calmFromMs: number;
 }
 
 /** Statuses which guarantee that a request has not run and never will. */
@@ -52,12 +57,18 @@
 /** Ratio of the requests after the recovery that must be served. */
 const MIN_SERVED_RATIO = 0.9;
 
+/** From this time after so many crashes on, at most so many more requests with
+ * the part may reach engines: the deployments' bound. */
+const CRASHES_TO_LEARN = 5;
+const LEARN_MS = 3000;
+const LATE_CRASHES_MAX = 3;
+
 /** Returns a description of each violation; none if all guarantees held.
  *
  * @example
  * ```ts
  * const observations = { attempts, records, orderGapMs: 1000 };
- * checkSoak({ ...observations, recoveredFromMs: 0 }); // []
+ * checkSoak({ ...observations, recoveredFromMs: 0, calmFromMs: 0 }); // []
  * ```
  */
 export function checkSoak(observations: SoakObservations): readonly string[] {
@@ -66,6 +77,7 @@
     ...checkExecutions(observations),
     ...checkOrders(observations),
     ...checkRecovery(observations),
+    ...checkCrashes(observations),
   ];
 }
 
@@ -155,11 +167,28 @@
   return errors;
 }
 
+/** Checks that requests with a part that crashes engines stop reaching them. */
+function checkCrashes(
+  { records, calmFromMs }: SoakObservations,
+): readonly string[] {
+  const crashTimes = records.flatMap((record) =>
+    record.t === "run" && record.isCrashing ? [record.at] : []
+  ).sort((a, b) => a - b);
+  const learntFromMs = (crashTimes[CRASHES_TO_LEARN - 1] ?? Infinity) +
+    LEARN_MS;
+  const boundFromMs = Math.max(calmFromMs, learntFromMs);
+  const late = crashTimes.filter((at) => at > boundFromMs).length;
+  return late <= LATE_CRASHES_MAX ? [] : [
+    `${late} of ${crashTimes.length} requests with a crashing part ran after ` +
+    `${boundFromMs}`,
+  ];
+}
+
 function checkRecovery(
   { attempts, recoveredFromMs }: SoakObservations,
 ): readonly string[] {
   const lateAttempts = attempts.filter((a) =>
-    a.sentAt >= recoveredFromMs && a.isKeyValid
+    a.sentAt >= recoveredFromMs && a.isKeyValid && !a.isCrashing
   );
   const served =
     lateAttempts.filter((a) => a.status === 200 && a.complete).length;
--- a/packages/trials/src/soak/checks_test.ts
+++ b/packages/trials/src/soak/checks_test.ts
@@ -18,6 +18,7 @@
   responseId: "r1",
   body: plainText("r1"),
   complete: true,
+  isCrashing: false,
   isKeyValid: true,
 };
 
@@ -42,6 +43,7 @@
   model: undefined,
   path: "/once/x",
   sawKey: false,
+  isCrashing: false,
 };
 
 const orderRecord: EngineRecord = {
@@ -57,7 +59,13 @@
   attempts: readonly Attempt[],
   records: readonly EngineRecord[] = [],
 ) {
-  return checkSoak({ attempts, records, orderGapMs: 1000, recoveredFromMs: 0 });
+  return checkSoak({
+    attempts,
+    records,
+    orderGapMs: 1000,
+    recoveredFromMs: 0,
+    calmFromMs: 2000,
+  });
 }
 
 test("complete responses to requests that ran once are no violation", () => {
@@ -135,3 +143,14 @@
   ]);
   expect(check([])).toEqual(["0 of 0 requests served after the faults"]);
 });
+
+test("reports requests with a crashing part that still reach engines", () => {
+  const crashes = (times: readonly number[]) =>
+    times.map((at): EngineRecord => ({ ...runRecord, at, isCrashing: true }));
+  const attempts = [plainAttempt];
+  const isReported = (times: readonly number[]) =>
+    check(attempts, crashes(times)).some((text) => text.includes("crashing"));
+  expect(isReported([1, 2, 3, 4, 5, 2900, 3000])).toBe(false);
+  expect(isReported([1, 2, 3, 4, 5, 3006, 3007, 3008])).toBe(false);
+  expect(isReported([1, 2, 3, 4, 5, 3006, 3007, 3008, 3009])).toBe(true);
+});
--- a/packages/trials/src/soak/faults.ts
+++ b/packages/trials/src/soak/faults.ts
@@ -49,6 +49,10 @@
     slot.process.signal("SIGKILL");
     return () => world.restartEngine(slot);
   },
+  crashing_part_sent: (world) => {
+    world.sendsCrashingPart = true;
+    return () => void (world.sendsCrashingPart = false);
+  },
   engine_leaves: (world, pick) => {
     const slot = pick(world.engines);
     const { process } = slot;
--- a/packages/trials/src/soak/soak.ts
+++ b/packages/trials/src/soak/soak.ts
@@ -86,12 +86,15 @@
           isKeyValidSince: (key, sinceMs) =>
             key !== WITHDRAWN_KEY.key || (sinceMs < withdrawnAtMs &&
               Date.now() < withdrawnAtMs),
+          sendsCrashingPart: () => world.sendsCrashingPart,
         }),
     );
     await pause(WARM_UP_MS);
     const callerTasks = callers.map((caller) => caller.run());
     const faults = await runFaults(world, { random, durationMs: faultPhaseMs });
+    world.sendsCrashingPart = true;
     await pause(STABLE_MS);
+    const calmFromMs = Date.now();
     world.store.write("deaf");
     const historyLost = pause(DEAF_MS).then(() =>
       world.store.write("lose_history")
@@ -117,6 +120,7 @@
         records: world.records,
         orderGapMs: ORDER_GAP_MS,
         recoveredFromMs,
+        calmFromMs,
       }),
       ...attempts.filter((a) =>
         !a.isKeyValid && a.sentAt > refusedFromMs && a.status === 200
@@ -130,7 +134,7 @@
       sent: attempts.length,
       served: attempts.filter((a) => a.status === 200 && a.complete).length,
       unserved: countUnserved(
-        attempts.filter((a) => a.sentAt >= recoveredFromMs),
+        attempts.filter((a) => a.sentAt >= recoveredFromMs && !a.isCrashing),
       ),
       logs: violations.length > 0
         ? [...world.records.map((r) => JSON.stringify(r)), ...world.logs()]
--- a/packages/trials/src/soak/world.ts
+++ b/packages/trials/src/soak/world.ts
@@ -34,6 +34,9 @@
 const DRAIN_MS = 3000;
 const RENEW_INTERVAL_MS = 1200;
 
+/** Time after which an engine that crashed is started again, in milliseconds. */
+const CRASH_RESTART_MS = 1000;
+
 /** Least time between orders of two instances to one engine, in
  * milliseconds. */
 export const ORDER_GAP_MS = 1000;
@@ -75,6 +78,8 @@
   readonly gateways: GatewaySlot[] = [];
   readonly engines: EngineSlot[] = [];
   readonly ended: SoakProcess[] = [];
+  /** Whether callers send a part of prompts that crashes engines. */
+  sendsCrashingPart = false;
   readonly #prefix: string;
   readonly #directory = mkdtempSync(join(tmpdir(), "banyanlb-soak-"));
   readonly #keys: Record<string, string[]> = {
@@ -123,7 +128,9 @@
       });
       await proxy.listen({ host: this.#addressOf(60 + i), port: ENGINE_PORT });
       const slot = { plain: i >= size.engines, index: i, proxy, starts: 0 };
-      this.engines.push({ ...slot, process: this.#startEngine(slot) });
+      const engine = { ...slot, process: this.#startEngine(slot) };
+      this.engines.push(engine);
+      this.#restartAfterCrash(engine);
     }
     for (let i = 0; i < size.gateways; i++) {
       const storeLink = new LinkProxy(this.#storeAddress);
@@ -179,6 +186,14 @@
     if (slot.process.running || this.#isClosed) return;
     slot.starts += 1;
     slot.process = this.#startEngine(slot);
+    this.#restartAfterCrash(slot);
+  }
+
+  #restartAfterCrash(slot: EngineSlot): void {
+    const { process } = slot;
+    void process.exited.then(() => pause(CRASH_RESTART_MS)).then(() => {
+      if (process.hasCrashed) this.restartEngine(slot);
+    });
   }
 
   /** Describes each gateway that crashed, with its last lines of output. */
