Let an engine that starts again under its id keep its owner

A new start has a new key. The coordinator took it for a new engine, gave it to any member and without a wait, while the former owner still sent orders to the id, which the new start accepts.

Now the owner of the former start keeps it; if that one is gone, the new owner waits as after any move.

--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -13,6 +13,7 @@
   confirmationTimes,
   type EngineTable,
   ExpiryDetector,
+  keepOwners,
   type Member,
   type MemberTable,
   OrderLease,
@@ -435,7 +436,6 @@
     const current = this.#assignment;
     const engines = [...engineTable.all()].map((view) => view.engine)
       .filter((engine) => acceptsOrders(engine.service));
-    const presentKeys = new Set(engines.map(({ key }) => key));
     const tenureOf = (name: string) =>
       members.tenureOf(name) ?? this.#tenureByMember.get(name);
     const listedOwners = new Set(
@@ -445,8 +445,12 @@
     );
     // An unresponsive owner keeps its engines until its entry is removed.
     const kept: Record<string, string> = {};
-    for (const [key, { owner }] of Object.entries(current)) {
-      if (presentKeys.has(key) && listedOwners.has(owner)) kept[key] = owner;
+    const owners = Object.fromEntries(
+      Object.entries(current).map(([key, { owner }]) => [key, owner]),
+    );
+    const formerOwners = keepOwners(owners, engines);
+    for (const [key, owner] of Object.entries(formerOwners)) {
+      if (listedOwners.has(owner)) kept[key] = owner;
     }
     const alivePeers = members.list().filter((m) => alive.includes(m.name));
     const added = planAssignment(
@@ -468,10 +472,11 @@
     for (const key of keys) {
       const owner = planned[key] ?? "";
       const previous = current[key];
-      value[key] = previous === undefined
-        ? { owner, movedAt: 0 }
-        : previous.owner === owner
+      const formerOwner = formerOwners[key];
+      value[key] = previous !== undefined && previous.owner === owner
         ? previous
+        : formerOwner === undefined || formerOwner === owner
+        ? { owner, movedAt: 0 }
         : { owner, movedAt: Date.now() };
     }
     const record = await this.#store.put("assignment", {
