Log the limits that engines name

Nothing in the logs showed that an engine named a limit, when, or to which instance. No logic is changed: nothing heeds the limit yet.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -316,3 +316,11 @@
   severity: "warn",
   text: "held prompt parts not read or written",
 };
+
+/** An engine names a limit on the requests a second from all instances, has
+ * changed it, or, without `limit`, names none any more. */
+export const ENGINE_LIMIT_CHANGED: LogEvent = {
+  id: 852,
+  severity: "info",
+  text: "engine's limit on requests changed",
+};
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -551,6 +551,7 @@
     if (responseHead.id !== undefined && responseHead.id !== caller.id) {
       return settle(this.#failedOutcome("other_answer"));
     }
+    this.#recordLimit(view, responseHead.requestLimit);
     if (responseHead.wasNotExecuted) {
       const reason = status === 421
         ? "adapter_missing"
@@ -586,6 +587,17 @@
     this.#forwardBufferedBody(view, response, settle);
   }
 
+  #recordLimit(view: EngineView, limit: number | undefined): void {
+    if (limit === view.requestLimit) return;
+    this.#deps.log.write(events.ENGINE_LIMIT_CHANGED, {
+      id: this.#input.caller.id,
+      engine: view.engine.key,
+      limit,
+      before: view.requestLimit,
+    });
+    view.requestLimit = limit;
+  }
+
   #failedOutcome(reason: string): AttemptOutcome {
     return this.#hasSentHeaders
       ? { kind: "broken", reason }
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -204,6 +204,9 @@
   readonly isSealed: boolean;
   /** Whether the engine states that it did not execute the request. */
   readonly wasNotExecuted: boolean;
+  /** The requests a second that the engine accepts at present from all instances
+   * together; undefined if it names no limit. */
+  readonly requestLimit: number | undefined;
 }
 
 /** A caller's request for addresses of instances. */
