--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -72,17 +72,34 @@
   return (server.address() as AddressInfo).port;
 }
 
+/** Options of a relay. */
+export interface RelayOptions {
+  readonly route: Partial<Route>;
+  readonly adapters?: readonly string[];
+  readonly load?: () => Promise<boolean>;
+  /** Receives the fields of each log line. */
+  readonly onLog?: (fields: Readonly<Record<string, unknown>>) => void;
+}
+
+/** Starts the relays of several instances before the same engines. Returns
+ * their ports. */
+export async function startRelays(
+  count: number,
+  enginePorts: readonly number[],
+  options: RelayOptions,
+): Promise<readonly number[]> {
+  const ports: number[] = [];
+  for (let i = 0; i < count; i += 1) {
+    ports.push(await startRelay(enginePorts, options));
+  }
+  return ports;
+}
+
 /** Starts a relay with one engine for each handler, or for each port on which
  * an engine listens already. Returns the relay's port. */
 export async function startRelay(
   handlers: readonly (RequestListener | number)[],
-  options: {
-    readonly route: Partial<Route>;
-    readonly adapters?: readonly string[];
-    readonly load?: () => Promise<boolean>;
-    /** Receives the fields of each log line. */
-    readonly onLog?: (fields: Readonly<Record<string, unknown>>) => void;
-  },
+  options: RelayOptions,
 ): Promise<number> {
   const engines: Engine[] = [];
   for (const [i, handle] of handlers.entries()) {
