Heed the limits that engines name, all instances together

An engine in need named a limit on its requests a second and got as many as before: 22 in 4 s at a limit of 2.2 (allowed 18).

Cause: a statement in the engines' responses that nothing read; and no bound on what instances send an engine together, since each decides by itself.

Change: EngineLimits keeps the limit of each engine's start, from this instance's responses and from digests. One instance for the smallest limits and one more for each request a second share it, ranked by engine and name among those that callers use; each sends its part, the others nothing. So 60 instances that know the limit need not ask anybody, and a single request each can't add up. A new sharer starts without a request in hand; an instance that hears less than half of its peers sends none. After 30 s without a response one instance may send 0.2 a second, so a limit ends although nobody uses the engine. Each attempt counts when it is sent: repeats, resumptions, and those that the engine rejects. The chooser leaves out engines whose limit is reached, gives adapters of limited engines a second place, and fetches cold ones elsewhere. If all are limited, the caller is refused at once, with the time until this instance's next request.

Ruled out: equal shares (with 60 instances one request each in 4 s is too many), the engine's owner as its only sender (its requests are those of one instance in 60), asking for each request (one more round trip, and a hand-over).

--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from "@banyanlb/core";
 import {
   aggregatesLoads,
+  type EngineLimits,
   type EngineTable,
   type EngineView,
   LagDetector,
@@ -74,6 +75,7 @@
   readonly sentCrashStates: Map<string, number>;
   readonly sentAnswerStates: Map<string, number>;
   readonly sentHoldStates: Map<string, number>;
+  readonly sentLimitStates: Map<string, number>;
 }
 
 /** Parts of the gateway whose state digests report and update. */
@@ -88,6 +90,7 @@
   readonly rates: ReadonlyMap<string, TokenRate>;
   readonly use: AdapterUsageCounts;
   readonly quarantine: PartQuarantine;
+  readonly limits: EngineLimits;
   readonly links: () => PeerLinks;
   readonly state: () => {
     readonly ready: boolean;
@@ -163,9 +166,9 @@
         return [name, units, units];
       },
     );
-    const { crashes, answers, holds } = this.#options.quarantine.report(
-      performance.now(),
-    );
+    const now = performance.now();
+    const { crashes, answers, holds } = this.#options.quarantine.report(now);
+    const limits = this.#options.limits.report(now);
     const selfRole = {
       ...self,
       serves: common.serves === true,
@@ -195,6 +198,7 @@
         crashes: changedRows(peer, peer.sentCrashStates, crashes),
         answers: changedRows(peer, peer.sentAnswerStates, answers),
         holds: changedRows(peer, peer.sentHoldStates, holds),
+        limits: changedRows(peer, peer.sentLimitStates, limits),
       };
       this.#options.links().send(
         member.peerAddress,
@@ -258,6 +262,7 @@
       }
     }
     this.#options.quarantine.receive(from, digest, now);
+    this.#options.limits.receive(digest.limits ?? {}, now);
     loader.recordPeerFetches(from, digest.fetches ?? 0);
     for (const [key, use] of Object.entries(digest.use ?? {})) {
       loader.recordAdapterUse(from, key, use);
@@ -320,6 +325,7 @@
       sentCrashStates: new Map<string, number>(),
       sentAnswerStates: new Map<string, number>(),
       sentHoldStates: new Map<string, number>(),
+      sentLimitStates: new Map<string, number>(),
     };
     this.#peers.set(member.name, peer);
     return peer;
--- a/packages/gateway/src/digest_exchange_test.ts
+++ b/packages/gateway/src/digest_exchange_test.ts
@@ -1,5 +1,10 @@
 import { EventLog } from "@banyanlb/core";
-import { EngineTable, MemberTable, PartQuarantine } from "@banyanlb/serving";
+import {
+  EngineLimits,
+  EngineTable,
+  MemberTable,
+  PartQuarantine,
+} from "@banyanlb/serving";
 import pino from "pino";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import type { AdapterLoader } from "./adapter_loader.ts";
@@ -59,6 +64,10 @@
     rates: new Map(),
     use: new AdapterUsageCounts(),
     quarantine,
+    limits: new EngineLimits(own.member.name, () => ({
+      instances: [],
+      silentShare: 0,
+    })),
     links: () => ({ confirmDelivery: () => undefined }) as unknown as PeerLinks,
     state: () => ({ ready: true, leaving: false, serves: true, busy: 0 }),
     log: new EventLog(pino({ level: "silent" })),
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -318,9 +318,19 @@
 };
 
 /** An engine names a limit on the requests a second from all instances, has
- * changed it, or, without `limit`, names none any more. */
+ * changed it, or, without `limit`, names none any more. `share` is the part of
+ * it that this instance may send. */
 export const ENGINE_LIMIT_CHANGED: LogEvent = {
   id: 852,
   severity: "info",
   text: "engine's limit on requests changed",
 };
+
+/** A request was refused because this instance may send no engine of the service
+ * a request now: all name a limit. For each engine the limit, the age of the
+ * response that showed it, and the share of this instance. */
+export const ENGINE_LIMITS_REACHED: LogEvent = {
+  id: 853,
+  severity: "info",
+  text: "limits of all engines reached",
+};
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -15,6 +15,7 @@
   type EngineView,
   EventFramer,
   type Route,
+  urgencyOf,
   type Workspace,
 } from "@banyanlb/serving";
 import type {
@@ -68,10 +69,6 @@
  * 50 ms. */
 const OVERLOAD_RATIO = 1.2;
 
-/** Added to the urgency value of a request that will miss its target latency,
- * so that the engine serves it later. */
-const LATE_URGENCY_PENALTY = 4;
-
 /** Maximum size of one event of a resumable stream, in bytes. */
 const EVENT_MAX_BYTES = 256 * 1024;
 
@@ -169,7 +166,13 @@
       if (typeof view === "string") {
         if (this.#runCount > 0) return this.#giveUp(view);
         this.#rateCharge.refund();
-        return refuse(503, `${view}:${reason}`, retryAfterSeconds());
+        const waitSeconds = view === "limited"
+          ? this.#deps.limits.waitSeconds(
+            this.#deps.chooser.keysOf(this.#input.service),
+            this.#input.caller.id,
+          )
+          : retryAfterSeconds();
+        return refuse(503, `${view}:${reason}`, waitSeconds);
       }
       // The part may have been held while the adapter was loaded.
       const decision = this.#guard.decide();
@@ -178,6 +181,8 @@
         await setTimeoutPromise(decision.ms);
         continue;
       }
+      // The limit may have been reached while the adapter was loaded.
+      if (!this.#deps.limits.tryTake(view.engine.key)) continue;
       this.#guard.start(decision);
       const outcome = await this.#runAttempt(view);
       const now = performance.now();
@@ -226,7 +231,9 @@
   /** Selects the engine for the next attempt and waits for an adapter load if
    * one is needed. Resolves to `wait` after a failed load, which excludes that
    * engine: the next call selects another. */
-  async #nextEngine(): Promise<EngineView | "wait" | "full" | "no_engine"> {
+  async #nextEngine(): Promise<
+    EngineView | "wait" | "full" | "no_engine" | "limited"
+  > {
     const { model, adapter } = this.#input.caller;
     const now = performance.now();
     const version = this.#newestVersion();
@@ -551,7 +558,11 @@
     if (responseHead.id !== undefined && responseHead.id !== caller.id) {
       return settle(this.#failedOutcome("other_answer"));
     }
-    this.#recordLimit(view, responseHead.requestLimit);
+    this.#deps.limits.record(
+      view.engine.key,
+      responseHead.requestLimit,
+      caller.id,
+    );
     if (responseHead.wasNotExecuted) {
       const reason = status === 421
         ? "adapter_missing"
@@ -587,17 +598,6 @@
     this.#forwardBufferedBody(view, response, settle);
   }
 
-  #recordLimit(view: EngineView, limit: number | undefined): void {
-    if (limit === view.requestLimit) return;
-    this.#deps.log.write(events.ENGINE_LIMIT_CHANGED, {
-      id: this.#input.caller.id,
-      engine: view.engine.key,
-      limit,
-      before: view.requestLimit,
-    });
-    view.requestLimit = limit;
-  }
-
   #failedOutcome(reason: string): AttemptOutcome {
     return this.#hasSentHeaders
       ? { kind: "broken", reason }
@@ -753,10 +753,3 @@
     response.on("close", () => clearTimeout(stallTimer));
   }
 }
-
-/** The urgency value that the engine receives; 0 is served first. A request
- * that will miss its target latency is served after requests that can still
- * meet their target latency; within each group the priority decides. */
-function urgencyOf(priority: number, isLate: boolean): number {
-  return Math.min(9, priority + (isLate ? LATE_URGENCY_PENALTY : 0));
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,8 +7,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { EventLog } from "@banyanlb/core";
 import {
-  aggregatesLoads,
   EngineChooser,
+  type EngineLimits,
   EngineTable,
   type Member,
   MemberTable,
@@ -31,11 +31,13 @@
 import { DIGEST_TICK_MS, DigestExchange } from "./digest_exchange.ts";
 import { EngineConnections } from "./engine_connections.ts";
 import * as events from "./events.ts";
+import { createEngineLimits, LimitKeeper } from "./limit_keeper.ts";
 import { Membership } from "./membership.ts";
 import { GatewayMetrics } from "./metrics.ts";
 import { OwnLoad } from "./own_load.ts";
 import { PeerLinks, type SendReply } from "./peer_links.ts";
 import type { PeerMessage } from "./peer_messages.ts";
+import { ReaderRoles } from "./reader_roles.ts";
 import { RecordConfirmer } from "./record_confirmer.ts";
 import { PromptProtection } from "./prompt_protection.ts";
 import { Relay } from "./relay.ts";
@@ -70,14 +72,6 @@
  * milliseconds. */
 const KILL_MARGIN_MS = 250;
 
-/** Number of instances per region that read the store on behalf of the region's
- * other instances: one reader may be cut off from the store, which is detected
- * only after seconds. */
-const STORE_READERS_PER_REGION = 2;
-
-/** Number of instances that this one asks in turn to confirm its records. */
-const LEADS_MAX = 2;
-
 /** Maximum size of a request's header block, in bytes. The limit of the
  * configuration is not available yet when the listener opens. */
 const HEADER_MAX_BYTES = 64 * 1024;
@@ -103,7 +97,9 @@
   readonly #recordConfirmer: RecordConfirmer;
   readonly #digestExchange: DigestExchange;
   readonly #ownLoad = new OwnLoad();
+  readonly #readerRoles: ReaderRoles;
   readonly #promptProtection: PromptProtection;
+  readonly #engineLimits: EngineLimits;
   readonly #rates = new Map<string, TokenRate>();
   readonly #retryBudgets = new Map<string, RetryBudget>();
   readonly #callerServer: CallerServer;
@@ -112,10 +108,6 @@
   readonly #metricsServer: CallerServer;
   readonly #timers: NodeJS.Timeout[] = [];
   #loaderTimer: NodeJS.Timeout | undefined;
-  /** Whether this instance reads the store on behalf of its region. */
-  #isStoreReader = true;
-  /** The instances that confirm the records of this one, the lead first. */
-  #leads: readonly Member[] = [];
   #isDraining = false;
   #drainStartedAt = Infinity;
 
@@ -143,10 +135,19 @@
     };
     this.#store = new ObjectStoreClient(settings.store);
     this.#members = new MemberTable(settings.name, performance.now());
+    this.#readerRoles = new ReaderRoles({
+      self: this.#self,
+      members: this.#members,
+      reachesStore: () => this.#storeView.reachesStore,
+      onBecomeReader: () => {
+        this.#storeView.readNow();
+        this.#membership.readNow();
+      },
+    });
     this.#storeView = new StoreView(this.#store, {
       engineTable: this.#engineTable,
       log,
-      isStoreReader: () => this.#isStoreReader,
+      isStoreReader: () => this.#readerRoles.isStoreReader,
       changeKnownMs: settings.bounds.changeKnownMs,
     });
     this.#membership = new Membership(this.#store, {
@@ -157,7 +158,7 @@
       log,
       orderGapMs: settings.bounds.orderGapMs,
       changeKnownMs: settings.bounds.changeKnownMs,
-      isStoreReader: () => this.#isStoreReader,
+      isStoreReader: () => this.#readerRoles.isStoreReader,
       onAssignmentChange: () => {
         this.#loader.tick();
         this.#announceChanges();
@@ -201,7 +202,7 @@
     this.#recordConfirmer = new RecordConfirmer({
       records: this.#records,
       unshared: [this.#membership.memberFollower],
-      leads: () => this.#leads,
+      leads: () => this.#readerRoles.leads,
       links: () => this.#links,
     });
     this.#promptProtection = new PromptProtection({
@@ -213,6 +214,7 @@
       log,
       metrics: this.#metrics,
     });
+    this.#engineLimits = createEngineLimits(this.#self.name, this.#members);
     const use = new AdapterUsageCounts();
     this.#digestExchange = new DigestExchange({
       self: this.#self,
@@ -225,6 +227,7 @@
       rates: this.#rates,
       use,
       quarantine: this.#promptProtection.quarantine,
+      limits: this.#engineLimits,
       links: () => this.#links,
       state: () => ({
         ready: this.#isReady,
@@ -250,6 +253,11 @@
         this.#storeView.isOlderAllowed(model, adapter),
       selectionContextAt: (now) => this.#selectionContextAt(now),
       use,
+      limits: new LimitKeeper({
+        limits: this.#engineLimits,
+        log,
+        metrics: this.#metrics,
+      }),
       guardPrompt: (caller) => this.#promptProtection.guard(caller),
       hasTimeFor: (route) => this.#hasTimeFor(route),
       log,
@@ -385,7 +393,7 @@
   /** Announces changed records to all peers at once if this instance is a store
    * reader. */
   #announceChanges(): void {
-    if (this.#isStoreReader) this.#digestExchange.announceChanges();
+    if (this.#readerRoles.isStoreReader) this.#digestExchange.announceChanges();
   }
 
   #hasTimeFor(route: Route): boolean {
@@ -397,32 +405,6 @@
     return remainingMs > route.timeoutMs;
   }
 
-  /** Decides which instances confirm the records of this one: those that
-   * precede it as store readers in its region, or in the whole fleet if that is
-   * small. */
-  #updateLeads(now: number): void {
-    const isFleetSmall = !aggregatesLoads(this.#members.list().length);
-    this.#leads = this.#members.membersReachingStore(now).filter((m) =>
-      (isFleetSmall || m.region === this.#self.region) &&
-      (!this.#storeView.reachesStore || precedesAsReader(m, this.#self))
-    ).sort((a, b) => precedesAsReader(a, b) ? -1 : 1).slice(0, LEADS_MAX);
-  }
-
-  /** Decides whether this instance is one of its region's store readers. The
-   * instances with the most cores are preferred, since many peers pull records
-   * from them. */
-  #updateStoreReader(now: number): void {
-    const preceding = this.#members.membersReachingStore(now).filter((m) =>
-      m.region === this.#self.region && precedesAsReader(m, this.#self)
-    );
-    const isStoreReader = preceding.length < STORE_READERS_PER_REGION;
-    if (isStoreReader && !this.#isStoreReader) {
-      this.#storeView.readNow();
-      this.#membership.readNow();
-    }
-    this.#isStoreReader = isStoreReader;
-  }
-
   #runLoader(): void {
     this.#loader.tick();
     this.#loaderTimer = setTimeout(
@@ -434,8 +416,7 @@
   #tick(): void {
     const now = performance.now();
     this.#ownLoad.tick(now);
-    this.#updateLeads(now);
-    this.#updateStoreReader(now);
+    this.#readerRoles.update(now);
     this.#storeView.dropMissingEngines(now);
   }
 
@@ -446,6 +427,7 @@
     this.#membership.checkNow();
     const keys = new Set([...this.#engineTable.all()].map((v) => v.engine.key));
     this.#promptProtection.recordEngineList((key) => keys.has(key));
+    this.#engineLimits.keepOnly((key) => keys.has(key));
     for (const key of this.#connections.engineKeys()) {
       if (!keys.has(key)) this.#connections.retire(key);
     }
@@ -495,6 +477,7 @@
       zone: this.#settings.zone,
       regionOf: (zone) => this.#settings.regions.get(zone),
       canOrder: (key) => this.#loader.canOrder(key),
+      roomOf: (key) => this.#engineLimits.roomOf(key, now),
       now,
     };
   }
@@ -543,8 +526,3 @@
     res.end();
   }
 }
-
-/** Whether `a` is chosen as a store reader before `b`. */
-function precedesAsReader(a: Member, b: Member): boolean {
-  return a.cores === b.cores ? a.name < b.name : a.cores > b.cores;
-}
--- /dev/null
+++ b/packages/gateway/src/limit_keeper.ts
@@ -0,0 +1,96 @@
+/** Heeds the limits of engines on behalf of requests, and logs them.
+ *
+ * @module
+ */
+import type { EventLog } from "@banyanlb/core";
+import { EngineLimits, type MemberTable } from "@banyanlb/serving";
+import { retryAfterSeconds } from "./error_response.ts";
+import * as events from "./events.ts";
+import type { GatewayMetrics } from "./metrics.ts";
+
+/** Longest time after which a caller retries that was refused because of the
+ * limits of engines, in seconds. */
+const WAIT_MAX_SECONDS = 5;
+
+/** Maximum number of engines in the log line of such a refusal. */
+const LOGGED_ENGINES_MAX = 16;
+
+/** Parts of the gateway that the keeper uses. */
+export interface LimitKeeperOptions {
+  readonly limits: EngineLimits;
+  readonly log: EventLog;
+  readonly metrics: GatewayMetrics;
+}
+
+/** The limits of engines, as the members share them. */
+export function createEngineLimits(
+  self: string,
+  members: MemberTable,
+): EngineLimits {
+  return new EngineLimits(self, () => {
+    const now = performance.now();
+    return {
+      instances: members.servingNames(now),
+      silentShare: members.silentShare(now),
+    };
+  });
+}
+
+/** Records the limits in responses, and counts requests against them. */
+export class LimitKeeper {
+  readonly #options: LimitKeeperOptions;
+
+  constructor(options: LimitKeeperOptions) {
+    this.#options = options;
+  }
+
+  /** Counts a request that is about to be sent to an engine. Returns false if it
+   * must not be sent. */
+  tryTake(engineKey: string): boolean {
+    return this.#options.limits.tryTake(engineKey, performance.now());
+  }
+
+  /** Records the limit in an engine's response to a request, or that it names
+   * none. */
+  record(
+    engineKey: string,
+    limit: number | undefined,
+    requestId: string | undefined,
+  ): void {
+    const { limits, log, metrics } = this.#options;
+    const now = performance.now();
+    const before = limits.stateOf(engineKey, now)?.limit;
+    if (!limits.record(engineKey, limit, now)) return;
+    metrics.set("limited_engines", limits.size);
+    log.write(events.ENGINE_LIMIT_CHANGED, {
+      id: requestId,
+      engine: engineKey,
+      limit,
+      before,
+      share: limits.stateOf(engineKey, now)?.share,
+    });
+  }
+
+  /** When a caller should retry that was refused because the limits of these
+   * engines are reached, in seconds; logs the limits. */
+  waitSeconds(
+    engineKeys: readonly string[],
+    requestId: string | undefined,
+  ): number {
+    const { limits, log } = this.#options;
+    const now = performance.now();
+    log.write(events.ENGINE_LIMITS_REACHED, {
+      id: requestId,
+      engines: engineKeys.slice(0, LOGGED_ENGINES_MAX).map((engine) => ({
+        engine,
+        ...limits.stateOf(engine, now),
+      })),
+    });
+    // Another instance may have a share where this one has none.
+    const waitMs = limits.waitMs(engineKeys, now) ?? 0;
+    return Math.min(
+      WAIT_MAX_SECONDS,
+      Math.max(retryAfterSeconds(), waitMs / 1000),
+    );
+  }
+}
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -6,6 +6,7 @@
   AnswerCounts,
   CrashReport,
   HoldRecord,
+  LimitRecord,
   Member,
   RecordList,
 } from "@banyanlb/serving";
@@ -87,6 +88,8 @@
   readonly answers?: Readonly<Record<string, AnswerCounts>>;
   /** Prompt parts that are held or were released, if changed. */
   readonly holds?: Readonly<Record<string, HoldRecord>>;
+  /** Limits that engines name, by engine, if changed. */
+  readonly limits?: Readonly<Record<string, LimitRecord>>;
 }
 
 /** Requests that the owner of an engine load an adapter on it. */
--- a/packages/gateway/src/prompt_protection.ts
+++ b/packages/gateway/src/prompt_protection.ts
@@ -116,10 +116,10 @@
   }
 
   #trialTurn(): TrialTurn {
-    const { self, members } = this.#options;
+    const { members } = this.#options;
     const now = performance.now();
     return {
-      instances: [self, ...members.serving(now)].map(({ name }) => name),
+      instances: members.servingNames(now),
       isCutOff: members.silentShare(now) > CUT_OFF_SHARE,
     };
   }
--- a/packages/gateway/src/relay_dependencies.ts
+++ b/packages/gateway/src/relay_dependencies.ts
@@ -19,6 +19,7 @@
 import type { AdapterUsageCounts } from "./adapter_usage.ts";
 import type { EngineConnections } from "./engine_connections.ts";
 import type { GatewayMetrics } from "./metrics.ts";
+import type { LimitKeeper } from "./limit_keeper.ts";
 import type { PromptGuard } from "./prompt_guard.ts";
 
 /** The configuration that applied to a request, as log lines report it. */
@@ -47,6 +48,7 @@
   readonly isOlderAllowed: (model: string, adapter: string) => boolean;
   readonly selectionContextAt: (now: number) => SelectionContext;
   readonly use: AdapterUsageCounts;
+  readonly limits: LimitKeeper;
   readonly guardPrompt: (caller: CallerRequest) => PromptGuard;
   /** Whether a request on this route can end before this process exits. */
   readonly hasTimeFor: (route: Route) => boolean;
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -16,6 +16,7 @@
   type Engine,
   type EngineAddress,
   EngineChooser,
+  EngineLimits,
   type EngineProbe,
   EngineTable,
   MemberTable,
@@ -29,7 +30,9 @@
 import { AdapterUsageCounts } from "../adapter_usage.ts";
 import { EngineConnections } from "../engine_connections.ts";
 import { CrashWatch } from "../crash_watch.ts";
+import { DIGEST_TICK_MS } from "../digest_exchange.ts";
 import { GatewayMetrics } from "../metrics.ts";
+import { LimitKeeper } from "../limit_keeper.ts";
 import { PromptGuard } from "../prompt_guard.ts";
 import { Relay } from "../relay.ts";
 
@@ -77,6 +80,7 @@
   readonly route: Partial<Route>;
   readonly adapters?: readonly string[];
   readonly load?: () => Promise<boolean>;
+  readonly limits?: EngineLimits;
   /** Receives the fields of each log line. */
   readonly onLog?: (fields: Readonly<Record<string, unknown>>) => void;
 }
@@ -88,13 +92,30 @@
   enginePorts: readonly number[],
   options: RelayOptions,
 ): Promise<readonly number[]> {
+  const instances = Array.from({ length: count }, (_, i) => `i${i}`);
+  const fleet = instances.map((name) =>
+    new EngineLimits(name, () => ({ instances, silentShare: 0 }))
+  );
+  const timer = setInterval(() => exchangeLimits(fleet), DIGEST_TICK_MS);
+  addCleanup(() => clearInterval(timer));
   const ports: number[] = [];
-  for (let i = 0; i < count; i += 1) {
-    ports.push(await startRelay(enginePorts, options));
+  for (const limits of fleet) {
+    ports.push(await startRelay(enginePorts, { ...options, limits }));
   }
   return ports;
 }
 
+/** Reports the limits of engines as digests do. */
+function exchangeLimits(fleet: readonly EngineLimits[]): void {
+  const now = performance.now();
+  for (const from of fleet) {
+    const report = Object.fromEntries(
+      from.report(now).map(([key, , record]) => [key, record]),
+    );
+    for (const to of fleet) if (to !== from) to.receive(report, now);
+  }
+}
+
 /** Starts a relay with one engine for each handler, or for each port on which
  * an engine listens already. Returns the relay's port. */
 export async function startRelay(
@@ -155,6 +176,10 @@
     write: (line: string) => options.onLog?.(JSON.parse(line)),
   }));
   const metrics = new GatewayMetrics();
+  const limits = options.limits ?? new EngineLimits("self", () => ({
+    instances: ["self"],
+    silentShare: 0,
+  }));
   const control = { probe: probeByConnecting };
   const quarantine = new PartQuarantine("self", {
     onHold: () => undefined,
@@ -186,9 +211,11 @@
       zone: "z",
       regionOf: () => "r",
       canOrder: () => true,
+      roomOf: (key) => limits.roomOf(key, now),
       now,
     }),
     use: new AdapterUsageCounts(),
+    limits: new LimitKeeper({ limits, log, metrics }),
     guardPrompt: (caller) => new PromptGuard(guardDependencies, caller),
     hasTimeFor: () => true,
     log,
--- a/packages/serving/src/choose_engine.ts
+++ b/packages/serving/src/choose_engine.ts
@@ -12,6 +12,7 @@
  */
 import { rankByRendezvous } from "@banyanlb/core";
 import { CONCURRENT_FETCHES_MAX } from "./adapter_slot_table.ts";
+import type { EngineRoom } from "./engine_limits.ts";
 import type { EngineTable, EngineView } from "./engine_table.ts";
 
 /** Cost of an engine in another zone of the region: breaks ties only. */
@@ -24,6 +25,10 @@
 /** Cost of a failure rate of 1. */
 const FAILURE_COST = 2;
 
+/** Cost of an engine that names a limit on requests: it is slow, and its
+ * adapters need another place. */
+const LIMITED_COST = 0.75;
+
 /** Load difference, in requests, above which the adapter is also loaded on a
  * less loaded engine. With fifteen or more requests on an engine, prompt
  * processing stalls the other streams for too long in one of ten requests; with
@@ -76,6 +81,8 @@
   readonly regionOf: (zone: string) => string | undefined;
   /** Whether an instance that can send orders to this engine is reachable. */
   readonly canOrder: (engineKey: string) => boolean;
+  /** How the engine's own limit on requests allows it to be used. */
+  readonly roomOf: (engineKey: string) => EngineRoom;
   readonly now: number;
 }
 
@@ -90,7 +97,10 @@
   /** Load the adapter on `view` before sending the request. */
   | { readonly kind: "load"; readonly view: EngineView }
   /** No engine can serve the request now. */
-  | { readonly kind: "none"; readonly reason: "no_engine" | "full" };
+  | {
+    readonly kind: "none";
+    readonly reason: "no_engine" | "full" | "limited";
+  };
 
 /** Chooses engines by cost, and caches the engine order of each adapter. */
 export class EngineChooser {
@@ -122,8 +132,12 @@
     // If every engine is reported unresponsive, the reports are more likely
     // wrong than the engines.
     const reachable = eligible.filter((view) => !view.down);
-    const usable = reachable.length > 0 ? reachable : eligible;
-    if (usable.length === 0) return { kind: "none", reason: "no_engine" };
+    const candidates = reachable.length > 0 ? reachable : eligible;
+    if (candidates.length === 0) return { kind: "none", reason: "no_engine" };
+    const usable = candidates.filter((view) =>
+      context.roomOf(view.engine.key) !== "closed"
+    );
+    if (usable.length === 0) return { kind: "none", reason: "limited" };
     if (
       requirements.model === undefined || requirements.adapter === undefined
     ) {
@@ -133,6 +147,7 @@
     if (choice.kind === "send") return choice;
     const leaving = serviceEngines.find((view) =>
       isLeavingHolder(view, requirements, context.now) &&
+      context.roomOf(view.engine.key) !== "closed" &&
       !requirements.excludedEngines.has(view.engine.key)
     );
     if (leaving === undefined) return choice;
@@ -140,6 +155,11 @@
     return { kind: "send", view: leaving, spreadTo };
   }
 
+  /** The keys of a service's engines. */
+  keysOf(service: string): readonly string[] {
+    return this.#engines.ofService(service).map(({ engine }) => engine.key);
+  }
+
   /** The order of engines for an adapter, by rendezvous hashing. */
   rank(service: string, key: string): readonly EngineView[] {
     if (this.#generation !== this.#engines.generation) {
@@ -240,6 +260,9 @@
     let bestCost = Infinity;
     let position = 0;
     const adapter = requirements.adapter ?? "";
+    const isOpen = (view: EngineView) =>
+      context.roomOf(view.engine.key) === "open";
+    const hasOpen = [...usable].some(isOpen);
     for (const view of this.rank(requirements.service, adapter)) {
       if (!usable.has(view)) continue;
       const held = view.adapters.get(adapter);
@@ -248,6 +271,7 @@
       if (held !== undefined) continue;
       if (!view.holdsModel(requirements.model ?? "")) continue;
       if (!context.canOrder(view.engine.key)) continue;
+      if (hasOpen && !isOpen(view)) continue;
       const cost = costOf(view, context) + position * spreadThreshold(view) +
         FETCH_LIMIT_COST *
           Math.floor(fetchCount(view, context.now) / CONCURRENT_FETCHES_MAX);
@@ -329,6 +353,9 @@
     : regionOf(view.engine.zone) === regionOf(zone)
     ? OTHER_ZONE_COST
     : OTHER_REGION_COST;
-  return loadRatio(view, now) + distance +
+  const limitedCost = context.roomOf(view.engine.key) === "open"
+    ? 0
+    : LIMITED_COST;
+  return loadRatio(view, now) + distance + limitedCost +
     FAILURE_COST * view.health.failureRate(now);
 }
--- a/packages/serving/src/choose_engine_test.ts
+++ b/packages/serving/src/choose_engine_test.ts
@@ -46,6 +46,7 @@
   zone: "z1",
   regionOf: (zone) => zone === "z3" ? "r2" : "r1",
   canOrder: () => true,
+  roomOf: () => "open",
   now: NOW,
 };
 
@@ -241,6 +242,75 @@
   ).toMatchObject({ kind: "load", view: second });
 });
 
+test("the adapters of an engine that names a limit get a second place", () => {
+  const { chooser, rank } = setUp(3);
+  const [first, second] = rank;
+  if (first === undefined) throw new Error("no engine");
+  first.adapters = new Map([["a1", heldAdapter]]);
+  const limited: SelectionContext = {
+    ...context,
+    roomOf: (key) => key === first.engine.key ? "limited" : "open",
+  };
+  expect(chooser.choose(requirements(), limited)).toMatchObject({
+    kind: "send",
+    view: first,
+    spreadTo: second,
+  });
+  const closed: SelectionContext = {
+    ...context,
+    roomOf: (key) => key === first.engine.key ? "closed" : "open",
+  };
+  expect(chooser.choose(requirements(), closed)).toMatchObject({
+    kind: "load",
+    view: second,
+  });
+});
+
+test("cold adapters are not loaded on an engine that names a limit", () => {
+  const { chooser, rank } = setUp(3);
+  const [first, second] = rank;
+  const limited: SelectionContext = {
+    ...context,
+    roomOf: (key) => key === first?.engine.key ? "limited" : "open",
+  };
+  expect(chooser.choose(requirements(), limited)).toMatchObject({
+    kind: "load",
+    view: second,
+  });
+  expect(
+    chooser.choose(requirements(), { ...context, roomOf: () => "limited" }),
+  ).toMatchObject({ kind: "load", view: first });
+});
+
+test("no engine is chosen if the limits of all are reached", () => {
+  const { chooser } = setUp(3);
+  const closed: SelectionContext = { ...context, roomOf: () => "closed" };
+  const refused = { kind: "none", reason: "limited" };
+  expect(chooser.choose(requirements(), closed)).toEqual(refused);
+  const withoutAdapter = requirements({ model: undefined, adapter: undefined });
+  expect(chooser.choose(withoutAdapter, closed)).toEqual(refused);
+});
+
+test("a leaving engine whose limit is reached gets no request", () => {
+  const table = new EngineTable();
+  table.setEngines([engine("e0"), engine("e1")]);
+  table.setEngines([engine("e0", "z1", true), engine("e1")], NOW - 10);
+  const leaving = table.get("e0@1");
+  if (leaving === undefined) throw new Error("no engine");
+  leaving.adapters = new Map([["a1", heldAdapter]]);
+  const chooser = new EngineChooser(table);
+  expect(chooser.choose(requirements(), context)).toMatchObject({
+    kind: "send",
+    view: leaving,
+  });
+  expect(
+    chooser.choose(requirements(), {
+      ...context,
+      roomOf: (key) => key === "e0@1" ? "closed" : "open",
+    }),
+  ).toMatchObject({ kind: "load" });
+});
+
 test("engines of the same zone are preferred while they are not busier", () => {
   const table = new EngineTable();
   table.setEngines([engine("far", "z3"), engine("near", "z1")]);
--- /dev/null
+++ b/packages/serving/src/engine_limits.ts
@@ -0,0 +1,263 @@
+/** Heeds the limits that engines name: requests a second from all instances
+ * together.
+ *
+ * A few instances share the limit of an engine and the others send it nothing,
+ * because equal shares of all instances would each be too small for a single
+ * request in a short time, and their sum too large. Who shares follows from the
+ * names of the instances alive, so that nobody has to be asked.
+ *
+ * @module
+ */
+import { hashToUnitInterval } from "@banyanlb/core";
+
+/** Time without a response from an engine after which its limit may have ended,
+ * in milliseconds. Then one instance may send it a request now and then, however
+ * low the limit is. */
+const LIMIT_UNCERTAIN_MS = 30_000;
+
+/** Rate of those requests, in requests a second. */
+const PROBES_PER_SECOND = 0.2;
+
+/** Number of instances that share the smallest limits; with each request a
+ * second there is one more, so that all of them can use their share. */
+const SHARERS_MIN = 1;
+
+/** Requests that an instance may send at once: the share of this time, in
+ * milliseconds, and at least one. In any window the sum of all instances is the
+ * limit and these. */
+const BURST_MS = 500;
+
+/** How long a share is used before it is computed again, in milliseconds. */
+const SHARE_VALID_MS = 100;
+
+/** Fraction of unresponsive members from which this instance may be the one that
+ * is cut off, and sends limited engines nothing. */
+const CUT_OFF_SHARE = 0.5;
+
+/** A change of a limit's age by this much is reported to peers, in
+ * milliseconds. */
+const REPORTED_AGE_STEP_MS = 5000;
+
+/** How an engine may be used at present. */
+export type EngineRoom =
+  /** It names no limit. */
+  | "open"
+  /** It names a limit, and this instance may send it a request. */
+  | "limited"
+  /** It names a limit, and this instance must not send it a request now. */
+  | "closed";
+
+/** The instances that may send requests to engines. */
+export interface LimitSharers {
+  /** Names of the instances that callers use, this one included. */
+  readonly instances: readonly string[];
+  /** Fraction of the members that is unresponsive. */
+  readonly silentShare: number;
+}
+
+/** An engine's limit as peers report it. */
+export interface LimitRecord {
+  /** Requests a second; null if the engine names no limit any more. */
+  readonly limit: number | null;
+  /** Time since the response that showed it, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** What this instance knows of a limit, for the log. */
+export interface LimitState {
+  readonly limit: number;
+  readonly ageMs: number;
+  /** Requests a second that this instance may send. */
+  readonly share: number;
+}
+
+interface Limit {
+  /** Undefined if the engine names no limit any more. */
+  perSecond: number | undefined;
+  namedAt: number;
+  /** Requests that this instance may send now. */
+  tokens: number;
+  tokensAt: number;
+  /** Requests a second that this instance may send. */
+  share: number;
+  shareAt: number;
+}
+
+/** The limits of engines, and the share that this instance has of each. */
+export class EngineLimits {
+  readonly #self: string;
+  readonly #sharers: () => LimitSharers;
+  readonly #limits = new Map<string, Limit>();
+
+  /** `self` is the name of this instance. */
+  constructor(self: string, sharers: () => LimitSharers) {
+    this.#self = self;
+    this.#sharers = sharers;
+  }
+
+  /** Number of engines that name a limit. */
+  get size(): number {
+    let count = 0;
+    for (const { perSecond } of this.#limits.values()) {
+      if (perSecond !== undefined) count += 1;
+    }
+    return count;
+  }
+
+  /** Records the limit in an engine's response, or that it names none. Returns
+   * whether that has changed.
+   *
+   * @example
+   * ```ts
+   * limits.record("e1@7", head.requestLimit, performance.now());
+   * ```
+   */
+  record(
+    engineKey: string,
+    perSecond: number | undefined,
+    now: number,
+  ): boolean {
+    const current = this.#limits.get(engineKey);
+    if (current === undefined && perSecond === undefined) return false;
+    return this.#update(engineKey, perSecond, { namedAt: now, now });
+  }
+
+  /** How an engine may be used. */
+  roomOf(engineKey: string, now: number): EngineRoom {
+    const limit = this.#limits.get(engineKey);
+    if (limit?.perSecond === undefined) return "open";
+    this.#refill(engineKey, limit, now);
+    return limit.tokens >= 1 ? "limited" : "closed";
+  }
+
+  /** Counts a request that is about to be sent to an engine. Returns false, and
+   * counts nothing, if it must not be sent. */
+  tryTake(engineKey: string, now: number): boolean {
+    if (this.roomOf(engineKey, now) === "closed") return false;
+    const limit = this.#limits.get(engineKey);
+    if (limit?.perSecond !== undefined) limit.tokens -= 1;
+    return true;
+  }
+
+  /** Time until this instance may send a request to any of these engines, in
+   * milliseconds; undefined if it has no share of any. */
+  waitMs(engineKeys: readonly string[], now: number): number | undefined {
+    const waits = engineKeys.flatMap((key) => {
+      const limit = this.#limits.get(key);
+      if (limit?.perSecond === undefined) return [];
+      this.#refill(key, limit, now);
+      const { share, tokens } = limit;
+      return share > 0 ? [Math.max(0, 1 - tokens) / share * 1000] : [];
+    });
+    return waits.length === 0 ? undefined : Math.min(...waits);
+  }
+
+  /** What is known of an engine's limit; undefined if it names none. */
+  stateOf(engineKey: string, now: number): LimitState | undefined {
+    const limit = this.#limits.get(engineKey);
+    if (limit?.perSecond === undefined) return undefined;
+    this.#refill(engineKey, limit, now);
+    return {
+      limit: limit.perSecond,
+      ageMs: Math.round(now - limit.namedAt),
+      share: limit.share,
+    };
+  }
+
+  /** What peers are told: the engine, a number that differs after each change,
+   * and the record. */
+  report(
+    now: number,
+  ): readonly (readonly [
+    engineKey: string,
+    state: number,
+    record: LimitRecord,
+  ])[] {
+    return [...this.#limits].map(([key, { perSecond, namedAt }]) => [
+      key,
+      (perSecond ?? -1) + Math.floor(namedAt / REPORTED_AGE_STEP_MS) * 1e6,
+      { limit: perSecond ?? null, ageMs: Math.round(now - namedAt) },
+    ]);
+  }
+
+  /** Applies what a peer reports, where the peer has the newer response. */
+  receive(records: Readonly<Record<string, LimitRecord>>, now: number): void {
+    for (const [key, { limit, ageMs }] of Object.entries(records)) {
+      const namedAt = now - ageMs;
+      const current = this.#limits.get(key);
+      if (current !== undefined && current.namedAt >= namedAt) continue;
+      this.#update(key, limit ?? undefined, { namedAt, now });
+    }
+  }
+
+  /** Forgets the limits of engines that are no longer listed. */
+  keepOnly(isListed: (engineKey: string) => boolean): void {
+    for (const key of this.#limits.keys()) {
+      if (!isListed(key)) this.#limits.delete(key);
+    }
+  }
+
+  #update(
+    engineKey: string,
+    perSecond: number | undefined,
+    times: { readonly namedAt: number; readonly now: number },
+  ): boolean {
+    const { namedAt, now } = times;
+    const limit = this.#limits.get(engineKey);
+    if (limit === undefined) {
+      // The engine has just had more requests than anybody counted.
+      this.#limits.set(engineKey, {
+        perSecond,
+        namedAt,
+        tokens: 0,
+        tokensAt: now,
+        share: 0,
+        shareAt: -Infinity,
+      });
+      return true;
+    }
+    const isChanged = limit.perSecond !== perSecond;
+    if (isChanged) {
+      this.#refill(engineKey, limit, now);
+      limit.shareAt = -Infinity;
+    }
+    limit.namedAt = namedAt;
+    limit.perSecond = perSecond;
+    return isChanged;
+  }
+
+  #refill(engineKey: string, limit: Limit, now: number): void {
+    const passedMs = now - limit.tokensAt;
+    const burst = Math.max(1, limit.share * BURST_MS / 1000);
+    limit.tokens = Math.min(
+      burst,
+      limit.tokens + limit.share * passedMs / 1000,
+    );
+    limit.tokensAt = now;
+    if (now - limit.shareAt < SHARE_VALID_MS) return;
+    limit.shareAt = now;
+    limit.share = this.#shareOf(engineKey, limit, now);
+    // A new sharer starts without a request in hand, since the instance whose
+    // share it takes over may have sent one just before.
+    if (limit.share === 0) limit.tokens = 0;
+  }
+
+  #shareOf(engineKey: string, limit: Limit, now: number): number {
+    const { instances, silentShare } = this.#sharers();
+    if (limit.perSecond === undefined || silentShare > CUT_OFF_SHARE) return 0;
+    const count = Math.min(
+      instances.length,
+      SHARERS_MIN + Math.floor(limit.perSecond),
+    );
+    const ownScore = hashToUnitInterval(`${engineKey} ${this.#self}`);
+    const rank = instances.filter((name) =>
+      name !== this.#self &&
+      hashToUnitInterval(`${engineKey} ${name}`) > ownScore
+    ).length;
+    const share = rank < count ? limit.perSecond / count : 0;
+    const isUncertain = now - limit.namedAt > LIMIT_UNCERTAIN_MS;
+    return rank === 0 && isUncertain
+      ? Math.max(share, PROBES_PER_SECOND)
+      : share;
+  }
+}
--- a/packages/serving/src/engine_table.ts
+++ b/packages/serving/src/engine_table.ts
@@ -33,9 +33,6 @@
   /** When the engine was first seen to be leaving, by the monotonic clock. */
   leavingSince: number | undefined;
   inFlight = 0;
-  /** The requests a second that the engine accepts from all instances, by its
-   * last response to this instance; undefined if it names no limit. */
-  requestLimit: number | undefined;
   readonly health = new EngineHealth();
   readonly #peerLoads = new Map<string, PeerLoad>();
 
--- a/packages/serving/src/member_table.ts
+++ b/packages/serving/src/member_table.ts
@@ -125,6 +125,11 @@
     );
   }
 
+  /** Names of the members that callers use, and of this one. */
+  servingNames(now: number): readonly string[] {
+    return [this.#ownName, ...this.serving(now).map(({ name }) => name)];
+  }
+
   /** Location of a member, and whether it serves callers or sends orders to
    * engines. A member without digests is assumed to serve callers and to send
    * orders. */
