Break off streams that end inside an event, also where they can't resume

On routes whose streams can't be resumed the end of the connection was passed on as the end of the response, so that a caller took a cut stream for a whole one. Resumable streams were checked already.

EventBoundary follows the last three bytes; an end that is not after a blank line breaks the caller's connection too.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -13,6 +13,7 @@
   type CallerRequest,
   type EngineChoice,
   type EngineView,
+  EventBoundary,
   EventFramer,
   type Route,
   urgencyOf,
@@ -688,6 +689,7 @@
   ): void {
     const { res, route } = this.#input;
     this.#framer.reset();
+    const boundary = new EventBoundary();
     const isComplete = trackCompletion(response);
     let receivedBytes = 0;
     let stallTimer: NodeJS.Timeout | undefined;
@@ -711,6 +713,7 @@
         this.#lastEventId = framed.lastId ?? this.#lastEventId;
         bytes = framed.bytes;
       }
+      boundary.push(chunk);
       receivedBytes += chunk.length;
       if (
         receivedBytes > RESPONSE_MAX_BYTES ||
@@ -741,7 +744,7 @@
     response.on("end", () => {
       clearTimeout(stallTimer);
       if (settle.ended()) return;
-      if (!isComplete() || (route.resumable && this.#framer.pendingBytes > 0)) {
+      if (!isComplete() || !boundary.isReached) {
         settle({ kind: "broken", reason: "connection_lost" });
         return;
       }
