Name limits of engines among the faults of the soak

Engine stand-ins name limits of 0.5 to 5 requests a second at random times among the other faults, and one names 1.5 from the time on at which all is calm. Checked from then on with the deployments' bound: 3 s after the limit was named, no 4 s with more than 1.5 times the limit and five runs.

--- a/packages/trials/src/soak/checks.ts
+++ b/packages/trials/src/soak/checks.ts
@@ -63,6 +63,14 @@
 const LEARN_MS = 3000;
 const LATE_CRASHES_MAX = 3;
 
+/** From this time after an engine named a limit on, it may get in each window so
+ * many times what the limit allows, and so many requests more: the deployments'
+ * bound. */
+const LIMIT_HEEDED_AFTER_MS = 3000;
+const LIMIT_WINDOW_MS = 4000;
+const LIMIT_FACTOR = 1.5;
+const LIMIT_SLACK = 5;
+
 /** Returns a description of each violation; none if all guarantees held.
  *
  * @example
@@ -78,6 +86,7 @@
     ...checkOrders(observations),
     ...checkRecovery(observations),
     ...checkCrashes(observations),
+    ...checkLimits(observations),
   ];
 }
 
@@ -167,6 +176,40 @@
   return errors;
 }
 
+/** Checks that an engine which names a limit gets no more requests than that, of
+ * all instances together. */
+function checkLimits(
+  { records, calmFromMs }: SoakObservations,
+): readonly string[] {
+  return records.flatMap((named) => {
+    if (named.t !== "limit" || named.perSecond === undefined) return [];
+    const { engine, at, perSecond } = named;
+    const fromMs = Math.max(calmFromMs, at) + LIMIT_HEEDED_AFTER_MS;
+    const ends = records.find((r) =>
+      r.t !== "run" && r.engine === engine && r.at > at &&
+      (r.t === "limit" || r.t === "start")
+    );
+    const runs = records.flatMap((r) =>
+      r.t === "run" && r.engine === engine && r.at >= fromMs &&
+        r.at < (ends?.at ?? Infinity)
+        ? [r.at]
+        : []
+    );
+    const allowed = LIMIT_FACTOR * perSecond * LIMIT_WINDOW_MS / 1000 +
+      LIMIT_SLACK;
+    const most = Math.max(
+      0,
+      ...runs.map((start) =>
+        runs.filter((t) => t >= start && t < start + LIMIT_WINDOW_MS).length
+      ),
+    );
+    return most <= allowed ? [] : [
+      `${engine} named a limit of ${perSecond} and ran ${most} requests in ` +
+      `${LIMIT_WINDOW_MS} ms`,
+    ];
+  });
+}
+
 /** Checks that requests with a part that crashes engines stop reaching them. */
 function checkCrashes(
   { records, calmFromMs }: SoakObservations,
--- a/packages/trials/src/soak/checks_test.ts
+++ b/packages/trials/src/soak/checks_test.ts
@@ -154,3 +154,24 @@
   expect(isReported([1, 2, 3, 4, 5, 3006, 3007, 3008])).toBe(false);
   expect(isReported([1, 2, 3, 4, 5, 3006, 3007, 3008, 3009])).toBe(true);
 });
+
+test("reports an engine that ran more requests than the limit it named", () => {
+  const limit: EngineRecord = {
+    t: "limit",
+    engine: "e",
+    at: 2000,
+    perSecond: 1,
+  };
+  const runs = (count: number, from: number) =>
+    Array.from(
+      { length: count },
+      (_, i): EngineRecord => ({ ...runRecord, at: from + i }),
+    );
+  const isReported = (records: readonly EngineRecord[]) =>
+    check([plainAttempt], records).some((text) => text.includes("limit of 1"));
+  expect(isReported([limit, ...runs(11, 5000)])).toBe(false);
+  expect(isReported([limit, ...runs(12, 5000)])).toBe(true);
+  expect(isReported([limit, ...runs(12, 4000)])).toBe(false);
+  const ended: EngineRecord = { ...limit, at: 4000, perSecond: undefined };
+  expect(isReported([limit, ended, ...runs(12, 5000)])).toBe(false);
+});
--- a/packages/trials/src/soak/faults.ts
+++ b/packages/trials/src/soak/faults.ts
@@ -14,6 +14,9 @@
 
 const nothingToLift = () => undefined;
 
+/** Limits that engines name, in requests a second. */
+const REQUEST_LIMITS: readonly number[] = [0.5, 1.5, 5];
+
 const faults: Readonly<Record<string, Fault>> = {
   gateway_killed: (world, pick) => {
     const slot = pick(world.gateways);
@@ -49,6 +52,11 @@
     slot.process.signal("SIGKILL");
     return () => world.restartEngine(slot);
   },
+  engine_limited: (world, pick) => {
+    const { process } = pick(world.engines);
+    process.write(String(pick(REQUEST_LIMITS)));
+    return () => process.write("no_limit");
+  },
   crashing_part_sent: (world) => {
     world.sendsCrashingPart = true;
     return () => void (world.sendsCrashingPart = false);
--- a/packages/trials/src/soak/soak.ts
+++ b/packages/trials/src/soak/soak.ts
@@ -40,6 +40,11 @@
 /** Time within which the store must accept the withdrawal, in milliseconds. */
 const WITHDRAWAL_TIMEOUT_MS = 20_000;
 
+/** Number of engines that name a limit while the rest of the soak is calm, and
+ * the limit in requests a second. */
+const LIMITED_ENGINES = 1;
+const REQUEST_LIMIT = 1.5;
+
 const WITHDRAWN_KEY = { workspace: "w2", key: "key-2b" } as const;
 
 /** Outcome of a soak. */
@@ -95,6 +100,9 @@
     world.sendsCrashingPart = true;
     await pause(STABLE_MS);
     const calmFromMs = Date.now();
+    for (const { process } of world.engines.slice(0, LIMITED_ENGINES)) {
+      process.write(String(REQUEST_LIMIT));
+    }
     world.store.write("deaf");
     const historyLost = pause(DEAF_MS).then(() =>
       world.store.write("lose_history")
