--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -253,11 +253,7 @@
         this.#storeView.isOlderAllowed(model, adapter),
       selectionContextAt: (now) => this.#selectionContextAt(now),
       use,
-      limits: new LimitKeeper({
-        limits: this.#engineLimits,
-        log,
-        metrics: this.#metrics,
-      }),
+      limits: new LimitKeeper({ limits: this.#engineLimits, log }),
       guardPrompt: (caller) => this.#promptProtection.guard(caller),
       hasTimeFor: (route) => this.#hasTimeFor(route),
       log,
@@ -297,6 +293,7 @@
         "configuration_age_ms",
         this.#storeView.follower("configuration").ageMs(performance.now()),
       );
+      this.#metrics.set("limited_engines", this.#engineLimits.size);
       res.end(this.#metrics.render());
     });
     this.#storeView.onChange = () => this.#onStoreViewChange();
--- a/packages/gateway/src/limit_keeper.ts
+++ b/packages/gateway/src/limit_keeper.ts
@@ -6,7 +6,6 @@
 import { EngineLimits, type MemberTable } from "@banyanlb/serving";
 import { retryAfterSeconds } from "./error_response.ts";
 import * as events from "./events.ts";
-import type { GatewayMetrics } from "./metrics.ts";
 
 /** Longest time after which a caller retries that was refused because of the
  * limits of engines, in seconds. */
@@ -19,7 +18,6 @@
 export interface LimitKeeperOptions {
   readonly limits: EngineLimits;
   readonly log: EventLog;
-  readonly metrics: GatewayMetrics;
 }
 
 /** The limits of engines, as the members share them. */
@@ -57,11 +55,10 @@
     limit: number | undefined,
     requestId: string | undefined,
   ): void {
-    const { limits, log, metrics } = this.#options;
+    const { limits, log } = this.#options;
     const now = performance.now();
     const before = limits.stateOf(engineKey, now)?.limit;
     if (!limits.record(engineKey, limit, now)) return;
-    metrics.set("limited_engines", limits.size);
     log.write(events.ENGINE_LIMIT_CHANGED, {
       id: requestId,
       engine: engineKey,
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -215,7 +215,7 @@
       now,
     }),
     use: new AdapterUsageCounts(),
-    limits: new LimitKeeper({ limits, log, metrics }),
+    limits: new LimitKeeper({ limits, log }),
     guardPrompt: (caller) => new PromptGuard(guardDependencies, caller),
     hasTimeFor: () => true,
     log,
