Send a request that targets may have run to two of them at most

A body that crashes targets so ended four with one request. It has no prompt parts to judge by, so the attempts that may have run are limited to two; those that certainly did not run stay limited to four.

--- a/packages/daemon/src/constants.ts
+++ b/packages/daemon/src/constants.ts
@@ -49,8 +49,8 @@
 /** Maximum balance of the retry budget, and its balance at start. */
 export const RETRY_BUDGET_MAX = 20;
 
-/** Maximum attempts of one request. */
-export const TARGET_ATTEMPTS_MAX = 4;
+/** Maximum number of targets at which one request waits for a permit. */
+export const PERMIT_TARGETS_MAX = 4;
 
 /** Interval between two rounds of slot rebalancing. */
 export const REBALANCE_INTERVAL_MS = 500;
--- a/packages/daemon/src/permit_client.ts
+++ b/packages/daemon/src/permit_client.ts
@@ -25,8 +25,8 @@
 import {
   OWNER_RETRY_DELAY_MS,
   PERMIT_REPLY_MARGIN_MS,
+  PERMIT_TARGETS_MAX,
   QUEUE_WAIT_MAX_MS,
-  TARGET_ATTEMPTS_MAX,
   TARGET_PERMIT_WAIT_MAX_MS,
 } from "./constants.ts";
 import { type FindOwner, unwrapMessage } from "./peer_adapters.ts";
@@ -140,7 +140,7 @@
   /** Tries the ranked targets one after another. */
   async #tryTargets(request: PermitRequest): Promise<RoundResult> {
     const ranked = this.#deps.policy.rank(request, request.targets)
-      .slice(0, TARGET_ATTEMPTS_MAX);
+      .slice(0, PERMIT_TARGETS_MAX);
     let refused: PermitRefused | undefined;
     let is_moving = false;
     for (const [index, target] of ranked.entries()) {
--- a/packages/daemon/src/serve_model.ts
+++ b/packages/daemon/src/serve_model.ts
@@ -5,8 +5,8 @@
 import { hashKey, type Refusal } from "@banyanlb/core";
 import type { EntryPermit } from "@banyanlb/permits";
 import { admitModel, identifyCaller } from "./admission.ts";
+import { AttemptLimit } from "./attempt_limit.ts";
 import type { Call } from "./caller_server.ts";
-import { TARGET_ATTEMPTS_MAX } from "./constants.ts";
 import {
   type ModelAttempt,
   type ModelJob,
@@ -83,11 +83,13 @@
 async function serveUntilDone(ctx: ServeContext, job: ModelJob): Promise<void> {
   ctx.retry_budget.recordRequest();
   let failure: Refusal | undefined;
-  for (let attempts = 0; attempts < TARGET_ATTEMPTS_MAX; attempts++) {
+  const limit = new AttemptLimit();
+  while (limit.allowsAnother) {
     const attempt = await prepareAttempt(ctx, job, failure);
     const result = await runModelAttempt(ctx, job, attempt);
     if (result.again === undefined) return;
     failure = result.again;
+    limit.recordFailure({ mayHaveRun: !failure.not_run });
     if (job.call.res.headersSent || !ctx.retry_budget.tryRetry()) break;
     ctx.metrics.count("retried", { reason: result.reason });
   }
--- a/packages/daemon/src/serve_service.ts
+++ b/packages/daemon/src/serve_service.ts
@@ -8,7 +8,8 @@
 import { createHash } from "node:crypto";
 import { admitService, identifyCaller } from "./admission.ts";
 import type { Call } from "./caller_server.ts";
-import { TARGET_ATTEMPTS_MAX, TOKENS_PER_SERVICE_CALL } from "./constants.ts";
+import { AttemptLimit } from "./attempt_limit.ts";
+import { TOKENS_PER_SERVICE_CALL } from "./constants.ts";
 import type { GrantedTarget } from "./permit_client.ts";
 import { readBody } from "./request_body.ts";
 import { RequestScope } from "./request_scope.ts";
@@ -71,11 +72,13 @@
 ): Promise<void> {
   ctx.retry_budget.recordRequest();
   let failure: Refusal | undefined;
-  for (let attempts = 0; attempts < TARGET_ATTEMPTS_MAX; attempts++) {
+  const limit = new AttemptLimit();
+  while (limit.allowsAnother) {
     const attempt = await prepareAttempt(ctx, job, failure);
     if (attempt === undefined) return;
     failure = await runServiceAttempt(ctx, job, attempt);
     if (failure === undefined) return;
+    limit.recordFailure({ mayHaveRun: !failure.not_run });
     if (!canRetry(job, failure) || !ctx.retry_budget.tryRetry()) break;
     ctx.metrics.count("retried", { reason: failure.kind });
   }
