--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -26,6 +26,7 @@
 export * from "./route_table.ts";
 export * from "./steering.ts";
 export * from "./token_rate.ts";
+export * from "./trial_turn.ts";
 export * from "./clock_pair.ts";
 export * from "./types.ts";
 export * from "./urgency.ts";
--- a/packages/serving/src/part_quarantine.ts
+++ b/packages/serving/src/part_quarantine.ts
@@ -16,22 +16,7 @@
   type PartEvidence,
   type SharedParts,
 } from "./crash_evidence.ts";
-import { fingerprintOfText } from "./fingerprint.ts";
-
-/** Time from the beginning of a hold to the first trial, in milliseconds. */
-export const FIRST_TRIAL_MS = 20_000;
-
-/** Factor by which the time to the next trial grows with each trial. */
-const TRIAL_BACKOFF = 4;
-
-/** Maximum number of trials of one hold. */
-export const TRIALS_MAX = 2;
-
-/** How long one instance may start the trial that is due before the next one
- * may, in milliseconds, and the time at the end of a turn in which none starts,
- * since the instances' views of time differ by a digest's delay. */
-const TRIAL_TURN_MS = 5000;
-const TRIAL_GUARD_MS = 1500;
+import { hasTrialTurn, nextTrialAt, type TrialTurn } from "./trial_turn.ts";
 
 /** A held part that nobody has asked for is released after this time, in
  * milliseconds. A released one is remembered as long, so that a peer that has
@@ -110,15 +95,6 @@
   | { readonly kind: "trial"; readonly part: string }
   | { readonly kind: "refuse"; readonly held: HeldPart };
 
-/** Which instances may try a held part. */
-export interface TrialTurn {
-  /** Names of the instances that callers use, this one included. */
-  readonly instances: readonly string[];
-  /** Whether this instance may be cut off from the others; it then starts no
-   * trial. */
-  readonly isCutOff: boolean;
-}
-
 /** Called when parts are held or released, for the log. */
 export interface QuarantineListener {
   readonly onHold: (part: string, hold: HeldPart) => void;
@@ -201,10 +177,9 @@
         continue;
       }
       hold.expiresAt = now + IDLE_RELEASE_MS;
-      const mayTry = trial === undefined &&
-        now >= hold.nextTrialAt &&
-        hasTurn(part, this.#self, {
-          turn: turn(),
+      const mayTry = trial === undefined && now >= hold.nextTrialAt &&
+        hasTrialTurn(this.#self, turn(), {
+          part,
           dueMs: now - hold.nextTrialAt,
         });
       if (!mayTry) return { kind: "refuse", held: this.#heldPart(part, now) };
@@ -468,23 +443,3 @@
     ? total
     : REPORTED_SINGLY_MAX + Math.floor(total / REPORTED_SINGLY_MAX);
 }
-
-function nextTrialAt(trials: number, now: number): number {
-  return trials >= TRIALS_MAX
-    ? Infinity
-    : now + FIRST_TRIAL_MS * TRIAL_BACKOFF ** trials;
-}
-
-/** Whether an instance may start the trial of a part now. The instances take
- * turns, so that the trial does not depend on one of them being asked. */
-function hasTurn(
-  part: string,
-  self: string,
-  trial: { readonly turn: TrialTurn; readonly dueMs: number },
-): boolean {
-  const { turn: { instances, isCutOff }, dueMs } = trial;
-  if (isCutOff) return false;
-  if (dueMs % TRIAL_TURN_MS > TRIAL_TURN_MS - TRIAL_GUARD_MS) return false;
-  const position = fingerprintOfText(part) + Math.floor(dueMs / TRIAL_TURN_MS);
-  return [...instances].sort()[position % instances.length] === self;
-}
--- a/packages/serving/src/part_quarantine_test.ts
+++ b/packages/serving/src/part_quarantine_test.ts
@@ -1,13 +1,12 @@
 import { describe, expect, test } from "vitest";
 import type { SharedParts } from "./crash_evidence.ts";
 import {
-  FIRST_TRIAL_MS,
   IDLE_RELEASE_MS,
   PartQuarantine,
   type PeerReport,
   type ReportRow,
-  TRIALS_MAX,
 } from "./part_quarantine.ts";
+import { FIRST_TRIAL_MS, TRIALS_MAX } from "./trial_turn.ts";
 
 const BAD: SharedParts = ["first", "bad"];
 const DIGEST_MS = 200;
--- /dev/null
+++ b/packages/serving/src/trial_turn.ts
@@ -0,0 +1,57 @@
+/** When a held prompt part is tried again, and by which instance.
+ *
+ * @module
+ */
+import { fingerprintOfText } from "./fingerprint.ts";
+
+/** Time from the beginning of a hold to the first trial, in milliseconds. */
+export const FIRST_TRIAL_MS = 20_000;
+
+/** Factor by which the time to the next trial grows with each trial. */
+const TRIAL_BACKOFF = 4;
+
+/** Maximum number of trials of one hold, of all instances together. */
+export const TRIALS_MAX = 2;
+
+/** How long one instance may start the trial that is due before the next one
+ * may, in milliseconds, and the time at the end of a turn in which none starts,
+ * since the instances' views of time differ by a digest's delay. */
+const TURN_MS = 5000;
+const GUARD_MS = 1500;
+
+/** Which instances may try a held part. */
+export interface TrialTurn {
+  /** Names of the instances that callers use, this one included. */
+  readonly instances: readonly string[];
+  /** Whether this instance may be cut off from the others; it then starts no
+   * trial. */
+  readonly isCutOff: boolean;
+}
+
+/** When a part is tried next after so many trials; Infinity if no more. */
+export function nextTrialAt(trials: number, now: number): number {
+  return trials >= TRIALS_MAX
+    ? Infinity
+    : now + FIRST_TRIAL_MS * TRIAL_BACKOFF ** trials;
+}
+
+/** Whether an instance may start the trial of a part that has been due for
+ * `dueMs`. The instances take turns, so that the trial does not depend on one of
+ * them being asked for the part.
+ *
+ * @example
+ * ```ts
+ * const turn = { instances: ["i1", "i2"], isCutOff: false };
+ * hasTrialTurn("i1", turn, { part: "5c1e", dueMs: 300 });
+ * ```
+ */
+export function hasTrialTurn(
+  self: string,
+  { instances, isCutOff }: TrialTurn,
+  trial: { readonly part: string; readonly dueMs: number },
+): boolean {
+  const { part, dueMs } = trial;
+  if (isCutOff || dueMs % TURN_MS > TURN_MS - GUARD_MS) return false;
+  const position = fingerprintOfText(part) + Math.floor(dueMs / TURN_MS);
+  return [...instances].sort()[position % instances.length] === self;
+}
