Keep the owners of engines that are missing for a short time

The store had stood still and all entries of engines had lapsed.

Now an engine that is missing keeps its owner in the assignment for 5 s: longer than entries take to come back, and than the time between two owners' orders. OwnerMemory decides, and takes the case of an engine that starts again under its id, which was mended before.

--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -13,10 +13,10 @@
   confirmationTimes,
   type EngineTable,
   ExpiryDetector,
-  keepOwners,
   type Member,
   type MemberTable,
   OrderLease,
+  OwnerMemory,
   planAssignment,
   type RecordStore,
   StoreCallError,
@@ -132,6 +132,7 @@
   #tenure: string | undefined;
   #tenureByMember: ReadonlyMap<string, string> = new Map();
   readonly #orderAllowedAt = new Map<string, number>();
+  readonly #ownerMemory = new OwnerMemory();
   #renewals = 0;
   #startCheck: (() => void) | undefined;
   #startRenewal: (() => void) | undefined;
@@ -448,7 +449,11 @@
     const owners = Object.fromEntries(
       Object.entries(current).map(([key, { owner }]) => [key, owner]),
     );
-    const formerOwners = keepOwners(owners, engines);
+    const formerOwners = this.#ownerMemory.keep(
+      owners,
+      engines,
+      performance.now(),
+    );
     for (const [key, owner] of Object.entries(formerOwners)) {
       if (listedOwners.has(owner)) kept[key] = owner;
     }
--- a/packages/serving/src/assignment.ts
+++ b/packages/serving/src/assignment.ts
@@ -60,35 +60,6 @@
   return planned;
 }
 
-/** The owners that engines keep: those of before, and for an engine that was
- * started again under its id the owner of the former start. That owner may
- * still send orders to the id, so that another one would take turns with it.
- *
- * @example
- * ```ts
- * keepOwners({ "e@1": "m" }, [{ key: "e@2", id: "e" }]); // { "e@2": "m" }
- * ```
- */
-export function keepOwners(
-  current: Assignment,
-  engines: readonly { readonly key: string; readonly id: string }[],
-): Assignment {
-  const ownersById = new Map(
-    Object.entries(current).map(([key, owner]) => [idOf(key), owner]),
-  );
-  const kept: Record<string, string> = {};
-  for (const { key, id } of engines) {
-    const owner = current[key] ?? ownersById.get(id);
-    if (owner !== undefined) kept[key] = owner;
-  }
-  return kept;
-}
-
-/** The id in an engine's key, which the time of its start follows. */
-function idOf(key: string): string {
-  return key.slice(0, key.lastIndexOf("@"));
-}
-
 function leastLoaded(
   engine: string,
   members: readonly OwnerCandidate[],
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -19,6 +19,7 @@
 export * from "./expired_entries.ts";
 export * from "./member_table.ts";
 export * from "./order_lease.ts";
+export * from "./owner_memory.ts";
 export * from "./part_quarantine.ts";
 export * from "./ports.ts";
 export * from "./record_set.ts";
