Test what refused callers are told: held parts, and limits of all engines

A held part: 503, not run, without Retry-After, and event 849 with the evidence. Limits of all engines: 503 with the time until this instance's next request, after which the request is served. Also shortens a comment that told how its value was found.

--- a/packages/gateway/src/prompt_guard.ts
+++ b/packages/gateway/src/prompt_guard.ts
@@ -16,8 +16,7 @@
 import type { GatewayMetrics } from "./metrics.ts";
 
 /** Time from the head of an answer after which further bytes show that the
- * engine got past its beginning, in milliseconds. Engines that crash did so
- * within 130 ms of the head. */
+ * engine got past its beginning, in milliseconds. */
 const BEGINNING_MS = 400;
 
 /** Parts of the gateway that the guard uses. */
--- a/packages/gateway/src/relay_crashing_part_test.ts
+++ b/packages/gateway/src/relay_crashing_part_test.ts
@@ -20,10 +20,10 @@
 
 /** Starts engines that end as soon as they begin to answer a prompt with
  * `CRASHING_PART`. */
-async function startCrashingEngines() {
+async function startCrashingEngines(count = ENGINE_COUNT) {
   let crashCount = 0;
   const ports: number[] = [];
-  for (let i = 0; i < ENGINE_COUNT; i += 1) {
+  for (let i = 0; i < count; i += 1) {
     const handle: RequestListener = (req, res) => {
       res.writeHead(200, SEALED_HEADERS);
       res.write("id: 1\ndata: a\n\n");
@@ -72,3 +72,27 @@
   expect(engines.crashCount()).toBeLessThanOrEqual(CRASHES_MAX);
   expect(statuses.slice(-6)).toEqual(Array(6).fill(503));
 });
+
+test("a request with a held part is told that it has not run, and no time to return", async () => {
+  const engines = await startCrashingEngines(4);
+  const lines: Readonly<Record<string, unknown>>[] = [];
+  const port = await startRelay(engines.ports, {
+    route: { kind: "stream", resumable: true, maxAttempts: 3 },
+    onLog: (fields) => lines.push(fields),
+  });
+  const prompt = promptOf(FIRST_PART, CRASHING_PART, "01");
+  await sendRequest(port, prompt);
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  const response = await sendRequest(port, prompt);
+  expect(response).toMatchObject({ status: 503, retryAfter: undefined });
+  expect(JSON.parse(response.body)).toEqual({
+    error: { type: "held_part", not_run: true },
+  });
+  expect(lines).toContainEqual(expect.objectContaining({
+    event: 849,
+    part: CRASHING_PART,
+    crashes: 2,
+    answers: 0,
+  }));
+  expect(engines.crashCount()).toBe(2);
+});
--- a/packages/gateway/src/relay_engine_limit_test.ts
+++ b/packages/gateway/src/relay_engine_limit_test.ts
@@ -82,3 +82,23 @@
     expect(servedRatio).toBeGreaterThan(0.99);
   },
 );
+
+test("a request beyond the limits of all engines is refused with a time to return", async () => {
+  const engine = await listen((_, res) => {
+    res.writeHead(200, {
+      ...SEALED_HEADERS,
+      [RESPONSE_HEADERS.requestLimit]: "0.5",
+    });
+    res.end("well");
+  });
+  const [port] = await startRelays(1, [portOf(engine)], { route: {} });
+  if (port === undefined) throw new Error("no relay");
+  expect((await sendRequest(port)).status).toBe(200);
+  const refused = await sendRequest(port);
+  expect(refused.status).toBe(503);
+  // One request in two seconds; the first was just sent.
+  expect(Number(refused.retryAfter)).toBeGreaterThan(1);
+  expect(Number(refused.retryAfter)).toBeLessThanOrEqual(2);
+  await pause(Number(refused.retryAfter) * 1000);
+  expect((await sendRequest(port)).status).toBe(200);
+});
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -241,6 +241,7 @@
   readonly status: number;
   readonly body: string;
   readonly isComplete: boolean;
+  readonly retryAfter: string | undefined;
 }
 
 /** Sends a request to a relay; rejects if no response arrives. */
@@ -260,9 +261,12 @@
     req.on("response", (response: IncomingMessage) => {
       let body = "";
       const status = response.statusCode ?? 0;
+      const retryAfter = response.headers["retry-after"];
+      const finish = (isComplete: boolean) =>
+        resolve({ status, body, isComplete, retryAfter });
       response.on("data", (chunk: Buffer) => (body += chunk.toString()));
-      response.on("error", () => resolve({ status, body, isComplete: false }));
-      response.on("end", () => resolve({ status, body, isComplete: true }));
+      response.on("error", () => finish(false));
+      response.on("end", () => finish(true));
     });
     req.end();
   });
