Keep one type for the rows that instances report when they change

The quarantine, the limits and the exchange of digests each had the same tuple. Found by reading the diff.

--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -13,6 +13,7 @@
   type Member,
   type MemberTable,
   type PartQuarantine,
+  type ReportRow,
   ticksBetweenDigests,
   type TokenRate,
 } from "@banyanlb/serving";
@@ -47,10 +48,6 @@
 /** Number of values that are no longer sent of which the last state is kept. */
 const SURPLUS_STATES_MAX = 64;
 
-/** A value that is sent when it changes: its name, a number that differs after
- * each change, and the value itself. */
-type DeltaRow<T> = readonly [name: string, state: number, value: T];
-
 /** An engine and the instance that sends orders to it. */
 interface EngineWithOwner {
   readonly view: EngineView;
@@ -161,7 +158,7 @@
     };
     const held = loader.held();
     const used = [...this.#options.rates].map(
-      ([name, rate]): DeltaRow<number> => {
+      ([name, rate]): ReportRow<number> => {
         const units = Math.round(rate.used);
         return [name, units, units];
       },
@@ -422,7 +419,7 @@
 function changedRows<T>(
   peer: PeerState,
   sentStates: Map<string, number>,
-  rows: readonly DeltaRow<T>[],
+  rows: readonly ReportRow<T>[],
 ): Readonly<Record<string, T>> | undefined {
   const changed: Record<string, T> = {};
   for (const [name, state, value] of rows) {
--- a/packages/serving/src/engine_limits.ts
+++ b/packages/serving/src/engine_limits.ts
@@ -9,6 +9,7 @@
  * @module
  */
 import { hashToUnitInterval } from "@banyanlb/core";
+import type { ReportRow } from "./report_row.ts";
 
 /** Time without a response from an engine after which its limit may have ended,
  * in milliseconds. Then one instance may send it a request now and then, however
@@ -164,15 +165,8 @@
     };
   }
 
-  /** What peers are told: the engine, a number that differs after each change,
-   * and the record. */
-  report(
-    now: number,
-  ): readonly (readonly [
-    engineKey: string,
-    state: number,
-    record: LimitRecord,
-  ])[] {
+  /** What peers are told, by engine. */
+  report(now: number): readonly ReportRow<LimitRecord>[] {
     return [...this.#limits].map(([key, { perSecond, namedAt }]) => [
       key,
       (perSecond ?? -1) + Math.floor(namedAt / REPORTED_AGE_STEP_MS) * 1e6,
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -23,6 +23,7 @@
 export * from "./part_quarantine.ts";
 export * from "./ports.ts";
 export * from "./record_set.ts";
+export * from "./report_row.ts";
 export * from "./retry_budget.ts";
 export * from "./route_table.ts";
 export * from "./steering.ts";
--- a/packages/serving/src/part_quarantine.ts
+++ b/packages/serving/src/part_quarantine.ts
@@ -16,6 +16,7 @@
   type PartEvidence,
   type SharedParts,
 } from "./crash_evidence.ts";
+import type { ReportRow } from "./report_row.ts";
 import { hasTrialTurn, nextTrialAt, type TrialTurn } from "./trial_turn.ts";
 
 /** A held part that nobody has asked for is released after this time, in
@@ -52,8 +53,7 @@
   readonly expiresInMs: number;
 }
 
-/** What an instance reports to its peers. Each value has a number that differs
- * after each change. */
+/** What an instance reports to its peers. */
 export interface QuarantineReport {
   /** Suspects of the reporter by the key of the engine that crashed. */
   readonly crashes: readonly ReportRow<CrashReport>[];
@@ -61,9 +61,6 @@
   readonly holds: readonly ReportRow<HoldRecord>[];
 }
 
-/** A named value of a report. */
-export type ReportRow<T> = readonly [name: string, state: number, value: T];
-
 /** The suspects of one instance in one crash. */
 export interface CrashReport {
   readonly ageMs: number;
--- a/packages/serving/src/part_quarantine_test.ts
+++ b/packages/serving/src/part_quarantine_test.ts
@@ -4,8 +4,8 @@
   IDLE_RELEASE_MS,
   PartQuarantine,
   type PeerReport,
-  type ReportRow,
 } from "./part_quarantine.ts";
+import type { ReportRow } from "./report_row.ts";
 import { FIRST_TRIAL_MS, TRIALS_MAX } from "./trial_turn.ts";
 
 const BAD: SharedParts = ["first", "bad"];
