Take the instances that may try a held part from the table of members

The table of members now says which instances callers use and whether this one may be cut off, where the wiring of the quarantine had computed it and kept the threshold. No behaviour changes; tests keep their assertions and pass the renamed argument.

--- a/packages/gateway/src/prompt_guard.ts
+++ b/packages/gateway/src/prompt_guard.ts
@@ -9,7 +9,7 @@
   EngineView,
   PartQuarantine,
   PromptDecision,
-  TrialTurn,
+  ServingInstances,
 } from "@banyanlb/serving";
 import type { CrashWatch } from "./crash_watch.ts";
 import * as events from "./events.ts";
@@ -23,7 +23,7 @@
 export interface PromptGuardDependencies {
   readonly quarantine: PartQuarantine;
   readonly crashWatch: CrashWatch;
-  readonly trialTurn: () => TrialTurn;
+  readonly instances: () => ServingInstances;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
 }
@@ -46,7 +46,7 @@
   decide(): PromptDecision {
     const decision = this.#deps.quarantine.decide(
       this.#caller.sharedParts,
-      this.#deps.trialTurn,
+      this.#deps.instances,
       performance.now(),
     );
     if (decision.kind === "refuse") {
--- a/packages/gateway/src/prompt_protection.ts
+++ b/packages/gateway/src/prompt_protection.ts
@@ -12,7 +12,6 @@
   type MemberTable,
   PartQuarantine,
   type RecordStore,
-  type TrialTurn,
 } from "@banyanlb/serving";
 import { CrashWatch } from "./crash_watch.ts";
 import * as events from "./events.ts";
@@ -26,10 +25,6 @@
 const SETTLE_MS = 450;
 const SETTLE_LARGE_FLEET_MS = 1000;
 
-/** Fraction of unresponsive members above which this instance may be the one
- * that is cut off. */
-const CUT_OFF_SHARE = 0.5;
-
 /** Parts of the gateway that the protection uses. */
 export interface PromptProtectionOptions {
   readonly self: Member;
@@ -105,25 +100,16 @@
 
   /** Creates the guard of a request. */
   guard(caller: CallerRequest): PromptGuard {
-    const { log, metrics } = this.#options;
+    const { members, log, metrics } = this.#options;
     return new PromptGuard({
       quarantine: this.quarantine,
       crashWatch: this.#crashWatch,
-      trialTurn: () => this.#trialTurn(),
+      instances: () => members.servingInstances(performance.now()),
       log,
       metrics,
     }, caller);
   }
 
-  #trialTurn(): TrialTurn {
-    const { members } = this.#options;
-    const now = performance.now();
-    return {
-      instances: members.servingNames(now),
-      isCutOff: members.silentShare(now) > CUT_OFF_SHARE,
-    };
-  }
-
   #countHeld(): void {
     this.#options.metrics.set("held_parts", this.quarantine.size);
   }
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -46,6 +46,8 @@
  * relay without peers could do without. */
 const SETTLE_MS = 50;
 
+const SINGLE_INSTANCE = { names: ["self"], isCutOff: false };
+
 /** Ends what a test has started, in reverse order. */
 const cleanups: (() => void)[] = [];
 
@@ -189,7 +191,7 @@
   const guardDependencies = {
     quarantine,
     crashWatch: new CrashWatch({ quarantine, control, log, metrics }),
-    trialTurn: () => ({ instances: ["self"], isCutOff: false }),
+    instances: () => SINGLE_INSTANCE,
     log,
     metrics,
   };
--- a/packages/serving/src/member_table.ts
+++ b/packages/serving/src/member_table.ts
@@ -20,6 +20,18 @@
  * connect anew. */
 const STARTUP_GRACE_MS = 1500;
 
+/** Fraction of unresponsive members above which this instance may be the one
+ * that is cut off. */
+const CUT_OFF_SHARE = 0.5;
+
+/** The instances that send requests to engines, in the view of one of them. */
+export interface ServingInstances {
+  /** Names of the instances that callers use, this one included. */
+  readonly names: readonly string[];
+  /** Whether this instance may be cut off from the others. */
+  readonly isCutOff: boolean;
+}
+
 interface MemberState {
   /** When the digest was received, by the monotonic clock. */
   readonly at: number;
@@ -130,6 +142,15 @@
     return [this.#ownName, ...this.serving(now).map(({ name }) => name)];
   }
 
+  /** The instances that share what engines are sent: the members that callers
+   * use, and this one. */
+  servingInstances(now: number): ServingInstances {
+    return {
+      names: this.servingNames(now),
+      isCutOff: this.silentShare(now) > CUT_OFF_SHARE,
+    };
+  }
+
   /** Location of a member, and whether it serves callers or sends orders to
    * engines. A member without digests is assumed to serve callers and to send
    * orders. */
--- a/packages/serving/src/part_quarantine.ts
+++ b/packages/serving/src/part_quarantine.ts
@@ -16,8 +16,9 @@
   type PartEvidence,
   type SharedParts,
 } from "./crash_evidence.ts";
+import type { ServingInstances } from "./member_table.ts";
 import type { ReportRow } from "./report_row.ts";
-import { hasTrialTurn, nextTrialAt, type TrialTurn } from "./trial_turn.ts";
+import { hasTrialTurn, nextTrialAt } from "./trial_turn.ts";
 
 /** A held part that nobody has asked for is released after this time, in
  * milliseconds. A released one is remembered as long, so that a peer that has
@@ -147,13 +148,13 @@
    *
    * @example
    * ```ts
-   * const decision = quarantine.decide(caller.sharedParts, () => turn, now);
+   * const decision = quarantine.decide(caller.sharedParts, () => instances, now);
    * if (decision.kind === "refuse") refuse(503);
    * ```
    */
   decide(
     parts: SharedParts,
-    turn: () => TrialTurn,
+    instances: () => ServingInstances,
     now: number,
   ): PromptDecision {
     if (now >= this.#concludeAt) this.#conclude(now);
@@ -175,7 +176,7 @@
       }
       hold.expiresAt = now + IDLE_RELEASE_MS;
       const mayTry = trial === undefined && now >= hold.nextTrialAt &&
-        hasTrialTurn(this.#self, turn(), {
+        hasTrialTurn(this.#self, instances(), {
           part,
           dueMs: now - hold.nextTrialAt,
         });
--- a/packages/serving/src/part_quarantine_test.ts
+++ b/packages/serving/src/part_quarantine_test.ts
@@ -124,11 +124,11 @@
   }
 
   #decide(name: string, parts: SharedParts) {
-    const turn = {
-      instances: [...this.instances.keys()],
+    const instances = {
+      names: [...this.instances.keys()],
       isCutOff: this.cutOff.has(name),
     };
-    return this.#get(name).decide(parts, () => turn, this.now);
+    return this.#get(name).decide(parts, () => instances, this.now);
   }
 
   #get(name: string): PartQuarantine {
--- a/packages/serving/src/trial_turn.ts
+++ b/packages/serving/src/trial_turn.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { fingerprintOfText } from "./fingerprint.ts";
+import type { ServingInstances } from "./member_table.ts";
 
 /** Time from the beginning of a hold to the first trial, in milliseconds. */
 export const FIRST_TRIAL_MS = 20_000;
@@ -19,15 +20,6 @@
 const TURN_MS = 5000;
 const GUARD_MS = 1500;
 
-/** Which instances may try a held part. */
-export interface TrialTurn {
-  /** Names of the instances that callers use, this one included. */
-  readonly instances: readonly string[];
-  /** Whether this instance may be cut off from the others; it then starts no
-   * trial. */
-  readonly isCutOff: boolean;
-}
-
 /** When a part is tried next after so many trials; Infinity if no more. */
 export function nextTrialAt(trials: number, now: number): number {
   return trials >= TRIALS_MAX
@@ -37,21 +29,21 @@
 
 /** Whether an instance may start the trial of a part that has been due for
  * `dueMs`. The instances take turns, so that the trial does not depend on one of
- * them being asked for the part.
+ * them being asked for the part. One that may be cut off has none.
  *
  * @example
  * ```ts
- * const turn = { instances: ["i1", "i2"], isCutOff: false };
- * hasTrialTurn("i1", turn, { part: "5c1e", dueMs: 300 });
+ * const instances = { names: ["i1", "i2"], isCutOff: false };
+ * hasTrialTurn("i1", instances, { part: "5c1e", dueMs: 300 });
  * ```
  */
 export function hasTrialTurn(
   self: string,
-  { instances, isCutOff }: TrialTurn,
+  { names, isCutOff }: ServingInstances,
   trial: { readonly part: string; readonly dueMs: number },
 ): boolean {
   const { part, dueMs } = trial;
   if (isCutOff || dueMs % TURN_MS > TURN_MS - GUARD_MS) return false;
   const position = fingerprintOfText(part) + Math.floor(dueMs / TURN_MS);
-  return [...instances].sort()[position % instances.length] === self;
+  return [...names].sort()[position % names.length] === self;
 }
--- a/packages/serving/src/trial_turn_test.ts
+++ b/packages/serving/src/trial_turn_test.ts
@@ -1,12 +1,12 @@
 import { expect, test } from "vitest";
 import { hasTrialTurn } from "./trial_turn.ts";
 
-const instances = Array.from({ length: 8 }, (_, i) => `i${i}`);
-const turn = { instances, isCutOff: false };
+const names = Array.from({ length: 8 }, (_, i) => `i${i}`);
+const instances = { names, isCutOff: false };
 
 function holdersAt(dueMs: number): readonly string[] {
-  return instances.filter((name) =>
-    hasTrialTurn(name, turn, { part: "bad", dueMs })
+  return names.filter((name) =>
+    hasTrialTurn(name, instances, { part: "bad", dueMs })
   );
 }
 
@@ -29,9 +29,9 @@
 });
 
 test("an instance that is cut off has no turn", () => {
-  for (const name of instances) {
+  for (const name of names) {
     expect(
-      hasTrialTurn(name, { instances, isCutOff: true }, {
+      hasTrialTurn(name, { names, isCutOff: true }, {
         part: "bad",
         dueMs: 0,
       }),
