Rank the sharers of a limit with the common rendezvous hash

EngineLimits had its own ranking by hash and its own threshold for an instance that may be cut off; rankByRendezvous and the table of members have both. Which instances share a limit changes, since the hash is over another text; how many and how does not. Tests keep their assertions and pass the renamed argument; 8 and 60 instances hold.

--- a/packages/gateway/src/digest_exchange_test.ts
+++ b/packages/gateway/src/digest_exchange_test.ts
@@ -65,8 +65,8 @@
     use: new AdapterUsageCounts(),
     quarantine,
     limits: new EngineLimits(own.member.name, () => ({
-      instances: [],
-      silentShare: 0,
+      names: [own.member.name],
+      isCutOff: false,
     })),
     links: () => ({ confirmDelivery: () => undefined }) as unknown as PeerLinks,
     state: () => ({ ready: true, leaving: false, serves: true, busy: 0 }),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,7 @@
 import type { EventLog } from "@banyanlb/core";
 import {
   EngineChooser,
-  type EngineLimits,
+  EngineLimits,
   EngineTable,
   type Member,
   MemberTable,
@@ -31,7 +31,7 @@
 import { DIGEST_TICK_MS, DigestExchange } from "./digest_exchange.ts";
 import { EngineConnections } from "./engine_connections.ts";
 import * as events from "./events.ts";
-import { createEngineLimits, LimitKeeper } from "./limit_keeper.ts";
+import { LimitKeeper } from "./limit_keeper.ts";
 import { Membership } from "./membership.ts";
 import { GatewayMetrics } from "./metrics.ts";
 import { OwnLoad } from "./own_load.ts";
@@ -214,7 +214,10 @@
       log,
       metrics: this.#metrics,
     });
-    this.#engineLimits = createEngineLimits(this.#self.name, this.#members);
+    this.#engineLimits = new EngineLimits(
+      this.#self.name,
+      () => this.#members.servingInstances(performance.now()),
+    );
     const use = new AdapterUsageCounts();
     this.#digestExchange = new DigestExchange({
       self: this.#self,
--- a/packages/gateway/src/limit_keeper.ts
+++ b/packages/gateway/src/limit_keeper.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { EventLog } from "@banyanlb/core";
-import { EngineLimits, type MemberTable } from "@banyanlb/serving";
+import type { EngineLimits } from "@banyanlb/serving";
 import { retryAfterSeconds } from "./error_response.ts";
 import * as events from "./events.ts";
 
@@ -20,20 +20,6 @@
   readonly log: EventLog;
 }
 
-/** The limits of engines, as the members share them. */
-export function createEngineLimits(
-  self: string,
-  members: MemberTable,
-): EngineLimits {
-  return new EngineLimits(self, () => {
-    const now = performance.now();
-    return {
-      instances: members.servingNames(now),
-      silentShare: members.silentShare(now),
-    };
-  });
-}
-
 /** Records the limits in responses, and counts requests against them. */
 export class LimitKeeper {
   readonly #options: LimitKeeperOptions;
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -94,9 +94,9 @@
   enginePorts: readonly number[],
   options: RelayOptions,
 ): Promise<readonly number[]> {
-  const instances = Array.from({ length: count }, (_, i) => `i${i}`);
-  const fleet = instances.map((name) =>
-    new EngineLimits(name, () => ({ instances, silentShare: 0 }))
+  const names = Array.from({ length: count }, (_, i) => `i${i}`);
+  const fleet = names.map((name) =>
+    new EngineLimits(name, () => ({ names, isCutOff: false }))
   );
   const timer = setInterval(() => exchangeLimits(fleet), DIGEST_TICK_MS);
   addCleanup(() => clearInterval(timer));
@@ -178,10 +178,8 @@
     write: (line: string) => options.onLog?.(JSON.parse(line)),
   }));
   const metrics = new GatewayMetrics();
-  const limits = options.limits ?? new EngineLimits("self", () => ({
-    instances: ["self"],
-    silentShare: 0,
-  }));
+  const limits = options.limits ??
+    new EngineLimits("self", () => SINGLE_INSTANCE);
   const control = { probe: probeByConnecting };
   const quarantine = new PartQuarantine("self", {
     onHold: () => undefined,
--- a/packages/serving/src/engine_limits.ts
+++ b/packages/serving/src/engine_limits.ts
@@ -8,7 +8,8 @@
  *
  * @module
  */
-import { hashToUnitInterval } from "@banyanlb/core";
+import { rankByRendezvous } from "@banyanlb/core";
+import type { ServingInstances } from "./member_table.ts";
 import type { ReportRow } from "./report_row.ts";
 
 /** Time without a response from an engine after which its limit may have ended,
@@ -31,10 +32,6 @@
 /** How long a share is used before it is computed again, in milliseconds. */
 const SHARE_VALID_MS = 100;
 
-/** Fraction of unresponsive members from which this instance may be the one that
- * is cut off, and sends limited engines nothing. */
-const CUT_OFF_SHARE = 0.5;
-
 /** A change of a limit's age by this much is reported to peers, in
  * milliseconds. */
 const REPORTED_AGE_STEP_MS = 5000;
@@ -48,14 +45,6 @@
   /** It names a limit, and this instance must not send it a request now. */
   | "closed";
 
-/** The instances that may send requests to engines. */
-export interface LimitSharers {
-  /** Names of the instances that callers use, this one included. */
-  readonly instances: readonly string[];
-  /** Fraction of the members that is unresponsive. */
-  readonly silentShare: number;
-}
-
 /** An engine's limit as peers report it. */
 export interface LimitRecord {
   /** Requests a second; null if the engine names no limit any more. */
@@ -87,13 +76,13 @@
 /** The limits of engines, and the share that this instance has of each. */
 export class EngineLimits {
   readonly #self: string;
-  readonly #sharers: () => LimitSharers;
+  readonly #instances: () => ServingInstances;
   readonly #limits = new Map<string, Limit>();
 
   /** `self` is the name of this instance. */
-  constructor(self: string, sharers: () => LimitSharers) {
+  constructor(self: string, instances: () => ServingInstances) {
     this.#self = self;
-    this.#sharers = sharers;
+    this.#instances = instances;
   }
 
   /** Number of engines that name a limit. */
@@ -237,17 +226,16 @@
   }
 
   #shareOf(engineKey: string, limit: Limit, now: number): number {
-    const { instances, silentShare } = this.#sharers();
-    if (limit.perSecond === undefined || silentShare > CUT_OFF_SHARE) return 0;
+    const { names, isCutOff } = this.#instances();
+    if (limit.perSecond === undefined || isCutOff) return 0;
     const count = Math.min(
-      instances.length,
+      names.length,
       SHARERS_MIN + Math.floor(limit.perSecond),
     );
-    const ownScore = hashToUnitInterval(`${engineKey} ${this.#self}`);
-    const rank = instances.filter((name) =>
-      name !== this.#self &&
-      hashToUnitInterval(`${engineKey} ${name}`) > ownScore
-    ).length;
+    const rank = rankByRendezvous(names, {
+      key: engineKey,
+      name: (name) => name,
+    }).indexOf(this.#self);
     const share = rank < count ? limit.perSecond / count : 0;
     const isUncertain = now - limit.namedAt > LIMIT_UNCERTAIN_MS;
     return rank === 0 && isUncertain
--- a/packages/serving/src/engine_limits_test.ts
+++ b/packages/serving/src/engine_limits_test.ts
@@ -33,7 +33,7 @@
     this.#instances.set(name, {
       isAlive: true,
       isCutOff: false,
-      limits: new EngineLimits(name, () => this.#sharersOf(name)),
+      limits: new EngineLimits(name, () => this.#instancesOf(name)),
     });
   }
 
@@ -77,15 +77,15 @@
   }
 
   /** A dead or cut off instance is noticed at the next digest here. */
-  #sharersOf(name: string) {
+  #instancesOf(name: string) {
     const all = [...this.#instances.entries()];
     const isCutOff = this.instance(name).isCutOff;
     const reached = all.filter(([other, { isAlive, isCutOff: cut }]) =>
       other === name || (isAlive && !cut && !isCutOff)
     );
     return {
-      instances: reached.map(([other]) => other),
-      silentShare: 1 - reached.length / all.length,
+      names: reached.map(([other]) => other),
+      isCutOff: 1 - reached.length / all.length > 0.5,
     };
   }
 
@@ -238,8 +238,8 @@
 
   test("gives the time until this instance may send again", () => {
     const limits = new EngineLimits("i0", () => ({
-      instances: ["i0"],
-      silentShare: 0,
+      names: ["i0"],
+      isCutOff: false,
     }));
     expect(limits.waitMs([KEY], 0)).toBeUndefined();
     limits.record(KEY, 0.5, 0);
--- a/packages/serving/src/member_table.ts
+++ b/packages/serving/src/member_table.ts
@@ -137,16 +137,11 @@
     );
   }
 
-  /** Names of the members that callers use, and of this one. */
-  servingNames(now: number): readonly string[] {
-    return [this.#ownName, ...this.serving(now).map(({ name }) => name)];
-  }
-
   /** The instances that share what engines are sent: the members that callers
    * use, and this one. */
   servingInstances(now: number): ServingInstances {
     return {
-      names: this.servingNames(now),
+      names: [this.#ownName, ...this.serving(now).map(({ name }) => name)],
       isCutOff: this.silentShare(now) > CUT_OFF_SHARE,
     };
   }
