--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -22,6 +22,7 @@
 import type { Membership } from "./membership.ts";
 import type { PeerLinks } from "./peer_links.ts";
 import { type Digest, SHARED_KINDS } from "./peer_messages.ts";
+import { SentRows } from "./sent_rows.ts";
 import type { SharedRecords } from "./shared_records.ts";
 import type { StoreView } from "./store_view.ts";
 import type { AdapterUsage, AdapterUsageCounts } from "./adapter_usage.ts";
@@ -45,9 +46,6 @@
  * peer that has been running for longer than it by more than this time. */
 const NEW_PEER_MS = 1500;
 
-/** Number of values that are no longer sent of which the last state is kept. */
-const SURPLUS_STATES_MAX = 64;
-
 /** An engine and the instance that sends orders to it. */
 interface EngineWithOwner {
   readonly view: EngineView;
@@ -66,13 +64,7 @@
   /** Number of digests sent to the peer, and the tick of the last one. */
   digestsSent: number;
   lastSentTick: number;
-  /** The `state` of the row last sent, by the row's name. */
-  readonly sentHeldStates: Map<string, number>;
-  readonly sentUsedStates: Map<string, number>;
-  readonly sentCrashStates: Map<string, number>;
-  readonly sentAnswerStates: Map<string, number>;
-  readonly sentHoldStates: Map<string, number>;
-  readonly sentLimitStates: Map<string, number>;
+  readonly sentRows: SentRows;
 }
 
 /** Parts of the gateway whose state digests report and update. */
@@ -183,19 +175,21 @@
       if (!isUrgent && this.#tick - peer.lastSentTick < tickInterval) continue;
       peer.digestsSent += 1;
       peer.lastSentTick = this.#tick;
+      const changed = <T>(kind: string, rows: readonly ReportRow<T>[]) =>
+        peer.sentRows.takeChanged(kind, rows, isRefreshDue(peer));
       const digest: Digest = {
         ...common,
         ack: peer.ack,
         every: tickInterval === 1 ? undefined : tickInterval,
         flight: this.#inFlightFor(member.name, engines, ownersSumLoads),
-        used: changedRows(peer, peer.sentUsedStates, used),
+        used: changed("used", used),
         levels: this.#rateLevelsFor(peer),
-        held: changedRows(peer, peer.sentHeldStates, held),
+        held: changed("held", held),
         use: this.#adapterUseFor(member.name, engines),
-        crashes: changedRows(peer, peer.sentCrashStates, crashes),
-        answers: changedRows(peer, peer.sentAnswerStates, answers),
-        holds: changedRows(peer, peer.sentHoldStates, holds),
-        limits: changedRows(peer, peer.sentLimitStates, limits),
+        crashes: changed("crashes", crashes),
+        answers: changed("answers", answers),
+        holds: changed("holds", holds),
+        limits: changed("limits", limits),
       };
       this.#options.links().send(
         member.peerAddress,
@@ -317,12 +311,7 @@
       aliveSince: undefined,
       digestsSent: 0,
       lastSentTick: -Infinity,
-      sentHeldStates: new Map<string, number>(),
-      sentUsedStates: new Map<string, number>(),
-      sentCrashStates: new Map<string, number>(),
-      sentAnswerStates: new Map<string, number>(),
-      sentHoldStates: new Map<string, number>(),
-      sentLimitStates: new Map<string, number>(),
+      sentRows: new SentRows(),
     };
     this.#peers.set(member.name, peer);
     return peer;
@@ -414,28 +403,6 @@
   }
 }
 
-/** The values that have changed since they were last sent to the peer, by name;
- * all values if a refresh is due. Marks the returned values as sent. */
-function changedRows<T>(
-  peer: PeerState,
-  sentStates: Map<string, number>,
-  rows: readonly ReportRow<T>[],
-): Readonly<Record<string, T>> | undefined {
-  const changed: Record<string, T> = {};
-  for (const [name, state, value] of rows) {
-    if (sentStates.get(name) === state && !isRefreshDue(peer)) continue;
-    sentStates.set(name, state);
-    changed[name] = value;
-  }
-  if (sentStates.size > rows.length + SURPLUS_STATES_MAX) {
-    const names = new Set(rows.map(([name]) => name));
-    for (const name of sentStates.keys()) {
-      if (!names.has(name)) sentStates.delete(name);
-    }
-  }
-  return isEmpty(changed) ? undefined : changed;
-}
-
 function isRefreshDue(peer: PeerState): boolean {
   return peer.digestsSent % REFRESH_EVERY_DIGESTS === 0;
 }
