End the soak's crashing part before the requests of its final phase count

So the fault was still in effect when the requests counted that must be served without one.

It now ends 4 s before that.

--- a/packages/trials/src/soak/soak.ts
+++ b/packages/trials/src/soak/soak.ts
@@ -23,6 +23,10 @@
  * its successor. */
 const RECOVERY_MS = 12_000;
 
+/** The part of that time after the last request that ends an engine, in
+ * milliseconds. The engine is started again, listed, and loads its adapters. */
+const ENGINE_RECOVERY_MS = 4000;
+
 const FINAL_PHASE_MS = 3000;
 
 /** Time from the end of the last fault to the withdrawal of a key, in
@@ -116,7 +120,11 @@
     }
     const refusedFromMs = Date.now() + WITHDRAWAL_BOUND_MS;
     await historyLost;
-    await pause(RECOVERY_MS);
+    await pause(RECOVERY_MS - ENGINE_RECOVERY_MS);
+    // The trial of a held part ends an engine, which must be back before the
+    // requests of the final phase count.
+    world.sendsCrashingPart = false;
+    await pause(ENGINE_RECOVERY_MS);
     const recoveredFromMs = Date.now();
     await pause(FINAL_PHASE_MS);
     for (const caller of callers) caller.close();
