Log what an instance counts of a workspace's use, and how old reports are

Cause: after the incident in which a workspace got more than its limit, no log line says what an instance counted when it admitted requests. Event 845 has the level alone, and only for requests that were refused. Change: event 854, once a second for each workspace above half of its limit, and event 845 have the use in view, this instance's own part, the estimate of what peers have not reported, refunds, and the units of first reports, which are counted nowhere. 854 has an upper bound of the age of the peers' digests, by their acknowledgements. No decision changes. Ruled out: a line for each admitted request (requests served are logged already, and units follow from `used`). Measured: token_rate_test.ts and digest_exchange_test.ts pass (16 tests).

--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -58,6 +58,9 @@
   readonly incarnation: string;
   /** The newest tick received from the peer. */
   ack: number;
+  /** When this instance sent the newest digest that the peer has acknowledged,
+   * by the monotonic clock: the peer's last digest is not older. */
+  confirmedAt: number | undefined;
   /** When the first digest arrived from the peer, by the monotonic clock;
    * undefined until then. */
   aliveSince: number | undefined;
@@ -67,6 +70,14 @@
   readonly sentRows: SentRows;
 }
 
+/** Ages of the peers' last digests, for logs. */
+export interface ReportAges {
+  /** Upper bound of the age of the oldest one, in milliseconds. */
+  readonly measuredAgeMs: number;
+  /** Number of peers that have not acknowledged a digest. */
+  readonly unconfirmed: number;
+}
+
 /** Parts of the gateway whose state digests report and update. */
 export interface DigestExchangeOptions {
   readonly self: Member;
@@ -200,6 +211,17 @@
     this.#dropLostPeers();
   }
 
+  /** Ages of the last digests of the peers that are known. */
+  reportAges(now: number): ReportAges {
+    let measuredAgeMs = 0;
+    let unconfirmed = 0;
+    for (const { confirmedAt } of this.#peers.values()) {
+      if (confirmedAt === undefined) unconfirmed += 1;
+      else measuredAgeMs = Math.max(measuredAgeMs, now - confirmedAt);
+    }
+    return { measuredAgeMs: Math.round(measuredAgeMs), unconfirmed };
+  }
+
   /** Applies a digest received from the peer `from`. */
   receive(from: string, digest: Digest): void {
     const { members, engineTable, loader, rates, log } = this.#options;
@@ -225,6 +247,7 @@
     peer.ack = digest.seq;
     if (digest.ack > 0) {
       const ageMs = Math.max(0, this.#tick - digest.ack) * DIGEST_TICK_MS;
+      peer.confirmedAt = Math.max(peer.confirmedAt ?? -Infinity, now - ageMs);
       this.#options.links().confirmDelivery(member.peerAddress, now - ageMs);
     }
     const validMs = Math.max(
@@ -308,6 +331,7 @@
     const peer = {
       incarnation: member.incarnation,
       ack: 0,
+      confirmedAt: undefined,
       aliveSince: undefined,
       digestsSent: 0,
       lastSentTick: -Infinity,
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -259,7 +259,8 @@
   text: "caller disconnected",
 };
 
-/** A request was refused because its workspace has exceeded its rate limit. */
+/** A request was refused because its workspace has exceeded its rate limit. The
+ * fields are those of event 854. */
 export const RATE_EXCEEDED: LogEvent = {
   id: 845,
   severity: "info",
@@ -334,3 +335,17 @@
   severity: "info",
   text: "limits of all engines reached",
 };
+
+/** Once a second for each workspace whose use is above half of its limit: what
+ * this instance counts, and on what reports. `window` is the use in view,
+ * `own` the part of this instance, `estimated` what peers may have used since
+ * their reports. Since the start of the process: `used`, `refunded`, and
+ * `firstReports`, the use in first reports of peers' processes, which is in no
+ * window. `assumedAgeMs` is the age that the estimate assumes; the oldest report
+ * was made at most `measuredAgeMs` ago; `unconfirmed` peers have not
+ * acknowledged a digest, so that the age of their reports is unknown. */
+export const RATE_STATE: LogEvent = {
+  id: 854,
+  severity: "info",
+  text: "use of a workspace's limit",
+};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,6 +37,7 @@
 import { OwnLoad } from "./own_load.ts";
 import { PeerLinks, type SendReply } from "./peer_links.ts";
 import type { PeerMessage } from "./peer_messages.ts";
+import { RateLog } from "./rate_log.ts";
 import { ReaderRoles } from "./reader_roles.ts";
 import { RecordConfirmer } from "./record_confirmer.ts";
 import { PromptProtection } from "./prompt_protection.ts";
@@ -101,6 +102,7 @@
   readonly #promptProtection: PromptProtection;
   readonly #engineLimits: EngineLimits;
   readonly #rates = new Map<string, TokenRate>();
+  readonly #rateLog: RateLog;
   readonly #retryBudgets = new Map<string, RetryBudget>();
   readonly #callerServer: CallerServer;
   readonly #readinessServer: CallerServer;
@@ -240,6 +242,12 @@
       }),
       log,
     });
+    this.#rateLog = new RateLog({
+      rates: this.#rates,
+      members: this.#members,
+      reportAges: (now) => this.#digestExchange.reportAges(now),
+      log,
+    });
     const relay = new Relay({
       protocol: this.#protocol,
       routeTable: () => this.#storeView.routeTable,
@@ -418,6 +426,7 @@
     this.#ownLoad.tick(now);
     this.#readerRoles.update(now);
     this.#storeView.dropMissingEngines(now);
+    this.#rateLog.tick(now);
   }
 
   #onStoreViewChange(): void {
--- a/packages/gateway/src/rate_charge.ts
+++ b/packages/gateway/src/rate_charge.ts
@@ -53,6 +53,7 @@
       perSecond: workspace.ratePerSecond,
       burst: workspace.burst,
       silentShare,
+      ...tokenRate.state,
     });
     return Math.min(
       WAIT_MAX_SECONDS,
--- a/packages/serving/src/token_rate.ts
+++ b/packages/serving/src/token_rate.ts
@@ -11,10 +11,7 @@
  *
  * @module
  */
-
-/** Length of a bucket of the window, in milliseconds: use leaves the window
- * with this precision. */
-const BUCKET_MS = 250;
+import { BUCKET_MS, SlidingWindow } from "./sliding_window.ts";
 
 /** Fraction of the limit that counts as used when a process starts: other
  * instances may have used it just before all of them were lost. It leaves the
@@ -43,87 +40,24 @@
   readonly burst: number;
 }
 
-/** Units by time bucket, in a window that moves with time. */
-class SlidingWindow {
-  readonly #unitsByBucket: number[];
-  #currentBucket: number;
-  #total = 0;
-
-  constructor(bucketCount: number, now: number) {
-    this.#unitsByBucket = new Array<number>(bucketCount).fill(0);
-    this.#currentBucket = Math.floor(now / BUCKET_MS);
-  }
-
-  get total(): number {
-    return this.#total;
-  }
-
-  advance(now: number): void {
-    const bucket = Math.floor(now / BUCKET_MS);
-    const steps = Math.min(
-      bucket - this.#currentBucket,
-      this.#unitsByBucket.length,
-    );
-    for (let i = 1; i <= steps; i++) {
-      const index = this.#index(bucket - steps + i);
-      this.#total -= this.#unitsByBucket[index] ?? 0;
-      this.#unitsByBucket[index] = 0;
-    }
-    this.#currentBucket = Math.max(bucket, this.#currentBucket);
-  }
-
-  add(units: number): void {
-    const index = this.#index(this.#currentBucket);
-    this.#unitsByBucket[index] = (this.#unitsByBucket[index] ?? 0) + units;
-    this.#total += units;
-  }
-
-  /** Adds units as if they had been used evenly over the whole window. */
-  addEvenly(units: number): void {
-    const unitsPerBucket = Math.ceil(units / this.#unitsByBucket.length);
-    for (let i = 0; i < this.#unitsByBucket.length; i++) {
-      this.#unitsByBucket[i] = (this.#unitsByBucket[i] ?? 0) + unitsPerBucket;
-      this.#total += unitsPerBucket;
-    }
-  }
-
-  /** Units of the latest buckets. */
-  recentUnits(bucketCount: number): number {
-    let sum = 0;
-    for (
-      let i = 0;
-      i < Math.min(bucketCount, this.#unitsByBucket.length);
-      i++
-    ) {
-      sum += this.#unitsByBucket[this.#index(this.#currentBucket - i)] ?? 0;
-    }
-    return sum;
-  }
-
-  /** Units a millisecond over the whole window; the latest bucket is
-   * incomplete. */
-  unitsPerMs(now: number): number {
-    const elapsedMs = (this.#unitsByBucket.length - 1) * BUCKET_MS +
-      now % BUCKET_MS;
-    return this.#total / Math.max(BUCKET_MS, elapsedMs);
-  }
-
-  /** Milliseconds until this many units have left the window. */
-  waitMs(units: number, now: number): number {
-    const { length } = this.#unitsByBucket;
-    let rest = units;
-    for (let i = length - 1; i >= 0; i--) {
-      const bucket = this.#currentBucket - i;
-      rest -= this.#unitsByBucket[this.#index(bucket)] ?? 0;
-      if (rest <= 0) return Math.max(0, (bucket + length) * BUCKET_MS - now);
-    }
-    return length * BUCKET_MS;
-  }
-
-  #index(bucket: number): number {
-    const { length } = this.#unitsByBucket;
-    return ((bucket % length) + length) % length;
-  }
+/** What a view of a workspace's use consists of, in units, for logs. */
+export interface RateState {
+  /** What may be used in a window. */
+  readonly allowed: number;
+  /** What this instance counts in its window: its own use, that in reports, and
+   * the initial level. */
+  readonly window: number;
+  readonly own: number;
+  /** Estimate of what peers have used since their reports. */
+  readonly estimated: number;
+  /** Since the start of the process: admitted less refunded; refunded; and what
+   * the first reports of peers' processes said, which is not in the window. */
+  readonly used: number;
+  readonly refunded: number;
+  readonly firstReports: number;
+  readonly peers: number;
+  /** The age that the estimate assumes, in milliseconds. */
+  readonly assumedAgeMs: number;
 }
 
 /** One workspace's use and level in the view of one instance. */
@@ -137,6 +71,8 @@
   #now: number;
   #unresponsiveFraction = 0;
   #used = 0;
+  #refunded = 0;
+  #firstReports = 0;
   /** Assumed age of the peers' reports, in milliseconds. */
   #reportAgeMs = 0;
   readonly #reportedByPeer = new Map<
@@ -178,6 +114,21 @@
     return this.level;
   }
 
+  /** What the level consists of, as of the last `advance`. */
+  get state(): RateState {
+    return {
+      allowed: Math.round(this.#allowedUnits),
+      window: Math.round(this.#window.total),
+      own: Math.round(this.#ownUse.total),
+      estimated: Math.round(this.#unreportedUse),
+      used: Math.round(this.#used),
+      refunded: Math.round(this.#refunded),
+      firstReports: Math.round(this.#firstReports),
+      peers: this.#reportedByPeer.size,
+      assumedAgeMs: Math.round(this.#reportAgeMs),
+    };
+  }
+
   /** Replaces the limit. */
   setLimit(limit: RateLimit): void {
     this.#limit = limit;
@@ -220,7 +171,10 @@
     );
     // The first report of a peer's process: use before it is already part of
     // this process's initial level.
-    if (previousUsed === undefined) return;
+    if (previousUsed === undefined) {
+      this.#firstReports += used;
+      return;
+    }
     this.#window.add(used - previousUsed);
     this.#peerUse.add(used - previousUsed);
   }
@@ -253,6 +207,7 @@
     this.#window.add(-units);
     this.#ownUse.add(-units);
     this.#used -= units;
+    this.#refunded += units;
   }
 
   /** Milliseconds until `units` are available if no other request uses any. */
