--- a/packages/gateway/src/testing/fake_record_store.ts
+++ b/packages/gateway/src/testing/fake_record_store.ts
@@ -34,6 +34,9 @@
   readMode: ReadMode = "serve";
   /** How long a list is under way after it was read, in milliseconds. */
   listDelayMs = 0;
+  /** How long a record that is put is under way before it is written, in
+   * milliseconds; undefined if the store is read only. */
+  putDelayMs: number | undefined;
   /** Whether watches, also those that start from now on, hear of no change. */
   areWatchesDeaf = false;
   /** Whether a watch that waited in vain is answered with the newest revision,
@@ -180,8 +183,17 @@
     });
   }
 
-  override put(): Promise<StoredRecord> {
-    return Promise.reject(new StoreCallError("rejected", "read only"));
+  override async put(
+    kind: RecordKind,
+    record: { readonly name: string; readonly value: unknown },
+  ): Promise<StoredRecord> {
+    const { putDelayMs } = this;
+    if (putDelayMs === undefined) {
+      throw new StoreCallError("rejected", "read only");
+    }
+    await new Promise((resolve) => setTimeout(resolve, putDelayMs));
+    const { name, value } = record;
+    return { name, value, revision: this.write(kind, name, value) };
   }
 
   override remove(): Promise<void> {
--- a/packages/serving/src/testing/simulated_instance.ts
+++ b/packages/serving/src/testing/simulated_instance.ts
@@ -81,9 +81,13 @@
     InstanceId,
     { process: number; used: number; reports: number }
   >();
+  let silent = { at: NaN, share: 0 };
   return {
     tryTake: (units, now) => {
-      rate.advance(now, members.silentShare(now));
+      if (silent.at !== now) {
+        silent = { at: now, share: members.silentShare(now) };
+      }
+      rate.advance(now, silent.share);
       return rate.tryTake(units);
     },
     refund: (units) => rate.refund(units),
