Log where late requests waited and what control traffic received

The logs could not tell whether a request that reached its engine after its caller had left had waited for an adapter, for a connection, on a link or for the event loop, nor what the spread of a long configuration costs.

Change: events 854 (caller left during an attempt, with the times before the write), 855 (event loop delayed), 856 (large or slow reply of the store) and 857 (records not received from a peer); the zone of the engine and the two waits in 840 and 843; bytes by kind and call of the store, bytes by type of message of peers, and three histograms. Logs and metrics only, no decision reads them.

Ruled out: nothing yet; this comes before any change of the logic.

--- a/packages/gateway/src/engine_connections.ts
+++ b/packages/gateway/src/engine_connections.ts
@@ -152,6 +152,9 @@
   readonly req: ClientRequest;
   /** Whether bytes of the request may have reached the engine. */
   isSent(): boolean;
+  /** Time from the start of the request until it was written to a connection,
+   * in milliseconds; undefined if it was not. */
+  connectionMs(): number | undefined;
 }
 
 /** Connections to all engines. Each engine has its own agent, and gets a new
@@ -197,10 +200,15 @@
       if (idleSince) idleLimit.recordReset(startedAt - idleSince, startedAt);
     });
     let isSent = false;
+    let connectionMs: number | undefined;
+    const markSent = () => {
+      isSent = true;
+      connectionMs = Math.round(performance.now() - startedAt);
+    };
     req.on("socket", (socket: Socket) => {
       limitHead(req, socket);
       if (!socket.connecting) {
-        isSent = true;
+        markSent();
         return;
       }
       const timer = setTimeout(
@@ -208,13 +216,17 @@
         CONNECT_TIMEOUT_MS,
       );
       socket.once("connect", () => {
-        isSent = true;
+        markSent();
         clearTimeout(timer);
       });
       socket.once("close", () => clearTimeout(timer));
     });
     req.end(outgoing.body);
-    return { req, isSent: () => isSent };
+    return {
+      req,
+      isSent: () => isSent,
+      connectionMs: () => connectionMs,
+    };
   }
 
   /** Keys of the engines that have an agent. */
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -334,3 +334,37 @@
   severity: "info",
   text: "limits of all engines reached",
 };
+
+/** The caller disconnected during an attempt, which is aborted. `startMs` is the
+ * time from the arrival of the request to the start of the attempt,
+ * `connectionMs` the time from there until the request was written to a
+ * connection, left out if it was not, and `leftMs` the time until the caller's
+ * own deadline. */
+export const CALLER_LEFT_ATTEMPT: LogEvent = {
+  id: 854,
+  severity: "info",
+  text: "caller disconnected during an attempt",
+};
+
+/** The event loop stood still: a periodic check ran late by `delayMs`. */
+export const EVENT_LOOP_DELAYED: LogEvent = {
+  id: 855,
+  severity: "warn",
+  text: "event loop delayed",
+};
+
+/** A reply of the store was large, or its body was under way for long. `bytes`
+ * is what arrived of the body, `bodyMs` the time since its head arrived, left
+ * out if none did. */
+export const STORE_TRANSFER_LONG: LogEvent = {
+  id: 856,
+  severity: "info",
+  text: "large or slow reply of the store",
+};
+
+/** A peer did not reply in time to a request for all its records of one kind. */
+export const PULL_UNANSWERED: LogEvent = {
+  id: 857,
+  severity: "warn",
+  text: "records not received from a peer",
+};
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -116,6 +116,10 @@
   #hasCallerDisconnected = false;
   #hasSentHeaders = false;
   #engineRequest: EngineRequest | undefined;
+  /** The attempt that is in progress, or was last. */
+  #attempt:
+    | { readonly view: EngineView; readonly startMs: number }
+    | undefined;
   #firstByteAt: number | undefined;
   /** The longest pause between two chunks of a stream, in milliseconds. */
   #longestPauseMs = 0;
@@ -148,6 +152,13 @@
     res.on("close", () => {
       if (res.writableFinished) return;
       this.#hasCallerDisconnected = true;
+      if (this.#attempt !== undefined) {
+        this.#deps.log.write(events.CALLER_LEFT_ATTEMPT, {
+          id: this.#input.caller.id,
+          ...this.#attemptFields(),
+          leftMs: Math.round(this.#deadline - performance.now()),
+        });
+      }
       this.#engineRequest?.req.destroy();
     });
     let reason = "no_engine";
@@ -272,6 +283,17 @@
     return "wait";
   }
 
+  /** Where the last attempt was sent, and what it waited for before it was
+   * written to a connection. */
+  #attemptFields() {
+    return {
+      engine: this.#attempt?.view.engine.key,
+      engineZone: this.#attempt?.view.engine.zone,
+      startMs: this.#attempt?.startMs,
+      connectionMs: this.#engineRequest?.connectionMs(),
+    };
+  }
+
   #recordFailure(view: EngineView, outcome: AttemptOutcome, now: number): void {
     const { caller } = this.#input;
     const reason = "reason" in outcome ? outcome.reason : "engine_error";
@@ -284,7 +306,6 @@
     this.#deps.metrics.add("attempt_failures_total", `reason="${reason}"`);
     this.#deps.log.write(events.ATTEMPT_FAILED, {
       id: caller.id,
-      engine: view.engine.key,
       kind: outcome.kind,
       reason,
       status: outcome.kind === "error_answer"
@@ -296,6 +317,7 @@
       answeredMs: this.#firstByteAt === undefined
         ? undefined
         : Math.round(now - this.#firstByteAt),
+      ...this.#attemptFields(),
       ms: Math.round(now - this.#input.arrivedAt),
     });
     if (reason === "adapter_missing" && this.#notRunCount < REFUSALS_MAX) {
@@ -436,6 +458,7 @@
       workspace: workspace?.name,
       model: caller.model,
       adapter: caller.adapter,
+      ...this.#attemptFields(),
       engine: view?.engine.key,
       status,
       runs: this.#runCount,
@@ -483,11 +506,23 @@
       instances: members.sharingCount(now),
     });
     this.#engineRequest = request;
+    const startMs = Math.round(now - this.#input.arrivedAt);
+    this.#attempt = { view, startMs };
+    this.#deps.metrics.time("attempt_start_ms", "", startMs);
     view.inFlight += 1;
     usage.start(view.engine.key, caller.adapter);
     return new Promise<AttemptOutcome>((resolve) => {
       this.#trackAttempt(view, request, resolve);
     }).finally(() => {
+      const connectionMs = request.connectionMs();
+      if (connectionMs !== undefined) {
+        const isNew = !request.req.reusedSocket;
+        this.#deps.metrics.time(
+          "connection_ms",
+          `new="${isNew}"`,
+          connectionMs,
+        );
+      }
       view.inFlight -= 1;
       usage.end(view.engine.key, caller.adapter);
     });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,6 +30,7 @@
 import { CallerServer } from "./caller_server.ts";
 import { DIGEST_TICK_MS, DigestExchange } from "./digest_exchange.ts";
 import { EngineConnections } from "./engine_connections.ts";
+import { EventLoopWatch } from "./event_loop_watch.ts";
 import * as events from "./events.ts";
 import { LimitKeeper } from "./limit_keeper.ts";
 import { Membership } from "./membership.ts";
@@ -44,6 +45,7 @@
 import { SharedRecords } from "./shared_records.ts";
 import { SteeringEndpoint } from "./steering_endpoint.ts";
 import { StoreView } from "./store_view.ts";
+import { TrafficLog } from "./traffic_log.ts";
 
 /** Time between runs of the periodic work, in milliseconds: load measurement,
  * choice of store readers, removal of engines that are no longer listed. */
@@ -86,6 +88,7 @@
   readonly #metrics = new GatewayMetrics();
   readonly #protocol = new PlatformCallerProtocol();
   readonly #store: ObjectStoreClient;
+  readonly #eventLoopWatch: EventLoopWatch;
   readonly #control = new EngineControlClient();
   readonly #connections = new EngineConnections();
   readonly #members: MemberTable;
@@ -133,7 +136,12 @@
       incarnation: randomUUID().slice(0, 8),
       cores: settings.cores,
     };
-    this.#store = new ObjectStoreClient(settings.store);
+    const traffic = new TrafficLog({ log, metrics: this.#metrics });
+    this.#store = new ObjectStoreClient(
+      settings.store,
+      (transfer) => traffic.recordStoreTransfer(transfer),
+    );
+    this.#eventLoopWatch = new EventLoopWatch({ log, metrics: this.#metrics });
     this.#members = new MemberTable(settings.name, performance.now());
     this.#readerRoles = new ReaderRoles({
       self: this.#self,
@@ -176,6 +184,7 @@
         this.#onPeerMessage(from, message, sendReply),
       onInvalidMessage: (reason) =>
         log.write(events.PEER_MESSAGE_INVALID, { reason }),
+      onReceived: (type, bytes) => traffic.recordPeerMessage(type, bytes),
     });
     this.#loader = new AdapterLoader({
       self: settings.name,
@@ -326,6 +335,7 @@
       setInterval(() => this.#tick(), TICK_MS),
     );
     this.#recordConfirmer.start();
+    this.#eventLoopWatch.start();
     this.#runLoader();
     this.#log.write(events.STARTED, {
       name: this.#self.name,
@@ -368,6 +378,7 @@
     for (const timer of this.#timers) clearInterval(timer);
     clearTimeout(this.#loaderTimer);
     this.#recordConfirmer.close();
+    this.#eventLoopWatch.close();
     this.#promptProtection.close();
     this.#storeView.close();
     this.#membership.close();
--- a/packages/gateway/src/peer_links.ts
+++ b/packages/gateway/src/peer_links.ts
@@ -41,6 +41,8 @@
   /** Called when a message could not be parsed or processed. The connection is
    * closed, and the side that dialled it dials again. */
   readonly onInvalidMessage: (reason: string) => void;
+  /** Called for each message with its size, also for replies. */
+  readonly onReceived?: (type: PeerMessage["t"], bytes: number) => void;
 }
 
 interface PendingRequest {
@@ -52,7 +54,7 @@
 class PeerLink {
   readonly address: string;
   readonly #hello: PeerMessage;
-  readonly #onInvalidMessage: (reason: string) => void;
+  readonly #options: PeerLinksOptions;
   /** Requests that wait for a reply, by their number. */
   readonly #requests = new Map<number, PendingRequest>();
   #socket: Socket | undefined;
@@ -69,11 +71,11 @@
   constructor(
     address: string,
     hello: PeerMessage,
-    onInvalidMessage: (reason: string) => void,
+    options: PeerLinksOptions,
   ) {
     this.address = address;
     this.#hello = hello;
-    this.#onInvalidMessage = onInvalidMessage;
+    this.#options = options;
   }
 
   send(message: PeerMessage): boolean {
@@ -145,7 +147,7 @@
     readMessages(socket, (message) => {
       this.lastAliveAt = performance.now();
       if ("n" in message) this.#resolve(message.n, message);
-    }, this.#onInvalidMessage);
+    }, this.#options);
     socket.setNoDelay(true);
     socket.connect(Number(port), host);
     socket.write(`${JSON.stringify(this.#hello)}\n`);
@@ -222,7 +224,7 @@
     let link = this.#links.get(address);
     if (link === undefined) {
       const hello: PeerMessage = { t: "hello", member: this.#self };
-      link = new PeerLink(address, hello, this.#options.onInvalidMessage);
+      link = new PeerLink(address, hello, this.#options);
       this.#links.set(address, link);
     }
     return link;
@@ -242,14 +244,14 @@
       if (message.t === "hello") from = message.member.name;
       if (from === undefined) socket.destroy();
       else this.#options.onMessage(from, message, sendReply);
-    }, this.#options.onInvalidMessage);
+    }, this.#options);
   }
 }
 
 function readMessages(
   socket: Socket,
   onMessage: (message: PeerMessage) => void,
-  onInvalidMessage: (reason: string) => void,
+  { onInvalidMessage, onReceived }: PeerLinksOptions,
 ): void {
   let partialLine = "";
   socket.setEncoding("utf8");
@@ -263,7 +265,9 @@
     }
     for (const line of lines) {
       try {
-        onMessage(JSON.parse(line) as PeerMessage);
+        const message = JSON.parse(line) as PeerMessage;
+        onReceived?.(message.t, line.length);
+        onMessage(message);
       } catch (err) {
         onInvalidMessage(String(err));
         socket.destroy();
--- a/packages/gateway/src/shared_records.ts
+++ b/packages/gateway/src/shared_records.ts
@@ -108,14 +108,20 @@
       PULL_TIMEOUT_MS,
     );
     this.#pendingPulls.delete(kind);
-    if (reply?.t !== "pulled" || reply.list === undefined) return;
+    const ms = Math.round(performance.now() - askedAt);
+    const peer = member.name;
+    if (reply?.t !== "pulled" || reply.list === undefined) {
+      this.#options.log.write(events.PULL_UNANSWERED, { kind, peer, ms });
+      return;
+    }
     const { list } = reply;
     const confirmedAt = confirmationTime(askedAt, reply.age ?? null);
     if (this.follower(kind).adopt(list, confirmedAt)) {
       this.#options.log.write(events.RECORDS_FETCHED_FROM_PEER, {
         kind,
-        peer: member.name,
+        peer,
         revision: list.revision,
+        ms,
       });
     }
   }
