--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -260,7 +260,7 @@
 };
 
 /** A request was refused because its workspace has exceeded its rate limit. The
- * fields are those of event 854. */
+ * fields are those of event 858. */
 export const RATE_EXCEEDED: LogEvent = {
   id: 845,
   severity: "info",
@@ -336,6 +336,40 @@
   text: "limits of all engines reached",
 };
 
+/** The caller disconnected during an attempt, which is aborted. `startMs` is the
+ * time from the arrival of the request to the start of the attempt,
+ * `connectionMs` the time from there until the request was written to a
+ * connection, left out if it was not, and `leftMs` the time until the caller's
+ * own deadline. */
+export const CALLER_LEFT_ATTEMPT: LogEvent = {
+  id: 854,
+  severity: "info",
+  text: "caller disconnected during an attempt",
+};
+
+/** The event loop stood still: a periodic check ran late by `delayMs`. */
+export const EVENT_LOOP_DELAYED: LogEvent = {
+  id: 855,
+  severity: "warn",
+  text: "event loop delayed",
+};
+
+/** A reply of the store was large, or its body was under way for long. `bytes`
+ * is what arrived of the body, `bodyMs` the time since its head arrived, left
+ * out if none did. */
+export const STORE_TRANSFER_LONG: LogEvent = {
+  id: 856,
+  severity: "info",
+  text: "large or slow reply of the store",
+};
+
+/** A peer did not reply in time to a request for all its records of one kind. */
+export const PULL_UNANSWERED: LogEvent = {
+  id: 857,
+  severity: "warn",
+  text: "records not received from a peer",
+};
+
 /** Once a second for each workspace whose use is above half of its limit: what
  * this instance counts, and on what reports. `window` is the use in view,
  * `own` the part of this instance, `estimated` what peers may have used since
@@ -345,7 +379,7 @@
  * was made at most `measuredAgeMs` ago; `unconfirmed` peers have not
  * acknowledged a digest, so that the age of their reports is unknown. */
 export const RATE_STATE: LogEvent = {
-  id: 854,
+  id: 858,
   severity: "info",
   text: "use of a workspace's limit",
 };
--- a/packages/gateway/src/rate_log.ts
+++ b/packages/gateway/src/rate_log.ts
@@ -21,7 +21,7 @@
   readonly log: EventLog;
 }
 
-/** Writes event 854. */
+/** Writes event 858. */
 export class RateLog {
   readonly #options: RateLogOptions;
   #nextAt = 0;
