--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -15,7 +15,6 @@
   type PartQuarantine,
   type ReportRow,
   ticksBetweenDigests,
-  type TokenRate,
 } from "@banyanlb/serving";
 import type { AdapterLoader } from "./adapter_loader.ts";
 import * as events from "./events.ts";
@@ -26,6 +25,7 @@
 import type { SharedRecords } from "./shared_records.ts";
 import type { StoreView } from "./store_view.ts";
 import type { AdapterUsage, AdapterUsageCounts } from "./adapter_usage.ts";
+import type { WorkspaceRates } from "./workspace_rates.ts";
 
 /** Time between ticks, in milliseconds. It bounds the age of the request counts
  * that nearby instances report. */
@@ -41,9 +41,10 @@
 const COUNTS_VALID_DIGESTS = 4;
 const COUNTS_VALID_MIN_MS = 1500;
 
-/** How long after the first digest from a peer the digests to it include the
- * levels of the rates, in milliseconds. A new process adopts levels only from a
- * peer that has been running for longer than it by more than this time. */
+/** How long after the first digest from a peer the digests to it include what
+ * its earlier process had left of its rates, in milliseconds. A new process
+ * adopts that only from a peer that has been running for longer than it by more
+ * than this time. */
 const NEW_PEER_MS = 1500;
 
 /** An engine and the instance that sends orders to it. */
@@ -58,9 +59,6 @@
   readonly incarnation: string;
   /** The newest tick received from the peer. */
   ack: number;
-  /** When this instance sent the newest digest that the peer has acknowledged,
-   * by the monotonic clock: the peer's last digest is not older. */
-  confirmedAt: number | undefined;
   /** When the first digest arrived from the peer, by the monotonic clock;
    * undefined until then. */
   aliveSince: number | undefined;
@@ -68,14 +66,8 @@
   digestsSent: number;
   lastSentTick: number;
   readonly sentRows: SentRows;
-}
-
-/** Ages of the peers' last digests, for logs. */
-export interface ReportAges {
-  /** Upper bound of the age of the oldest one, in milliseconds. */
-  readonly measuredAgeMs: number;
-  /** Number of peers that have not acknowledged a digest. */
-  readonly unconfirmed: number;
+  /** What the peer's earlier process had left of its rates. */
+  readonly formerRooms: Readonly<Record<string, number>>;
 }
 
 /** Parts of the gateway whose state digests report and update. */
@@ -87,7 +79,7 @@
   readonly loader: AdapterLoader;
   readonly storeView: StoreView;
   readonly records: SharedRecords;
-  readonly rates: ReadonlyMap<string, TokenRate>;
+  readonly rates: WorkspaceRates;
   readonly use: AdapterUsageCounts;
   readonly quarantine: PartQuarantine;
   readonly limits: EngineLimits;
@@ -160,13 +152,8 @@
       orders: isOwner ? true as const : undefined,
     };
     const held = loader.held();
-    const used = [...this.#options.rates].map(
-      ([name, rate]): ReportRow<number> => {
-        const units = Math.round(rate.used);
-        return [name, units, units];
-      },
-    );
     const now = performance.now();
+    const rooms = this.#options.rates.roomRows(now);
     const { crashes, answers, holds } = this.#options.quarantine.report(now);
     const limits = this.#options.limits.report(now);
     const selfRole = {
@@ -193,8 +180,8 @@
         ack: peer.ack,
         every: tickInterval === 1 ? undefined : tickInterval,
         flight: this.#inFlightFor(member.name, engines, ownersSumLoads),
-        used: changed("used", used),
-        levels: this.#rateLevelsFor(peer),
+        rooms: changed("rooms", rooms),
+        formerRooms: this.#formerRoomsFor(peer, now),
         held: changed("held", held),
         use: this.#adapterUseFor(member.name, engines),
         crashes: changed("crashes", crashes),
@@ -211,17 +198,6 @@
     this.#dropLostPeers();
   }
 
-  /** Ages of the last digests of the peers that are known. */
-  reportAges(now: number): ReportAges {
-    let measuredAgeMs = 0;
-    let unconfirmed = 0;
-    for (const { confirmedAt } of this.#peers.values()) {
-      if (confirmedAt === undefined) unconfirmed += 1;
-      else measuredAgeMs = Math.max(measuredAgeMs, now - confirmedAt);
-    }
-    return { measuredAgeMs: Math.round(measuredAgeMs), unconfirmed };
-  }
-
   /** Applies a digest received from the peer `from`. */
   receive(from: string, digest: Digest): void {
     const { members, engineTable, loader, rates, log } = this.#options;
@@ -247,7 +223,6 @@
     peer.ack = digest.seq;
     if (digest.ack > 0) {
       const ageMs = Math.max(0, this.#tick - digest.ack) * DIGEST_TICK_MS;
-      peer.confirmedAt = Math.max(peer.confirmedAt ?? -Infinity, now - ageMs);
       this.#options.links().confirmDelivery(member.peerAddress, now - ageMs);
     }
     const validMs = Math.max(
@@ -261,19 +236,9 @@
         view.down = digest.down?.includes(key) === true;
       }
     }
-    for (const [name, used] of Object.entries(digest.used ?? {})) {
-      const { incarnation } = member;
-      rates.get(name)?.recordPeerUse(from, {
-        incarnation,
-        used,
-        digestIntervalMs: intervalMs,
-        now,
-      });
-    }
+    rates.recordRooms(from, digest.rooms ?? {});
     if (digest.up > now + NEW_PEER_MS && now < NEW_PEER_MS * 2) {
-      for (const [name, level] of Object.entries(digest.levels ?? {})) {
-        rates.get(name)?.adoptLevel(level, now);
-      }
+      rates.adoptFormerRooms(digest.formerRooms ?? {});
     }
     this.#options.quarantine.receive(from, digest, now);
     this.#options.limits.receive(digest.limits ?? {}, now);
@@ -331,11 +296,11 @@
     const peer = {
       incarnation: member.incarnation,
       ack: 0,
-      confirmedAt: undefined,
       aliveSince: undefined,
       digestsSent: 0,
       lastSentTick: -Infinity,
       sentRows: new SentRows(),
+      formerRooms: this.#options.rates.roomsOf(member.name),
     };
     this.#peers.set(member.name, peer);
     return peer;
@@ -378,17 +343,12 @@
     return isEmpty(byEngine) ? undefined : byEngine;
   }
 
-  #rateLevelsFor(
+  #formerRoomsFor(
     peer: PeerState,
+    now: number,
   ): Readonly<Record<string, number>> | undefined {
-    const now = performance.now();
-    if (now - (peer.aliveSince ?? -Infinity) > NEW_PEER_MS) return undefined;
-    return Object.fromEntries(
-      [...this.#options.rates].map(([name, rate]) => [
-        name,
-        Math.round(rate.levelAt(now)),
-      ]),
-    );
+    const isNew = now - (peer.aliveSince ?? -Infinity) <= NEW_PEER_MS;
+    return isNew ? peer.formerRooms : undefined;
   }
 
   #dropLostPeers(): void {
--- a/packages/gateway/src/digest_exchange_test.ts
+++ b/packages/gateway/src/digest_exchange_test.ts
@@ -4,6 +4,7 @@
   EngineTable,
   MemberTable,
   PartQuarantine,
+  SystemClocks,
 } from "@banyanlb/serving";
 import pino from "pino";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
@@ -13,6 +14,7 @@
 import type { Membership } from "./membership.ts";
 import type { PeerLinks } from "./peer_links.ts";
 import type { Digest } from "./peer_messages.ts";
+import { WorkspaceRates } from "./workspace_rates.ts";
 import { FakeInstance } from "./testing/fake_instance.ts";
 import { FakeRecordStore } from "./testing/fake_record_store.ts";
 
@@ -61,7 +63,14 @@
     } as unknown as AdapterLoader,
     storeView: own.view,
     records: own.records,
-    rates: new Map(),
+    rates: new WorkspaceRates({
+      self: own.member,
+      members,
+      areMembersKnown: () => true,
+      clocks: new SystemClocks(),
+      windowMs: 8000,
+      links: () => ({}) as unknown as PeerLinks,
+    }),
     use: new AdapterUsageCounts(),
     quarantine,
     limits: new EngineLimits(own.member.name, () => ({
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -259,8 +259,9 @@
   text: "caller disconnected",
 };
 
-/** A request was refused because its workspace has exceeded its rate limit. The
- * fields are those of event 858. */
+/** A request was refused because its workspace has exceeded its rate limit:
+ * `left` units remain of this instance's `share` of the limit, and the instances
+ * that were `asked` lent none. */
 export const RATE_EXCEEDED: LogEvent = {
   id: 845,
   severity: "info",
@@ -370,14 +371,11 @@
   text: "records not received from a peer",
 };
 
-/** Once a second for each workspace whose use is above half of its limit: what
- * this instance counts, and on what reports. `window` is the use in view,
- * `own` the part of this instance, `estimated` what peers may have used since
- * their reports. Since the start of the process: `used`, `refunded`, and
- * `firstReports`, the use in first reports of peers' processes, which is in no
- * window. `assumedAgeMs` is the age that the estimate assumes; the oldest report
- * was made at most `measuredAgeMs` ago; `unconfirmed` peers have not
- * acknowledged a digest, so that the age of their reports is unknown. */
+/** Once a second for each workspace of whose share more than half is used, or
+ * for which units were asked of other instances. `shareUnits` is what this
+ * instance may admit within a window by itself, `left` what remains of it. Since
+ * the last line: `lent` units to other instances, `borrowed` from them, and
+ * `asked` questions to them, of which `unanswered` got no reply in time. */
 export const RATE_STATE: LogEvent = {
   id: 858,
   severity: "info",
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -145,7 +145,7 @@
   async run(): Promise<void> {
     const { res, refuse } = this.#input;
     if (this.#guard.decide().kind === "refuse") return refuse(503, HELD_PART);
-    const rateWaitSeconds = this.#rateCharge.take();
+    const rateWaitSeconds = await this.#rateCharge.take(this.#deadline);
     if (rateWaitSeconds !== undefined) {
       return refuse(429, "over_rate", rateWaitSeconds);
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,8 +16,6 @@
   type Route,
   type SelectionContext,
   SystemClocks,
-  TokenRate,
-  type Workspace,
 } from "@banyanlb/serving";
 import {
   EngineControlClient,
@@ -47,6 +45,7 @@
 import { SteeringEndpoint } from "./steering_endpoint.ts";
 import { StoreView } from "./store_view.ts";
 import { TrafficLog } from "./traffic_log.ts";
+import { WorkspaceRates } from "./workspace_rates.ts";
 
 /** Time between runs of the periodic work, in milliseconds: load measurement,
  * choice of store readers, removal of engines that are no longer listed. */
@@ -104,7 +103,7 @@
   readonly #readerRoles: ReaderRoles;
   readonly #promptProtection: PromptProtection;
   readonly #engineLimits: EngineLimits;
-  readonly #rates = new Map<string, TokenRate>();
+  readonly #rates: WorkspaceRates;
   readonly #rateLog: RateLog;
   readonly #retryBudgets = new Map<string, RetryBudget>();
   readonly #callerServer: CallerServer;
@@ -229,6 +228,14 @@
       this.#self.name,
       () => this.#members.servingInstances(performance.now()),
     );
+    this.#rates = new WorkspaceRates({
+      self: this.#self,
+      members: this.#members,
+      areMembersKnown: () => this.#membership.memberFollower.known,
+      clocks: this.#clocks,
+      windowMs: settings.bounds.rateWindowMs,
+      links: () => this.#links,
+    });
     const use = new AdapterUsageCounts();
     this.#digestExchange = new DigestExchange({
       self: this.#self,
@@ -251,12 +258,7 @@
       }),
       log,
     });
-    this.#rateLog = new RateLog({
-      rates: this.#rates,
-      members: this.#members,
-      reportAges: (now) => this.#digestExchange.reportAges(now),
-      log,
-    });
+    this.#rateLog = new RateLog({ rates: this.#rates, log });
     const relay = new Relay({
       protocol: this.#protocol,
       routeTable: () => this.#storeView.routeTable,
@@ -266,7 +268,7 @@
       loader: this.#loader,
       connections: this.#connections,
       members: this.#members,
-      rateOf: (workspace) => this.#rateOf(workspace),
+      rates: this.#rates,
       retryBudgetOf: (service) => this.#retryBudgetOf(service),
       versionOf: (model, adapter) => this.#storeView.versionOf(model, adapter),
       isOlderAllowed: (model, adapter) =>
@@ -436,6 +438,7 @@
     const now = performance.now();
     this.#ownLoad.tick(now);
     this.#readerRoles.update(now);
+    this.#rates.update(now);
     this.#storeView.dropMissingEngines(now);
     this.#rateLog.tick(now);
   }
@@ -451,31 +454,10 @@
     for (const key of this.#connections.engineKeys()) {
       if (!keys.has(key)) this.#connections.retire(key);
     }
-    for (const workspace of routeTable.configuration.workspaces) {
-      // Creates the rate of each workspace before its first request here, since
-      // peers report how much of it they use.
-      this.#rateOf(workspace)?.setLimit({
-        perSecond: workspace.ratePerSecond,
-        burst: workspace.burst,
-      });
-    }
-  }
-
-  #rateOf(workspace: Workspace): TokenRate | undefined {
-    if (workspace.ratePerSecond <= 0) return undefined;
-    let rate = this.#rates.get(workspace.name);
-    if (rate === undefined) {
-      const limit = {
-        perSecond: workspace.ratePerSecond,
-        burst: workspace.burst,
-      };
-      rate = new TokenRate(limit, {
-        now: performance.now(),
-        windowMs: this.#settings.bounds.rateWindowMs,
-      });
-      this.#rates.set(workspace.name, rate);
-    }
-    return rate;
+    this.#rates.setWorkspaces(
+      routeTable.configuration.workspaces,
+      performance.now(),
+    );
   }
 
   #retryBudgetOf(service: string): RetryBudget {
@@ -530,6 +512,12 @@
           kinds: this.#records.confirmedRows(performance.now()),
         });
         return;
+      case "take":
+        this.#rates.lend(from, message, sendReply);
+        return;
+      case "return":
+        this.#rates.takeBack(from, message.n);
+        return;
       case "pull":
         sendReply(
           this.#records.pullReply(message.n, message.kind, performance.now()),
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -61,14 +61,14 @@
    * the sender owns the engine and sums up loads, the requests of all instances
    * except the receiver. 0 for omitted engines. */
   readonly flight?: Readonly<Record<string, number>>;
-  /** Units that workspaces have used at the sender since its process started,
-   * if changed. */
-  readonly used?: Readonly<Record<string, number>>;
+  /** Units that the sender has left of its shares of workspaces' rates, if
+   * changed. */
+  readonly rooms?: Readonly<Record<string, number>>;
   /** Time since the sender's process started, in milliseconds. */
   readonly up: number;
-  /** The level of each workspace's rate, for a receiver that was found
-   * recently. */
-  readonly levels?: Readonly<Record<string, number>>;
+  /** Units that an earlier process of the receiver last reported to have left of
+   * its shares, 0 if it reported none; for a receiver that was found recently. */
+  readonly formerRooms?: Readonly<Record<string, number>>;
   /** Adapters held by the engines that the sender owns, if changed. */
   readonly held?: Readonly<Record<string, readonly HeldRow[]>>;
   /** Engines that the sender owns and that do not reply to it. */
@@ -154,6 +154,32 @@
   readonly age?: number | null;
 }
 
+/** Asks for units of the receiver's share of a workspace's rate. */
+export interface TakeRequest {
+  readonly t: "take";
+  readonly n: number;
+  readonly workspace: string;
+  readonly units: number;
+  /** How long after the question the sender may use the units, in
+   * milliseconds. */
+  readonly validMs: number;
+}
+
+/** The reply to a `TakeRequest`: whether the units were lent, and how many the
+ * sender has left. */
+export interface TakeReply {
+  readonly t: "taken";
+  readonly n: number;
+  readonly ok: boolean;
+  readonly room: number;
+}
+
+/** Gives back the units that were lent for the request `n`. */
+export interface TakeReturn {
+  readonly t: "return";
+  readonly n: number;
+}
+
 /** Any message between instances. */
 export type PeerMessage =
   | Hello
@@ -163,4 +189,7 @@
   | ConfirmRequest
   | ConfirmReply
   | PullRequest
-  | PullReply;
+  | PullReply
+  | TakeRequest
+  | TakeReply
+  | TakeReturn;
--- a/packages/gateway/src/rate_log.ts
+++ b/packages/gateway/src/rate_log.ts
@@ -1,23 +1,20 @@
-/** Logs how instances count the use of workspaces that are near their limits.
+/** Logs the use of shares that are nearly used up.
  *
  * @module
  */
 import type { EventLog } from "@banyanlb/core";
-import type { MemberTable, TokenRate } from "@banyanlb/serving";
-import type { ReportAges } from "./digest_exchange.ts";
 import * as events from "./events.ts";
+import type { WorkspaceRates } from "./workspace_rates.ts";
 
 /** Time between lines for a workspace, in milliseconds. */
 const INTERVAL_MS = 1000;
 
-/** Fraction of the limit above which the use is logged. */
+/** Fraction of the share above which its use is logged. */
 const LOGGED_FRACTION = 0.5;
 
 /** Dependencies of the log of rates. */
 export interface RateLogOptions {
-  readonly rates: ReadonlyMap<string, TokenRate>;
-  readonly members: MemberTable;
-  readonly reportAges: (now: number) => ReportAges;
+  readonly rates: Pick<WorkspaceRates, "states">;
   readonly log: EventLog;
 }
 
@@ -34,19 +31,11 @@
   tick(now: number): void {
     if (now < this.#nextAt) return;
     this.#nextAt = now + INTERVAL_MS;
-    const { rates, members, reportAges, log } = this.#options;
-    const silentShare = members.silentShare(now);
-    const ages = reportAges(now);
-    for (const [workspace, rate] of rates) {
-      rate.advance(now, silentShare);
-      const { state } = rate;
-      if (state.window < state.allowed * LOGGED_FRACTION) continue;
-      log.write(events.RATE_STATE, {
-        workspace,
-        ...state,
-        ...ages,
-        silentShare,
-      });
+    const { rates, log } = this.#options;
+    for (const state of rates.states(now)) {
+      const isNearlyUsed = state.left < state.shareUnits * LOGGED_FRACTION;
+      if (!isNearlyUsed && state.asked === 0) continue;
+      log.write(events.RATE_STATE, { ...state });
     }
   }
 }
--- a/packages/gateway/src/relay_dependencies.ts
+++ b/packages/gateway/src/relay_dependencies.ts
@@ -12,8 +12,6 @@
   Route,
   RouteTable,
   SelectionContext,
-  TokenRate,
-  Workspace,
 } from "@banyanlb/serving";
 import type { AdapterLoader } from "./adapter_loader.ts";
 import type { AdapterUsageCounts } from "./adapter_usage.ts";
@@ -21,6 +19,7 @@
 import type { GatewayMetrics } from "./metrics.ts";
 import type { LimitKeeper } from "./limit_keeper.ts";
 import type { PromptGuard } from "./prompt_guard.ts";
+import type { WorkspaceRates } from "./workspace_rates.ts";
 
 /** The configuration that applied to a request, as log lines report it. */
 export interface ConfigurationInUse {
@@ -42,7 +41,7 @@
   readonly loader: AdapterLoader;
   readonly connections: EngineConnections;
   readonly members: MemberTable;
-  readonly rateOf: (workspace: Workspace) => TokenRate | undefined;
+  readonly rates: Pick<WorkspaceRates, "take">;
   readonly retryBudgetOf: (service: string) => RetryBudget;
   readonly versionOf: (model: string, adapter: string) => number;
   readonly isOlderAllowed: (model: string, adapter: string) => boolean;
--- a/packages/gateway/src/testing/fake_region_fleet.ts
+++ b/packages/gateway/src/testing/fake_region_fleet.ts
@@ -12,6 +12,7 @@
   MemberTable,
   PartQuarantine,
   type RecordStore,
+  SystemClocks,
 } from "@banyanlb/serving";
 import pino from "pino";
 import type { AdapterLoader } from "../adapter_loader.ts";
@@ -25,6 +26,7 @@
 import { RecordFollower } from "../record_follower.ts";
 import { SharedRecords } from "../shared_records.ts";
 import { StoreView } from "../store_view.ts";
+import { WorkspaceRates } from "../workspace_rates.ts";
 import { FakeRecordStore } from "./fake_record_store.ts";
 import { RegionLink } from "./region_link.ts";
 import { RemoteRecordStore, sizeOfRecords } from "./remote_record_store.ts";
@@ -217,7 +219,14 @@
       } as unknown as AdapterLoader,
       storeView: this.#view,
       records: this.#records,
-      rates: new Map(),
+      rates: new WorkspaceRates({
+        self,
+        members,
+        areMembersKnown: () => true,
+        clocks: new SystemClocks(),
+        windowMs: 8000,
+        links: () => links,
+      }),
       use: new AdapterUsageCounts(),
       quarantine,
       limits: new EngineLimits(self.name, () => ({
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -203,7 +203,7 @@
     } as unknown as AdapterLoader,
     connections,
     members: new MemberTable("self", -10_000),
-    rateOf: () => undefined,
+    rates: { take: () => Promise.resolve(undefined) },
     retryBudgetOf: () => retryBudget,
     versionOf: () => 0,
     isOlderAllowed: () => true,
--- /dev/null
+++ b/packages/gateway/src/workspace_rates_test.ts
@@ -0,0 +1,200 @@
+import { ManualClocks, type Member, MemberTable } from "@banyanlb/serving";
+import { beforeEach, expect, test } from "vitest";
+import type { PeerMessage } from "./peer_messages.ts";
+import { type RateRefusal, WorkspaceRates } from "./workspace_rates.ts";
+
+const WINDOW_MS = 8000;
+const WORKSPACE = {
+  name: "w",
+  keys: [],
+  priority: undefined,
+  countsTokens: true,
+  defaultTokens: 10,
+  ratePerSecond: 1000,
+  burst: 2000,
+};
+/** What each of two instances may admit within a window. */
+const SHARE_UNITS = 5000;
+
+/** An instance whose messages reach the others at once, unless one is silent.
+ * Its process started long ago. */
+class Instance {
+  readonly member: Member;
+  readonly rates: WorkspaceRates;
+  readonly members: MemberTable;
+  readonly clocks = new ManualClocks();
+  /** How long a question to this instance takes, in milliseconds; undefined if
+   * it is not answered in time. */
+  responseMs: number | undefined = 0;
+  /** Numbers of the questions whose units were given back. */
+  readonly returned: number[] = [];
+  peers: readonly Instance[] = [];
+  #asked = 0;
+
+  constructor(member: Member, areMembersKnown = () => true) {
+    this.member = member;
+    this.members = new MemberTable(member.name, 0);
+    this.rates = new WorkspaceRates({
+      self: member,
+      members: this.members,
+      areMembersKnown,
+      clocks: this.clocks,
+      windowMs: WINDOW_MS,
+      links: () => ({
+        ask: (address, buildRequest, timeoutMs) =>
+          Promise.resolve(this.#ask(address, buildRequest, timeoutMs)),
+        send: (address, message) => this.#send(address, message),
+      }),
+    });
+  }
+
+  meet(peer: Instance): void {
+    this.peers = [...this.peers, peer];
+    this.members.add(peer.member);
+    this.members.setState(peer.member.name, performance.now(), {
+      leaving: false,
+      ready: true,
+      digestIntervalMs: 200,
+      serves: true,
+      orders: false,
+      busy: 0,
+      reachesStore: true,
+      tenure: undefined,
+    });
+  }
+
+  take(units: number) {
+    return this.rates.take("w", { units, waitMaxMs: 1000 });
+  }
+
+  #ask(
+    address: string,
+    buildRequest: (n: number) => PeerMessage,
+    timeoutMs: number,
+  ): PeerMessage | undefined {
+    const peer = this.peers.find(({ member }) => member.name === address);
+    const request = buildRequest(++this.#asked);
+    if (peer === undefined || request.t !== "take") return undefined;
+    let reply: PeerMessage | undefined;
+    peer.rates.lend(this.member.name, request, (message) => reply = message);
+    this.clocks.advance(peer.responseMs ?? timeoutMs);
+    return peer.responseMs === undefined ? undefined : reply;
+  }
+
+  #send(address: string, message: PeerMessage): boolean {
+    const peer = this.peers.find(({ member }) => member.name === address);
+    if (message.t !== "return") return false;
+    this.returned.push(message.n);
+    peer?.rates.takeBack(this.member.name, message.n);
+    return true;
+  }
+}
+
+function memberOf(name: string): Member {
+  return {
+    name,
+    zone: "z",
+    region: "r",
+    peerAddress: name,
+    callerAddress: name,
+    incarnation: "1",
+    cores: 1,
+  };
+}
+
+let first: Instance;
+let second: Instance;
+
+beforeEach(() => {
+  first = new Instance(memberOf("i1"));
+  second = new Instance(memberOf("i2"));
+  first.meet(second);
+  second.meet(first);
+  for (const { rates } of [first, second]) {
+    // Longer than a window after the start of the process.
+    rates.setWorkspaces([WORKSPACE], WINDOW_MS + 1);
+  }
+});
+
+/** Units left of an instance's share. */
+function levelOf({ rates }: Instance): number | undefined {
+  return rates.states(performance.now())[0]?.left;
+}
+
+function isRefusal(taken: unknown): taken is RateRefusal {
+  return typeof taken === "object" && taken !== null && "waitMs" in taken;
+}
+
+// Guards against callers of one instance that are refused while another
+// instance's share is unused.
+test("an instance whose share is used up borrows from another", async () => {
+  await first.take(4500);
+  expect(isRefusal(await first.take(4000))).toBe(false);
+  expect(levelOf(second)).toBe(SHARE_UNITS - 4000);
+  const refusal = await first.take(4000);
+  expect(refusal).toMatchObject({ left: 500, share: 0.5 });
+});
+
+// Guards against asking again and again for units that nobody has.
+test("an instance that is known to have too little is not asked", async () => {
+  await first.take(4500);
+  await first.take(4000);
+  expect(await first.take(4000)).toMatchObject({ asked: [] });
+});
+
+// Guards against units that stay used at the lender, which nobody could use.
+test("a loan without a reply in time is given back", async () => {
+  await first.take(4500);
+  second.responseMs = undefined;
+  expect(await first.take(4000)).toMatchObject({ asked: ["i2"] });
+  expect(first.returned).toEqual([1]);
+  expect(levelOf(second)).toBe(SHARE_UNITS);
+});
+
+// Guards against a loan that is used after the lender has ceased to count it: a
+// process that was suspended does not notice by its monotonic clock.
+test("a reply that arrives after the end of the loan is not used", async () => {
+  await first.take(4500);
+  second.responseMs = 5000;
+  expect(isRefusal(await first.take(4000))).toBe(true);
+  expect(levelOf(second)).toBe(SHARE_UNITS);
+});
+
+// Guards against refunds that are lost at the lender.
+test("units of a request that did not run return to their lender", async () => {
+  await first.take(4500);
+  const taken = await first.take(4000);
+  if (taken === undefined || !("refund" in taken)) throw new Error("refused");
+  taken.refund();
+  expect(levelOf(second)).toBe(SHARE_UNITS);
+});
+
+// Guards against a process that takes the whole limit for its share, since it
+// knows no other instance yet.
+test("a process without the list of members has no share", async () => {
+  const third = new Instance(memberOf("i3"), () => false);
+  third.rates.setWorkspaces([WORKSPACE], 100);
+  expect(isRefusal(await third.take(1))).toBe(true);
+  third.rates.update(5000);
+  expect(isRefusal(await third.take(1))).toBe(false);
+});
+
+// Guards against use of an earlier process that its next one does not count.
+test("a new process adopts what peers know of the one before", () => {
+  second.rates.recordRooms("i1", { w: 700 });
+  const restarted = new Instance(memberOf("i1"));
+  restarted.meet(second);
+  restarted.rates.setWorkspaces([WORKSPACE], 100);
+  restarted.rates.adoptFormerRooms(second.rates.roomsOf("i1"));
+  expect(levelOf(restarted)).toBe(700);
+});
+
+// Guards against a share that nobody reported, of which anything may be used.
+test("a share of which peers know nothing counts as used", () => {
+  expect(second.rates.roomsOf("i1")).toEqual({ w: 0 });
+});
+
+test("a workspace without a limit is not limited", async () => {
+  expect(await first.rates.take("other", { units: 1, waitMaxMs: 1 }))
+    .toBeUndefined();
+});
--- /dev/null
+++ b/packages/serving/src/rate_sharers.ts
@@ -0,0 +1,43 @@
+/** Which instances share the limit of a workspace.
+ *
+ * @module
+ */
+import { rankByRendezvous } from "@banyanlb/core";
+import { strongMembers } from "./strong_members.ts";
+import { type RateLimit, unitsInWindow } from "./token_rate.ts";
+import type { Member } from "./types.ts";
+
+/** The instances that share the limit of a workspace equally. A share is no
+ * smaller than the burst, since many small shares leave no room for a large
+ * request although their sum does; all instances share the limit if that allows
+ * it. Strong instances come first: callers use them, so that few units have to
+ * be lent. All instances with the same list of members find the same ones.
+ *
+ * @example
+ * ```ts
+ * const sharers = rateSharers(members, { workspace: "w1", limit, windowMs });
+ * const share = 1 / sharers.length;
+ * ```
+ */
+export function rateSharers(
+  members: readonly Member[],
+  options: {
+    readonly workspace: string;
+    readonly limit: RateLimit;
+    readonly windowMs: number;
+  },
+): readonly Member[] {
+  const { workspace, limit, windowMs } = options;
+  const shares = unitsInWindow(limit, windowMs) / Math.max(1, limit.burst);
+  const count = Math.max(1, Math.floor(shares));
+  if (count >= members.length) return members;
+  const strong = new Set(strongMembers(members));
+  const ranked = rankByRendezvous(members, {
+    key: workspace,
+    name: (member) => member.name,
+  });
+  return [
+    ...ranked.filter((m) => strong.has(m)),
+    ...ranked.filter((m) => !strong.has(m)),
+  ].slice(0, count);
+}
--- a/packages/serving/src/testing/rate_fleet_simulation.ts
+++ b/packages/serving/src/testing/rate_fleet_simulation.ts
@@ -18,9 +18,11 @@
   type Process,
   role,
 } from "./fleet_parts.ts";
+import type { LoanReply, LoanSearch } from "../rate_lenders.ts";
 import {
   type Envelope,
   type InstanceId,
+  type SimulatedLoan,
   startInstance,
 } from "./simulated_instance.ts";
 
@@ -50,6 +52,16 @@
   return new FleetSimulation(options).run();
 }
 
+/** A request that looks for units of other instances. */
+interface BorrowingRequest {
+  readonly id: InstanceId;
+  readonly process: Process;
+  readonly units: number;
+  readonly search: LoanSearch;
+  readonly now: number;
+  readonly startedAt: number;
+}
+
 class FleetSimulation {
   readonly #options: FleetOptions;
   readonly #random: () => number;
@@ -130,6 +142,8 @@
         limit,
         windowMs: WINDOW_MS,
         startedAt: now,
+        random: this.#random,
+        placeOf: role,
       }),
       number,
       startedAt: now,
@@ -184,23 +198,98 @@
     } = this.#options;
     const isMeasured = now >= measuredFromMs;
     if (isMeasured) this.#requests += 1;
-    if (!process.instance.tryTake(units, now)) {
-      const isWithin = this.#admitted.inWindowAt(now) + units <=
+    const refuse = (at: number) => {
+      const isWithin = this.#admitted.inWindowAt(at) + units <=
         allowedUnits(limit);
       if (isMeasured && isWithin) this.#needlesslyRefused += 1;
-      return;
-    }
-    if (this.#random() >= refundedFraction) {
-      this.#admitted.add(units, now);
-      return;
+    };
+    const admit = (at: number, refund: (refundAt: number) => void) => {
+      if (this.#random() >= refundedFraction) {
+        this.#admitted.add(units, at);
+        return;
+      }
+      const refundAt = at + refundAfterMs;
+      this.#at(refundAt, () => {
+        if (this.#processes[id] === process) refund(refundAt);
+      });
+    };
+    const { instance } = process;
+    const taken = instance.tryTake(units, now);
+    if (taken !== undefined) {
+      return admit(now, (at) => instance.refund(taken, at));
     }
-    const refundAt = now + refundAfterMs;
-    this.#at(refundAt, () => {
-      if (this.#processes[id] !== process) return;
-      process.instance.refund(units, refundAt, now);
+    const search = instance.search(units, now);
+    this.#borrow({ id, process, units, search, now, startedAt: now }, {
+      admit,
+      refuse,
     });
   }
 
+  /** Asks the next lender of a search. */
+  #borrow(
+    request: BorrowingRequest,
+    outcome: {
+      readonly admit: (now: number, refund: (now: number) => void) => void;
+      readonly refuse: (now: number) => void;
+    },
+  ): void {
+    const { id, process, units, search, now, startedAt } = request;
+    if (this.#processes[id] !== process) return;
+    const offer = search.next(now - startedAt);
+    if (offer === undefined) return outcome.refuse(now);
+    const { validMs } = offer;
+    const to = Number(offer.lender.name);
+    const lender = this.#processes[to];
+    let loan: SimulatedLoan | undefined;
+    let isSettled = false;
+    const giveBack = (at: number) => {
+      const delayMs = this.#delayMs(id, { to, now: at });
+      if (delayMs === undefined) return;
+      this.#at(at + delayMs, () => {
+        if (this.#processes[to] === lender) loan?.takeBack(at + delayMs);
+      });
+    };
+    const settle = (reply: LoanReply | undefined, at: number) => {
+      if (isSettled || this.#processes[id] !== process) return;
+      isSettled = true;
+      if (search.accept(offer, { reply, elapsedMs: at - now })) {
+        return outcome.admit(at, giveBack);
+      }
+      if (reply === undefined || reply.ok) giveBack(at);
+      this.#borrow({ ...request, now: at }, outcome);
+    };
+    const timeoutAt = now + Math.ceil(validMs / STEP_MS) * STEP_MS;
+    this.#at(timeoutAt, () => settle(undefined, timeoutAt));
+    const delayMs = this.#delayMs(id, { to, now });
+    if (lender === undefined || delayMs === undefined) return;
+    const askedAt = now + delayMs;
+    this.#at(askedAt, () => {
+      if (this.#processes[to] !== lender) return;
+      const given = lender.instance.lend(units, { validMs, now: askedAt });
+      loan = given;
+      const replyMs = this.#delayMs(to, { to: id, now: askedAt });
+      if (replyMs === undefined) return;
+      const repliedAt = askedAt + replyMs;
+      this.#at(repliedAt, () => settle(given.reply, repliedAt));
+    });
+  }
+
+  /** Time that a message takes; undefined if it is lost. */
+  #delayMs(
+    from: InstanceId,
+    { to, now }: { readonly to: InstanceId; readonly now: number },
+  ): number | undefined {
+    const random = this.#linkRandom();
+    const delayMs = this.#options.delayMs === undefined
+      ? 0
+      : this.#options.delayMs({ from, to, now, random });
+    if (delayMs === undefined) return undefined;
+    const networkMs = role(from).region === role(to).region
+      ? SAME_REGION_DELAY_MS
+      : OTHER_REGION_DELAY_MS;
+    return Math.ceil((networkMs + delayMs) / STEP_MS) * STEP_MS;
+  }
+
   #sendReports(now: number): void {
     const { instances } = this.#options;
     for (let from = 0; from < instances; from++) {
@@ -234,7 +323,6 @@
   ): void {
     const { from, to, now, intervalMs } = options;
     const receiver = this.#processes[to];
-    const random = this.#linkRandom();
     if (receiver === undefined) return;
     const exchange = exchangeWith(process, { id: to, peer: receiver });
     exchange.sent += 1;
@@ -254,16 +342,11 @@
         : now - exchange.knownSince,
       seq: exchange.sent,
     }, now);
-    const delayMs = this.#options.delayMs === undefined
-      ? 0
-      : this.#options.delayMs({ from, to, now, random });
+    const delayMs = this.#delayMs(from, { to, now });
     if (delayMs === undefined) return;
     const key = `${from} ${to}`;
-    const networkMs = role(from).region === role(to).region
-      ? SAME_REGION_DELAY_MS
-      : OTHER_REGION_DELAY_MS;
     const arrivesAt = Math.max(
-      Math.ceil((now + networkMs + delayMs) / STEP_MS) * STEP_MS,
+      now + delayMs,
       this.#lastArrival.get(key) ?? -Infinity,
     );
     this.#lastArrival.set(key, arrivesAt);
--- a/packages/serving/src/testing/simulated_instance.ts
+++ b/packages/serving/src/testing/simulated_instance.ts
@@ -4,14 +4,28 @@
  * @module
  */
 import { MemberTable } from "../member_table.ts";
-import { type RateLimit, TokenRate } from "../token_rate.ts";
+import { type LoanReply, LoanSearch, RateLenders } from "../rate_lenders.ts";
+import { rateSharers } from "../rate_sharers.ts";
+import {
+  type RateLimit,
+  type TakenUnits,
+  TokenRate,
+  unitsInWindow,
+} from "../token_rate.ts";
+import type { Member } from "../types.ts";
 
 /** How long a peer's process counts as new, in milliseconds: reports to it have
- * the sender's level. */
+ * what the peer's earlier process had left. */
 const NEW_PEER_MS = 1500;
 
-/** Number of reports to a peer after which the use is repeated unchanged. */
-const REFRESH_EVERY_REPORTS = 10;
+/** How long requests may wait for units of other instances, in milliseconds: a
+ * quarter of their deadline. The deployments' generations have a deadline of 12
+ * s, one in four of 3 s. */
+const WAIT_MAX_MS = 3000;
+const SHORT_WAIT_MAX_MS = 750;
+const SHORT_WAIT_FRACTION = 0.25;
+
+const WORKSPACE = "w";
 
 /** Number that identifies an instance; its processes have the same. */
 export type InstanceId = number;
@@ -31,10 +45,17 @@
   readonly upMs: number;
 }
 
-/** Content of a report. */
+/** Content of a report: units left of the sender's share, and those that an
+ * earlier process of the receiver had left. */
 export interface UseReport {
-  readonly used: number | undefined;
-  readonly level: number | undefined;
+  readonly room: number;
+  readonly formerRoom: number | undefined;
+}
+
+/** Units that were lent, or the refusal to lend them. */
+export interface SimulatedLoan {
+  readonly reply: LoanReply;
+  readonly takeBack: (now: number) => void;
 }
 
 /** The receiver of a report. */
@@ -49,9 +70,14 @@
 
 /** A process of the simulated fleet. */
 export interface SimulatedInstance {
-  readonly tryTake: (units: number, now: number) => boolean;
-  /** Refunds units that were taken at `takenAt`. */
-  readonly refund: (units: number, now: number, takenAt: number) => void;
+  readonly tryTake: (units: number, now: number) => TakenUnits | undefined;
+  readonly refund: (taken: TakenUnits, now: number) => void;
+  /** The search for units of other instances. */
+  readonly search: (units: number, now: number) => LoanSearch;
+  readonly lend: (
+    units: number,
+    options: { readonly validMs: number; readonly now: number },
+  ) => SimulatedLoan;
   readonly report: (to: Receiver, now: number) => UseReport;
   readonly receive: (
     report: UseReport,
@@ -62,6 +88,11 @@
 /** Where and when a process starts. */
 export interface InstanceContext {
   readonly id: InstanceId;
+  readonly random: () => number;
+  /** Where an instance is. */
+  readonly placeOf: (
+    id: InstanceId,
+  ) => { readonly zone: string; readonly region: string };
   /** The peers that the process knows at its start. It learns of others from
    * their first reports. */
   readonly peers: readonly InstanceId[];
@@ -73,39 +104,80 @@
 /** Starts a process. This is the only function that calls the code under test.
  */
 export function startInstance(context: InstanceContext): SimulatedInstance {
-  const { id, peers, limit, windowMs, startedAt } = context;
-  const rate = new TokenRate(limit, { now: startedAt, windowMs });
-  const members = new MemberTable(`${id}`, startedAt);
-  for (const peer of peers) members.add(member(peer));
-  const sent = new Map<
-    InstanceId,
-    { process: number; used: number; reports: number }
+  const { id, peers, limit, windowMs, startedAt, random } = context;
+  const memberOf = (peer: InstanceId): Member => ({
+    name: `${peer}`,
+    ...context.placeOf(peer),
+    peerAddress: "",
+    callerAddress: "",
+    incarnation: "",
+    cores: 1,
+  });
+  const self = memberOf(id);
+  const rate = new TokenRate(limit, {
+    now: startedAt,
+    windowMs,
+    hasEarlierUse: true,
+  });
+  const lenders = new RateLenders(self, random);
+  const members = new MemberTable(self.name, startedAt);
+  let sharers: readonly Member[] = [];
+  const addMember = (peer: InstanceId) => members.add(memberOf(peer));
+  const updateShare = (now: number) => {
+    sharers = rateSharers([self, ...members.list()], {
+      workspace: WORKSPACE,
+      limit,
+      windowMs,
+    });
+    const isSharer = sharers.some(({ name }) => name === self.name);
+    rate.setShare(isSharer ? 1 / sharers.length : 0, now);
+  };
+  for (const peer of peers) addMember(peer);
+  updateShare(startedAt);
+  const roomAt = (now: number) => Math.max(0, Math.floor(rate.levelAt(now)));
+  /** Which process of a peer is known, and what the one before had left. */
+  const processes = new Map<
+    string,
+    { readonly number: number; readonly formerRoom: number }
   >();
-  let silent = { at: NaN, share: 0 };
   return {
-    tryTake: (units, now) => {
-      if (silent.at !== now) {
-        silent = { at: now, share: members.silentShare(now) };
-      }
-      rate.advance(now, silent.share);
-      return rate.tryTake(units);
+    tryTake: (units, now) => rate.tryTake(units, { now }),
+    refund: (taken, now) => rate.refund(taken, now),
+    search: (units, now) =>
+      new LoanSearch(
+        lenders,
+        sharers.filter(({ name }) => members.isAlive(name, now)),
+        {
+          workspace: WORKSPACE,
+          units,
+          fullRoom: unitsInWindow(limit, windowMs) / sharers.length,
+          waitMaxMs: random() < SHORT_WAIT_FRACTION
+            ? SHORT_WAIT_MAX_MS
+            : WAIT_MAX_MS,
+        },
+      ),
+    lend: (units, { validMs, now }) => {
+      const taken = rate.tryTake(units, { now, validMs });
+      return {
+        reply: { ok: taken !== undefined, room: roomAt(now) },
+        takeBack: (at) => {
+          if (taken !== undefined) rate.refund(taken, at);
+        },
+      };
     },
-    refund: (units) => rate.refund(units),
     report: (to, now) => {
-      const last = sent.get(to.id);
-      const isSame = last?.process === to.process;
-      const reports = (isSame ? last.reports : 0) + 1;
-      const used = isSame && last.used === rate.used &&
-          reports % REFRESH_EVERY_REPORTS !== 0
-        ? undefined
-        : rate.used;
-      sent.set(to.id, { process: to.process, used: rate.used, reports });
       const isNew = to.knownForMs !== undefined && to.knownForMs <= NEW_PEER_MS;
-      return { used, level: isNew ? rate.levelAt(now) : undefined };
+      return {
+        room: roomAt(now),
+        formerRoom: isNew ? processes.get(`${to.id}`)?.formerRoom : undefined,
+      };
     },
-    receive: ({ used, level }, { envelope, now }) => {
+    receive: ({ room, formerRoom }, { envelope, now }) => {
       const peer = `${envelope.from}`;
-      if (members.get(peer) === undefined) members.add(member(envelope.from));
+      if (members.get(peer) === undefined) {
+        addMember(envelope.from);
+        updateShare(now);
+      }
       members.setState(peer, now, {
         leaving: false,
         ready: true,
@@ -116,31 +188,18 @@
         reachesStore: true,
         tenure: undefined,
       });
-      if (used !== undefined) {
-        rate.recordPeerUse(peer, {
-          incarnation: `${envelope.process}`,
-          used,
-          digestIntervalMs: envelope.intervalMs,
-          now,
+      if (processes.get(peer)?.number !== envelope.process) {
+        processes.set(peer, {
+          number: envelope.process,
+          formerRoom: lenders.roomOf(WORKSPACE, peer) ?? 0,
         });
       }
+      lenders.recordRoom(WORKSPACE, peer, room);
       const upMs = now - startedAt;
       if (
-        level !== undefined && envelope.upMs > upMs + NEW_PEER_MS &&
+        formerRoom !== undefined && envelope.upMs > upMs + NEW_PEER_MS &&
         upMs < NEW_PEER_MS * 2
-      ) rate.adoptLevel(level, now);
+      ) rate.adoptLevel(formerRoom, now);
     },
   };
 }
-
-function member(id: InstanceId) {
-  return {
-    name: `${id}`,
-    zone: "",
-    region: "",
-    peerAddress: "",
-    callerAddress: "",
-    incarnation: "",
-    cores: 1,
-  };
-}
--- a/packages/serving/src/token_rate.ts
+++ b/packages/serving/src/token_rate.ts
@@ -1,26 +1,28 @@
-/** Rate limit of a workspace over all instances, by a sliding window that each
- * instance keeps from its peers' reports.
+/** Rate limit of a workspace over all instances.
  *
  * Within any window of the deployment's length a workspace may use its rate
- * times the window, plus its burst once. Each instance adds its own use to the
- * window at once, and its peers' use when they report it. Use since a peer's
- * last report is estimated; otherwise a burst would be admitted at every
- * instance until the reports arrive. An instance does not use the equal share
- * of an unresponsive peer, so the sides of a network partition together cannot
- * exceed the limit.
+ * times the window, plus its burst once. No instance sees what all of them
+ * admit, and reports of it are late exactly when much is admitted. Therefore
+ * each instance has a share of the limit and counts only what was used of that
+ * share, by itself or by instances to which it lent units. The invariants:
+ *
+ * 1. The shares add up to one.
+ * 2. What was used of a share within a window is at most the share of the limit,
+ *    whatever other instances do or report.
+ * 3. Units that were lent count until the window has passed the end of the loan,
+ *    whether they were used or not.
+ * 4. A share that grows brings no units that its former holder may have used.
  *
  * @module
  */
-import { BUCKET_MS, SlidingWindow } from "./sliding_window.ts";
+import { UseWindow } from "./use_window.ts";
 
-/** Fraction of the limit that counts as used when a process starts: other
- * instances may have used it just before all of them were lost. It leaves the
- * window like any other use. If only one process starts, it adopts the level of
- * an instance that kept running. */
-const START_USED_FRACTION = 0.8;
+/** Longest time for which units are lent, in milliseconds. */
+export const LOAN_MAX_MS = 3000;
 
-/** Number of buckets in which the peers' recent use is measured. */
-const PEER_USE_BUCKETS = 3;
+/** Fraction of a share that counts as used when a process starts: an earlier
+ * process may have used it. It leaves the window like any other use. */
+const START_USED_FRACTION = 0.8;
 
 /** Fraction of the burst that large requests leave to small ones: an
  * application's small call costs a fraction of a generation, and must not
@@ -30,103 +32,67 @@
 /** Fraction of the burst above which a request is large. */
 const LARGE_REQUEST_FRACTION = 0.005;
 
-/** Factor per report by which the assumed age of the peers' reports falls when
- * they arrive more often. */
-const REPORT_AGE_DECAY = 0.95;
-
 /** A workspace's limits, in units. */
 export interface RateLimit {
   readonly perSecond: number;
   readonly burst: number;
 }
 
-/** What a view of a workspace's use consists of, in units, for logs. */
-export interface RateState {
-  /** What may be used in a window. */
-  readonly allowed: number;
-  /** What this instance counts in its window: its own use, that in reports, and
-   * the initial level. */
-  readonly window: number;
-  readonly own: number;
-  /** Estimate of what peers have used since their reports. */
-  readonly estimated: number;
-  /** Since the start of the process: admitted less refunded; refunded; and what
-   * the first reports of peers' processes said, which is not in the window. */
-  readonly used: number;
-  readonly refunded: number;
-  readonly firstReports: number;
-  readonly peers: number;
-  /** The age that the estimate assumes, in milliseconds. */
-  readonly assumedAgeMs: number;
+/** Units that were taken from a share, to be given back if the request did not
+ * run. */
+export interface TakenUnits {
+  readonly units: number;
+  /** Where the window counts them. */
+  readonly bucket: number;
+}
+
+/** Units that a limit allows within a window.
+ *
+ * @example
+ * ```ts
+ * unitsInWindow({ perSecond: 1000, burst: 2000 }, 8000); // 10000
+ * ```
+ */
+export function unitsInWindow(limit: RateLimit, windowMs: number): number {
+  return limit.perSecond * windowMs / 1000 + limit.burst;
 }
 
-/** One workspace's use and level in the view of one instance. */
+/** One instance's share of a workspace's limit. */
 export class TokenRate {
   #limit: RateLimit;
   readonly #windowMs: number;
-  readonly #window: SlidingWindow;
-  readonly #ownUse: SlidingWindow;
-  /** The peers' recent use. */
-  readonly #peerUse: SlidingWindow;
-  #now: number;
-  #unresponsiveFraction = 0;
-  #used = 0;
-  #refunded = 0;
-  #firstReports = 0;
-  /** Assumed age of the peers' reports, in milliseconds. */
-  #reportAgeMs = 0;
-  readonly #reportedByPeer = new Map<
-    string,
-    { incarnation: string; used: number }
-  >();
+  readonly #window: UseWindow;
+  readonly #hasEarlierUse: boolean;
+  #share = 0;
+  #isShared = false;
 
+  /** `hasEarlierUse` is whether an earlier process of this instance may have
+   * used the limit within the last window. */
   constructor(
     limit: RateLimit,
-    options: { readonly now: number; readonly windowMs: number },
+    options: {
+      readonly now: number;
+      readonly windowMs: number;
+      readonly hasEarlierUse: boolean;
+    },
   ) {
-    const { now, windowMs } = options;
     this.#limit = limit;
-    this.#windowMs = windowMs;
-    this.#now = now;
-    // One bucket more than the window needs, so that no use leaves it too
-    // early.
-    const bucketCount = Math.ceil(windowMs / BUCKET_MS) + 1;
-    this.#window = new SlidingWindow(bucketCount, now);
-    this.#ownUse = new SlidingWindow(bucketCount, now);
-    this.#peerUse = new SlidingWindow(PEER_USE_BUCKETS, now);
-    this.#window.addEvenly(this.#allowedUnits * START_USED_FRACTION);
-  }
-
-  /** Units that this process has admitted since its start. */
-  get used(): number {
-    return this.#used;
-  }
-
-  /** Units left as of the last `advance`; below zero after peers have reported
-   * more use than was left. */
-  get level(): number {
-    return this.#allowedUnits - this.#window.total - this.#unreportedUse;
+    this.#windowMs = options.windowMs;
+    this.#hasEarlierUse = options.hasEarlierUse;
+    this.#window = new UseWindow(options.now, {
+      windowMs: options.windowMs,
+      futureMs: LOAN_MAX_MS,
+    });
   }
 
-  /** Units left at `now`. */
-  levelAt(now: number): number {
-    this.advance(now, this.#unresponsiveFraction);
-    return this.level;
+  /** The limit of all instances together. */
+  get limit(): RateLimit {
+    return this.#limit;
   }
 
-  /** What the level consists of, as of the last `advance`. */
-  get state(): RateState {
-    return {
-      allowed: Math.round(this.#allowedUnits),
-      window: Math.round(this.#window.total),
-      own: Math.round(this.#ownUse.total),
-      estimated: Math.round(this.#unreportedUse),
-      used: Math.round(this.#used),
-      refunded: Math.round(this.#refunded),
-      firstReports: Math.round(this.#firstReports),
-      peers: this.#reportedByPeer.size,
-      assumedAgeMs: Math.round(this.#reportAgeMs),
-    };
+  /** This instance's share of the limit, in [0, 1]. */
+  get share(): number {
+    return this.#share;
   }
 
   /** Replaces the limit. */
@@ -134,119 +100,80 @@
     this.#limit = limit;
   }
 
-  /** Moves the window to `now`. `unresponsiveFraction` is the fraction of all
-   * instances that is unresponsive. */
-  advance(now: number, unresponsiveFraction: number): void {
-    this.#now = now;
-    this.#unresponsiveFraction = unresponsiveFraction;
+  /** Replaces the share at `now`. */
+  setShare(share: number, now: number): void {
+    const growth = share - this.#share;
+    if (growth === 0) return;
     this.#window.advance(now);
-    this.#ownUse.advance(now);
-    this.#peerUse.advance(now);
-  }
-
-  /** Records a peer's report, received at `now`, of the units that its process
-   * has admitted since its start. The peer reports every `digestIntervalMs`. */
-  recordPeerUse(
-    peer: string,
-    report: {
-      readonly incarnation: string;
-      readonly used: number;
-      readonly digestIntervalMs: number;
-      readonly now: number;
-    },
-  ): void {
-    const { incarnation, used, digestIntervalMs, now } = report;
-    // The window may not have moved for long: the reported use must not count
-    // in an old bucket.
-    this.advance(now, this.#unresponsiveFraction);
-    const previous = this.#reportedByPeer.get(peer);
-    const previousUsed = previous?.incarnation === incarnation
-      ? previous.used
-      : undefined;
-    if (previousUsed !== undefined && used < previousUsed) return;
-    this.#reportedByPeer.set(peer, { incarnation, used });
-    this.#reportAgeMs = Math.max(
-      digestIntervalMs,
-      this.#reportAgeMs * REPORT_AGE_DECAY,
-    );
-    // The first report of a peer's process: use before it is already part of
-    // this process's initial level.
-    if (previousUsed === undefined) {
-      this.#firstReports += used;
-      return;
-    }
-    this.#window.add(used - previousUsed);
-    this.#peerUse.add(used - previousUsed);
+    this.#share = share;
+    const addedUnits = growth * unitsInWindow(this.#limit, this.#windowMs);
+    if (!this.#isShared) {
+      if (this.#hasEarlierUse) {
+        this.#window.addEvenly(addedUnits * START_USED_FRACTION);
+      }
+    } else if (growth > 0) this.#window.add(addedUnits, now);
+    this.#isShared = true;
+  }
+
+  /** Units left of the share at `now`; below zero if the share or the limit was
+   * lowered. */
+  levelAt(now: number): number {
+    this.#window.advance(now);
+    return this.#shareUnits - this.#window.total;
   }
 
-  /** Adopts the level of an instance that has run for longer, if that level is
-   * lower. */
+  /** Lowers the level to what an earlier process of this instance had left, as
+   * far as peers know. */
   adoptLevel(level: number, now: number): void {
-    const ownLevel = this.levelAt(now);
-    if (level < ownLevel) this.#window.addEvenly(ownLevel - level);
+    const surplus = this.levelAt(now) - level;
+    if (surplus > 0) this.#window.add(surplus, now);
   }
 
-  /** Uses `units` if the level allows it. Returns whether it does.
+  /** Takes units from the share if enough are left; returns undefined if not.
+   * Units for another instance count from the end of the loan, `validMs` after
+   * `now`.
    *
    * @example
    * ```ts
-   * rate.advance(performance.now(), 0);
-   * if (!rate.tryTake(1200)) refuse(rate.waitMs(1200));
+   * const taken = rate.tryTake(1200, { now: performance.now() });
+   * if (taken === undefined) refuse(rate.waitMs(1200, performance.now()));
    * ```
    */
-  tryTake(units: number): boolean {
-    if (this.level < this.#requiredLevel(units)) return false;
-    this.#window.add(units);
-    this.#ownUse.add(units);
-    this.#used += units;
-    return true;
-  }
-
-  /** Refunds the units of a request that did not run. */
-  refund(units: number): void {
-    this.#window.add(-units);
-    this.#ownUse.add(-units);
-    this.#used -= units;
-    this.#refunded += units;
-  }
-
-  /** Milliseconds until `units` are available if no other request uses any. */
-  waitMs(units: number): number {
-    const missing = this.#requiredLevel(units) - this.level;
-    return missing <= 0 ? 0 : this.#window.waitMs(missing, this.#now);
-  }
-
-  get #allowedUnits(): number {
-    const { perSecond, burst } = this.#limit;
-    const limit = perSecond * this.#windowMs / 1000 + burst;
-    return limit * (1 - this.#unresponsiveFraction);
+  tryTake(
+    units: number,
+    options: { readonly now: number; readonly validMs?: number },
+  ): TakenUnits | undefined {
+    const { now, validMs = 0 } = options;
+    if (
+      this.#share <= 0 || this.levelAt(now) < this.#requiredLevel(units)
+    ) return undefined;
+    return { units, bucket: this.#window.add(units, now + validMs) };
+  }
+
+  /** Gives units back that were not used. */
+  refund(taken: TakenUnits, now: number): void {
+    this.#window.advance(now);
+    this.#window.remove(taken.units, taken.bucket);
   }
 
-  /** Estimate of the peers' use since their last reports: at their recent rate,
-   * or in proportion to this instance's recent use, whichever is more. */
-  get #unreportedUse(): number {
-    const estimateFromPeers = this.#peerUse.unitsPerMs(this.#now) *
-      this.#reportAgeMs;
-    const bucketCount = Math.ceil(this.#reportAgeMs / BUCKET_MS) + 1;
-    const estimateFromOwn = this.#ownUse.recentUnits(bucketCount) *
-      (1 / this.#ownShare - 1);
-    return Math.max(estimateFromPeers, estimateFromOwn);
+  /** Milliseconds from `now` until the share has enough units for a request, if
+   * no other request uses any. */
+  waitMs(units: number, now: number): number {
+    const missing = this.#requiredLevel(units) - this.levelAt(now);
+    return missing <= 0 ? 0 : this.#window.waitMs(missing, now);
   }
 
-  /** This instance's fraction of all use in the window, or an equal share if
-   * that is more. */
-  get #ownShare(): number {
-    const equalShare = 1 / (this.#reportedByPeer.size + 1);
-    const measuredShare = this.#ownUse.total / Math.max(1, this.#window.total);
-    return Math.min(1, Math.max(equalShare, measuredShare));
+  get #shareUnits(): number {
+    return this.#share * unitsInWindow(this.#limit, this.#windowMs);
   }
 
-  /** The level from which a request of `units` is admitted. */
+  /** The level from which a request of `units` is admitted. A request above the
+   * whole share is admitted when nothing of it was used. */
   #requiredLevel(units: number): number {
     const { burst } = this.#limit;
     const reservedUnits = units > burst * LARGE_REQUEST_FRACTION
-      ? burst * SMALL_REQUEST_RESERVE_FRACTION
+      ? burst * SMALL_REQUEST_RESERVE_FRACTION * this.#share
       : 0;
-    return Math.min(units + reservedUnits, this.#allowedUnits);
+    return Math.min(units + reservedUnits, this.#shareUnits);
   }
 }
--- a/packages/serving/src/token_rate_fleet_test.ts
+++ b/packages/serving/src/token_rate_fleet_test.ts
@@ -133,15 +133,18 @@
 // Guards against units that a process counts as used although they were
 // refunded, or the reverse.
 test("use follows requests taken and refunded", () => {
-  const rate = new TokenRate(LIMIT, { now: -60_000, windowMs: 8000 });
-  rate.advance(0, 0);
-  const before = rate.level;
-  expect(rate.tryTake(3000)).toBe(true);
-  expect(rate.tryTake(2000)).toBe(true);
-  expect(rate.used).toBe(5000);
-  rate.advance(3000, 0);
-  rate.refund(3000);
-  expect(rate.used).toBe(2000);
+  const rate = new TokenRate(LIMIT, {
+    now: -60_000,
+    windowMs: 8000,
+    hasEarlierUse: false,
+  });
+  rate.setShare(1, -60_000);
+  const before = rate.levelAt(0);
+  const first = rate.tryTake(3000, { now: 0 });
+  if (first === undefined) throw new Error("refused");
+  expect(rate.tryTake(2000, { now: 0 })).toBeDefined();
+  expect(rate.levelAt(0)).toBe(before - 5000);
+  rate.refund(first, 3000);
   expect(rate.levelAt(3000)).toBe(before - 2000);
   expect(rate.levelAt(9000)).toBe(before);
 });
--- a/packages/serving/src/token_rate_test.ts
+++ b/packages/serving/src/token_rate_test.ts
@@ -9,15 +9,31 @@
   return perSecond * WINDOW_MS / 1000 + burst;
 }
 
-/** A rate whose window is empty, since its process started long ago. */
-function emptyRate(limit: RateLimit): TokenRate {
-  const rate = new TokenRate(limit, { now: -60_000, windowMs: WINDOW_MS });
-  rate.advance(0, 0);
+/** A whole limit of which nothing was used. */
+function emptyRate(limit: RateLimit, share = 1): TokenRate {
+  const rate = new TokenRate(limit, {
+    now: 0,
+    windowMs: WINDOW_MS,
+    hasEarlierUse: false,
+  });
+  rate.setShare(share, 0);
   return rate;
 }
 
-/** Runs instances that report their use to each other every `reportIntervalMs`.
- * Returns the most units admitted within any window, and all that were
+/** Whether the rate admits a request at `now`. */
+function admits(rate: TokenRate, units: number, now = 0): boolean {
+  return rate.tryTake(units, { now }) !== undefined;
+}
+
+/** Units of requests that the rate admits at `now`, until it refuses one. */
+function admitAll(rate: TokenRate, units: number, now = 0): number {
+  let used = 0;
+  while (admits(rate, units, now)) used += units;
+  return used;
+}
+
+/** Runs instances with equal shares that lend each other units, valid for
+ * `loanMs`. Returns the most units admitted within any window, and all that were
  * admitted. */
 function runFleet(
   limit: RateLimit,
@@ -28,37 +44,30 @@
      * each. */
     readonly requests: number;
     readonly units: number;
-    readonly reportIntervalMs: number;
+    readonly loanMs: number;
     readonly connected: (a: number, b: number) => boolean;
   },
 ): { readonly maxInWindow: number; readonly total: number } {
-  const { instances, seconds, requests, units, reportIntervalMs, connected } =
-    options;
-  const rates = Array.from({ length: instances }, () => emptyRate(limit));
+  const { instances, seconds, requests, units, loanMs, connected } = options;
+  const rates = Array.from(
+    { length: instances },
+    () => emptyRate(limit, 1 / instances),
+  );
   const steps: number[] = [];
   let maxInWindow = 0;
   for (let now = 0; now < seconds * 1000; now += 10) {
     let used = 0;
     rates.forEach((rate, i) => {
-      const silent = rates.filter((_, j) => j !== i && !connected(i, j)).length;
-      rate.advance(now, silent / instances);
-      for (let n = 0; n < requests; n++) if (rate.tryTake(units)) used += units;
+      for (let n = 0; n < requests; n++) {
+        const lends = (lender: TokenRate, j: number) =>
+          j !== i && connected(i, j) &&
+          lender.tryTake(units, { now, validMs: loanMs }) !== undefined;
+        if (admits(rate, units, now) || rates.some(lends)) used += units;
+      }
     });
     steps.push(used);
     const window = steps.slice(-WINDOW_MS / 10).reduce((a, b) => a + b, 0);
     maxInWindow = Math.max(maxInWindow, window);
-    if (now % reportIntervalMs !== 0) continue;
-    rates.forEach((rate, i) =>
-      rates.forEach((other, j) => {
-        if (i === j || !connected(i, j)) return;
-        rate.recordPeerUse(`${j}`, {
-          incarnation: "one",
-          used: other.used,
-          digestIntervalMs: reportIntervalMs,
-          now,
-        });
-      })
-    );
   }
   return { maxInWindow, total: steps.reduce((a, b) => a + b, 0) };
 }
@@ -71,26 +80,25 @@
     seconds: 24,
     requests: 1,
     units: 50,
-    reportIntervalMs: 200,
+    loanMs: 250,
     connected: allConnected,
   });
-  // The deployments allow a tenth and 17,000 units beyond the limit.
-  expect(maxInWindow).toBeLessThan(allowed(LIMIT) * 1.1 + 17_000);
+  expect(maxInWindow).toBeLessThanOrEqual(allowed(LIMIT));
   expect(total).toBeGreaterThan(allowed(LIMIT) * 3 * 0.85);
 });
 
-test("flood: use that peers have not reported yet is not admitted twice", () => {
+test("flood: units that were lent are not admitted twice", () => {
   const limit = { perSecond: 60_000, burst: 200_000 };
-  for (const reportIntervalMs of [200, 600]) {
+  for (const loanMs of [250, 750]) {
     const { maxInWindow, total } = runFleet(limit, {
       instances: 9,
       seconds: 24,
       requests: 1,
       units: 1000,
-      reportIntervalMs,
+      loanMs,
       connected: allConnected,
     });
-    expect(maxInWindow).toBeLessThan(allowed(limit) * 1.1 + 17_000);
+    expect(maxInWindow).toBeLessThanOrEqual(allowed(limit));
     expect(total).toBeGreaterThan(allowed(limit) * 3 * 0.85);
   }
 });
@@ -102,7 +110,7 @@
     seconds,
     requests: 1,
     units: 2.4,
-    reportIntervalMs: 200,
+    loanMs: 250,
     connected: allConnected,
   });
   // More than a token bucket admits, which gives one burst over the whole time.
@@ -115,91 +123,113 @@
     seconds: 24,
     requests: 1,
     units: 50,
-    reportIntervalMs: 200,
+    loanMs: 250,
     connected: (a, b) => (a < 4) === (b < 4),
   });
-  expect(maxInWindow).toBeLessThan(allowed(LIMIT) * 1.1 + 17_000);
+  expect(maxInWindow).toBeLessThanOrEqual(allowed(LIMIT));
 });
 
 test("a lowered limit takes effect at once", () => {
   const rate = emptyRate(LIMIT);
   rate.setLimit({ perSecond: 10, burst: 100 });
-  expect(rate.tryTake(170)).toBe(true);
-  expect(rate.tryTake(11)).toBe(false);
+  expect(admits(rate, 170)).toBe(true);
+  expect(admits(rate, 11)).toBe(false);
+});
+
+// Guards against units that both the old and the new holder of a share use.
+test("a share that grows brings its units a window later", () => {
+  const rate = emptyRate(LIMIT, 0.25);
+  rate.setShare(0.5, 1000);
+  expect(rate.levelAt(1000)).toBe(2500);
+  expect(rate.levelAt(1000 + WINDOW_MS - 1)).toBe(2500);
+  expect(rate.levelAt(1000 + WINDOW_MS + 500)).toBe(5000);
 });
 
-test("a restarted peer's use counts from its restart", () => {
+test("a share that shrinks takes its units away at once", () => {
+  const rate = emptyRate(LIMIT, 0.5);
+  expect(admits(rate, 4000)).toBe(true);
+  rate.setShare(0.25, 0);
+  expect(rate.levelAt(0)).toBe(-1500);
+});
+
+test("an instance without a share admits nothing by itself", () => {
   const rate = emptyRate(LIMIT);
-  const report = (incarnation: string, used: number) =>
-    rate.recordPeerUse("p", { incarnation, used, digestIntervalMs: 0, now: 0 });
-  report("one", 500);
-  report("one", 900);
-  expect(rate.levelAt(0)).toBe(9600);
-  report("two", 100);
-  expect(rate.levelAt(0)).toBe(9600);
-  report("two", 300);
-  expect(rate.levelAt(0)).toBe(9400);
+  rate.setShare(0, 0);
+  expect(admits(rate, 1)).toBe(false);
 });
 
-test("shift of callers: an instance without requests counts its peers' use", () => {
+// Guards against a loan that is used late, when the lender has forgotten it.
+test("lent units count until a window after the end of the loan", () => {
   const rate = emptyRate(LIMIT);
-  const report = (used: number, now: number) =>
-    rate.recordPeerUse("p", {
-      incarnation: "one",
-      used,
-      digestIntervalMs: 0,
-      now,
-    });
-  report(0, 0);
-  report(9900, 30_000);
-  rate.advance(30_200, 0);
-  expect(rate.tryTake(500)).toBe(false);
-  expect(rate.levelAt(60_000)).toBe(allowed(LIMIT));
+  rate.tryTake(10_000, { now: 0, validMs: 2000 });
+  expect(rate.levelAt(WINDOW_MS + 1999)).toBe(0);
+  expect(rate.levelAt(WINDOW_MS + 2500)).toBe(allowed(LIMIT));
+});
+
+// Guards against a refund that lowers the use of a later time.
+test("a refund frees the units of its own time only", () => {
+  const rate = emptyRate(LIMIT);
+  const early = rate.tryTake(6000, { now: 0 });
+  if (early === undefined) throw new Error("refused");
+  expect(admits(rate, 3000, 4000)).toBe(true);
+  rate.refund(early, 5000);
+  expect(rate.levelAt(5000)).toBe(7000);
+  const later = rate.tryTake(6000, { now: 5000 });
+  if (later === undefined) throw new Error("refused");
+  const afterWindow = 5000 + WINDOW_MS + 500;
+  expect(admits(rate, 4000, afterWindow)).toBe(true);
+  rate.refund(later, afterWindow);
+  expect(rate.levelAt(afterWindow)).toBe(allowed(LIMIT) - 4000);
 });
 
 test("use leaves the window after its length, and the wait ends then", () => {
   const rate = emptyRate(LIMIT);
-  expect(rate.tryTake(9800)).toBe(true);
-  expect(rate.tryTake(1000)).toBe(false);
-  const waitMs = rate.waitMs(1000);
+  expect(admits(rate, 9800)).toBe(true);
+  expect(admits(rate, 1000)).toBe(false);
+  const waitMs = rate.waitMs(1000, 0);
   expect(waitMs).toBeGreaterThanOrEqual(WINDOW_MS);
   expect(waitMs).toBeLessThan(WINDOW_MS + 600);
-  rate.advance(waitMs - 300, 0);
-  expect(rate.tryTake(1000)).toBe(false);
-  rate.advance(waitMs, 0);
-  expect(rate.tryTake(1000)).toBe(true);
+  expect(admits(rate, 1000, waitMs - 300)).toBe(false);
+  expect(admits(rate, 1000, waitMs)).toBe(true);
 });
 
 test("a request above the limit is admitted when nothing was used", () => {
   const rate = emptyRate(LIMIT);
-  expect(rate.tryTake(10_500)).toBe(true);
+  expect(admits(rate, 10_500)).toBe(true);
   expect(rate.levelAt(0)).toBe(-500);
 });
 
 test("generations that use up the rate leave units for small requests", () => {
   const rate = emptyRate({ perSecond: 10_000, burst: 40_000 });
-  while (rate.tryTake(1200));
-  expect(rate.tryTake(200)).toBe(true);
+  admitAll(rate, 1200);
+  expect(admits(rate, 200)).toBe(true);
 });
 
 test("instances restarted in series add no units", () => {
   const old = emptyRate(LIMIT);
-  while (old.tryTake(50));
-  const fresh = new TokenRate(LIMIT, { now: 0, windowMs: WINDOW_MS });
+  admitAll(old, 50);
+  const fresh = new TokenRate(LIMIT, {
+    now: 0,
+    windowMs: WINDOW_MS,
+    hasEarlierUse: true,
+  });
+  fresh.setShare(1, 0);
   fresh.adoptLevel(old.levelAt(0), 0);
-  expect(fresh.tryTake(50)).toBe(false);
+  expect(admits(fresh, 50)).toBe(false);
 });
 
 test("restart of all: use before it counts until the window has moved on", () => {
   const limit = { perSecond: 90_000, burst: 90_000 };
-  const rate = new TokenRate(limit, { now: 0, windowMs: WINDOW_MS });
-  let used = 0;
-  rate.advance(0, 0);
-  while (rate.tryTake(1200)) used += 1200;
+  const rate = new TokenRate(limit, {
+    now: 0,
+    windowMs: WINDOW_MS,
+    hasEarlierUse: true,
+  });
+  rate.setShare(1, 0);
+  let used = admitAll(rate, 1200);
   // Callers that return together are admitted, but get no second burst.
   expect(used).toBeGreaterThan(40_000);
   expect(used).toBeLessThan(allowed(limit) * 0.21);
-  rate.advance(4000, 0);
-  while (rate.tryTake(1200)) used += 1200;
+  used += admitAll(rate, 1200, 4000);
   expect(used).toBeLessThan(allowed(limit) * 0.65);
 });
