Fetch the configuration a fixed number of times for each region

Callers saw: requests reached engines more than half a second after they had left; beside it instances served an old configuration, and streams broke. Cause: every instance watched the configuration, and fetched it again when its confirmation timed out. The class: control traffic that costs nothing, by assumption. Change: only store readers watch the configuration. The lead is in the region that the store answers fastest; two relays in each other region ask it on behalf of theirs. Long lists are compressed between peers, a peer of another region is asked last, and an instance whose lead replies reads a list itself later.

--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -13,6 +13,7 @@
   type Member,
   type MemberTable,
   type PartQuarantine,
+  type PathDelays,
   type ReportRow,
   ticksBetweenDigests,
 } from "@banyanlb/serving";
@@ -20,6 +21,7 @@
 import * as events from "./events.ts";
 import type { Membership } from "./membership.ts";
 import type { PeerLinks } from "./peer_links.ts";
+import type { ReaderRoles } from "./reader_roles.ts";
 import { type Digest, SHARED_KINDS } from "./peer_messages.ts";
 import { SentRows } from "./sent_rows.ts";
 import type { SharedRecords } from "./shared_records.ts";
@@ -36,6 +38,10 @@
  * connection. */
 const REFRESH_EVERY_DIGESTS = 10;
 
+/** Number of ticks of which the time is known; an acknowledgement of an older
+ * one shows only that the peer is alive. */
+const TICKS_KEPT = 128;
+
 /** Request counts reported by a peer stay valid for this many of its digest
  * intervals, and at least for the minimum time, in milliseconds. */
 const COUNTS_VALID_DIGESTS = 4;
@@ -57,8 +63,9 @@
 /** The digests exchanged with one peer. */
 interface PeerState {
   readonly incarnation: string;
-  /** The newest tick received from the peer. */
+  /** The newest tick received from the peer, and when. */
   ack: number;
+  ackedAt: number;
   /** When the first digest arrived from the peer, by the monotonic clock;
    * undefined until then. */
   aliveSince: number | undefined;
@@ -83,6 +90,8 @@
   readonly use: AdapterUsageCounts;
   readonly quarantine: PartQuarantine;
   readonly limits: EngineLimits;
+  readonly roles: Pick<ReaderRoles, "expectsRecordsBefore">;
+  readonly pathDelays: PathDelays;
   readonly links: () => PeerLinks;
   readonly state: () => {
     readonly ready: boolean;
@@ -100,15 +109,20 @@
   readonly #options: DigestExchangeOptions;
   /** Number of the current tick. */
   #tick = 0;
+  /** When the latest ticks were. */
+  readonly #tickTimes = new Map<number, number>();
   readonly #peers = new Map<string, PeerState>();
   readonly #lagDetectors = {
-    configuration: new LagDetector(),
-    // Most instances read these kinds from the store rarely, so they pull the
-    // records at once from a peer that is ahead.
+    // Most instances read records from the store rarely, so they pull them at
+    // once from a peer that is ahead.
+    configuration: new LagDetector(0),
     engines: new LagDetector(0),
     versions: new LagDetector(0),
     assignment: new LagDetector(0),
   };
+  /** For a configuration that should reach this instance by another way first.
+   * It is long. */
+  readonly #expectedConfiguration = new LagDetector();
   /** The newest revisions announced so far, in the order of `SHARED_KINDS`. */
   #announcedRevisions: readonly number[] = [];
 
@@ -135,7 +149,10 @@
   send(isUrgent = false): void {
     const { members, membership, loader, self, use, engineTable } =
       this.#options;
+    const now = performance.now();
     this.#tick += 1;
+    this.#tickTimes.set(this.#tick, now);
+    this.#tickTimes.delete(this.#tick - TICKS_KEPT);
     const peers = members.list();
     const engines = [...engineTable.all()].map((view): EngineWithOwner => {
       const key = view.engine.key;
@@ -152,7 +169,6 @@
       orders: isOwner ? true as const : undefined,
     };
     const held = loader.held();
-    const now = performance.now();
     const rooms = this.#options.rates.roomRows(now);
     const { crashes, answers, holds } = this.#options.quarantine.report(now);
     const limits = this.#options.limits.report(now);
@@ -178,6 +194,7 @@
       const digest: Digest = {
         ...common,
         ack: peer.ack,
+        ackHeldMs: Math.round(now - peer.ackedAt),
         every: tickInterval === 1 ? undefined : tickInterval,
         flight: this.#inFlightFor(member.name, engines, ownersSumLoads),
         rooms: changed("rooms", rooms),
@@ -219,11 +236,19 @@
       orders: digest.orders === true,
       busy: (digest.busy ?? 0) / 100,
       reachesStore: digest.cut !== true,
+      storeRoundTripMs: digest.storeMs,
     });
     peer.ack = digest.seq;
-    if (digest.ack > 0) {
-      const ageMs = Math.max(0, this.#tick - digest.ack) * DIGEST_TICK_MS;
-      this.#options.links().confirmDelivery(member.peerAddress, now - ageMs);
+    peer.ackedAt = now;
+    const sentAt = this.#tickTimes.get(digest.ack);
+    if (sentAt !== undefined) {
+      this.#options.links().confirmDelivery(member.peerAddress, sentAt);
+      this.#options.pathDelays.record(from, {
+        region: member.region,
+        roundTripMs: Math.max(0, now - sentAt - (digest.ackHeldMs ?? 0)),
+        intervalMs,
+        at: now,
+      });
     }
     const validMs = Math.max(
       COUNTS_VALID_MIN_MS,
@@ -280,6 +305,7 @@
       serves: serves ? true as const : undefined,
       busy: Math.round(busy * 100) || undefined,
       cut: storeView.reachesStore ? undefined : true as const,
+      storeMs: roundUp(membership.storeRoundTripMs),
       tenure: membership.tenure,
       revs: this.#newestRevisions(),
       up: Math.round(performance.now()),
@@ -296,6 +322,7 @@
     const peer = {
       incarnation: member.incarnation,
       ack: 0,
+      ackedAt: 0,
       aliveSince: undefined,
       digestsSent: 0,
       lastSentTick: -Infinity,
@@ -365,11 +392,15 @@
    * this instance's watch has delivered: the watch may be dead, or the store
    * may be rejecting this instance. */
   #compareRevisions(member: Member, digest: Digest, now: number): void {
-    const { records } = this.#options;
+    const { records, roles } = this.#options;
+    const isExpected = roles.expectsRecordsBefore(member, now);
     SHARED_KINDS.forEach((kind, i) => {
       const follower = records.follower(kind);
       const announcedRevision = digest.revs[i] ?? 0;
-      const isBehind = this.#lagDetectors[kind].observe({
+      const detector = kind === "configuration" && isExpected
+        ? this.#expectedConfiguration
+        : this.#lagDetectors[kind];
+      const isBehind = detector.observe({
         // The revision up to which the watch has reported changes says nothing
         // about changes that it missed. For engines it is used nonetheless,
         // because the revision of a removal may differ between instances.
@@ -387,6 +418,10 @@
   }
 }
 
+function roundUp(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.ceil(ms);
+}
+
 function isRefreshDue(peer: PeerState): boolean {
   return peer.digestsSent % REFRESH_EVERY_DIGESTS === 0;
 }
--- a/packages/gateway/src/digest_exchange_test.ts
+++ b/packages/gateway/src/digest_exchange_test.ts
@@ -4,6 +4,7 @@
   EngineTable,
   MemberTable,
   PartQuarantine,
+  PathDelays,
   SystemClocks,
 } from "@banyanlb/serving";
 import pino from "pino";
@@ -77,6 +78,8 @@
       names: [own.member.name],
       isCutOff: false,
     })),
+    roles: { expectsRecordsBefore: () => true },
+    pathDelays: new PathDelays(),
     links: () => ({ confirmDelivery: () => undefined }) as unknown as PeerLinks,
     state: () => ({ ready: true, leaving: false, serves: true, busy: 0 }),
     log: new EventLog(pino({ level: "silent" })),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
   EngineTable,
   type Member,
   MemberTable,
+  PathDelays,
   RetryBudget,
   type Route,
   type SelectionContext,
@@ -100,6 +101,7 @@
   readonly #recordConfirmer: RecordConfirmer;
   readonly #digestExchange: DigestExchange;
   readonly #ownLoad = new OwnLoad();
+  readonly #pathDelays = new PathDelays();
   readonly #readerRoles: ReaderRoles;
   readonly #promptProtection: PromptProtection;
   readonly #engineLimits: EngineLimits;
@@ -148,6 +150,7 @@
       self: this.#self,
       members: this.#members,
       reachesStore: () => this.#storeView.reachesStore,
+      storeRoundTripMs: () => this.#membership.storeRoundTripMs,
       onBecomeReader: () => {
         this.#storeView.readNow();
         this.#membership.readNow();
@@ -213,6 +216,7 @@
       records: this.#records,
       unshared: [this.#membership.memberFollower],
       leads: () => this.#readerRoles.leads,
+      role: () => this.#readerRoles.role,
       links: () => this.#links,
     });
     this.#promptProtection = new PromptProtection({
@@ -249,6 +253,8 @@
       use,
       quarantine: this.#promptProtection.quarantine,
       limits: this.#engineLimits,
+      roles: this.#readerRoles,
+      pathDelays: this.#pathDelays,
       links: () => this.#links,
       state: () => ({
         ready: this.#isReady,
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -36,6 +36,9 @@
  * coordinator, in milliseconds: its entry only lets new members find it. */
 const IDLE_RENEWAL_INTERVAL_MS = 10_000;
 
+/** Number of renewals that are measured: a single one may be slow. */
+const RENEWALS_MEASURED = 4;
+
 /** Time between checks for unresponsive members and of the assignment, in
  * milliseconds. */
 const CHECK_INTERVAL_MS = 500;
@@ -68,8 +71,11 @@
  * those of peers. */
 const MEMBERS_CONFIRMATION_TIMES: ConfirmationTimes = {
   leadMs: 20_000,
+  relayedLeadMs: 20_000,
+  relayAskMs: Infinity,
   askMs: Infinity,
   readMs: 20_000,
+  readBesideLeadMs: 20_000,
 };
 const ASSIGNMENT_RECORD_NAME = "engines";
 
@@ -134,6 +140,9 @@
   readonly #orderAllowedAt = new Map<string, number>();
   readonly #ownerMemory = new OwnerMemory();
   #renewals = 0;
+  /** Durations of the latest renewals that the store answered, in
+   * milliseconds. */
+  readonly #renewalMs: number[] = [];
   #startCheck: (() => void) | undefined;
   #startRenewal: (() => void) | undefined;
   #isClosed = false;
@@ -193,6 +202,14 @@
       this.#lease.isHeld();
   }
 
+  /** Time of a small call to the store, in milliseconds: the shortest of the
+   * latest renewals. Undefined before the first. */
+  get storeRoundTripMs(): number | undefined {
+    return this.#renewalMs.length === 0
+      ? undefined
+      : Math.min(...this.#renewalMs);
+  }
+
   /** The follower of the members. */
   get memberFollower(): RecordFollower {
     return this.#memberFollower;
@@ -291,6 +308,8 @@
       });
       this.#setTenure(tenure);
       this.#lease.recordRenewal(sentAt);
+      this.#renewalMs.push(clocks.elapsedMs(sentAt));
+      if (this.#renewalMs.length > RENEWALS_MEASURED) this.#renewalMs.shift();
     } catch (err) {
       if (!(err instanceof StoreCallError)) throw err;
       if (err.failure === "not_found") this.#lease.revoke();
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -49,6 +49,11 @@
   readonly orders?: true;
   /** The store does not reply to the sender. */
   readonly cut?: true;
+  /** Time of the sender's small calls to the store, in milliseconds. */
+  readonly storeMs?: number;
+  /** Time from the arrival of the acknowledged digest to the sending of this
+   * one, in milliseconds. */
+  readonly ackHeldMs?: number;
   /** Percentage of time for which the sender is busy. */
   readonly busy?: number;
   readonly leaving?: true;
@@ -149,6 +154,8 @@
   readonly t: "pulled";
   readonly n: number;
   readonly list: RecordList | undefined;
+  /** The list as compressed text, if it is long. */
+  readonly packed?: string;
   /** Time since the list was known to be the newest, in milliseconds; null if
    * it never was. */
   readonly age?: number | null;
--- /dev/null
+++ b/packages/gateway/src/reader_roles_test.ts
@@ -0,0 +1,95 @@
+import { type Member, MemberTable } from "@banyanlb/serving";
+import { expect, test } from "vitest";
+import { ReaderRoles } from "./reader_roles.ts";
+
+const NEAR_ROUND_TRIP_MS = 5;
+const FAR_ROUND_TRIP_MS = 21;
+
+function memberOf(i: number): Member {
+  const region = i % 2 === 0 ? "far" : "near";
+  return {
+    name: `${region}${String(i).padStart(2, "0")}`,
+    zone: region,
+    region,
+    peerAddress: "",
+    callerAddress: "",
+    incarnation: "",
+    cores: 1,
+  };
+}
+
+/** The roles of each instance of a fleet in two regions, by name. */
+function rolesOf(size: number, isReachable = (_: string) => true) {
+  const members = Array.from({ length: size }, (_, i) => memberOf(i));
+  return new Map(members.map((self) => {
+    const table = new MemberTable(self.name, 0);
+    for (const member of members) {
+      table.add(member);
+      table.setState(member.name, 0, {
+        ready: true,
+        leaving: false,
+        digestIntervalMs: 200,
+        serves: true,
+        orders: true,
+        busy: 0,
+        reachesStore: isReachable(member.name),
+        storeRoundTripMs: roundTripOf(member),
+        tenure: undefined,
+      });
+    }
+    const roles = new ReaderRoles({
+      self,
+      members: table,
+      reachesStore: () => isReachable(self.name),
+      storeRoundTripMs: () => roundTripOf(self),
+      onBecomeReader: () => undefined,
+    });
+    roles.update(100);
+    return [self.name, roles] as const;
+  }));
+}
+
+function roundTripOf({ region }: Member): number {
+  return region === "near" ? NEAR_ROUND_TRIP_MS : FAR_ROUND_TRIP_MS;
+}
+
+function namesOf(roles: ReaderRoles | undefined) {
+  return roles?.leads.map(({ name }) => name);
+}
+
+// Guards against a lead that fetches each list over the link between regions,
+// since its name comes first.
+test("the lead is in the region that is nearest to the store", () => {
+  const roles = rolesOf(8);
+  expect(roles.get("near01")?.role).toBe("lead");
+  expect(namesOf(roles.get("far00"))).toEqual(["near01", "near03"]);
+  expect(roles.get("far00")?.role).toBe("member");
+});
+
+// Guards against every instance of a far region using the link.
+test("in a large fleet two instances of a far region ask on its behalf", () => {
+  const roles = rolesOf(60);
+  expect(roles.get("near01")?.role).toBe("relayed_lead");
+  const relays = [...roles].filter(([, { role }]) => role === "relay");
+  expect(relays.map(([name]) => name)).toEqual(["far00", "far02"]);
+  expect(namesOf(roles.get("far58"))).toEqual(["far00", "far02"]);
+  expect(namesOf(roles.get("near59"))).toEqual(["near01", "near03"]);
+});
+
+// Guards against a region that hears of nothing while its readers are cut off
+// from the store.
+test("instances that the store turns away are no leads", () => {
+  const roles = rolesOf(60, (name) => !["far00", "near01"].includes(name));
+  expect(roles.get("near03")?.role).toBe("relayed_lead");
+  expect(namesOf(roles.get("near01"))).toEqual(["near03", "near05"]);
+  expect(namesOf(roles.get("far58"))).toEqual(["far02", "far04"]);
+  expect(namesOf(roles.get("far00"))).toEqual(["far02", "far04"]);
+});
+
+// Guards against copies of a new configuration that cross the link since a peer
+// in another region was the first to announce it.
+test("records are expected from the own region first", () => {
+  const roles = rolesOf(60).get("far58");
+  expect(roles?.expectsRecordsBefore(memberOf(1), 100)).toBe(true);
+  expect(roles?.expectsRecordsBefore(memberOf(0), 100)).toBe(false);
+});
--- a/packages/gateway/src/record_confirmer.ts
+++ b/packages/gateway/src/record_confirmer.ts
@@ -2,7 +2,7 @@
  *
  * @module
  */
-import type { Member } from "@banyanlb/serving";
+import type { ConfirmationRole, Member } from "@banyanlb/serving";
 import type { PeerLinks } from "./peer_links.ts";
 import { SHARED_KINDS } from "./peer_messages.ts";
 import type { RecordFollower } from "./record_follower.ts";
@@ -21,9 +21,11 @@
   readonly records: SharedRecords;
   /** Followers of records that are not shared with peers. */
   readonly unshared: readonly RecordFollower[];
-  /** The instances that read the store on behalf of this one, the lead first;
-   * none if this instance is the lead. */
+  /** The instances to ask, the first to ask first; none if this instance is the
+   * lead. */
   readonly leads: () => readonly Member[];
+  /** What this instance does to confirm its records. */
+  readonly role: () => ConfirmationRole;
   readonly links: () => Pick<PeerLinks, "ask">;
 }
 
@@ -58,19 +60,19 @@
   check(now: number): void {
     const { records, unshared } = this.#options;
     const leads = this.#options.leads();
-    const isLead = leads.length === 0;
+    const role = this.#options.role();
     let mustAsk = false;
     for (const kind of SHARED_KINDS) {
       const follower = records.follower(kind);
       follower.restartSilentWatch();
-      const step = follower.nextConfirmationStep(now, isLead);
+      const step = follower.nextConfirmationStep(now, role);
       if (step === "read") void follower.confirm();
-      if (step !== "none" && !isLead) mustAsk = true;
+      if (step !== "none") mustAsk = true;
     }
     // No peer can confirm these.
     for (const follower of unshared) {
       follower.restartSilentWatch();
-      if (follower.nextConfirmationStep(now, true) === "read") {
+      if (follower.nextConfirmationStep(now, "lead") === "read") {
         void follower.confirm();
       }
     }
--- a/packages/gateway/src/record_follower.ts
+++ b/packages/gateway/src/record_follower.ts
@@ -9,6 +9,7 @@
 import type { EventLog } from "@banyanlb/core";
 import {
   Confirmation,
+  type ConfirmationRole,
   type ConfirmationStep,
   type ConfirmationTimes,
   type RecordKind,
@@ -47,6 +48,9 @@
   /** Pause between two watches, in milliseconds; changes within the pause are
    * read in one call. */
   readonly watchPauseMs: () => number;
+  /** Whether this instance may watch the records; it may if omitted. Each watch
+   * receives a copy of every change, and all of them at the same moment. */
+  readonly mayWatch?: (() => boolean) | undefined;
   readonly confirmationTimes: ConfirmationTimes;
   /** Called with all records of the kind after the first list and after each
    * change. */
@@ -128,11 +132,13 @@
   }
 
   /** What to do at `now` to confirm the records. */
-  nextConfirmationStep(now: number, isLead: boolean): ConfirmationStep {
+  nextConfirmationStep(now: number, role: ConfirmationRole): ConfirmationStep {
     if (this.#isConfirming) return "none";
     // The first list is read by `run`.
-    if (!this.#hasState) return isLead ? "none" : "ask";
-    return this.#confirmation.nextStep(now, isLead);
+    if (!this.#hasState) {
+      return role === "lead" || role === "relayed_lead" ? "none" : "ask";
+    }
+    return this.#confirmation.nextStep(now, role);
   }
 
   /** Records that the records were the newest at `at`, since a peer with the
@@ -141,12 +147,22 @@
     this.#confirmation.record(at);
   }
 
+  /** Records that a lead has replied at `now`, whatever it confirmed. */
+  recordReplyOfLead(now: number): void {
+    this.#confirmation.recordReplyOfLead(now);
+  }
+
   /** The revision at which a record was removed; the store's revision if the
    * removal shows only from a full list. */
   removalRevisionOf(name: string): number {
     return this.#set.removalRevisionOf(name);
   }
 
+  /** Differs after each change of what `snapshot` returns. */
+  get stateId(): string {
+    return this.#set.stateId;
+  }
+
   /** All records as a list for a peer; undefined if no list was received. */
   snapshot(): RecordList | undefined {
     return this.#hasState ? this.#set.snapshot() : undefined;
@@ -175,6 +191,10 @@
     let hasList = false;
     while (!this.#isClosed) {
       try {
+        if (hasList && !this.#mayWatch) {
+          await this.#pauseBetweenWatches(NON_READER_WATCH_PAUSE_MS);
+          continue;
+        }
         if (hasList) await this.#watchOnce();
         else {
           await this.#readList();
@@ -219,10 +239,11 @@
   }
 
   /** Restarts the watch if it has still not reported a change that was known
-   * at the last call. */
+   * at the last call, and ends it if this instance may watch no more. */
   restartSilentWatch(): void {
     const watch = this.#pendingWatch;
-    if (watch !== undefined && watch === this.#suspectWatch) {
+    if (!this.#mayWatch) this.reconnect();
+    else if (watch !== undefined && watch === this.#suspectWatch) {
       const { kind, log } = this.#options;
       log.write(events.WATCH_SILENT, {
         kind,
@@ -333,6 +354,10 @@
     this.#options.onRecords(this.#set.records, source);
   }
 
+  get #mayWatch(): boolean {
+    return this.#options.mayWatch?.() ?? true;
+  }
+
   #setReachable(reachable: boolean, reason: string): void {
     if (reachable === this.#isReachable) return;
     this.#isReachable = reachable;
--- a/packages/gateway/src/shared_records.ts
+++ b/packages/gateway/src/shared_records.ts
@@ -4,8 +4,9 @@
  * @module
  */
 import type { EventLog } from "@banyanlb/core";
-import type { Member } from "@banyanlb/serving";
+import type { Member, RecordList } from "@banyanlb/serving";
 import * as events from "./events.ts";
+import { type ListMessage, packList, unpackList } from "./packed_list.ts";
 import type { PeerLinks } from "./peer_links.ts";
 import {
   type ConfirmedRow,
@@ -41,6 +42,12 @@
 export class SharedRecords {
   readonly #options: SharedRecordsOptions;
   readonly #pendingPulls = new Set<SharedKind>();
+  /** The last list of each kind that was sent to a peer, by what it contains:
+   * many peers request it at the same time. */
+  readonly #sentLists = new Map<
+    SharedKind,
+    { readonly state: string; readonly message: ListMessage }
+  >();
 
   constructor(options: SharedRecordsOptions) {
     this.#options = options;
@@ -80,6 +87,7 @@
       if (row === undefined) return;
       const [revision, fingerprint, ageMs] = row;
       const own = this.summary(kind);
+      this.follower(kind).recordReplyOfLead(performance.now());
       if (!this.follower(kind).known) {
         if (ageMs !== null) void this.pull(member, kind);
       } else if (fingerprint === own.fingerprint) {
@@ -92,8 +100,8 @@
 
   /** Builds the reply to a peer that requests all records of a kind. */
   pullReply(n: number, kind: SharedKind, now: number): PullReply {
-    const list = this.follower(kind).snapshot();
-    return { t: "pulled", n, list, age: this.#reportedAgeMs(kind, now) };
+    const age = this.#reportedAgeMs(kind, now);
+    return { t: "pulled", n, ...this.#listMessage(kind), age };
   }
 
   /** Fetches all records of a kind from a peer, unless a fetch of the kind is
@@ -110,11 +118,11 @@
     this.#pendingPulls.delete(kind);
     const ms = Math.round(performance.now() - askedAt);
     const peer = member.name;
-    if (reply?.t !== "pulled" || reply.list === undefined) {
+    const list = reply?.t === "pulled" ? this.#readList(reply) : undefined;
+    if (reply?.t !== "pulled" || list === undefined) {
       this.#options.log.write(events.PULL_UNANSWERED, { kind, peer, ms });
       return;
     }
-    const { list } = reply;
     const confirmedAt = confirmationTime(askedAt, reply.age ?? null);
     if (this.follower(kind).adopt(list, confirmedAt)) {
       this.#options.log.write(events.RECORDS_FETCHED_FROM_PEER, {
@@ -126,6 +134,29 @@
     }
   }
 
+  #listMessage(kind: SharedKind): ListMessage {
+    const follower = this.follower(kind);
+    const state = follower.stateId;
+    const sent = this.#sentLists.get(kind);
+    if (sent?.state === state) return sent.message;
+    const list = follower.snapshot();
+    if (list === undefined) return { list };
+    const message = packList(list);
+    this.#sentLists.set(kind, { state, message });
+    return message;
+  }
+
+  #readList(reply: PullReply): RecordList | undefined {
+    try {
+      return unpackList(reply);
+    } catch (err) {
+      this.#options.log.write(events.PEER_MESSAGE_INVALID, {
+        reason: String(err),
+      });
+      return undefined;
+    }
+  }
+
   #reportedAgeMs(kind: SharedKind, now: number): number | null {
     const ageMs = this.follower(kind).ageMs(now);
     return Number.isFinite(ageMs) ? Math.ceil(ageMs) : null;
--- a/packages/gateway/src/store_view.ts
+++ b/packages/gateway/src/store_view.ts
@@ -110,6 +110,8 @@
         kind,
         waitMs,
         watchPauseMs,
+        // The configuration is one record, and long.
+        mayWatch: kind === "configuration" ? options.isStoreReader : undefined,
         confirmationTimes: confirmationTimes(options.changeKnownMs),
         onRecords: (records, source) => {
           onRecords(records, source);
--- a/packages/gateway/src/testing/fake_instance.ts
+++ b/packages/gateway/src/testing/fake_instance.ts
@@ -88,6 +88,7 @@
       records: this.records,
       unshared: [],
       leads: () => this.leads.map(({ member }) => member),
+      role: () => this.leads.length === 0 ? "lead" : "member",
       links: () => links,
     });
   }
--- a/packages/gateway/src/testing/fake_region_fleet.ts
+++ b/packages/gateway/src/testing/fake_region_fleet.ts
@@ -11,6 +11,7 @@
   type Member,
   MemberTable,
   PartQuarantine,
+  PathDelays,
   type RecordStore,
   SystemClocks,
 } from "@banyanlb/serving";
@@ -35,6 +36,10 @@
 const NEAR = "near";
 const FAR = "far";
 
+/** Time of a small call to the store. */
+const NEAR_ROUND_TRIP_MS = 5;
+const FAR_ROUND_TRIP_MS = 21;
+
 /** Options of a fleet. */
 export interface RegionFleetOptions {
   readonly size: number;
@@ -118,7 +123,7 @@
     if (message.t === "pulled") {
       await link.transfer(
         "configuration",
-        sizeOfRecords(message.list?.records ?? []),
+        message.packed?.length ?? sizeOfRecords(message.list?.records ?? []),
       );
     } else await link.transfer(message.t, JSON.stringify(message).length);
   }
@@ -148,6 +153,9 @@
     this.#fleet = fleet;
     this.member = self;
     const log = new EventLog(pino({ level: "silent" }));
+    const storeRoundTripMs = self.region === NEAR
+      ? NEAR_ROUND_TRIP_MS
+      : FAR_ROUND_TRIP_MS;
     const engineTable = new EngineTable();
     const members = new MemberTable(self.name, performance.now());
     for (const member of options.members) members.add(member);
@@ -155,6 +163,7 @@
       self,
       members,
       reachesStore: () => this.#view.reachesStore,
+      storeRoundTripMs: () => storeRoundTripMs,
       onBecomeReader: () => this.#view.readNow(),
     });
     this.#view = new StoreView(store, {
@@ -199,6 +208,7 @@
       records: this.#records,
       unshared: [],
       leads: () => this.#roles.leads,
+      role: () => this.#roles.role,
       links: () => links,
     });
     const quarantine = new PartQuarantine(self.name, {
@@ -209,7 +219,10 @@
     this.#digests = new DigestExchange({
       self,
       members,
-      membership: { ownerOf: () => undefined } as unknown as Membership,
+      membership: {
+        ownerOf: () => undefined,
+        storeRoundTripMs,
+      } as unknown as Membership,
       engineTable,
       loader: {
         recordPeerFetches: () => undefined,
@@ -229,6 +242,8 @@
       }),
       use: new AdapterUsageCounts(),
       quarantine,
+      roles: this.#roles,
+      pathDelays: new PathDelays(),
       limits: new EngineLimits(self.name, () => ({
         names: [self.name],
         isCutOff: false,
--- a/packages/gateway/src/workspace_rates_test.ts
+++ b/packages/gateway/src/workspace_rates_test.ts
@@ -59,6 +59,7 @@
       orders: false,
       busy: 0,
       reachesStore: true,
+      storeRoundTripMs: undefined,
       tenure: undefined,
     });
   }
--- a/packages/serving/src/confirmation.ts
+++ b/packages/serving/src/confirmation.ts
@@ -19,17 +19,43 @@
  * instance acts. The rest of that time is for the check that was just missed, a
  * read that times out on a dead connection, and the read after it. */
 const LEAD_READ_SHARE = 0.28;
+const RELAYED_LEAD_READ_SHARE = 0.2;
+const RELAY_ASK_SHARE = 0.26;
 const ASK_SHARE = 0.36;
 const READ_SHARE = 0.48;
+const READ_BESIDE_LEAD_SHARE = 0.72;
+
+/** How long a reply of a lead shows that it is there, in milliseconds: three
+ * checks. */
+const LEAD_REPLY_VALID_MS = 600;
+
+/** What an instance does to confirm its records. */
+export type ConfirmationRole =
+  /** It reads lists, and the others ask it. */
+  | "lead"
+  /** As a lead, but instances of other regions ask it on behalf of theirs:
+   * these hear of its records later. */
+  | "relayed_lead"
+  /** It asks a lead in another region on behalf of its own region. */
+  | "relay"
+  /** It asks an instance nearby. */
+  | "member";
 
 /** Ages of the last confirmation at which an instance acts, in milliseconds. */
 export interface ConfirmationTimes {
   /** The lead reads a list. */
   readonly leadMs: number;
+  /** The lead reads a list if there are relays. */
+  readonly relayedLeadMs: number;
+  /** A relay asks the lead. */
+  readonly relayAskMs: number;
   /** Any other instance asks a peer. */
   readonly askMs: number;
-  /** Any other instance reads a list itself. */
+  /** Any other instance reads a list itself, since no lead replies. */
   readonly readMs: number;
+  /** Any other instance reads a list itself although a lead replies: the lead
+   * does not know either that its records are the newest. */
+  readonly readBesideLeadMs: number;
 }
 
 /** What to do next. */
@@ -45,8 +71,11 @@
 export function confirmationTimes(boundMs: number): ConfirmationTimes {
   return {
     leadMs: boundMs * LEAD_READ_SHARE,
+    relayedLeadMs: boundMs * RELAYED_LEAD_READ_SHARE,
+    relayAskMs: boundMs * RELAY_ASK_SHARE,
     askMs: boundMs * ASK_SHARE,
     readMs: boundMs * READ_SHARE,
+    readBesideLeadMs: boundMs * READ_BESIDE_LEAD_SHARE,
   };
 }
 
@@ -56,6 +85,7 @@
   #confirmedAt = -Infinity;
   #retryAt = -Infinity;
   #failureCount = 0;
+  #leadRepliedAt = -Infinity;
 
   constructor(times: ConfirmationTimes) {
     this.#times = times;
@@ -77,6 +107,11 @@
     this.#confirmedAt = Math.max(this.#confirmedAt, at);
   }
 
+  /** Records that a lead has replied at `now`, whatever it confirmed. */
+  recordReplyOfLead(now: number): void {
+    this.#leadRepliedAt = now;
+  }
+
   /** Records that a read succeeded, or that the store was reached otherwise. */
   recordContact(): void {
     this.#failureCount = 0;
@@ -97,15 +132,32 @@
    *
    * @example
    * ```ts
-   * if (confirmation.nextStep(performance.now(), isLead) === "read") read();
+   * if (confirmation.nextStep(performance.now(), "lead") === "read") read();
    * ```
    */
-  nextStep(now: number, isLead: boolean): ConfirmationStep {
-    const { leadMs, askMs, readMs } = this.#times;
+  nextStep(now: number, role: ConfirmationRole): ConfirmationStep {
+    const { readMs, askMs } = this.#timesOf(role, now);
     const ageMs = this.ageMs(now);
-    if (ageMs >= (isLead ? leadMs : readMs) && now >= this.#retryAt) {
-      return "read";
+    if (ageMs >= readMs && now >= this.#retryAt) return "read";
+    return ageMs >= askMs ? "ask" : "none";
+  }
+
+  #timesOf(
+    role: ConfirmationRole,
+    now: number,
+  ): { readonly askMs: number; readonly readMs: number } {
+    const times = this.#times;
+    const hasLead = now - this.#leadRepliedAt < LEAD_REPLY_VALID_MS;
+    const readMs = hasLead ? times.readBesideLeadMs : times.readMs;
+    switch (role) {
+      case "lead":
+        return { askMs: Infinity, readMs: times.leadMs };
+      case "relayed_lead":
+        return { askMs: Infinity, readMs: times.relayedLeadMs };
+      case "relay":
+        return { askMs: times.relayAskMs, readMs };
+      case "member":
+        return { askMs: times.askMs, readMs };
     }
-    return !isLead && ageMs >= askMs ? "ask" : "none";
   }
 }
--- a/packages/serving/src/confirmation_test.ts
+++ b/packages/serving/src/confirmation_test.ts
@@ -9,10 +9,10 @@
   const times = confirmationTimes(BOUND_MS);
   const confirmation = new Confirmation(times);
   confirmation.record(0);
-  expect(confirmation.nextStep(times.leadMs, true)).toBe("read");
-  expect(confirmation.nextStep(times.leadMs, false)).toBe("none");
-  expect(confirmation.nextStep(times.askMs, false)).toBe("ask");
-  expect(confirmation.nextStep(times.readMs, false)).toBe("read");
+  expect(confirmation.nextStep(times.leadMs, "lead")).toBe("read");
+  expect(confirmation.nextStep(times.leadMs, "member")).toBe("none");
+  expect(confirmation.nextStep(times.askMs, "member")).toBe("ask");
+  expect(confirmation.nextStep(times.readMs, "member")).toBe("read");
 });
 
 // Without the lead, on a dead connection, and with the tick just missed.
@@ -21,10 +21,10 @@
   const confirmation = new Confirmation(confirmationTimes(BOUND_MS));
   confirmation.record(0);
   let now = readMs + TICK_MS;
-  expect(confirmation.nextStep(now, false)).toBe("read");
+  expect(confirmation.nextStep(now, "member")).toBe("read");
   now += READ_TIMEOUT_MS;
   confirmation.recordFailure(now, 1);
-  while (confirmation.nextStep(now, false) !== "read") now += TICK_MS;
+  while (confirmation.nextStep(now, "member") !== "read") now += TICK_MS;
   expect(now).toBeLessThan(BOUND_MS - TICK_MS);
 });
 
@@ -35,12 +35,12 @@
   for (let i = 0; i < 6; i += 1) {
     confirmation.recordFailure(now, 0.5);
     const failedAt = now;
-    while (confirmation.nextStep(now, true) !== "read") now += 10;
+    while (confirmation.nextStep(now, "lead") !== "read") now += 10;
     pauses.push(now - failedAt);
   }
   expect(pauses).toEqual([200, 400, 800, 1600, 1600, 1600]);
   confirmation.recordContact();
-  expect(confirmation.nextStep(now, true)).toBe("read");
+  expect(confirmation.nextStep(now, "lead")).toBe("read");
   expect(confirmation.isFailing).toBe(false);
 });
 
@@ -50,3 +50,17 @@
   confirmation.record(400);
   expect(confirmation.ageMs(1000)).toBe(100);
 });
+
+// Guards against instances that all read a list at once, while the instance
+// that they ask waits for its own.
+test("while a lead replies, an instance reads later, but within the bound", () => {
+  const times = confirmationTimes(BOUND_MS);
+  const confirmation = new Confirmation(times);
+  confirmation.record(0);
+  confirmation.recordReplyOfLead(times.readMs);
+  expect(confirmation.nextStep(times.readMs, "member")).toBe("ask");
+  confirmation.recordReplyOfLead(times.readBesideLeadMs);
+  expect(confirmation.nextStep(times.readBesideLeadMs, "member")).toBe("read");
+  const latest = times.readBesideLeadMs + TICK_MS + READ_TIMEOUT_MS;
+  expect(latest).toBeLessThan(BOUND_MS);
+});
--- a/packages/serving/src/member_table.ts
+++ b/packages/serving/src/member_table.ts
@@ -47,6 +47,9 @@
   readonly busy: number;
   /** Whether the store responds to the member. */
   readonly reachesStore: boolean;
+  /** Time of the member's small calls to the store, in milliseconds; undefined
+   * before the first. */
+  readonly storeRoundTripMs: number | undefined;
   /** Identifies the member as an owner of engines, and changes when its entry
    * is written anew; undefined until the store has confirmed the entry. */
   readonly tenure: string | undefined;
@@ -120,6 +123,11 @@
     return this.#states.get(name)?.tenure;
   }
 
+  /** Time of the member's small calls to the store, in milliseconds. */
+  storeRoundTripOf(name: string): number | undefined {
+    return this.#states.get(name)?.storeRoundTripMs;
+  }
+
   /** Members that may serve callers. */
   ready(now: number): readonly ReadyMember[] {
     return this.list().flatMap((m) => {
--- a/packages/serving/src/member_table_test.ts
+++ b/packages/serving/src/member_table_test.ts
@@ -29,6 +29,7 @@
   orders: true,
   busy: 0,
   reachesStore: true,
+  storeRoundTripMs: 5,
 };
 
 test("a lost instance is not listed as ready once it is unresponsive", () => {
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -21,6 +21,7 @@
 export * from "./order_lease.ts";
 export * from "./owner_memory.ts";
 export * from "./part_quarantine.ts";
+export * from "./path_delays.ts";
 export * from "./ports.ts";
 export * from "./record_set.ts";
 export * from "./report_row.ts";
--- a/packages/serving/src/record_set.ts
+++ b/packages/serving/src/record_set.ts
@@ -26,6 +26,8 @@
   #completeRevision = 0;
   #newestRevision = 0;
   #fingerprint = 0;
+  /** Number of times that records were changed or removed. */
+  #changes = 0;
 
   /** The records by name. */
   get records(): ReadonlyMap<string, StoredRecord> {
@@ -53,6 +55,11 @@
     return this.#removals.get(name) ?? this.#completeRevision;
   }
 
+  /** Differs after each change of what `snapshot` returns. */
+  get stateId(): string {
+    return `${this.#completeRevision} ${this.#changes}`;
+  }
+
   /** The whole set, to be merged by a peer. */
   snapshot(): RecordList {
     return {
@@ -146,6 +153,7 @@
    * here once, since peers are told them often. */
   #setRecords(records: ReadonlyMap<string, StoredRecord>): void {
     this.#records = records;
+    this.#changes += 1;
     this.#newestRevision = 0;
     this.#fingerprint = 0;
     for (const { revision } of records.values()) {
--- a/packages/serving/src/testing/simulated_instance.ts
+++ b/packages/serving/src/testing/simulated_instance.ts
@@ -186,6 +186,7 @@
         orders: false,
         busy: 0,
         reachesStore: true,
+        storeRoundTripMs: undefined,
         tenure: undefined,
       });
       if (processes.get(peer)?.number !== envelope.process) {
