Read the list of members after the own entry was written

Cause: two instances that read the list before either is in it do not know each other for 20 s. Neither counted what the other admitted; with shares, each takes a share that is too large. The class: a list without an age, in which who is missing does not exist. Change: the list is read once the own entry was written, and again 1 s later. Ruled out: reading it more often for good (each read is a call, by 60 instances); passing on names in digests (needs a third instance that knows both).

--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -63,6 +63,10 @@
  * is read rarely. */
 const MEMBERS_WATCH_PAUSE_MS = 20_000;
 
+/** When an instance that has written its entry reads the list of members, in
+ * milliseconds after the writing. */
+const FIND_MEMBERS_DELAYS_MS: readonly number[] = [0, 1000];
+
 /** Factor of the time within which a new assignment must be known, compared
  * with other changes: an instance with an old one only asks the wrong owner. */
 const ASSIGNMENT_KNOWN_FACTOR = 2;
@@ -300,6 +304,7 @@
     this.#renewals += 1;
     const tenure = this.#tenure ?? randomUUID().slice(0, 8);
     const value: StoredMember = { ...self, tenure, renewals: this.#renewals };
+    const isFirst = this.#entry === undefined;
     try {
       this.#entry = await this.#store.put("members", {
         name: self.name,
@@ -310,6 +315,7 @@
       this.#lease.recordRenewal(sentAt);
       this.#renewalMs.push(clocks.elapsedMs(sentAt));
       if (this.#renewalMs.length > RENEWALS_MEASURED) this.#renewalMs.shift();
+      if (isFirst) this.#findMembers();
     } catch (err) {
       if (!(err instanceof StoreCallError)) throw err;
       if (err.failure === "not_found") this.#lease.revoke();
@@ -328,6 +334,18 @@
     }
   }
 
+  /** Reads the list of members after this instance's entry was written. Of two
+   * instances that start together, the one whose entry is written last finds the
+   * other and introduces itself; the second read is for the case that this
+   * fails. */
+  #findMembers(): void {
+    for (const delayMs of FIND_MEMBERS_DELAYS_MS) {
+      setTimeout(() => {
+        if (!this.#isClosed) void this.#memberFollower.confirm();
+      }, delayMs).unref();
+    }
+  }
+
   #setTenure(tenure: string | undefined): void {
     if (this.#tenure === tenure) return;
     this.#tenure = tenure;
