Keep the use of shares in the members' entries over a restart of all

Cause: use before the loss was only assumed, at 0.8 of the limit, leaving evenly. The class: lost state that is replaced by a constant. Change: the entry that each instance renews in the store anyway has the use of its shares in slices of 2 s; the next process reads it before it writes its own. An instance of whose share more than half is used renews each 2 s, as owners do. Use since the writing counts as twice the latest rate.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -162,6 +162,14 @@
       isStoreReader: () => this.#readerRoles.isStoreReader,
       changeKnownMs: settings.bounds.changeKnownMs,
     });
+    this.#rates = new WorkspaceRates({
+      self: this.#self,
+      members: this.#members,
+      areMembersKnown: () => this.#membership.memberFollower.known,
+      clocks: this.#clocks,
+      windowMs: settings.bounds.rateWindowMs,
+      links: () => this.#links,
+    });
     this.#membership = new Membership(this.#store, {
       self: this.#self,
       members: this.#members,
@@ -171,6 +179,7 @@
       orderGapMs: settings.bounds.orderGapMs,
       changeKnownMs: settings.bounds.changeKnownMs,
       isStoreReader: () => this.#readerRoles.isStoreReader,
+      rates: this.#rates,
       onAssignmentChange: () => {
         this.#loader.tick();
         this.#announceChanges();
@@ -232,14 +241,6 @@
       this.#self.name,
       () => this.#members.servingInstances(performance.now()),
     );
-    this.#rates = new WorkspaceRates({
-      self: this.#self,
-      members: this.#members,
-      areMembersKnown: () => this.#membership.memberFollower.known,
-      clocks: this.#clocks,
-      windowMs: settings.bounds.rateWindowMs,
-      links: () => this.#links,
-    });
     const use = new AdapterUsageCounts();
     this.#digestExchange = new DigestExchange({
       self: this.#self,
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -23,6 +23,7 @@
   type StoredRecord,
 } from "@banyanlb/serving";
 import * as events from "./events.ts";
+import type { UseByWorkspace, WorkspaceRates } from "./workspace_rates.ts";
 import {
   NON_READER_WATCH_PAUSE_MS,
   RecordFollower,
@@ -90,6 +91,10 @@
    * it has not received the assignment that moves its engines. */
   readonly tenure: string;
   readonly renewals: number;
+  /** Use of the instance's shares of limits, and when it was measured, in
+   * milliseconds of Unix time by the clock of the instance. */
+  readonly use: UseByWorkspace;
+  readonly useAt: number;
 }
 
 /** One engine's owner in the stored assignment. */
@@ -122,6 +127,11 @@
   /** Called when calls to the store begin to fail, and when a renewal gets no
    * reply. */
   readonly onStoreFailure: () => void;
+  /** The use that the entry keeps for a next process of this instance. */
+  readonly rates: Pick<
+    WorkspaceRates,
+    "useAt" | "isNearlyUsed" | "adoptFormerUse"
+  >;
   /** Whether the engines of a service accept orders. */
   readonly acceptsOrders: (service: string) => boolean;
 }
@@ -144,6 +154,8 @@
   readonly #orderAllowedAt = new Map<string, number>();
   readonly #ownerMemory = new OwnerMemory();
   #renewals = 0;
+  /** When the last renewal was sent, by the monotonic clock. */
+  #renewedAt = -Infinity;
   /** Durations of the latest renewals that the store answered, in
    * milliseconds. */
   readonly #renewalMs: number[] = [];
@@ -247,7 +259,7 @@
     void this.#memberFollower.run();
     void this.#assignmentFollower.run();
     void this.#runPeriodically(
-      () => this.#needsLease() ? RENEWAL_INTERVAL_MS : IDLE_RENEWAL_INTERVAL_MS,
+      () => this.#renewsOften ? RENEWAL_INTERVAL_MS : IDLE_RENEWAL_INTERVAL_MS,
       () => this.#renew(),
       (startNow) => (this.#startRenewal = startNow),
     );
@@ -299,11 +311,18 @@
   }
 
   async #renew(): Promise<void> {
-    const { self, clocks, log } = this.#options;
+    const { self, clocks, rates, log } = this.#options;
     const sentAt = clocks.read();
+    this.#renewedAt = sentAt.monotonic;
     this.#renewals += 1;
     const tenure = this.#tenure ?? randomUUID().slice(0, 8);
-    const value: StoredMember = { ...self, tenure, renewals: this.#renewals };
+    const value: StoredMember = {
+      ...self,
+      tenure,
+      renewals: this.#renewals,
+      use: rates.useAt(performance.now()),
+      useAt: sentAt.wall,
+    };
     const isFirst = this.#entry === undefined;
     try {
       this.#entry = await this.#store.put("members", {
@@ -330,6 +349,7 @@
       this.#entry = await this.#store.get("members", self.name);
       const existing = this.#entry?.value as StoredMember | undefined;
       this.#setTenure(existing?.tenure);
+      if (!hadEntry && existing !== undefined) this.#adoptUse(existing);
       if (!hadEntry && existing !== undefined) await this.#renew();
     }
   }
@@ -346,6 +366,20 @@
     }
   }
 
+  /** Whether the entry is renewed often: this instance needs its lease, or much
+   * of its shares is used. */
+  get #renewsOften(): boolean {
+    return this.#needsLease() ||
+      this.#options.rates.isNearlyUsed(performance.now());
+  }
+
+  /** Adopts the use in the entry of an earlier process of this instance. */
+  #adoptUse({ incarnation, use, useAt }: StoredMember): void {
+    const { self, clocks, rates } = this.#options;
+    if (incarnation === self.incarnation) return;
+    rates.adoptFormerUse(use, Math.max(0, clocks.read().wall - useAt));
+  }
+
   #setTenure(tenure: string | undefined): void {
     if (this.#tenure === tenure) return;
     this.#tenure = tenure;
@@ -433,6 +467,10 @@
   }
 
   async #check(): Promise<void> {
+    const sinceRenewalMs = performance.now() - this.#renewedAt;
+    if (this.#renewsOften && sinceRenewalMs >= RENEWAL_INTERVAL_MS) {
+      this.#startRenewal?.();
+    }
     if (performance.now() - this.#startedAt < SETTLE_MS) return;
     const { self } = this.#options;
     const alive = this.#aliveNames();
--- a/packages/gateway/src/membership_test.ts
+++ b/packages/gateway/src/membership_test.ts
@@ -40,6 +40,11 @@
     orderGapMs: 9000,
     changeKnownMs: 2500,
     isStoreReader: () => false,
+    rates: {
+      useAt: () => ({}),
+      isNearlyUsed: () => false,
+      adoptFormerUse: () => undefined,
+    },
     onAssignmentChange: () => undefined,
     onStoreFailure: () => undefined,
     acceptsOrders: () => false,
--- a/packages/gateway/src/workspace_rates.ts
+++ b/packages/gateway/src/workspace_rates.ts
@@ -11,6 +11,7 @@
   RateLenders,
   rateSharers,
   type ReportRow,
+  SLICE_MS,
   type TakenUnits,
   TokenRate,
   unitsInWindow,
@@ -31,6 +32,9 @@
  * milliseconds. Without it the process would take its share for too large. */
 const MEMBERS_WAIT_MS = 1500;
 
+/** A share is nearly used if less than this fraction is left. */
+const NEARLY_USED_FRACTION = 0.5;
+
 /** Loans that can be given back. Older ones leave the window on their own. */
 const LOANS_KEPT_MAX = 4096;
 
@@ -62,6 +66,9 @@
   readonly links: () => Pick<PeerLinks, "ask" | "send">;
 }
 
+/** The use of shares by workspace, see `TokenRate.useAt`. */
+export type UseByWorkspace = Readonly<Record<string, readonly number[]>>;
+
 /** The use of a share, for the log; see event 858. */
 export interface RateState {
   readonly workspace: string;
@@ -90,6 +97,12 @@
   unanswered: number;
 }
 
+interface FormerUse {
+  /** By workspace, as far as it was not restored yet. */
+  readonly slices: Map<string, readonly number[]>;
+  readonly at: number;
+}
+
 interface Loan {
   readonly rate: TokenRate;
   readonly taken: TakenUnits;
@@ -103,6 +116,8 @@
   /** Units that were lent, by borrower and number of its request, oldest
    * first. */
   readonly #loans = new Map<string, Loan>();
+  /** The use that an earlier process of this instance had kept. */
+  #formerUse: FormerUse | undefined;
   /** What an earlier process of this instance had left, as far as peers know. */
   readonly #formerRooms = new Map<string, number>();
 
@@ -147,6 +162,7 @@
       entry.sharers = rateSharers(all, { workspace, limit, windowMs });
       const isSharer = entry.sharers.some(({ name }) => name === self.name);
       rate.setShare(isSharer ? 1 / entry.sharers.length : 0, now);
+      this.#restoreUse(entry, now);
       const formerRoom = this.#formerRooms.get(workspace);
       if (formerRoom !== undefined) rate.adoptLevel(formerRoom, now);
     }
@@ -203,6 +219,42 @@
     loan.rate.refund(loan.taken, performance.now());
   }
 
+  /** The use of shares that a next process of this instance has to know. */
+  useAt(now: number): UseByWorkspace {
+    const use: Record<string, readonly number[]> = {};
+    for (const [workspace, slices] of this.#formerUse?.slices ?? []) {
+      // Not restored yet, since no configuration is known.
+      const ageMs = now - (this.#formerUse?.at ?? now);
+      const passed = new Array<number>(Math.floor(ageMs / SLICE_MS)).fill(0);
+      use[workspace] = [...passed, ...slices];
+    }
+    for (const { name, rate } of this.#entries.values()) {
+      if (rate.share > 0) use[name] = rate.useAt(now);
+    }
+    return use;
+  }
+
+  /** Whether much of a share is used, so that the use should be kept often. */
+  isNearlyUsed(now: number): boolean {
+    const { windowMs } = this.#options;
+    return [...this.#entries.values()].some(({ rate }) =>
+      rate.share > 0 &&
+      rate.levelAt(now) <
+        rate.share * unitsInWindow(rate.limit, windowMs) * NEARLY_USED_FRACTION
+    );
+  }
+
+  /** Adopts the use that an earlier process of this instance kept `ageMs` ago. */
+  adoptFormerUse(use: UseByWorkspace, ageMs: number): void {
+    const now = performance.now();
+    if (ageMs > this.#options.windowMs) return;
+    this.#formerUse = {
+      slices: new Map(Object.entries(use)),
+      at: now - ageMs,
+    };
+    this.update(now);
+  }
+
   /** The use of all shares at `now`. Starts new counts. */
   states(now: number): readonly RateState[] {
     const { windowMs } = this.#options;
@@ -264,6 +316,14 @@
     this.update(performance.now());
   }
 
+  #restoreUse({ name, rate }: Entry, now: number): void {
+    const former = this.#formerUse;
+    const slices = former?.slices.get(name);
+    if (former === undefined || slices === undefined) return;
+    former.slices.delete(name);
+    rate.restoreUse(slices, { at: former.at, now });
+  }
+
   async #borrow(
     entry: Entry,
     request: { readonly units: number; readonly waitMaxMs: number },
--- a/packages/gateway/src/workspace_rates_test.ts
+++ b/packages/gateway/src/workspace_rates_test.ts
@@ -199,3 +199,31 @@
   expect(await first.rates.take("other", { units: 1, waitMaxMs: 1 }))
     .toBeUndefined();
 });
+
+// Guards against the use before a restart of all instances being forgotten.
+test("a process adopts the use that the one before kept in the store", async () => {
+  await first.take(4000);
+  const kept = first.rates.useAt(performance.now());
+  const restarted = new Instance(memberOf("i1"));
+  restarted.meet(second);
+  restarted.rates.adoptFormerUse(kept, 0);
+  restarted.rates.setWorkspaces([WORKSPACE], 100);
+  expect(levelOf(restarted)).toBe(SHARE_UNITS - 4000);
+});
+
+// Guards against a third process that finds the entry of a second one, which
+// knew no configuration yet.
+test("use that was not restored yet is kept for the next process", async () => {
+  await first.take(4000);
+  const kept = first.rates.useAt(performance.now());
+  const second = new Instance(memberOf("i1"));
+  second.rates.adoptFormerUse(kept, 2500);
+  const [latest, before] = second.rates.useAt(performance.now())["w"] ?? [];
+  expect([latest, before]).toEqual([0, 4000]);
+});
+
+test("use that was kept longer ago than a window does not count", () => {
+  const restarted = new Instance(memberOf("i1"));
+  restarted.rates.adoptFormerUse({ w: [5000] }, WINDOW_MS + 1);
+  expect(restarted.rates.useAt(performance.now())).toEqual({});
+});
--- a/packages/serving/src/testing/rate_fleet_simulation.ts
+++ b/packages/serving/src/testing/rate_fleet_simulation.ts
@@ -24,6 +24,7 @@
   type InstanceId,
   type SimulatedLoan,
   startInstance,
+  type StoredUse,
 } from "./simulated_instance.ts";
 
 const REPORT_TICK_MS = 200;
@@ -32,6 +33,9 @@
  * a window, so that nothing is left of the initial level. */
 const WARM_UP_MS = 12_000;
 
+/** Time between two writes of an instance to the store, in milliseconds. */
+const STORE_INTERVAL_MS = 2000;
+
 const UNITS_MIN = 400;
 const UNITS_MAX = 4000;
 
@@ -73,6 +77,8 @@
   /** When the last report on a link arrives: reports do not overtake. */
   readonly #lastArrival = new Map<string, number>();
   readonly #admitted: AdmittedUnits;
+  /** What the instances keep in the store. */
+  readonly #stored = new Map<InstanceId, StoredUse>();
   /** Units that each instance is asked for beyond its requests so far. */
   readonly #pending: number[];
   #requests = 0;
@@ -109,6 +115,7 @@
       this.#eventsByStep.delete(now);
       if (now >= 0) this.#sendRequests(now);
       this.#sendReports(now);
+      this.#storeUse(now);
     }
     const { units: maxInWindow, startsAt: maxWindowAt } = this.#admitted
       .fullestWindow();
@@ -144,6 +151,7 @@
         startedAt: now,
         random: this.#random,
         placeOf: role,
+        storedUse: this.#stored.get(id),
       }),
       number,
       startedAt: now,
@@ -290,6 +298,18 @@
     return Math.ceil((networkMs + delayMs) / STEP_MS) * STEP_MS;
   }
 
+  #storeUse(now: number): void {
+    this.#processes.forEach((process, id) => {
+      const phaseMs = (this.#phases[id] ?? 0) * STORE_INTERVAL_MS /
+        REPORT_TICK_MS * STEP_MS;
+      if (
+        process === undefined ||
+        (now + WARM_UP_MS - phaseMs) % STORE_INTERVAL_MS !== 0
+      ) return;
+      this.#stored.set(id, process.instance.store(now));
+    });
+  }
+
   #sendReports(now: number): void {
     const { instances } = this.#options;
     for (let from = 0; from < instances; from++) {
--- a/packages/serving/src/testing/simulated_instance.ts
+++ b/packages/serving/src/testing/simulated_instance.ts
@@ -58,6 +58,12 @@
   readonly takeBack: (now: number) => void;
 }
 
+/** The use of a share that an instance keeps in the store. */
+export interface StoredUse {
+  readonly slices: readonly number[];
+  readonly at: number;
+}
+
 /** The receiver of a report. */
 export interface Receiver {
   readonly id: InstanceId;
@@ -71,6 +77,8 @@
 /** A process of the simulated fleet. */
 export interface SimulatedInstance {
   readonly tryTake: (units: number, now: number) => TakenUnits | undefined;
+  /** What the instance writes to the store. */
+  readonly store: (now: number) => StoredUse;
   readonly refund: (taken: TakenUnits, now: number) => void;
   /** The search for units of other instances. */
   readonly search: (units: number, now: number) => LoanSearch;
@@ -99,6 +107,8 @@
   readonly limit: RateLimit;
   readonly windowMs: number;
   readonly startedAt: number;
+  /** What an earlier process has written to the store. */
+  readonly storedUse: StoredUse | undefined;
 }
 
 /** Starts a process. This is the only function that calls the code under test.
@@ -134,6 +144,10 @@
   };
   for (const peer of peers) addMember(peer);
   updateShare(startedAt);
+  if (context.storedUse !== undefined) {
+    const { slices, at } = context.storedUse;
+    rate.restoreUse(slices, { at, now: startedAt });
+  }
   const roomAt = (now: number) => Math.max(0, Math.floor(rate.levelAt(now)));
   /** Which process of a peer is known, and what the one before had left. */
   const processes = new Map<
@@ -142,6 +156,7 @@
   >();
   return {
     tryTake: (units, now) => rate.tryTake(units, { now }),
+    store: (now) => ({ slices: rate.useAt(now), at: now }),
     refund: (taken, now) => rate.refund(taken, now),
     search: (units, now) =>
       new LoanSearch(
--- a/packages/serving/src/token_rate.ts
+++ b/packages/serving/src/token_rate.ts
@@ -24,6 +24,14 @@
  * process may have used it. It leaves the window like any other use. */
 const START_USED_FRACTION = 0.8;
 
+/** Length of the slices in which use is kept for a next process, in
+ * milliseconds. */
+export const SLICE_MS = 2000;
+
+/** What may have been used since the use was kept, as a multiple of the use in
+ * the same time before. */
+const LATER_USE_FACTOR = 2;
+
 /** Fraction of the burst that large requests leave to small ones: an
  * application's small call costs a fraction of a generation, and must not
  * starve while generations use up the rate. */
@@ -65,6 +73,7 @@
   readonly #hasEarlierUse: boolean;
   #share = 0;
   #isShared = false;
+  #removeAssumedUse: () => void = () => undefined;
 
   /** `hasEarlierUse` is whether an earlier process of this instance may have
    * used the limit within the last window. */
@@ -109,7 +118,9 @@
     const addedUnits = growth * unitsInWindow(this.#limit, this.#windowMs);
     if (!this.#isShared) {
       if (this.#hasEarlierUse) {
-        this.#window.addEvenly(addedUnits * START_USED_FRACTION);
+        this.#removeAssumedUse = this.#window.addEvenly(
+          addedUnits * START_USED_FRACTION,
+        );
       }
     } else if (growth > 0) this.#window.add(addedUnits, now);
     this.#isShared = true;
@@ -129,6 +140,33 @@
     if (surplus > 0) this.#window.add(surplus, now);
   }
 
+  /** The use of the share within the window, in slices of time, the latest
+   * first. */
+  useAt(now: number): readonly number[] {
+    this.#window.advance(now);
+    return this.#window.slices(SLICE_MS).map(Math.ceil);
+  }
+
+  /** Adopts the use that an earlier process of this instance had kept at `at`, in
+   * place of the assumed one. */
+  restoreUse(slices: readonly number[], options: {
+    readonly at: number;
+    readonly now: number;
+  }): void {
+    const { at, now } = options;
+    this.#window.advance(now);
+    this.#removeAssumedUse();
+    slices.forEach((units, i) =>
+      this.#window.addPast(units, at - i * SLICE_MS)
+    );
+    const usedPerMs = (slices[0] ?? 0) / SLICE_MS;
+    const laterUnits = usedPerMs * (now - at) * LATER_USE_FACTOR;
+    this.#window.add(
+      Math.max(0, Math.min(laterUnits, this.levelAt(now))),
+      now,
+    );
+  }
+
   /** Takes units from the share if enough are left; returns undefined if not.
    * Units for another instance count from the end of the loan, `validMs` after
    * `now`.
--- a/packages/serving/src/token_rate_test.ts
+++ b/packages/serving/src/token_rate_test.ts
@@ -233,3 +233,34 @@
   used += admitAll(rate, 1200, 4000);
   expect(used).toBeLessThan(allowed(limit) * 0.65);
 });
+
+// Guards against a flood before a restart that is only assumed to be over.
+test("kept use replaces the assumed one and leaves the window in its time", () => {
+  const old = emptyRate(LIMIT);
+  expect(admits(old, 3000, 1000)).toBe(true);
+  expect(admits(old, 2000, 5000)).toBe(true);
+  const slices = old.useAt(6000);
+  const fresh = new TokenRate(LIMIT, {
+    now: 6000,
+    windowMs: WINDOW_MS,
+    hasEarlierUse: true,
+  });
+  fresh.setShare(1, 6000);
+  fresh.restoreUse(slices, { at: 6000, now: 6000 });
+  expect(fresh.levelAt(6000)).toBe(allowed(LIMIT) - 5000);
+  expect(fresh.levelAt(1000 + WINDOW_MS - 1)).toBe(allowed(LIMIT) - 5000);
+  expect(fresh.levelAt(5000 + WINDOW_MS - 1)).toBe(allowed(LIMIT) - 2000);
+  expect(fresh.levelAt(6000 + WINDOW_MS + 500)).toBe(allowed(LIMIT));
+});
+
+// Guards against use between the last writing and the end of the process.
+test("use after the last writing is assumed at twice the latest rate", () => {
+  const fresh = new TokenRate(LIMIT, {
+    now: 6000,
+    windowMs: WINDOW_MS,
+    hasEarlierUse: true,
+  });
+  fresh.setShare(1, 6000);
+  fresh.restoreUse([1000], { at: 5000, now: 6000 });
+  expect(fresh.levelAt(6000)).toBe(allowed(LIMIT) - 2000);
+});
--- a/packages/serving/src/use_window.ts
+++ b/packages/serving/src/use_window.ts
@@ -66,11 +66,42 @@
     this.#addTo(bucket, -units);
   }
 
-  /** Adds units as if they had been used evenly over the whole window. */
-  addEvenly(units: number): void {
-    for (let i = 0; i < this.#windowBuckets; i++) {
-      this.#addTo(this.#currentBucket - i, units / this.#windowBuckets);
+  /** Adds units as if they had been used evenly over the whole window. Returns
+   * an action that removes those that are still in the window. */
+  addEvenly(units: number): () => void {
+    const unitsPerBucket = units / this.#windowBuckets;
+    const buckets = Array.from(
+      { length: this.#windowBuckets },
+      (_, i) => this.#currentBucket - i,
+    );
+    for (const bucket of buckets) this.#addTo(bucket, unitsPerBucket);
+    return () => {
+      for (const bucket of buckets) this.remove(unitsPerBucket, bucket);
+    };
+  }
+
+  /** Adds units that were used at `at`, in the past. */
+  addPast(units: number, at: number): void {
+    const bucket = Math.min(bucketAt(at), this.#currentBucket);
+    if (bucket > this.#currentBucket - this.#windowBuckets) {
+      this.#addTo(bucket, units);
+    }
+  }
+
+  /** Units of the window in slices of a length, the latest slice first. It
+   * contains those in the future. */
+  slices(sliceMs: number): readonly number[] {
+    const bucketsPerSlice = sliceMs / BUCKET_MS;
+    const slices: number[] = [];
+    const { length } = this.#unitsByBucket;
+    for (let i = 0; i < length; i++) {
+      const bucket = this.#currentBucket - this.#windowBuckets + 1 + i;
+      const age = Math.max(0, this.#currentBucket - bucket);
+      const slice = Math.floor(age / bucketsPerSlice);
+      const units = this.#unitsByBucket[this.#index(bucket)] ?? 0;
+      slices[slice] = (slices[slice] ?? 0) + units;
     }
+    return slices;
   }
 
   /** Milliseconds from `now` until this many units have left the window. */
