Believe no response without an id on a kept connection

What callers saw: a faulty engine wrote an earlier refusal once more when the next request arrived on a kept connection. If it had no id, the caller was told "not run" (503) for a request that the engine ran; with a second engine the request ran there as well. A 404 or 429 without an id was passed on as that request's answer.

Cause: the id that an engine echoes was compared only if it was there.

Change: on a connection that carried a request before, a response must bear the request's id; else the attempt failed, its connection is closed, and a request that must not be repeated gets 502. On a new connection, which carries no earlier response, a refusal without an id is believed as before.

Ruled out: a repeated refusal with the id of an earlier request; one in the same packet as the first response (Node closes the connection); one that arrives while no request waits (the connection is closed before its next use).

exchange.ts: the names of failures have moved to engine_connections.ts.

--- a/packages/gateway/src/engine_connections.ts
+++ b/packages/gateway/src/engine_connections.ts
@@ -40,6 +40,12 @@
 /** Thrown when an engine sends more than a response may have. */
 export class ResponseTooLargeError extends Error {}
 
+/** Why a request failed after it was sent. */
+export function reasonOf(err: Error): string {
+  if (err instanceof ResponseTooLargeError) return "response_too_large";
+  return err.message.startsWith("Parse Error") ? "garbled" : "connection_lost";
+}
+
 /** State of a connection that is kept for its next request. */
 interface IdleConnection {
   readonly idleSince: number;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -25,10 +25,7 @@
   BufferedResponse,
 } from "./attempt_outcome.ts";
 import { withContentLength, withoutContentLength } from "./content_length.ts";
-import {
-  type EngineRequest,
-  ResponseTooLargeError,
-} from "./engine_connections.ts";
+import { type EngineRequest, reasonOf } from "./engine_connections.ts";
 import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
 import * as events from "./events.ts";
 import type { PromptGuard } from "./prompt_guard.ts";
@@ -528,16 +525,7 @@
       if (!request.isSent()) {
         return settle({ kind: "not_run", reason: "unreachable" });
       }
-      const reason = err instanceof ResponseTooLargeError
-        ? "response_too_large"
-        : err.message.startsWith("Parse Error")
-        ? "garbled"
-        : "connection_lost";
-      settle(
-        this.#hasSentHeaders
-          ? { kind: "broken", reason }
-          : { kind: "failed", reason },
-      );
+      settle(this.#failedOutcome(reasonOf(err)));
     });
     request.req.on("response", (response) => {
       clearTimeout(firstByteTimer);
@@ -556,7 +544,13 @@
       status,
       response.rawHeaders,
     );
-    if (responseHead.id !== undefined && responseHead.id !== caller.id) {
+    // An earlier response, also one without an id, may come once more on a kept
+    // connection.
+    const needsId = this.#engineRequest?.req.reusedSocket === true;
+    if (
+      (responseHead.id !== undefined || needsId) &&
+      responseHead.id !== caller.id
+    ) {
       return settle(this.#failedOutcome("other_answer"));
     }
     this.#deps.limits.record(
