Send a request again on another connection than the one it was refused on

What callers saw: an engine that lacked an adapter refused a request (421), the request was sent to the same engine again on the same kept connection, and the engine wrote the first refusal once more while it ran the request. The refusal bears the right id, so the request was sent again and again: in the test it ran four times.

Cause: the id tells requests apart, not the attempts of one request.

Change: a request that must not be repeated is not sent on a connection whose last request had the same id. Another idle connection is taken; if there is none, a new one is opened. Requests that may be repeated are sent as before.

Ruled out: the same at another engine, and after other refusals than 421: the engine that refused is left out then.

Cost: at most one new connection for each such request that was refused with 421 and finds no other idle connection.

Evidence: without the change "is not read as the answer to the same request sent again" fails with [r1, r1, r1, r1] instead of [r1], and "a request that is sent again takes another idle connection" takes the one it had.

--- a/packages/gateway/src/engine_connections.ts
+++ b/packages/gateway/src/engine_connections.ts
@@ -58,6 +58,8 @@
  * pending on it, or if it has been idle for too long. */
 class EngineAgent extends Agent {
   readonly #idleConnections = new WeakMap<Duplex, IdleConnection>();
+  /** The id of the last request on each connection. */
+  readonly #lastIds = new WeakMap<Duplex, string | undefined>();
   #isRetired = false;
 
   /** Closes the idle connections, and every other connection when its request
@@ -88,6 +90,26 @@
     }
   }
 
+  /** Keeps a request that is sent again off the connection on which it was
+   * refused: the refusal may come once more there, under the same id. */
+  avoid(id: string | undefined): void {
+    if (id === undefined) return;
+    for (const sockets of Object.values(this.freeSockets)) {
+      if (sockets === undefined) continue;
+      const tainted = sockets.filter((s) => this.#lastIds.get(s) === id);
+      if (tainted.length === 0) continue;
+      const others = sockets.filter((s) => !tainted.includes(s));
+      // The agent takes the last one.
+      sockets.splice(0, Infinity, ...tainted, ...others);
+      if (others.length === 0) { for (const s of tainted) s.destroy(); }
+    }
+  }
+
+  /** Records the request that is sent on a connection. */
+  recordUse(socket: Duplex, id: string | undefined): void {
+    this.#lastIds.set(socket, id);
+  }
+
   /** When a connection last became idle, before its current request. */
   idleSince(socket: Duplex): number | undefined {
     return this.#idleConnections.get(socket)?.idleSince;
@@ -145,6 +167,8 @@
 
 /** A request to be sent to an engine. */
 export interface OutgoingRequest {
+  /** The id of the caller's request, the same each time it is sent. */
+  readonly id: string | undefined;
   readonly method: string;
   readonly path: string;
   readonly headers: readonly string[];
@@ -186,6 +210,7 @@
     );
     const idleLimit = this.#idleLimitFor(engine.service);
     agent.closeIdle(idleLimit, outgoing.once);
+    if (outgoing.once) agent.avoid(outgoing.id);
     const req = request({
       agent,
       host: engine.host,
@@ -205,6 +230,7 @@
     let isSent = false;
     req.on("socket", (socket: Socket) => {
       limitHead(req, socket);
+      agent.recordUse(socket, outgoing.id);
       if (!socket.connecting) {
         isSent = true;
         return;
--- a/packages/gateway/src/engine_connections_test.ts
+++ b/packages/gateway/src/engine_connections_test.ts
@@ -6,6 +6,7 @@
 
 const LIMITS = { maxConnections: 10, instances: 1 };
 const REQUEST = {
+  id: undefined,
   method: "GET",
   path: "/",
   headers: ["Host", "h"],
@@ -34,9 +35,13 @@
   return { server, engine };
 }
 
-function sendAndRead(connections: EngineConnections, engine: Engine) {
+function sendAndRead(
+  connections: EngineConnections,
+  engine: Engine,
+  id?: string,
+) {
   return new Promise<string>((resolve, reject) => {
-    const { req } = connections.send(engine, REQUEST, LIMITS);
+    const { req } = connections.send(engine, { ...REQUEST, id }, LIMITS);
     req.on("error", reject);
     req.on("response", (response) => {
       let text = "";
@@ -91,6 +96,26 @@
   server.close();
 });
 
+// A refusal that comes once more on its connection bears the same id.
+test("a request that is sent again takes another idle connection", async () => {
+  const ports: (number | undefined)[] = [];
+  const { server, engine } = await startEngine((req, res) => {
+    ports.push(req.socket.remotePort);
+    setTimeout(() => res.end("answer"), 20);
+  });
+  const connections = new EngineConnections();
+  const send = (id: string) => sendAndRead(connections, engine, id);
+  await Promise.all([send("r1"), send("r2")]);
+  const [portOfFirst, portOfSecond] = ports;
+  await send("r1");
+  expect(ports.at(-1)).toBe(portOfSecond);
+  // Both idle connections have carried it now.
+  await send("r1");
+  expect([portOfFirst, portOfSecond]).not.toContain(ports.at(-1));
+  connections.close();
+  server.close();
+});
+
 test("connections are reused for a shorter time after an engine dropped one", async () => {
   const dropAfterMs = 320;
   let connectionCount = 0;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -470,6 +470,7 @@
       bodyBytes: body?.length,
     });
     const request = connections.send(view.engine, {
+      id: caller.id,
       method: req.method ?? "GET",
       path: req.url ?? "/",
       headers,
--- a/packages/gateway/src/relay_repeated_refusal_test.ts
+++ b/packages/gateway/src/relay_repeated_refusal_test.ts
@@ -151,6 +151,30 @@
     }
     expect(engine.runs).toEqual(["r1", "r2", "r3"]);
   });
+
+  // The request is sent to the engine again under the same id, so the id does
+  // not tell the earlier refusal from one of the second attempt.
+  test("is not read as the answer to the same request sent again", async () => {
+    const engine = await startEngine(({ id, socket, position }, runs) => {
+      const missing = refusal(idHeader(id), "421 Misdirected");
+      if (runs.length === 0 && position === 1 && !hasRefused) {
+        hasRefused = true;
+        socket.write(missing);
+        return;
+      }
+      runs.push(id);
+      if (position > 1) socket.write(missing);
+      setTimeout(() => socket.write(success(id)), 20);
+    });
+    let hasRefused = false;
+    const port = await startRelay([engine.port], {
+      route: UNSAFE,
+      adapters: ["a1"],
+    });
+    const response = await sendRequest(port, { model: "m/a1" });
+    expect(engine.runs).toEqual(["r1"]);
+    expect(response).toMatchObject({ status: 200, body: "well" });
+  });
 });
 
 // A fresh connection carries no earlier answer.
