Call no unsafe request "not run" on the strength of an engine's status alone

What callers saw: a 408, 429 or 503 of an engine without its statement that it did not run the request was passed on. To a caller these statuses promise that the request has not run; the engine had run it.

Cause: an error response was forwarded with its status, whatever that promises.

Change: for a request that must not be repeated, such a response fails the attempt and the caller gets 502, which promises nothing. A request that may be repeated is handled as before.

Ruled out: a status 421 counts as a statement, as before. Other failures (400, 404, 500) are passed on as before.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -36,6 +36,7 @@
 } from "./relay_dependencies.ts";
 import { RESPONSE_MAX_BYTES, ResponseBuffer } from "./response_buffer.ts";
 import { trackCompletion } from "./response_completion.ts";
+import { judgeResponse } from "./response_verdict.ts";
 import { skipBody } from "./skip_body.ts";
 
 /** Time between a request's deadline and the moment when the gateway aborts its
@@ -545,35 +546,30 @@
       status,
       response.rawHeaders,
     );
-    // An earlier response, also one without an id, may come once more on a kept
-    // connection.
-    const needsId = this.#engineRequest?.req.reusedSocket === true;
-    if (
-      (responseHead.id !== undefined || needsId) &&
-      responseHead.id !== caller.id
-    ) {
-      return settle(this.#failedOutcome("other_answer"));
+    const verdict = judgeResponse(status, responseHead, {
+      id: caller.id,
+      isRepeatable: this.#isRepeatable,
+      hasAdapter: caller.adapter !== undefined,
+      isConnectionReused: this.#engineRequest?.req.reusedSocket === true,
+    });
+    if (verdict.kind === "foreign") {
+      return settle(this.#failedOutcome(verdict.reason));
     }
     this.#deps.limits.record(
       view.engine.key,
       responseHead.requestLimit,
       caller.id,
     );
-    if (responseHead.wasNotExecuted) {
-      const reason = status === 421
-        ? "adapter_missing"
-        : caller.adapter !== undefined && status === 503
-        ? "not_run"
-        : "shed";
+    if (verdict.kind === "unusable") {
+      return settle(this.#failedOutcome(verdict.reason));
+    }
+    if (verdict.kind === "not_run") {
+      const { reason } = verdict;
       return skipBody(response, () => settle({ kind: "not_run", reason }));
     }
-    const isSuccess = status >= 200 && status < 300;
-    if (
-      isSuccess && (!responseHead.isSealed || responseHead.id === undefined)
-    ) {
-      return settle(this.#failedOutcome("unsealed"));
+    if (verdict.kind === "error") {
+      return this.#handleErrorResponse(view, response, settle);
     }
-    if (!isSuccess) return this.#handleErrorResponse(view, response, settle);
     view.health.recordResult("answered", performance.now());
     this.#guard.recordHead();
     if (this.#hasSentHeaders) {
--- a/packages/gateway/src/relay_repeated_refusal_test.ts
+++ b/packages/gateway/src/relay_repeated_refusal_test.ts
@@ -188,3 +188,18 @@
   const port = await startRelay([busy.port, sound.port], { route: UNSAFE });
   expect((await sendRequest(port)).status).toBe(200);
 });
+
+// Only an engine's own statement says that it did not run the request; the
+// status alone became a promise to the caller.
+test.each(["408 Timeout", "429 Many", "503 Busy"])(
+  "an unsafe request that gets %s without a statement is not called not run",
+  async (status) => {
+    const engine = await startEngine(({ id, socket }, runs) => {
+      runs.push(id);
+      socket.write(refusal(idHeader(id), status));
+    });
+    const port = await startRelay([engine.port], { route: UNSAFE });
+    expect((await sendRequest(port)).status).toBe(502);
+    expect(engine.runs).toEqual(["r1"]);
+  },
+);
