Let only a stream continue a stream that broke off

What callers saw: a resumable stream had begun and broke off. The next engine answered with a success that was no stream: a text with a blank line, an event or a comment without an id, a part of a body. Its text came in the middle of the caller's stream, which then ended as if it were complete. With an empty success (200 or 204) the stream ended as complete after the events so far.

Cause: any sealed success with the request's id was forwarded into the stream, and one without a byte counts as ended between two events.

Change: a response continues a stream only if it has the status and the media type of the first one. Nothing of it is forwarded before its first event with an id, and without one it does not complete the stream. The stream is then tried at another engine, or breaks off visibly.

A decision: an engine that has nothing left to send after the last event answers with an empty success, too. Such a stream now breaks off instead of ending; the caller may resume it and gets the empty success as a response of its own.

Ruled out: errors (400, 404, 429, 500), redirects, refusals, unsealed successes and bytes that are no answer already broke the stream off visibly, without a second head; a stream that is not resumable goes to no second engine.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -38,6 +38,7 @@
 import { trackCompletion } from "./response_completion.ts";
 import { judgeResponse } from "./response_verdict.ts";
 import { skipBody } from "./skip_body.ts";
+import { StreamContinuation } from "./stream_continuation.ts";
 
 /** Time between a request's deadline and the moment when the gateway aborts its
  * attempt: an engine sends its own response when the deadline that it received
@@ -103,6 +104,7 @@
   readonly #deadline: number;
   readonly #excludedEngines = new Set<string>();
   readonly #framer = new EventFramer();
+  readonly #continuation = new StreamContinuation();
   readonly #rateCharge: RateCharge;
   readonly #guard: PromptGuard;
   /** Attempts in which the engine may have run the request. */
@@ -570,6 +572,10 @@
     if (verdict.kind === "error") {
       return this.#handleErrorResponse(view, response, settle);
     }
+    if (
+      this.#input.route.kind === "stream" &&
+      !this.#continuation.accepts(response)
+    ) return settle(this.#failedOutcome("no_continuation"));
     view.health.recordResult("answered", performance.now());
     this.#guard.recordHead();
     if (this.#hasSentHeaders) {
@@ -702,7 +708,7 @@
       if (route.resumable) {
         const framed = this.#framer.push(chunk);
         this.#lastEventId = framed.lastId ?? this.#lastEventId;
-        bytes = framed.bytes;
+        bytes = this.#continuation.filter(framed);
       }
       boundary.push(chunk);
       receivedBytes += chunk.length;
@@ -735,8 +741,10 @@
     response.on("end", () => {
       clearTimeout(stallTimer);
       if (settle.ended()) return;
-      if (!isComplete() || !boundary.isReached) {
-        settle({ kind: "broken", reason: "connection_lost" });
+      const isWhole = isComplete() && boundary.isReached;
+      if (!isWhole || !this.#continuation.hasEvent) {
+        const reason = isWhole ? "no_continuation" : "connection_lost";
+        settle({ kind: "broken", reason });
         return;
       }
       res.end();
