End an attempt at once when an engine answers with a change of the protocol

What callers saw: a request whose engine answered with status 101 got no answer before its deadline, although the connection was closed at once.

Cause: Node's client closes such a connection without an error or a response if nobody listens for the change.

Change: the change is reported as garbled bytes, and the attempt fails.

Ruled out: that the refusal behind it is taken for an answer; it was not read. Other informational heads are skipped by Node, see "after an early head".

Evidence: before the change both cases of "a change of the protocol is no answer" failed after 5.2 s with "expected 504 to be 502".

--- a/packages/gateway/src/engine_connections.ts
+++ b/packages/gateway/src/engine_connections.ts
@@ -227,6 +227,11 @@
       const idleSince = req.socket && agent.idleSince(req.socket);
       if (idleSince) idleLimit.recordReset(startedAt - idleSince, startedAt);
     });
+    // Without a listener, Node closes the connection and emits no error.
+    req.once("upgrade", (_, socket) => {
+      socket.destroy();
+      req.emit("error", new Error("Parse Error: unexpected upgrade"));
+    });
     let isSent = false;
     req.on("socket", (socket: Socket) => {
       limitHead(req, socket);
--- a/packages/gateway/src/relay_repeated_refusal_test.ts
+++ b/packages/gateway/src/relay_repeated_refusal_test.ts
@@ -203,3 +203,24 @@
     expect(engine.runs).toEqual(["r1"]);
   },
 );
+
+// The client closes such a connection without an event: the request waited for
+// its deadline.
+test.each(["unsafe", "safe"] as const)(
+  "a change of the protocol is no answer on a route of kind %s",
+  async (kind) => {
+    const changing = await startEngine(({ id, socket }) =>
+      socket.write(
+        `HTTP/1.1 101 Switching\r\n${idHeader(id)}Upgrade: x\r\n` +
+          "Connection: upgrade\r\n\r\n" + refusal(idHeader(id) + NOT_RUN),
+      )
+    );
+    const port = await startRelay([changing.port], {
+      route: { kind, maxAttempts: 1, timeoutMs: 5000 },
+    });
+    const startedAt = performance.now();
+    const response = await sendRequest(port, { deadline: "5000" });
+    expect(response.status).toBe(502);
+    expect(performance.now() - startedAt).toBeLessThan(2500);
+  },
+);
