Read members and owners past a malformed record of another writer

What callers saw: with one odd entry among the members, an instance stopped reading the members (their list threw at each change), and one with a peer port out of range made each round of messages to peers end at that member, so that the members after it heard nothing. An odd assignment was never put in force and never replaced: instances that started knew no owner, so no adapter was loaded through them.

Cause: both records were taken for what this program writes.

Change: members and owners are decoded. An odd member is left out and logged once. An engine whose owner is malformed keeps the one it had, since another would take turns with it, and the assignment is written anew by the coordinator; one that has not seen the owners of before lets the order gap pass.

Ruled out: an end of the process; the errors were caught and logged.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -334,3 +334,11 @@
   severity: "info",
   text: "limits of all engines reached",
 };
+
+/** A record of the store is malformed. It names no member, or the owners that it
+ * should name stay as they were. `kind` and `name` are the record's. */
+export const RECORD_IGNORED: LogEvent = {
+  id: 854,
+  severity: "warn",
+  text: "malformed record ignored",
+};
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -23,6 +23,13 @@
   type StoredRecord,
 } from "@banyanlb/serving";
 import * as events from "./events.ts";
+import {
+  decodeAssignment,
+  decodeStoredMember,
+  type StoredAssignment,
+  type StoredMember,
+  type StoredOwner,
+} from "./membership_entries.ts";
 import {
   NON_READER_WATCH_PAUSE_MS,
   RecordFollower,
@@ -73,26 +80,6 @@
 };
 const ASSIGNMENT_RECORD_NAME = "engines";
 
-/** A member's entry in the store. */
-interface StoredMember extends Member {
-  /** Changes when a removed entry is written again. Owners are identified by
-   * name and tenure, so a member whose entry was removed owns nothing, even if
-   * it has not received the assignment that moves its engines. */
-  readonly tenure: string;
-  readonly renewals: number;
-}
-
-/** One engine's owner in the stored assignment. */
-interface StoredOwner {
-  /** The owner, as NAME#TENURE. */
-  readonly owner: string;
-  /** When the engine moved from another owner, in milliseconds of Unix time; 0
-   * if it had no owner before. */
-  readonly movedAt: number;
-}
-
-type StoredAssignment = Readonly<Record<string, StoredOwner>>;
-
 /** Parts of the gateway and callbacks that membership uses. */
 export interface MembershipOptions {
   readonly self: Member;
@@ -127,10 +114,14 @@
   readonly #startedAt = performance.now();
   #assignment: StoredAssignment = {};
   #owners: ReadonlyMap<string, string> = new Map();
+  /** Whether the record in the store is malformed. */
+  #isAssignmentDamaged = false;
   #fencingToken = 0;
   #entry: StoredRecord | undefined;
   #tenure: string | undefined;
   #tenureByMember: ReadonlyMap<string, string> = new Map();
+  /** Names of malformed entries that were logged. */
+  readonly #ignoredMembers = new Set<string>();
   readonly #orderAllowedAt = new Map<string, number>();
   readonly #ownerMemory = new OwnerMemory();
   #renewals = 0;
@@ -317,16 +308,36 @@
   }
 
   #setMembers(records: ReadonlyMap<string, StoredRecord>): void {
-    const entries = [...records.values()].map((r) => r.value as StoredMember);
+    const entries = [...records.values()].flatMap((record) => {
+      const entry = decodeStoredMember(record);
+      if (entry === undefined) this.#logIgnoredMember(record.name);
+      return entry ?? [];
+    });
     this.#tenureByMember = new Map(entries.map((e) => [e.name, e.tenure]));
     this.#options.members.setMembers(entries, performance.now());
   }
 
+  #logIgnoredMember(name: string): void {
+    if (this.#ignoredMembers.has(name)) return;
+    this.#ignoredMembers.add(name);
+    this.#options.log.write(events.RECORD_IGNORED, { kind: "members", name });
+  }
+
   #setAssignment(records: ReadonlyMap<string, StoredRecord>): void {
     const record = records.get(ASSIGNMENT_RECORD_NAME);
     if (record === undefined || record.revision <= this.#fencingToken) return;
     const previous = this.#assignment;
-    this.#assignment = record.value as StoredAssignment;
+    const decoded = decodeAssignment(record.value, previous);
+    this.#assignment = decoded.assignment;
+    this.#isAssignmentDamaged = decoded.isDamaged;
+    if (decoded.isDamaged) {
+      const { name, revision } = record;
+      this.#options.log.write(events.RECORD_IGNORED, {
+        kind: "assignment",
+        name,
+        revision,
+      });
+    }
     this.#owners = new Map(
       Object.entries(this.#assignment).map(([key, { owner }]) => [
         key,
@@ -472,7 +483,7 @@
     const keys = Object.keys(planned);
     const isUnchanged = keys.length === Object.keys(current).length &&
       keys.every((key) => planned[key] === current[key]?.owner);
-    if (isUnchanged) return;
+    if (isUnchanged && !this.#isAssignmentDamaged) return;
     const value: Record<string, StoredOwner> = {};
     for (const key of keys) {
       const owner = planned[key] ?? "";
@@ -480,7 +491,8 @@
       const formerOwner = formerOwners[key];
       value[key] = previous !== undefined && previous.owner === owner
         ? previous
-        : formerOwner === undefined || formerOwner === owner
+        : formerOwner === owner ||
+            (formerOwner === undefined && !this.#isAssignmentDamaged)
         ? { owner, movedAt: 0 }
         : { owner, movedAt: Date.now() };
     }
--- a/packages/gateway/src/testing/fake_record_store.ts
+++ b/packages/gateway/src/testing/fake_record_store.ts
@@ -32,6 +32,8 @@
 export class FakeRecordStore extends RecordStore {
   /** How lists are answered. `stale`: with the records of `freezeLists`. */
   readMode: ReadMode = "serve";
+  /** Whether `put` writes; it is rejected otherwise. */
+  isWritable = false;
   /** How long a list is under way after it was read, in milliseconds. */
   listDelayMs = 0;
   /** Whether watches, also those that start from now on, hear of no change. */
@@ -180,8 +182,26 @@
     });
   }
 
-  override put(): Promise<StoredRecord> {
-    return Promise.reject(new StoreCallError("rejected", "read only"));
+  override put(
+    kind: RecordKind,
+    record: {
+      readonly name: string;
+      readonly value: unknown;
+      readonly revision: number | undefined;
+    },
+  ): Promise<StoredRecord> {
+    if (!this.isWritable) {
+      return Promise.reject(new StoreCallError("rejected", "read only"));
+    }
+    const { name, value } = record;
+    const current = this.#recordsOf(kind).get(name);
+    return current?.revision === record.revision
+      ? Promise.resolve({
+        name,
+        value,
+        revision: this.write(kind, name, value),
+      })
+      : Promise.reject(new StoreCallError("conflict", "status 409"));
   }
 
   override remove(): Promise<void> {
