--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -381,3 +381,11 @@
   severity: "info",
   text: "use of a workspace's limit",
 };
+
+/** A record of the store is malformed. It names no member, or the owners that it
+ * should name stay as they were. `kind` and `name` are the record's. */
+export const RECORD_IGNORED: LogEvent = {
+  id: 859,
+  severity: "warn",
+  text: "malformed record ignored",
+};
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -25,10 +25,7 @@
   BufferedResponse,
 } from "./attempt_outcome.ts";
 import { withContentLength, withoutContentLength } from "./content_length.ts";
-import {
-  type EngineRequest,
-  ResponseTooLargeError,
-} from "./engine_connections.ts";
+import { type EngineRequest, reasonOf } from "./engine_connections.ts";
 import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
 import * as events from "./events.ts";
 import type { PromptGuard } from "./prompt_guard.ts";
@@ -39,7 +36,9 @@
 } from "./relay_dependencies.ts";
 import { RESPONSE_MAX_BYTES, ResponseBuffer } from "./response_buffer.ts";
 import { trackCompletion } from "./response_completion.ts";
+import { judgeResponse } from "./response_verdict.ts";
 import { skipBody } from "./skip_body.ts";
+import { StreamContinuation } from "./stream_continuation.ts";
 
 /** Time between a request's deadline and the moment when the gateway aborts its
  * attempt: an engine sends its own response when the deadline that it received
@@ -105,6 +104,7 @@
   readonly #deadline: number;
   readonly #excludedEngines = new Set<string>();
   readonly #framer = new EventFramer();
+  readonly #continuation = new StreamContinuation();
   readonly #rateCharge: RateCharge;
   readonly #guard: PromptGuard;
   /** Attempts in which the engine may have run the request. */
@@ -496,6 +496,7 @@
       bodyBytes: body?.length,
     });
     const request = connections.send(view.engine, {
+      id: caller.id,
       method: req.method ?? "GET",
       path: req.url ?? "/",
       headers,
@@ -563,16 +564,7 @@
       if (!request.isSent()) {
         return settle({ kind: "not_run", reason: "unreachable" });
       }
-      const reason = err instanceof ResponseTooLargeError
-        ? "response_too_large"
-        : err.message.startsWith("Parse Error")
-        ? "garbled"
-        : "connection_lost";
-      settle(
-        this.#hasSentHeaders
-          ? { kind: "broken", reason }
-          : { kind: "failed", reason },
-      );
+      settle(this.#failedOutcome(reasonOf(err)));
     });
     request.req.on("response", (response) => {
       clearTimeout(firstByteTimer);
@@ -591,29 +583,34 @@
       status,
       response.rawHeaders,
     );
-    if (responseHead.id !== undefined && responseHead.id !== caller.id) {
-      return settle(this.#failedOutcome("other_answer"));
+    const verdict = judgeResponse(status, responseHead, {
+      id: caller.id,
+      isRepeatable: this.#isRepeatable,
+      hasAdapter: caller.adapter !== undefined,
+      isConnectionReused: this.#engineRequest?.req.reusedSocket === true,
+    });
+    if (verdict.kind === "foreign") {
+      return settle(this.#failedOutcome(verdict.reason));
     }
     this.#deps.limits.record(
       view.engine.key,
       responseHead.requestLimit,
       caller.id,
     );
-    if (responseHead.wasNotExecuted) {
-      const reason = status === 421
-        ? "adapter_missing"
-        : caller.adapter !== undefined && status === 503
-        ? "not_run"
-        : "shed";
+    if (verdict.kind === "unusable") {
+      return settle(this.#failedOutcome(verdict.reason));
+    }
+    if (verdict.kind === "not_run") {
+      const { reason } = verdict;
       return skipBody(response, () => settle({ kind: "not_run", reason }));
     }
-    const isSuccess = status >= 200 && status < 300;
-    if (
-      isSuccess && (!responseHead.isSealed || responseHead.id === undefined)
-    ) {
-      return settle(this.#failedOutcome("unsealed"));
+    if (verdict.kind === "error") {
+      return this.#handleErrorResponse(view, response, settle);
     }
-    if (!isSuccess) return this.#handleErrorResponse(view, response, settle);
+    if (
+      this.#input.route.kind === "stream" &&
+      !this.#continuation.accepts(response)
+    ) return settle(this.#failedOutcome("no_continuation"));
     view.health.recordResult("answered", performance.now());
     this.#guard.recordHead();
     if (this.#hasSentHeaders) {
@@ -746,7 +743,7 @@
       if (route.resumable) {
         const framed = this.#framer.push(chunk);
         this.#lastEventId = framed.lastId ?? this.#lastEventId;
-        bytes = framed.bytes;
+        bytes = this.#continuation.filter(framed);
       }
       boundary.push(chunk);
       receivedBytes += chunk.length;
@@ -779,8 +776,10 @@
     response.on("end", () => {
       clearTimeout(stallTimer);
       if (settle.ended()) return;
-      if (!isComplete() || !boundary.isReached) {
-        settle({ kind: "broken", reason: "connection_lost" });
+      const isWhole = isComplete() && boundary.isReached;
+      if (!isWhole || !this.#continuation.hasEvent) {
+        const reason = isWhole ? "no_continuation" : "connection_lost";
+        settle({ kind: "broken", reason });
         return;
       }
       res.end();
--- a/packages/gateway/src/testing/fake_record_store.ts
+++ b/packages/gateway/src/testing/fake_record_store.ts
@@ -32,11 +32,13 @@
 export class FakeRecordStore extends RecordStore {
   /** How lists are answered. `stale`: with the records of `freezeLists`. */
   readMode: ReadMode = "serve";
+  /** Whether `put` writes; it is rejected otherwise. */
+  isWritable = false;
   /** How long a list is under way after it was read, in milliseconds. */
   listDelayMs = 0;
   /** How long a record that is put is under way before it is written, in
-   * milliseconds; undefined if the store is read only. */
-  putDelayMs: number | undefined;
+   * milliseconds. */
+  putDelayMs = 0;
   /** Whether watches, also those that start from now on, hear of no change. */
   areWatchesDeaf = false;
   /** Whether a watch that waited in vain is answered with the newest revision,
@@ -185,14 +187,21 @@
 
   override async put(
     kind: RecordKind,
-    record: { readonly name: string; readonly value: unknown },
+    record: {
+      readonly name: string;
+      readonly value: unknown;
+      readonly revision: number | undefined;
+    },
   ): Promise<StoredRecord> {
-    const { putDelayMs } = this;
-    if (putDelayMs === undefined) {
-      throw new StoreCallError("rejected", "read only");
+    if (!this.isWritable) throw new StoreCallError("rejected", "read only");
+    if (this.putDelayMs > 0) {
+      await new Promise((resolve) => setTimeout(resolve, this.putDelayMs));
     }
-    await new Promise((resolve) => setTimeout(resolve, putDelayMs));
     const { name, value } = record;
+    const current = this.#recordsOf(kind).get(name);
+    if (current?.revision !== record.revision) {
+      throw new StoreCallError("conflict", "status 409");
+    }
     return { name, value, revision: this.write(kind, name, value) };
   }
 
