Ask how long the path to an engine takes before a request is sent

Callers saw: their requests reached engines, and ran, more than half a second after they had left (GONE; record: client gone at 29.06, at the engine 29.89). Cause: a write into a connection was taken as an arrival. The choice of an engine knew loads and distances, but not what a link takes at present, and an attempt was bounded by timers of the sender alone. The class: a state taken without its age. Ruled out: the time left alone (84 of 123 callers that left had over 0.5 s left); leaving out engines by their first byte (a crowd at the one that is fast).

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -11,6 +11,7 @@
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import {
   type CallerRequest,
+  earliestResponseMs,
   type EngineChoice,
   type EngineView,
   EventBoundary,
@@ -27,7 +28,7 @@
 import { withContentLength, withoutContentLength } from "./content_length.ts";
 import { type EngineRequest, reasonOf } from "./engine_connections.ts";
 import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
-import * as events from "./events.ts";
+import { ExchangeLog } from "./exchange_log.ts";
 import type { PromptGuard } from "./prompt_guard.ts";
 import { RateCharge } from "./rate_charge.ts";
 import type {
@@ -107,6 +108,7 @@
   readonly #continuation = new StreamContinuation();
   readonly #rateCharge: RateCharge;
   readonly #guard: PromptGuard;
+  readonly #log: ExchangeLog;
   /** Attempts in which the engine may have run the request. */
   #runCount = 0;
   #notRunCount = 0;
@@ -116,19 +118,12 @@
   #hasCallerDisconnected = false;
   #hasSentHeaders = false;
   #engineRequest: EngineRequest | undefined;
-  /** The attempt that is in progress, or was last. */
-  #attempt:
-    | { readonly view: EngineView; readonly startMs: number }
-    | undefined;
-  #firstByteAt: number | undefined;
-  /** The longest pause between two chunks of a stream, in milliseconds. */
-  #longestPauseMs = 0;
-  #lastChunkAt: number | undefined;
 
   constructor(deps: RelayDependencies, input: ExchangeInput) {
     this.#deps = deps;
     this.#input = input;
     const { caller, route, arrivedAt } = input;
+    this.#log = new ExchangeLog(deps, input);
     this.#rateCharge = new RateCharge(deps, input.workspace, caller);
     this.#guard = deps.guardPrompt(caller);
     this.#lastEventId = caller.lastEventId;
@@ -152,13 +147,7 @@
     res.on("close", () => {
       if (res.writableFinished) return;
       this.#hasCallerDisconnected = true;
-      if (this.#attempt !== undefined) {
-        this.#deps.log.write(events.CALLER_LEFT_ATTEMPT, {
-          id: this.#input.caller.id,
-          ...this.#attemptFields(),
-          leftMs: Math.round(this.#deadline - performance.now()),
-        });
-      }
+      this.#log.callerLeft(this.#deadline);
       this.#engineRequest?.req.destroy();
     });
     let reason = "no_engine";
@@ -168,9 +157,7 @@
       // The caller may have disconnected during an adapter load. No await
       // separates this check from the sending.
       if (this.#hasCallerDisconnected || res.destroyed) {
-        this.#deps.log.write(events.CALLER_DISCONNECTED, {
-          id: this.#input.caller.id,
-        });
+        this.#log.callerDisconnected();
         if (this.#runCount === 0) this.#rateCharge.refund();
         return;
       }
@@ -193,6 +180,7 @@
         await setTimeoutPromise(decision.ms);
         continue;
       }
+      if (!this.#isInTime(view)) return this.#giveUp("too_late");
       // The limit may have been reached while the adapter was loaded.
       if (!this.#deps.limits.tryTake(view.engine.key)) continue;
       this.#guard.start(decision);
@@ -237,6 +225,7 @@
       isOlderVersionAllowed: model !== undefined && adapter !== undefined &&
         this.#deps.isOlderAllowed(model, adapter),
       excludedEngines: excluded,
+      timeLeftMs: this.#deadline - now,
     }, this.#deps.selectionContextAt(now));
   }
 
@@ -244,7 +233,7 @@
    * one is needed. Resolves to `wait` after a failed load, which excludes that
    * engine: the next call selects another. */
   async #nextEngine(): Promise<
-    EngineView | "wait" | "full" | "no_engine" | "limited"
+    EngineView | "wait" | "full" | "no_engine" | "limited" | "too_late"
   > {
     const { model, adapter } = this.#input.caller;
     const now = performance.now();
@@ -283,15 +272,12 @@
     return "wait";
   }
 
-  /** Where the last attempt was sent, and what it waited for before it was
-   * written to a connection. */
-  #attemptFields() {
-    return {
-      engine: this.#attempt?.view.engine.key,
-      engineZone: this.#attempt?.view.engine.zone,
-      startMs: this.#attempt?.startMs,
-      connectionMs: this.#engineRequest?.connectionMs(),
-    };
+  /** Whether a response of the engine can arrive before the deadline, by the time
+   * that its path takes at present. */
+  #isInTime(view: EngineView): boolean {
+    const now = performance.now();
+    const context = this.#deps.selectionContextAt(now);
+    return earliestResponseMs(view, context) < this.#deadline - now;
   }
 
   #recordFailure(view: EngineView, outcome: AttemptOutcome, now: number): void {
@@ -303,23 +289,7 @@
     if (outcome.kind !== "not_run" || isUnresponsive) {
       view.health.recordResult(isUnresponsive ? "silent" : "failed", now);
     }
-    this.#deps.metrics.add("attempt_failures_total", `reason="${reason}"`);
-    this.#deps.log.write(events.ATTEMPT_FAILED, {
-      id: caller.id,
-      kind: outcome.kind,
-      reason,
-      status: outcome.kind === "error_answer"
-        ? outcome.answer.status
-        : undefined,
-      load: Math.round(view.load(now)),
-      parts: caller.sharedParts,
-      // Time since the first byte of a response, of this or an earlier attempt.
-      answeredMs: this.#firstByteAt === undefined
-        ? undefined
-        : Math.round(now - this.#firstByteAt),
-      ...this.#attemptFields(),
-      ms: Math.round(now - this.#input.arrivedAt),
-    });
+    this.#log.attemptFailed(outcome, reason, now);
     if (reason === "adapter_missing" && this.#notRunCount < REFUSALS_MAX) {
       // The request arrived before the load had ended, or the adapter has been
       // evicted. The instance that owns the engine is notified and corrects its
@@ -390,7 +360,7 @@
   #giveUp(reason: string): void {
     const { res, caller, refuse } = this.#input;
     if (this.#hasSentHeaders) {
-      this.#recordRequestFailure(reason, 0);
+      this.#log.requestFailed(reason, 0, this.#runCount);
       res.destroy();
       return;
     }
@@ -407,30 +377,10 @@
       return refuse(503, reason, waitSeconds);
     }
     const status = reason === "timed_out" ? 504 : 502;
-    this.#recordRequestFailure(reason, status);
+    this.#log.requestFailed(reason, status, this.#runCount);
     sendErrorResponse(res, status, { id: caller.id, reason });
   }
 
-  #recordRequestFailure(reason: string, status: number): void {
-    this.#deps.metrics.add("failures_total", `reason="${reason}"`);
-    this.#deps.log.write(events.REQUEST_FAILED, {
-      id: this.#input.caller.id,
-      route: this.#input.route.name,
-      reason,
-      status,
-      runs: this.#runCount,
-      ms: Math.round(performance.now() - this.#input.arrivedAt),
-      ...this.#input.configuration,
-    });
-  }
-
-  #recordChunk(): void {
-    const now = performance.now();
-    const pauseMs = now - (this.#lastChunkAt ?? now);
-    this.#longestPauseMs = Math.max(this.#longestPauseMs, pauseMs);
-    this.#lastChunkAt = now;
-  }
-
   #forwardErrorResponse(errorResponse: BufferedResponse): void {
     const { res } = this.#input;
     res.writeHead(
@@ -442,32 +392,8 @@
   }
 
   #recordServed(status: number, view: EngineView | undefined): void {
-    const { arrivedAt, route, caller, workspace } = this.#input;
-    const now = performance.now();
-    const { metrics, log } = this.#deps;
-    metrics.add("answers_total", `status="${status}"`);
-    metrics.time(
-      "first_byte_ms",
-      `kind="${route.kind}"`,
-      (this.#firstByteAt ?? now) - arrivedAt,
-    );
-    metrics.time("answer_ms", `kind="${route.kind}"`, now - arrivedAt);
-    log.write(events.REQUEST_SERVED, {
-      id: caller.id,
-      route: route.name,
-      workspace: workspace?.name,
-      model: caller.model,
-      adapter: caller.adapter,
-      ...this.#attemptFields(),
-      engine: view?.engine.key,
-      status,
-      runs: this.#runCount,
-      loads: this.#loadCount,
-      firstMs: Math.round((this.#firstByteAt ?? now) - arrivedAt),
-      pauseMs: Math.round(this.#longestPauseMs) || undefined,
-      ms: Math.round(now - arrivedAt),
-      ...this.#input.configuration,
-    });
+    const counts = { runs: this.#runCount, loads: this.#loadCount };
+    this.#log.served(status, view, counts);
   }
 
   /** Sends the request to one engine and forwards its response. */
@@ -507,23 +433,19 @@
       instances: members.sharingCount(now),
     });
     this.#engineRequest = request;
-    const startMs = Math.round(now - this.#input.arrivedAt);
-    this.#attempt = { view, startMs };
-    this.#deps.metrics.time("attempt_start_ms", "", startMs);
+    this.#log.startAttempt(view, request, now);
+    const probe = view.path.start(now);
+    request.req.once(
+      "response",
+      () => view.path.recordResponse(probe, performance.now()),
+    );
     view.inFlight += 1;
     usage.start(view.engine.key, caller.adapter);
     return new Promise<AttemptOutcome>((resolve) => {
       this.#trackAttempt(view, request, resolve);
     }).finally(() => {
-      const connectionMs = request.connectionMs();
-      if (connectionMs !== undefined) {
-        const isNew = !request.req.reusedSocket;
-        this.#deps.metrics.time(
-          "connection_ms",
-          `new="${isNew}"`,
-          connectionMs,
-        );
-      }
+      this.#log.endAttempt();
+      view.path.end(probe);
       view.inFlight -= 1;
       usage.end(view.engine.key, caller.adapter);
     });
@@ -616,7 +538,7 @@
     if (this.#hasSentHeaders) {
       return this.#forwardStream(view, response, settle);
     }
-    this.#firstByteAt = performance.now();
+    this.#log.recordFirstByte();
     if (this.#input.route.kind === "stream") {
       const headers = this.#input.route.resumable
         ? withoutContentLength(
@@ -736,7 +658,7 @@
     restartStallTimer();
     response.on("data", (chunk: Buffer) => {
       if (settle.ended()) return;
-      this.#recordChunk();
+      this.#log.recordChunk();
       this.#guard.recordBytes();
       restartStallTimer();
       let bytes = chunk;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -482,11 +482,20 @@
   }
 
   #selectionContextAt(now: number): SelectionContext {
+    const { zone, regions } = this.#settings;
+    const delayByRegion = new Map<string, number>();
     return {
-      zone: this.#settings.zone,
-      regionOf: (zone) => this.#settings.regions.get(zone),
+      zone,
+      regionOf: (engineZone) => regions.get(engineZone),
       canOrder: (key) => this.#loader.canOrder(key),
       roomOf: (key) => this.#engineLimits.roomOf(key, now),
+      linkMs: (engineZone) => {
+        const region = regions.get(engineZone) ?? "";
+        const delayMs = delayByRegion.get(region) ??
+          this.#pathDelays.to(region, now);
+        delayByRegion.set(region, delayMs);
+        return delayMs;
+      },
       now,
     };
   }
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -212,6 +212,7 @@
       regionOf: () => "r",
       canOrder: () => true,
       roomOf: (key) => limits.roomOf(key, now),
+      linkMs: () => 0,
       now,
     }),
     use: new AdapterUsageCounts(),
--- a/packages/serving/src/choose_engine.ts
+++ b/packages/serving/src/choose_engine.ts
@@ -56,6 +56,15 @@
  * between the tokens of other requests. */
 const FULL_SPEED_REQUESTS_MAX = 32;
 
+/** Time that the links to an engine and back take, above which other engines are
+ * used if there are any, in milliseconds. Callers leave at any time, and a
+ * request that arrives long after that is work for nobody. */
+const SLOW_PATH_MS = 400;
+
+/** Cost of each further such time until an engine's fastest response. An engine
+ * may be slow for other reasons, so it is not left out. */
+const SLOW_RESPONSE_COST = 1;
+
 /** Cost of an engine that already runs its maximum of concurrent fetches. A
  * burst of requests for cold adapters then loads them on the next engines of
  * their orders, since waiting costs more than another adapter slot. */
@@ -73,6 +82,8 @@
   readonly isOlderVersionAllowed: boolean;
   /** Keys of engines that were already tried. */
   readonly excludedEngines: ReadonlySet<string>;
+  /** Time until the request's deadline, in milliseconds. */
+  readonly timeLeftMs: number;
 }
 
 /** Location and time of the choice, and which engines accept load requests. */
@@ -83,6 +94,9 @@
   readonly canOrder: (engineKey: string) => boolean;
   /** How the engine's own limit on requests allows it to be used. */
   readonly roomOf: (engineKey: string) => EngineRoom;
+  /** Time that the links to a zone and back take at present, in
+   * milliseconds. */
+  readonly linkMs: (zone: string) => number;
   readonly now: number;
 }
 
@@ -99,7 +113,7 @@
   /** No engine can serve the request now. */
   | {
     readonly kind: "none";
-    readonly reason: "no_engine" | "full" | "limited";
+    readonly reason: "no_engine" | "full" | "limited" | "too_late";
   };
 
 /** Chooses engines by cost, and caches the engine order of each adapter. */
@@ -138,16 +152,19 @@
       context.roomOf(view.engine.key) !== "closed"
     );
     if (usable.length === 0) return { kind: "none", reason: "limited" };
+    const inTime = withoutSlowPaths(usable, requirements, context);
+    if (inTime.length === 0) return { kind: "none", reason: "too_late" };
     if (
       requirements.model === undefined || requirements.adapter === undefined
     ) {
-      return chooseWithoutAdapter(usable, requirements, context);
+      return chooseWithoutAdapter(inTime, requirements, context);
     }
-    const choice = this.#chooseForAdapter(usable, requirements, context);
+    const choice = this.#chooseForAdapter(inTime, requirements, context);
     if (choice.kind === "send") return choice;
     const leaving = serviceEngines.find((view) =>
       isLeavingHolder(view, requirements, context.now) &&
       context.roomOf(view.engine.key) !== "closed" &&
+      context.linkMs(view.engine.zone) < SLOW_PATH_MS &&
       !requirements.excludedEngines.has(view.engine.key)
     );
     if (leaving === undefined) return choice;
@@ -286,6 +303,37 @@
   }
 }
 
+/** Time until an engine's response begins at the earliest, in milliseconds.
+ *
+ * @example
+ * ```ts
+ * if (earliestResponseMs(view, context) >= timeLeftMs) refuse();
+ * ```
+ */
+export function earliestResponseMs(
+  view: EngineView,
+  context: Pick<SelectionContext, "linkMs" | "now">,
+): number {
+  const { linkMs, now } = context;
+  return Math.max(linkMs(view.engine.zone), view.path.delayMs(now));
+}
+
+/** The engines whose responses can arrive before the deadline; only those behind
+ * fast links, if there are any. */
+function withoutSlowPaths(
+  views: readonly EngineView[],
+  requirements: EngineRequirements,
+  context: SelectionContext,
+): readonly EngineView[] {
+  const inTime = views.filter((view) =>
+    earliestResponseMs(view, context) < requirements.timeLeftMs
+  );
+  const fast = inTime.filter((view) =>
+    context.linkMs(view.engine.zone) < SLOW_PATH_MS
+  );
+  return fast.length > 0 ? fast : inTime;
+}
+
 function chooseWithoutAdapter(
   usable: readonly EngineView[],
   requirements: EngineRequirements,
@@ -356,6 +404,8 @@
   const limitedCost = context.roomOf(view.engine.key) === "open"
     ? 0
     : LIMITED_COST;
+  const lateMs = Math.max(0, view.path.delayMs(now) - SLOW_PATH_MS);
   return loadRatio(view, now) + distance + limitedCost +
+    SLOW_RESPONSE_COST * lateMs / SLOW_PATH_MS +
     FAILURE_COST * view.health.failureRate(now);
 }
--- a/packages/serving/src/choose_engine_test.ts
+++ b/packages/serving/src/choose_engine_test.ts
@@ -47,6 +47,7 @@
   regionOf: (zone) => zone === "z3" ? "r2" : "r1",
   canOrder: () => true,
   roomOf: () => "open",
+  linkMs: () => 0,
   now: NOW,
 };
 
@@ -60,6 +61,7 @@
     version: 0,
     isOlderVersionAllowed: false,
     excludedEngines: new Set(),
+    timeLeftMs: 10_000,
     ...extra,
   };
 }
@@ -338,3 +340,70 @@
     view: second,
   });
 });
+
+/** Two engines that hold the adapter or may load it, the first behind a link that
+ * takes `linkMs`. */
+function setUpLink(linkMs: number) {
+  const table = new EngineTable();
+  table.setEngines([engine("far", "z3"), engine("near", "z1")]);
+  const chooser = new EngineChooser(table);
+  const views = [...table.all()];
+  const [far, near] = views;
+  if (far === undefined || near === undefined) throw new Error("no engines");
+  const linkContext: SelectionContext = {
+    ...context,
+    linkMs: (zone) => zone === "z3" ? linkMs : 5,
+  };
+  return { chooser, far, near, linkContext };
+}
+
+// Guards against requests that a full link delivers after their callers left,
+// although the adapter could be loaded nearby.
+test("full link: an adapter behind it is loaded where the link is fast", () => {
+  const { chooser, far, near, linkContext } = setUpLink(900);
+  far.adapters = new Map([["a1", heldAdapter]]);
+  const choice = chooser.choose(requirements(), linkContext);
+  expect(choice).toEqual({ kind: "load", view: near });
+});
+
+// Guards against refusing everything while all engines are behind a full link.
+test("full link: engines behind it are used if there are no others", () => {
+  const { chooser, far, near, linkContext } = setUpLink(900);
+  far.adapters = new Map([["a1", heldAdapter]]);
+  const choice = chooser.choose(
+    requirements({ excludedEngines: new Set([near.engine.key]) }),
+    linkContext,
+  );
+  expect(choice).toMatchObject({ kind: "send", view: far });
+});
+
+// Guards against work that nobody can receive.
+test("full link: a request that would be late in any case is not sent", () => {
+  const { chooser, near, linkContext } = setUpLink(900);
+  const choice = chooser.choose(
+    requirements({
+      timeLeftMs: 900,
+      excludedEngines: new Set([near.engine.key]),
+    }),
+    linkContext,
+  );
+  expect(choice).toEqual({ kind: "none", reason: "too_late" });
+});
+
+// Guards against a crowd at the one engine that answers fast under overload.
+test("overload: an engine whose responses are late costs more, but is used", () => {
+  const { chooser, rank } = setUp(2);
+  const [first, second] = rank;
+  if (first === undefined || second === undefined) {
+    throw new Error("no engines");
+  }
+  for (const view of rank) view.adapters = new Map([["a1", heldAdapter]]);
+  first.path.recordResponse(first.path.start(NOW - 800), NOW);
+  const choose = () => {
+    const choice = chooser.choose(requirements(), context);
+    return choice.kind === "send" ? choice.view : undefined;
+  };
+  expect(choose()).toBe(second);
+  second.inFlight = 11;
+  expect(choose()).toBe(first);
+});
--- a/packages/serving/src/engine_table.ts
+++ b/packages/serving/src/engine_table.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { EngineHealth } from "./engine_health.ts";
+import { EnginePath } from "./engine_path.ts";
 import type { Engine } from "./types.ts";
 
 /** An adapter on an engine, in this instance's view. */
@@ -34,6 +35,7 @@
   leavingSince: number | undefined;
   inFlight = 0;
   readonly health = new EngineHealth();
+  readonly path = new EnginePath();
   readonly #peerLoads = new Map<string, PeerLoad>();
 
   constructor(engine: Engine) {
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -12,6 +12,7 @@
 export * from "./engine_limits.ts";
 export * from "./engine_table.ts";
 export * from "./engine_health.ts";
+export * from "./engine_path.ts";
 export * from "./event_boundary.ts";
 export * from "./event_framer.ts";
 export * from "./fingerprint.ts";
