Refuse peers whose addresses cannot be dialled

What callers saw: Node throws at once for a port out of range, so a peer with such an address (a seed, or one that introduced itself) ended the round of messages to all peers after it, and a seed ended the start of the process.

Cause: addresses of peers were split at the colon and dialled unchecked, and a hello was taken as it came.

Change: an address is parsed as in the settings; without one nothing is dialled. A hello must name a member that can be reached; else its connection is closed and the message is logged as invalid.

Ruled out: a deeply nested message closes only its own connection.

--- a/packages/gateway/src/peer_links.ts
+++ b/packages/gateway/src/peer_links.ts
@@ -6,7 +6,9 @@
  * @module
  */
 import { createServer, type Server, Socket } from "node:net";
+import { parseAddress } from "@banyanlb/platform";
 import type { Member } from "@banyanlb/serving";
+import { decodeMember } from "./membership_entries.ts";
 import type { PeerMessage } from "./peer_messages.ts";
 
 /** Minimum time from one dial of a peer to the next, in milliseconds. */
@@ -128,7 +130,9 @@
   }
 
   #dial(now: number): Socket | undefined {
-    const [host = "", port = ""] = this.address.split(":");
+    const address = parseAddress(this.address);
+    // Node throws at once for a port out of range.
+    if (address === undefined) return undefined;
     const socket = new Socket();
     this.#socket = socket;
     this.#nextDialAt = now + REDIAL_PAUSE_MS;
@@ -147,7 +151,7 @@
       if ("n" in message) this.#resolve(message.n, message);
     }, this.#onInvalidMessage);
     socket.setNoDelay(true);
-    socket.connect(Number(port), host);
+    socket.connect(address.port, address.host);
     socket.write(`${JSON.stringify(this.#hello)}\n`);
     return socket;
   }
@@ -239,7 +243,11 @@
       if (!socket.destroyed) socket.write(`${JSON.stringify(message)}\n`);
     };
     readMessages(socket, (message) => {
-      if (message.t === "hello") from = message.member.name;
+      if (message.t === "hello") {
+        const member = decodeMember(message.member);
+        if (member === undefined) throw new Error("hello without a member");
+        from = member.name;
+      }
       if (from === undefined) socket.destroy();
       else this.#options.onMessage(from, message, sendReply);
     }, this.#options.onInvalidMessage);
--- /dev/null
+++ b/packages/gateway/src/peer_links_test.ts
@@ -0,0 +1,87 @@
+import { connect, createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import type { Member } from "@banyanlb/serving";
+import { expect, onTestFinished, test, vi } from "vitest";
+import { PeerLinks } from "./peer_links.ts";
+import type { PeerMessage } from "./peer_messages.ts";
+
+async function findFreePort(): Promise<number> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+async function startLinks() {
+  const port = await findFreePort();
+  const member: Member = {
+    name: "a",
+    zone: "z",
+    region: "r",
+    peerAddress: `127.0.0.1:${port}`,
+    callerAddress: "127.0.0.1:1",
+    incarnation: "1",
+    cores: 1,
+  };
+  const received: PeerMessage[] = [];
+  const invalid: string[] = [];
+  const links = new PeerLinks(member, {
+    onMessage: (_, message) => void received.push(message),
+    onInvalidMessage: (reason) => void invalid.push(reason),
+  });
+  await links.listen({ host: "127.0.0.1", port });
+  onTestFinished(() => links.close());
+  return { links, port, member, received, invalid };
+}
+
+const CONFIRM: PeerMessage = { t: "confirm", n: 1 };
+
+// Node throws at once for such a port. The error ended the round of messages to
+// all peers, or the start of the process.
+test.each(["99999999", "65536", "-1", "80.5", "", "x"])(
+  "a message to a peer at port %j is not sent and harms no other",
+  async (port) => {
+    const { links, member, received } = await startLinks();
+    expect(links.send(`127.0.0.1:${port}`, CONFIRM)).toBe(false);
+    const reply = links.ask(`127.0.0.1:${port}`, (n) => ({
+      t: "confirm",
+      n,
+    }), 5000);
+    expect(await reply).toBeUndefined();
+    expect(links.send(member.peerAddress, CONFIRM)).toBe(true);
+    await vi.waitFor(() => expect(received).toContainEqual(CONFIRM));
+  },
+);
+
+// A peer that cannot be reached became a member.
+test.each([
+  ["no member", undefined],
+  ["text", "a"],
+  ["a peer port of 99999999", { peerAddress: "127.0.0.1:99999999" }],
+  ["no caller address", { callerAddress: 7 }],
+  ["a name that is a number", { name: 7 }],
+])("a hello with %s introduces nobody", async (_, change) => {
+  const { port, member, received, invalid } = await startLinks();
+  const odd = typeof change === "object" ? { ...member, ...change } : change;
+  const socket = connect(port, "127.0.0.1");
+  socket.on("error", () => undefined);
+  const closed = new Promise((resolve) => socket.once("close", resolve));
+  socket.write(`${JSON.stringify({ t: "hello", member: odd })}\n`);
+  socket.write(`${JSON.stringify(CONFIRM)}\n`);
+  await closed;
+  expect(received).toEqual([]);
+  expect(invalid).toHaveLength(1);
+});
+
+// JSON.parse reads any depth.
+test("a message that is nested deeply closes only its connection", async () => {
+  const { links, port, member, received } = await startLinks();
+  const socket = connect(port, "127.0.0.1");
+  socket.on("error", () => undefined);
+  const closed = new Promise((resolve) => socket.once("close", resolve));
+  socket.write(`${"[".repeat(100_000)}${"]".repeat(100_000)}\n`);
+  await closed;
+  links.send(member.peerAddress, CONFIRM);
+  await vi.waitFor(() => expect(received).toContainEqual(CONFIRM));
+});
