Read the held parts past a malformed one

What callers saw: nothing directly. One odd part in the record of held parts kept the parts from being stored, so that they were lost with a restart of all instances, and wrote a line to the log each second. A hold with a revision of 1e300 could never be released.

Cause: the record was taken for what this program writes.

Change: parts whose fields are not whole, exact numbers are left out; the record is written without them.

Evidence: before the change 4 of the 6 cases "a record with ..." failed, three with "expected +0 to be 1" (writes).

--- a/packages/gateway/src/hold_keeper.ts
+++ b/packages/gateway/src/hold_keeper.ts
@@ -152,10 +152,27 @@
   return holds.map(([part, revision]) => `${part}@${revision}`).sort().join();
 }
 
+/** Decodes the record without the parts that are malformed. */
 function decodeHolds(value: unknown): StoredHolds | undefined {
-  const stored = value as Partial<StoredHolds> | undefined;
-  return typeof stored?.savedAtMs === "number" &&
-      typeof stored.parts === "object" && stored.parts !== null
-    ? stored as StoredHolds
-    : undefined;
+  const stored = value as Partial<StoredHolds> | null | undefined;
+  const savedAtMs = stored?.savedAtMs;
+  const parts = stored?.parts;
+  if (!Number.isSafeInteger(savedAtMs)) return undefined;
+  if (typeof parts !== "object" || parts === null) return undefined;
+  return {
+    savedAtMs: Number(savedAtMs),
+    parts: Object.fromEntries(
+      Object.entries(parts).filter(([, hold]) => isHold(hold)),
+    ),
+  };
+}
+
+function isHold(value: unknown): value is HoldRecord {
+  if (typeof value !== "object" || value === null) return false;
+  const hold = value as Partial<HoldRecord>;
+  const { revision, crashes, trials, ageMs, trialInMs, expiresInMs } = hold;
+  const numbers = [revision, crashes, trials, ageMs, expiresInMs];
+  return typeof hold.isHeld === "boolean" &&
+    numbers.every((n) => Number.isSafeInteger(n)) &&
+    (trialInMs === null || Number.isSafeInteger(trialInMs));
 }
--- a/packages/gateway/src/hold_keeper_test.ts
+++ b/packages/gateway/src/hold_keeper_test.ts
@@ -55,6 +55,46 @@
   quarantine.report(performance.now());
 }
 
+// One odd part kept the record from being read and written again, and a line was
+// logged each second.
+test.each([
+  ["no value", undefined],
+  ["text", "parts"],
+  ["parts that are a list", { savedAtMs: 1, parts: [null] }],
+  ["a part that is null", { savedAtMs: 1, parts: { odd: null } }],
+  ["a part that is text", { savedAtMs: 1, parts: { odd: "held" } }],
+  [
+    "numbers too large",
+    {
+      savedAtMs: 1,
+      parts: {
+        odd: {
+          revision: 1e300,
+          isHeld: true,
+          crashes: 1,
+          trials: 0,
+          ageMs: 1,
+          trialInMs: 1e300,
+          expiresInMs: 1e300,
+        },
+      },
+    },
+  ],
+])("a record with %s holds nothing and is written again", async (_, value) => {
+  const store = new FakeStore();
+  store.record = { name: "parts", revision: 0, value };
+  const { quarantine, keeper } = startKeeper(store);
+  await keeper.check();
+  expect(quarantine.holdRecords(performance.now())).toEqual([]);
+  holdPart(quarantine, "p");
+  await keeper.check();
+  expect(store.writes).toBe(1);
+  const { quarantine: next, keeper: nextKeeper } = startKeeper(store);
+  await nextKeeper.check();
+  expect(next.holdRecords(performance.now()).map(([part]) => part))
+    .toEqual(["p"]);
+});
+
 describe("held parts in the store", () => {
   test("are known to an instance that starts after all were lost", async () => {
     const store = new FakeStore();
