--- a/packages/gateway/src/odd_records_test.ts
+++ b/packages/gateway/src/odd_records_test.ts
@@ -134,3 +134,42 @@
     }
   },
 );
+
+// A body that cannot be read counted as an empty list at the start, and later
+// as a reply to a watch: the watch was repeated without a pause.
+test.concurrent.for([
+  ["deeply nested", nested(100_000)],
+  ["text", "no store"],
+  ["an empty object", "{}"],
+])(
+  "a list that is %s is no empty list and is read again after a pause",
+  async ([, body], { onTestFinished }) => {
+    const store = new RawStore();
+    store.body = body;
+    writeEngine(store, "first");
+    const client = new ObjectStoreClient(await store.listen());
+    const reader = new FakeInstance("reader", client);
+    reader.start();
+    onTestFinished(() => {
+      reader.close();
+      client.close();
+      store.close();
+    });
+    await new Promise((resolve) => setTimeout(resolve, 600));
+    expect(reader.view.follower("engines").known).toBe(false);
+    store.body = undefined;
+    const isRead = () => expect(idsOf(reader)).toEqual(["first"]);
+    await vi.waitFor(isRead, WITHIN);
+    store.body = body;
+    store.reads = 0;
+    await new Promise((resolve) => setTimeout(resolve, 1000));
+    expect(store.reads).toBeLessThan(40);
+    isRead();
+    store.body = undefined;
+    writeEngine(store, "second");
+    await vi.waitFor(
+      () => expect(idsOf(reader)).toEqual(["first", "second"]),
+      WITHIN,
+    );
+  },
+);
