Show that an error after a stream's beginning ends it at once

Mutation tried: without the check of the sent head in the handling of error responses, the cases "an error 404" and "a redirect" turn red, since the stream then stays open until the deadline.

--- a/packages/gateway/src/relay_broken_stream_test.ts
+++ b/packages/gateway/src/relay_broken_stream_test.ts
@@ -131,9 +131,17 @@
   test.each(ANSWERS)("%s breaks off visibly", async (_, answer) => {
     const engines = await startBreaking(answer);
     const port = await startRelay(engines.map((e) => e.port), {
-      route: { kind: "stream", resumable: true, maxAttempts: 2 },
+      route: {
+        kind: "stream",
+        resumable: true,
+        maxAttempts: 2,
+        timeoutMs: 9000,
+      },
     });
-    const received = await sendRequest(port);
+    const startedAt = performance.now();
+    const received = await sendRequest(port, { deadline: "9000" });
+    // At once, not at the deadline.
+    expect(performance.now() - startedAt).toBeLessThan(5000);
     expect(received).toMatchObject({ status: 200, isComplete: false });
     expect(received.body).toBe(BEGINNING);
     const requests = engines.flatMap((e) => e.requests);
