--- a/packages/gateway/src/testing/fake_region_fleet.ts
+++ b/packages/gateway/src/testing/fake_region_fleet.ts
@@ -57,6 +57,8 @@
   readonly toFar: RegionLink;
   readonly toNear: RegionLink;
   readonly instances: readonly FleetInstance[];
+  readonly #remoteStores = new Map<string, RemoteRecordStore>();
+  readonly #isolated = new Set<string>();
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: RegionFleetOptions) {
@@ -67,7 +69,6 @@
       });
     this.toFar = createLink();
     this.toNear = createLink();
-    const remoteStore = new RemoteRecordStore(this.store, this.toFar);
     const members = Array.from({ length: options.size }, (_, i): Member => {
       const region = i % 2 === 0 ? NEAR : FAR;
       return {
@@ -84,12 +85,27 @@
       new FleetInstance(this, {
         member,
         members,
-        store: member.region === NEAR ? this.store : remoteStore,
+        store: member.region === NEAR
+          ? this.store
+          : this.#remoteStoreOf(member.name),
         changeKnownMs: options.changeKnownMs,
       })
     );
   }
 
+  #remoteStoreOf(name: string): RemoteRecordStore {
+    const store = new RemoteRecordStore(this.store, this.toFar);
+    this.#remoteStores.set(name, store);
+    return store;
+  }
+
+  /** Cuts an instance of the far region off from the near one. */
+  isolateFromNear(name: string): void {
+    this.#isolated.add(name);
+    const store = this.#remoteStores.get(name);
+    if (store !== undefined) store.isCut = true;
+  }
+
   /** Starts all instances. */
   start(): void {
     for (const instance of this.instances) instance.start();
@@ -119,6 +135,9 @@
   /** Resolves when a message has arrived, within a region at once. */
   async carry(from: Member, to: Member, message: PeerMessage): Promise<void> {
     if (from.region === to.region) return;
+    if (this.#isolated.has(from.name) || this.#isolated.has(to.name)) {
+      return await new Promise(() => undefined);
+    }
     const link = to.region === FAR ? this.toFar : this.toNear;
     if (message.t === "pulled") {
       await link.transfer(
@@ -139,6 +158,7 @@
   readonly #confirmer: RecordConfirmer;
   readonly #roles: ReaderRoles;
   readonly #digests: DigestExchange;
+  #hasCrashed = false;
 
   constructor(
     fleet: FakeRegionFleet,
@@ -262,6 +282,11 @@
     return this.#view.routeTable?.configuration.version;
   }
 
+  /** Whether the store replies to this instance, as its digests say. */
+  get reachesStore(): boolean {
+    return this.#view.reachesStore;
+  }
+
   /** Starts to follow the store. */
   start(): void {
     this.#view.start();
@@ -271,6 +296,7 @@
   /** Does the periodic work: sends digests, decides the roles and confirms the
    * records. */
   tick(): void {
+    if (this.#hasCrashed) return;
     const now = performance.now();
     this.#digests.send();
     this.#roles.update(now);
@@ -283,11 +309,17 @@
     this.#assignment.close();
   }
 
+  /** Ends all activity, and answers no question any more. */
+  crash(): void {
+    this.#hasCrashed = true;
+    this.close();
+  }
+
   async #send(address: string, message: PeerMessage): Promise<void> {
     const peer = this.#fleet.at(address);
     if (peer === undefined) return;
     await this.#fleet.carry(this.member, peer.member, message);
-    if (message.t === "digest") {
+    if (message.t === "digest" && !peer.#hasCrashed) {
       peer.#digests.receive(this.member.name, message);
     }
   }
@@ -313,6 +345,7 @@
     const peer = this.#fleet.at(address);
     if (peer === undefined) return undefined;
     await this.#fleet.carry(this.member, peer.member, request);
+    if (peer.#hasCrashed) return await new Promise(() => undefined);
     const reply = peer.#reply(request);
     if (reply === undefined) return undefined;
     await this.#fleet.carry(peer.member, this.member, reply);
--- a/packages/gateway/src/testing/remote_record_store.ts
+++ b/packages/gateway/src/testing/remote_record_store.ts
@@ -43,6 +43,8 @@
 export class RemoteRecordStore extends RecordStore {
   readonly #store: FakeRecordStore;
   readonly #link: RegionLink;
+  /** Whether calls get no reply. */
+  isCut = false;
 
   constructor(store: FakeRecordStore, link: RegionLink) {
     super();
@@ -122,6 +124,7 @@
       call.signal?.addEventListener("abort", () => fail("aborted"), {
         once: true,
       });
+      if (this.isCut) return void reply.catch(() => undefined);
       reply.then(async (value) => {
         const bytes = REPLY_BYTES + sizeOfRecords(call.recordsOf(value));
         await this.#link.transfer(call.content, bytes, () => isClosed);
--- /dev/null
+++ b/packages/gateway/src/workspace_rates_review_test.ts
@@ -0,0 +1,258 @@
+import { ManualClocks, type Member, MemberTable } from "@banyanlb/serving";
+import { beforeEach, expect, test } from "vitest";
+import type { PeerMessage } from "./peer_messages.ts";
+import { type RateRefusal, WorkspaceRates } from "./workspace_rates.ts";
+
+const WINDOW_MS = 8000;
+const WORKSPACE = {
+  name: "w",
+  keys: [],
+  priority: undefined,
+  countsTokens: true,
+  defaultTokens: 10,
+  ratePerSecond: 1000,
+  burst: 2000,
+};
+/** What each of two instances may admit within a window. */
+const SHARE_UNITS = 5000;
+
+/** An instance whose messages reach the others at once, unless one is silent.
+ * Its process started long ago. */
+class Instance {
+  readonly member: Member;
+  readonly rates: WorkspaceRates;
+  readonly members: MemberTable;
+  readonly clocks = new ManualClocks();
+  /** How long a question to this instance takes, in milliseconds; undefined if
+   * it is not answered in time. */
+  responseMs: number | undefined = 0;
+  /** Numbers of the questions whose units were given back. */
+  readonly returned: number[] = [];
+  peers: readonly Instance[] = [];
+  #asked = 0;
+
+  constructor(member: Member, areMembersKnown = () => true) {
+    this.member = member;
+    this.members = new MemberTable(member.name, 0);
+    this.rates = new WorkspaceRates({
+      self: member,
+      members: this.members,
+      areMembersKnown,
+      clocks: this.clocks,
+      windowMs: WINDOW_MS,
+      links: () => ({
+        ask: (address, buildRequest, timeoutMs) =>
+          Promise.resolve(this.#ask(address, buildRequest, timeoutMs)),
+        send: (address, message) => this.#send(address, message),
+      }),
+    });
+  }
+
+  meet(peer: Instance): void {
+    this.peers = [...this.peers, peer];
+    this.members.add(peer.member);
+    this.members.setState(peer.member.name, performance.now(), {
+      leaving: false,
+      ready: true,
+      digestIntervalMs: 200,
+      serves: true,
+      orders: false,
+      busy: 0,
+      reachesStore: true,
+      storeRoundTripMs: undefined,
+      tenure: undefined,
+    });
+  }
+
+  take(units: number) {
+    return this.rates.take("w", { units, waitMaxMs: 1000 });
+  }
+
+  #ask(
+    address: string,
+    buildRequest: (n: number) => PeerMessage,
+    timeoutMs: number,
+  ): PeerMessage | undefined {
+    const peer = this.peers.find(({ member }) => member.name === address);
+    const request = buildRequest(++this.#asked);
+    if (peer === undefined || request.t !== "take") return undefined;
+    let reply: PeerMessage | undefined;
+    peer.rates.lend(this.member.name, request, (message) => reply = message);
+    this.clocks.advance(peer.responseMs ?? timeoutMs);
+    return peer.responseMs === undefined ? undefined : reply;
+  }
+
+  #send(address: string, message: PeerMessage): boolean {
+    const peer = this.peers.find(({ member }) => member.name === address);
+    if (message.t !== "return") return false;
+    this.returned.push(message.n);
+    peer?.rates.takeBack(this.member.name, message.n);
+    return true;
+  }
+}
+
+function memberOf(name: string): Member {
+  return {
+    name,
+    zone: "z",
+    region: "r",
+    peerAddress: name,
+    callerAddress: name,
+    incarnation: "1",
+    cores: 1,
+  };
+}
+
+let first: Instance;
+let second: Instance;
+
+beforeEach(() => {
+  first = new Instance(memberOf("i1"));
+  second = new Instance(memberOf("i2"));
+  first.meet(second);
+  second.meet(first);
+  for (const { rates } of [first, second]) {
+    // Longer than a window after the start of the process.
+    rates.setWorkspaces([WORKSPACE], WINDOW_MS + 1);
+  }
+});
+
+/** Units left of an instance's share. */
+function levelOf({ rates }: Instance): number | undefined {
+  return rates.states(performance.now())[0]?.left;
+}
+
+function isRefusal(taken: unknown): taken is RateRefusal {
+  return typeof taken === "object" && taken !== null && "waitMs" in taken;
+}
+
+/** Units that an instance admits now without a loan, in requests of 100. */
+async function admitAll({ rates }: Instance): Promise<number> {
+  let used = 0;
+  for (;;) {
+    const taken = await rates.take("w", { units: 100, waitMaxMs: 0 });
+    if (taken === undefined || isRefusal(taken)) return used;
+    used += 100;
+  }
+}
+
+// Guards against use that is forgotten with a workspace that a configuration
+// leaves out and the next one contains again.
+test("a workspace that is removed and added keeps its use", async () => {
+  const used = await admitAll(first);
+  first.rates.setWorkspaces([], performance.now());
+  first.rates.setWorkspaces([WORKSPACE], performance.now() + WINDOW_MS);
+  expect(used + await admitAll(first)).toBeLessThanOrEqual(SHARE_UNITS);
+});
+
+// Guards against units of a loan to an earlier process, which have run, and
+// return because a later process uses the number again.
+test("a refused question that is given back returns no other loan", () => {
+  const ask = { t: "take", n: 1, workspace: "w", validMs: 250 } as const;
+  second.rates.lend("i1", { ...ask, units: 4000 }, () => undefined);
+  // The process of i1 is restarted. Its first question is refused, but the reply
+  // is late.
+  second.rates.lend("i1", { ...ask, units: 4000 }, () => undefined);
+  second.rates.takeBack("i1", 1);
+  expect(levelOf(second)).toBe(SHARE_UNITS - 4000);
+});
+
+// Guards against shares that add up to more than one while the store rejects a
+// new instance: it knows only the seeds that it introduced itself to, and only
+// these know it.
+test("a process that never reads the list of members takes no share of others", () => {
+  const fleet = Array.from(
+    { length: 9 },
+    (_, i) => new Instance(memberOf(`f${i}`)),
+  );
+  for (const a of fleet) {
+    for (const b of fleet) if (a !== b) a.meet(b);
+  }
+  const added = new Instance(memberOf("new"), () => false);
+  for (const seed of fleet.slice(0, 3)) {
+    seed.meet(added);
+    added.meet(seed);
+  }
+  for (const { rates } of [...fleet, added]) {
+    rates.setWorkspaces([WORKSPACE], WINDOW_MS + 1);
+    rates.update(WINDOW_MS * 3);
+  }
+  const shares = [...fleet, added].reduce(
+    (sum, { rates }) => sum + (rates.states(WINDOW_MS * 3)[0]?.share ?? 0),
+    0,
+  );
+  expect(shares).toBeLessThanOrEqual(1.001);
+});
+
+// Guards against an instance that is cut off, whose entry was removed and whose
+// share the others have divided: it goes on with its own share.
+test("instances that are cut off and removed keep no share", () => {
+  const fleet = Array.from(
+    { length: 9 },
+    (_, i) => new Instance(memberOf(`f${i}`)),
+  );
+  for (const a of fleet) {
+    for (const b of fleet) if (a !== b) a.meet(b);
+    a.rates.setWorkspaces([{ ...WORKSPACE, burst: 1000 }], WINDOW_MS + 1);
+  }
+  for (const { members } of fleet.slice(3)) {
+    for (const name of ["f0", "f1", "f2"]) members.remove(name);
+  }
+  // No digest has arrived for a minute at the three.
+  const now = performance.now() + 60_000;
+  for (const { rates } of fleet) rates.update(now);
+  const shares = fleet.reduce(
+    (sum, { rates }) => sum + (rates.states(now)[0]?.share ?? 0),
+    0,
+  );
+  expect(shares).toBeLessThanOrEqual(1.1);
+});
+
+// Guards against units that come twice when a limit with a smaller burst is
+// shared among more instances.
+test("a lower burst brings no units that the former sharers have used", async () => {
+  const fleet = Array.from(
+    { length: 12 },
+    (_, i) => new Instance(memberOf(`f${i}`)),
+  );
+  for (const a of fleet) {
+    for (const b of fleet) if (a !== b) a.meet(b);
+    const before = { ...WORKSPACE, ratePerSecond: 10_000, burst: 80_000 };
+    a.rates.setWorkspaces([before], WINDOW_MS + 1);
+  }
+  let used = 0;
+  for (const instance of fleet) used += await admitAll(instance);
+  for (const { rates } of fleet) {
+    const after = { ...WORKSPACE, ratePerSecond: 10_000, burst: 10_000 };
+    rates.setWorkspaces([after], performance.now());
+  }
+  for (const instance of fleet) used += await admitAll(instance);
+  expect(used).toBeLessThanOrEqual(160_000 * 1.1 + 17_000);
+});
+
+// Guards against requests above a share that nobody lends.
+test("an instance without a share serves a request above a share", async () => {
+  const fleet = Array.from(
+    { length: 12 },
+    (_, i) => new Instance(memberOf(`f${i}`)),
+  );
+  for (const a of fleet) {
+    for (const b of fleet) if (a !== b) a.meet(b);
+    a.rates.setWorkspaces([{ ...WORKSPACE, burst: 900 }], WINDOW_MS + 1);
+  }
+  const without = fleet.find(({ rates }) => rates.states(0)[0]?.share === 0);
+  if (without === undefined) throw new Error("all instances have a share");
+  expect(isRefusal(await without.take(1000))).toBe(false);
+});
+
+// Guards against requests that are held for seconds and then refused, because a
+// lender that was lost last reported that it had units.
+test("a lender that does not reply is not waited for again and again", async () => {
+  await first.take(4500);
+  second.responseMs = undefined;
+  const startedAt = first.clocks.monotonic;
+  for (let i = 0; i < 5; i++) {
+    await first.rates.take("w", { units: 1000, waitMaxMs: 3000 });
+  }
+  expect(first.clocks.monotonic - startedAt).toBeLessThanOrEqual(1000);
+});
--- /dev/null
+++ b/packages/serving/src/retry_budget_review_test.ts
@@ -0,0 +1,54 @@
+import { expect, test } from "vitest";
+import { MemberTable, UNRESPONSIVE_AFTER_MS } from "./member_table.ts";
+import { RetryBudget } from "./retry_budget.ts";
+import type { Member } from "./types.ts";
+
+const FIXED_RETRIES = 56;
+const FLEET_SIZE = 9;
+
+function member(name: string): Member {
+  return {
+    name,
+    zone: "z",
+    region: "r",
+    peerAddress: name,
+    callerAddress: name,
+    incarnation: "1",
+    cores: 1,
+  };
+}
+
+// Guards against instances that each use the whole budget while none hears of
+// the others: after all connections have gone silent, or a restart of all.
+test.each([["silent", 0], ["restarted", undefined]])(
+  "%s instances share the retry budget",
+  (_, digestAt) => {
+    const now = 10_000 + UNRESPONSIVE_AFTER_MS + 100;
+    let retries = 0;
+    for (let i = 0; i < FLEET_SIZE; i++) {
+      const members = new MemberTable(`i${i}`, 0);
+      for (let peer = 0; peer < FLEET_SIZE; peer++) {
+        members.add(member(`i${peer}`));
+        if (digestAt === undefined) continue;
+        members.setState(`i${peer}`, 10_000, {
+          leaving: false,
+          ready: true,
+          digestIntervalMs: 200,
+          serves: true,
+          orders: true,
+          busy: 0,
+          reachesStore: true,
+          storeRoundTripMs: 5,
+          tenure: "1",
+        });
+      }
+      const budget = new RetryBudget({
+        ratio: 0.2,
+        windowMs: 10_000,
+        fixedRetries: FIXED_RETRIES,
+      });
+      while (budget.tryRetry(now, members.sharingCount(now))) retries += 1;
+    }
+    expect(retries).toBeLessThanOrEqual(FIXED_RETRIES);
+  },
+);
