Send rows of digests again that no connection took

The class: a write that is taken as an arrival. Change: the rows sent to a peer are forgotten when the link refuses a digest.

--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -206,11 +206,12 @@
         holds: changed("holds", holds),
         limits: changed("limits", limits),
       };
-      this.#options.links().send(
+      const isSent = this.#options.links().send(
         member.peerAddress,
         digest,
         tickInterval * DIGEST_TICK_MS,
       );
+      if (!isSent) peer.sentRows.clear();
     }
     this.#dropLostPeers();
   }
--- a/packages/gateway/src/sent_rows.ts
+++ b/packages/gateway/src/sent_rows.ts
@@ -45,6 +45,11 @@
     return hasChanged ? changed : undefined;
   }
 
+  /** Forgets all rows, which may not have arrived. */
+  clear(): void {
+    this.#statesByKind.clear();
+  }
+
   #statesOf(kind: string): Map<string, number> {
     let states = this.#statesByKind.get(kind);
     if (states === undefined) {
