Divide the retry budget by the listed instances while few are heard of

Cause: the number of instances that share the budget was counted from digests of the last 1.2 s. The class: who is not heard of does not exist. Change: if fewer than half of the listed instances are heard of, all count.

--- a/packages/serving/src/member_table.ts
+++ b/packages/serving/src/member_table.ts
@@ -182,10 +182,22 @@
   }
 
   /** Number of instances that share a common limit: those that callers use, and
-   * at least half of those alive, since others may start to serve callers. */
+   * at least half of those alive, since others may start to serve callers; all
+   * that are listed, if fewer than half of them are heard of. */
   sharingCount(now: number): number {
-    const serving = 1 + this.serving(now).length;
-    return Math.max(serving, Math.ceil(this.aliveCount(now) / 2));
+    const alive = this.aliveCount(now);
+    const listed = this.#members.size + 1;
+    if (alive * 2 < listed) return listed;
+    return Math.max(1 + this.serving(now).length, Math.ceil(alive / 2));
+  }
+
+  /** Whether more than half of the listed members were not heard of for a
+   * time. */
+  isCutOffFor(ms: number, now: number): boolean {
+    const lost = this.list().filter(({ name }) =>
+      now - (this.#states.get(name)?.at ?? this.#startedAt) > ms
+    );
+    return lost.length * 2 > this.#members.size + 1;
   }
 
   /** Fraction of all members that is unresponsive. Shortly after the start of
