--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -166,6 +166,7 @@
       self: this.#self,
       members: this.#members,
       areMembersKnown: () => this.#membership.memberFollower.known,
+      keepsEntry: () => this.#membership.holdsLease,
       clocks: this.#clocks,
       windowMs: settings.bounds.rateWindowMs,
       links: () => this.#links,
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -205,6 +205,12 @@
       this.#lease.isHeld();
   }
 
+  /** Whether the store has confirmed this instance's entry within the term after
+   * which others may remove it. */
+  get holdsLease(): boolean {
+    return this.#lease.isHeld();
+  }
+
   /** Time of a small call to the store, in milliseconds: the shortest of the
    * latest renewals. Undefined before the first. */
   get storeRoundTripMs(): number | undefined {
@@ -353,11 +359,13 @@
     }
   }
 
-  /** Whether the entry is renewed often: this instance needs its lease, or much
-   * of its shares is used. */
+  /** Whether the entry is renewed often: this instance needs its lease, much of
+   * its shares is used, or others may think that it is gone. */
   get #renewsOften(): boolean {
-    return this.#needsLease() ||
-      this.#options.rates.isNearlyUsed(performance.now());
+    const now = performance.now();
+    const { members, rates } = this.#options;
+    return this.#needsLease() || rates.isNearlyUsed(now) ||
+      members.isCutOffFor(RENEWAL_INTERVAL_MS, now);
   }
 
   /** Adopts the use in the entry of an earlier process of this instance. */
--- a/packages/gateway/src/rate_charge.ts
+++ b/packages/gateway/src/rate_charge.ts
@@ -13,8 +13,12 @@
 const WAIT_MAX_SECONDS = 5;
 
 /** Fraction of the time until its deadline that a request waits for units of
- * other instances. */
+ * other instances, and the longest such wait, in milliseconds. */
 const BORROW_TIME_FRACTION = 0.25;
+const BORROW_MAX_MS = 1000;
+
+/** Callers that are refused together return within this fraction more. */
+const WAIT_SPREAD = 0.25;
 
 /** The units that one request uses of its workspace's rate. */
 export class RateCharge {
@@ -44,7 +48,10 @@
       : 1;
     const taken = await this.#deps.rates.take(workspace.name, {
       units,
-      waitMaxMs: (deadline - performance.now()) * BORROW_TIME_FRACTION,
+      waitMaxMs: Math.min(
+        BORROW_MAX_MS,
+        (deadline - performance.now()) * BORROW_TIME_FRACTION,
+      ),
     });
     if (taken === undefined) return undefined;
     if ("refund" in taken) {
@@ -61,10 +68,9 @@
       perSecond: workspace.ratePerSecond,
       burst: workspace.burst,
     });
-    return Math.min(
-      WAIT_MAX_SECONDS,
-      Math.max(WAIT_MIN_SECONDS, taken.waitMs / 1000),
-    );
+    const waitSeconds = Math.max(WAIT_MIN_SECONDS, taken.waitMs / 1000) *
+      (1 + WAIT_SPREAD * Math.random());
+    return Math.min(WAIT_MAX_SECONDS, waitSeconds);
   }
 
   /** Gives the units back, because the request has not run. */
--- a/packages/gateway/src/workspace_rates.ts
+++ b/packages/gateway/src/workspace_rates.ts
@@ -5,6 +5,7 @@
  */
 import {
   type ClockPair,
+  LOAN_MAX_MS,
   LoanSearch,
   type Member,
   type MemberTable,
@@ -28,9 +29,10 @@
 /** Reported rooms differ by at least this fraction of a share. */
 const REPORTED_ROOM_STEP = 1 / 16;
 
-/** How long after its start a process waits for the list of members, in
- * milliseconds. Without it the process would take its share for too large. */
-const MEMBERS_WAIT_MS = 1500;
+/** Time without digests of half of the members after which an instance gives up
+ * its shares, unless the store confirms its entry, in milliseconds. The others
+ * remove an entry that was not renewed for as long, and divide its shares. */
+const CUT_OFF_MS = 5000;
 
 /** A share is nearly used if less than this fraction is left. */
 const NEARLY_USED_FRACTION = 0.5;
@@ -61,6 +63,9 @@
   readonly members: MemberTable;
   /** Whether the list of members was read. */
   readonly areMembersKnown: () => boolean;
+  /** Whether the store has confirmed this instance's entry recently, so that it
+   * is still listed. */
+  readonly keepsEntry?: () => boolean;
   readonly clocks: ClockPair;
   readonly windowMs: number;
   readonly links: () => Pick<PeerLinks, "ask" | "send">;
@@ -88,6 +93,9 @@
   sharers: readonly Member[];
   /** Counts since the last `states`. */
   counts: LoanCounts;
+  /** When a configuration left the workspace out. The next one may contain it
+   * again, so its use is kept for a window. */
+  removedAt: number | undefined;
 }
 
 interface LoanCounts {
@@ -143,25 +151,41 @@
       const hasEarlierUse = now < windowMs;
       const rate = new TokenRate(limit, { now, windowMs, hasEarlierUse });
       const counts = noLoans();
-      this.#entries.set(name, { name, rate, sharers: [], counts });
+      this.#entries.set(name, {
+        name,
+        rate,
+        sharers: [],
+        counts,
+        removedAt: undefined,
+      });
     }
-    for (const name of this.#entries.keys()) {
-      if (!names.has(name)) this.#entries.delete(name);
+    for (const [name, entry] of this.#entries) {
+      if (names.has(name)) entry.removedAt = undefined;
+      else entry.removedAt ??= now;
     }
     this.update(now);
   }
 
   /** Adapts the shares to the present members. */
   update(now: number): void {
-    const { self, members, areMembersKnown, windowMs } = this.#options;
-    if (!areMembersKnown() && now < MEMBERS_WAIT_MS) return;
+    const { self, members, areMembersKnown, keepsEntry, windowMs } =
+      this.#options;
+    // Without the list a process would take its share for too large.
+    if (!areMembersKnown()) return;
+    const isListed = keepsEntry?.() === true ||
+      !members.isCutOffFor(CUT_OFF_MS, now);
     const all = [self, ...members.list()];
     for (const entry of this.#entries.values()) {
-      const { name: workspace, rate } = entry;
+      const { name: workspace, rate, removedAt = now } = entry;
+      if (now - removedAt > windowMs + LOAN_MAX_MS) {
+        this.#entries.delete(workspace);
+        continue;
+      }
       const { limit } = rate;
       entry.sharers = rateSharers(all, { workspace, limit, windowMs });
-      const isSharer = entry.sharers.some(({ name }) => name === self.name);
-      rate.setShare(isSharer ? 1 / entry.sharers.length : 0, now);
+      const rank = entry.sharers.findIndex(({ name }) => name === self.name);
+      const share = isListed && rank >= 0 ? 1 / entry.sharers.length : 0;
+      rate.setShare(share, now, rank === 0);
       this.#restoreUse(entry, now);
       const formerRoom = this.#formerRooms.get(workspace);
       if (formerRoom !== undefined) rate.adoptLevel(formerRoom, now);
@@ -203,16 +227,16 @@
     const entry = this.#entries.get(workspace);
     const taken = entry?.rate.tryTake(units, { now, validMs });
     if (entry !== undefined && taken !== undefined) {
-      this.#recordLoan(`${from} ${n}`, { rate: entry.rate, taken });
+      this.#recordLoan(this.#loanKey(from, n), { rate: entry.rate, taken });
       entry.counts.lent += units;
-    }
+    } else this.#loans.delete(this.#loanKey(from, n));
     const room = Math.max(0, Math.floor(entry?.rate.levelAt(now) ?? 0));
     sendReply({ t: "taken", n, ok: taken !== undefined, room });
   }
 
   /** Takes units back that were lent for a request of another instance. */
   takeBack(from: string, n: number): void {
-    const key = `${from} ${n}`;
+    const key = this.#loanKey(from, n);
     const loan = this.#loans.get(key);
     if (loan === undefined) return;
     this.#loans.delete(key);
@@ -378,6 +402,11 @@
     };
   }
 
+  /** Numbers begin anew with each process of the borrower. */
+  #loanKey(from: string, n: number): string {
+    return `${from} ${this.#options.members.get(from)?.incarnation} ${n}`;
+  }
+
   #recordLoan(key: string, loan: Loan): void {
     this.#loans.delete(key);
     this.#loans.set(key, loan);
--- a/packages/gateway/src/workspace_rates_test.ts
+++ b/packages/gateway/src/workspace_rates_test.ts
@@ -172,11 +172,15 @@
 
 // Guards against a process that takes the whole limit for its share, since it
 // knows no other instance yet.
-test("a process without the list of members has no share", async () => {
-  const third = new Instance(memberOf("i3"), () => false);
+test("a process without the list of members has no share, however long", async () => {
+  let areMembersKnown = false;
+  const third = new Instance(memberOf("i3"), () => areMembersKnown);
   third.rates.setWorkspaces([WORKSPACE], 100);
   expect(isRefusal(await third.take(1))).toBe(true);
-  third.rates.update(5000);
+  third.rates.update(60_000);
+  expect(isRefusal(await third.take(1))).toBe(true);
+  areMembersKnown = true;
+  third.rates.update(60_200);
   expect(isRefusal(await third.take(1))).toBe(false);
 });
 
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -31,7 +31,6 @@
 export * from "./steering.ts";
 export * from "./rate_lenders.ts";
 export * from "./rate_sharers.ts";
-export * from "./strong_members.ts";
 export * from "./token_rate.ts";
 export * from "./trial_turn.ts";
 export * from "./clock_pair.ts";
--- a/packages/serving/src/rate_lenders.ts
+++ b/packages/serving/src/rate_lenders.ts
@@ -93,10 +93,14 @@
     );
   }
 
-  /** Records that a reply did not arrive within `waitedMs`. */
+  /** Records that a reply did not arrive within `waitedMs`. The lender is asked
+   * again when it has reported what it has left. */
   recordTimeout(lender: string, waitedMs: number): void {
     const known = this.#responseMsOf(lender);
     this.#responseMs.set(lender, Math.max(known * 2, waitedMs));
+    for (const rooms of this.#rooms.values()) {
+      if (rooms.has(lender)) rooms.set(lender, 0);
+    }
   }
 
   /** The instance to ask for units, among those that share the limit equally;
@@ -121,12 +125,14 @@
     const { workspace, units, fullRoom, excluded } = options;
     let best: Member | undefined;
     let bestWeight = 0;
-    for (const member of sharers) {
+    // The first of them admits requests above a share.
+    const candidates = units > fullRoom ? sharers.slice(0, 1) : sharers;
+    for (const member of candidates) {
       if (member.name === this.#self.name || excluded.has(member.name)) {
         continue;
       }
       const room = this.roomOf(workspace, member.name) ?? fullRoom;
-      if (room < units) continue;
+      if (room < Math.min(units, fullRoom)) continue;
       const weight = room * this.#nearness(member) *
         (0.5 + this.#random()) /
         (1 + this.#responseMsOf(member.name) / SLOW_RESPONSE_MS);
@@ -230,6 +236,7 @@
     const { name } = lender;
     if (reply === undefined || elapsedMs > validMs) {
       this.#lenders.recordTimeout(name, validMs);
+      this.#lenders.recordRoom(this.#request.workspace, name, 0);
       return false;
     }
     this.#lenders.recordReply(name, elapsedMs);
--- a/packages/serving/src/rate_lenders_test.ts
+++ b/packages/serving/src/rate_lenders_test.ts
@@ -67,6 +67,7 @@
   const onlyFar = { sharers: [FAR], waitMaxMs: 5000 };
   const given: number[] = [];
   for (let i = 0; i < 3; i++) {
+    lenders.recordRoom("w", "far", FULL_ROOM);
     const loans = search(lenders, onlyFar);
     const offer = loans.next(0);
     if (offer === undefined) throw new Error("nobody was asked");
--- a/packages/serving/src/rate_sharers.ts
+++ b/packages/serving/src/rate_sharers.ts
@@ -3,15 +3,15 @@
  * @module
  */
 import { rankByRendezvous } from "@banyanlb/core";
-import { strongMembers } from "./strong_members.ts";
 import { type RateLimit, unitsInWindow } from "./token_rate.ts";
 import type { Member } from "./types.ts";
 
 /** The instances that share the limit of a workspace equally. A share is no
  * smaller than the burst, since many small shares leave no room for a large
  * request although their sum does; all instances share the limit if that allows
- * it. Strong instances come first: callers use them, so that few units have to
- * be lent. All instances with the same list of members find the same ones.
+ * it. The strongest come first: callers use them, so that few units have to be
+ * lent. All instances with the same list of members find the same ones in the
+ * same order, and one that is removed changes no other's place.
  *
  * @example
  * ```ts
@@ -30,14 +30,10 @@
   const { workspace, limit, windowMs } = options;
   const shares = unitsInWindow(limit, windowMs) / Math.max(1, limit.burst);
   const count = Math.max(1, Math.floor(shares));
-  if (count >= members.length) return members;
-  const strong = new Set(strongMembers(members));
   const ranked = rankByRendezvous(members, {
     key: workspace,
     name: (member) => member.name,
   });
-  return [
-    ...ranked.filter((m) => strong.has(m)),
-    ...ranked.filter((m) => !strong.has(m)),
-  ].slice(0, count);
+  // The sort is stable.
+  return [...ranked].sort((a, b) => b.cores - a.cores).slice(0, count);
 }
--- a/packages/serving/src/steering.ts
+++ b/packages/serving/src/steering.ts
@@ -6,7 +6,6 @@
  *
  * @module
  */
-import { strongMembers } from "./strong_members.ts";
 import type { Member } from "./types.ts";
 
 /** Largest number of addresses in one response. */
@@ -16,6 +15,10 @@
  * only these: with fewer, the loss of one leaves the caller no alternative. */
 const NEARBY_INSTANCES_MIN = 2;
 
+/** An instance counts as strong from this fraction of the largest number of
+ * cores. */
+const STRONG_FRACTION = 0.6;
+
 /** Fraction of busy time above which an instance's responses become late. */
 const BUSY_FRACTION_MAX = 0.55;
 
@@ -72,7 +75,8 @@
     zone: string,
     now: number,
   ): readonly ReadyMember[] {
-    const strong = strongMembers(nearby);
+    const maxCores = Math.max(...nearby.map((m) => m.cores));
+    const strong = nearby.filter((m) => m.cores >= maxCores * STRONG_FRACTION);
     if (strong.length < NEARBY_INSTANCES_MIN) return nearby;
     const busy = strong.reduce((sum, m) => sum + m.busy, 0) / strong.length;
     if (busy > BUSY_FRACTION_MAX) this.#useAllUntil.set(zone, now + USE_ALL_MS);
--- a/packages/serving/src/token_rate.ts
+++ b/packages/serving/src/token_rate.ts
@@ -73,6 +73,7 @@
   readonly #hasEarlierUse: boolean;
   #share = 0;
   #isShared = false;
+  #admitsLarge = true;
   #removeAssumedUse: () => void = () => undefined;
 
   /** `hasEarlierUse` is whether an earlier process of this instance may have
@@ -109,10 +110,12 @@
     this.#limit = limit;
   }
 
-  /** Replaces the share at `now`. */
-  setShare(share: number, now: number): void {
+  /** Replaces the share at `now`. `admitsLarge` is whether this instance, as one
+   * of all, admits requests above its whole share. */
+  setShare(share: number, now: number, admitsLarge = share >= 1): void {
+    this.#admitsLarge = admitsLarge;
     const growth = share - this.#share;
-    if (growth === 0) return;
+    if (growth === 0 && this.#isShared) return;
     this.#window.advance(now);
     this.#share = share;
     const addedUnits = growth * unitsInWindow(this.#limit, this.#windowMs);
@@ -205,13 +208,14 @@
     return this.#share * unitsInWindow(this.#limit, this.#windowMs);
   }
 
-  /** The level from which a request of `units` is admitted. A request above the
-   * whole share is admitted when nothing of it was used. */
+  /** The level from which a request of `units` is admitted. One instance admits a
+   * request above its whole share, when nothing of it was used. */
   #requiredLevel(units: number): number {
     const { burst } = this.#limit;
     const reservedUnits = units > burst * LARGE_REQUEST_FRACTION
       ? burst * SMALL_REQUEST_RESERVE_FRACTION * this.#share
       : 0;
+    if (units > this.#shareUnits && !this.#admitsLarge) return Infinity;
     return Math.min(units + reservedUnits, this.#shareUnits);
   }
 }
