Bound what a region reads when its leads or relays are lost

The class: a lead that is taken as present and up to date. Change: after a question that did not confirm everything all leads are asked; the relays and two backups of a region read lists one step after the other, before the rest may. Records of all kinds are expected from the own region first.

--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -112,17 +112,11 @@
   /** When the latest ticks were. */
   readonly #tickTimes = new Map<number, number>();
   readonly #peers = new Map<string, PeerState>();
-  readonly #lagDetectors = {
-    // Most instances read records from the store rarely, so they pull them at
-    // once from a peer that is ahead.
-    configuration: new LagDetector(0),
-    engines: new LagDetector(0),
-    versions: new LagDetector(0),
-    assignment: new LagDetector(0),
-  };
-  /** For a configuration that should reach this instance by another way first.
-   * It is long. */
-  readonly #expectedConfiguration = new LagDetector();
+  // Most instances read records from the store rarely, so they pull them at once
+  // from a peer that is ahead.
+  readonly #lagDetectors = createLagDetectors(0);
+  /** For records that should reach this instance by another way first. */
+  readonly #patientLagDetectors = createLagDetectors();
   /** The newest revisions announced so far, in the order of `SHARED_KINDS`. */
   #announcedRevisions: readonly number[] = [];
 
@@ -394,13 +388,14 @@
    * may be rejecting this instance. */
   #compareRevisions(member: Member, digest: Digest, now: number): void {
     const { records, roles } = this.#options;
-    const isExpected = roles.expectsRecordsBefore(member, now);
     SHARED_KINDS.forEach((kind, i) => {
       const follower = records.follower(kind);
       const announcedRevision = digest.revs[i] ?? 0;
-      const detector = kind === "configuration" && isExpected
-        ? this.#expectedConfiguration
-        : this.#lagDetectors[kind];
+      const isExpected = roles.expectsRecordsBefore(member, { kind, now });
+      const detectors = isExpected
+        ? this.#patientLagDetectors
+        : this.#lagDetectors;
+      const detector = detectors[kind];
       const isBehind = detector.observe({
         // The revision up to which the watch has reported changes says nothing
         // about changes that it missed. For engines it is used nonetheless,
@@ -419,6 +414,15 @@
   }
 }
 
+function createLagDetectors(toleranceMs?: number) {
+  return {
+    configuration: new LagDetector(toleranceMs),
+    engines: new LagDetector(toleranceMs),
+    versions: new LagDetector(toleranceMs),
+    assignment: new LagDetector(toleranceMs),
+  };
+}
+
 function roundUp(ms: number | undefined): number | undefined {
   return ms === undefined ? undefined : Math.ceil(ms);
 }
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -87,7 +87,8 @@
   relayAskMs: Infinity,
   askMs: Infinity,
   readMs: 20_000,
-  readBesideLeadMs: 20_000,
+  backupReadMs: 20_000,
+  lastReadMs: 20_000,
 };
 const ASSIGNMENT_RECORD_NAME = "engines";
 
--- a/packages/gateway/src/reader_roles.ts
+++ b/packages/gateway/src/reader_roles.ts
@@ -2,6 +2,7 @@
  *
  * @module
  */
+import type { SharedKind } from "./peer_messages.ts";
 import {
   aggregatesLoads,
   type ConfirmationRole,
@@ -14,9 +15,13 @@
  * only after seconds. */
 const STORE_READERS_PER_REGION = 2;
 
-/** Number of instances that this one asks in turn to confirm its records. */
+/** Number of leads of the fleet and of each region. */
 const LEADS_MAX = 2;
 
+/** Number of instances of a region that may be asked if its leads do not confirm
+ * the records. They read lists before the last instances do. */
+const BACKUPS_MAX = 2;
+
 /** Parts of the gateway that the roles follow from. */
 export interface ReaderRolesOptions {
   readonly self: Member;
@@ -60,9 +65,14 @@
   /** Whether records that are newer at a peer should reach this instance by
    * another way first: by its own watch of the store, or from a store reader of
    * its region. */
-  expectsRecordsBefore(peer: Member, now: number): boolean {
+  expectsRecordsBefore(
+    peer: Member,
+    options: { readonly kind: SharedKind; readonly now: number },
+  ): boolean {
     const { self, members } = this.#options;
-    if (this.#isStoreReader) return true;
+    const { kind, now } = options;
+    // Store readers read the other kinds at intervals.
+    if (this.#isStoreReader) return kind === "configuration";
     return peer.region !== self.region &&
       members.membersReachingStore(now).some((m) => m.region === self.region);
   }
@@ -75,8 +85,9 @@
 
   /** Decides which instances confirm the records of this one. The leads of the
    * fleet read lists in the region that is nearest to the store. In a large
-   * fleet the leads of every other region ask them and the instances there ask
-   * these, so that few of them use the links between regions. */
+   * fleet the leads of every other region, the relays, ask them and the instances
+   * there ask these, so that few of them use the links between regions. If leads
+   * are lost, a few others of the region read lists before the rest does. */
   #updateLeads(now: number): void {
     const { self, members, reachesStore } = this.#options;
     const candidates = [
@@ -84,23 +95,31 @@
       ...(reachesStore() ? [self] : []),
     ].sort((a, b) => precedesAsReader(a, b) ? -1 : 1);
     const nearest = this.#nearestRegion(candidates);
-    const leadsOf = (region: string | undefined) =>
-      candidates.filter((m) => m.region === region).slice(0, LEADS_MAX);
-    const fleetLeads = leadsOf(nearest);
+    const firstOf = (region: string | undefined, count: number) =>
+      candidates.filter((m) => m.region === region).slice(0, count);
+    const fleetLeads = firstOf(nearest, LEADS_MAX);
     const ownRank = fleetLeads.indexOf(self);
-    const regionLeads = leadsOf(self.region);
-    const isFleetSmall = !aggregatesLoads(members.list().length);
     if (ownRank >= 0) this.#leads = fleetLeads.slice(0, ownRank);
-    else if (isFleetSmall || self.region === nearest) this.#leads = fleetLeads;
-    else if (regionLeads.includes(self)) this.#leads = fleetLeads;
-    else this.#leads = regionLeads.length > 0 ? regionLeads : fleetLeads;
-    if (this.#leads.length === 0) {
-      this.#role = isFleetSmall ? "lead" : "relayed_lead";
-    } else {
-      const isRelay = !isFleetSmall && self.region !== nearest &&
-        this.#leads === fleetLeads;
-      this.#role = isRelay ? "relay" : "member";
+    else this.#leads = fleetLeads;
+    if (!aggregatesLoads(members.list().length)) {
+      this.#role = this.#leads.length === 0 ? "lead" : "member";
+      return;
+    }
+    if (ownRank >= 0) {
+      this.#role = ownRank === 0 ? "relayed_lead" : "member";
+      return;
+    }
+    const near = firstOf(self.region, LEADS_MAX + BACKUPS_MAX);
+    const rank = near.indexOf(self);
+    if (rank >= 0 && rank < LEADS_MAX && self.region !== nearest) {
+      this.#role = rank === 0 ? "relay" : "second_relay";
+      this.#leads = [...fleetLeads, ...near.slice(0, rank)];
+      return;
     }
+    this.#role = rank >= 0 ? "backup" : "last";
+    const others = near.slice(0, rank >= 0 ? rank : near.length);
+    if (others.length > 0) this.#leads = others;
+    else if (fleetLeads.length === 0) this.#role = "lead";
   }
 
   /** The region whose instances reach the store fastest. */
--- a/packages/gateway/src/record_confirmer.ts
+++ b/packages/gateway/src/record_confirmer.ts
@@ -35,9 +35,9 @@
   readonly #options: RecordConfirmerOptions;
   #timer: NodeJS.Timeout | undefined;
   #isAsking = false;
-  /** Number of questions that were not answered; selects the next lead to
-   * ask. */
-  #unanswered = 0;
+  /** Whether the last question did not confirm everything. The next one goes to
+   * all leads: one of them may be lost, or know nothing newer. */
+  #hasFailed = false;
 
   constructor(options: RecordConfirmerOptions) {
     this.#options = options;
@@ -76,20 +76,29 @@
         void follower.confirm();
       }
     }
-    const lead = leads[this.#unanswered % leads.length];
-    if (mustAsk && lead !== undefined) void this.#ask(lead, now);
+    if (!mustAsk || this.#isAsking) return;
+    const asked = this.#hasFailed ? leads : leads.slice(0, 1);
+    if (asked.length > 0) void this.#askAll(asked, now);
   }
 
-  async #ask(lead: Member, askedAt: number): Promise<void> {
-    if (this.#isAsking) return;
+  async #askAll(leads: readonly Member[], askedAt: number): Promise<void> {
     this.#isAsking = true;
+    await Promise.all(leads.map((lead) => this.#ask(lead, askedAt)));
+    this.#isAsking = false;
+    const { records, role } = this.#options;
+    const now = performance.now();
+    this.#hasFailed = SHARED_KINDS.some((kind) =>
+      records.follower(kind).nextConfirmationStep(now, role()) !== "none"
+    );
+  }
+
+  async #ask(lead: Member, askedAt: number): Promise<void> {
     const reply = await this.#options.links().ask(
       lead.peerAddress,
       (n) => ({ t: "confirm", n }),
       ASK_TIMEOUT_MS,
     );
-    this.#isAsking = false;
-    if (reply?.t !== "confirmed") this.#unanswered += 1;
-    else this.#options.records.applyConfirmedRows(lead, reply.kinds, askedAt);
+    if (reply?.t !== "confirmed") return;
+    this.#options.records.applyConfirmedRows(lead, reply.kinds, askedAt);
   }
 }
--- a/packages/gateway/src/record_follower.ts
+++ b/packages/gateway/src/record_follower.ts
@@ -122,7 +122,7 @@
   /** Whether the store did not answer the last list that was to confirm the
    * records. */
   get isConfirmationFailing(): boolean {
-    return this.#confirmation.isFailing;
+    return this.#confirmation.isFailing(performance.now());
   }
 
   /** Time since the records were last known to be the newest, in
@@ -147,11 +147,6 @@
     this.#confirmation.record(at);
   }
 
-  /** Records that a lead has replied at `now`, whatever it confirmed. */
-  recordReplyOfLead(now: number): void {
-    this.#confirmation.recordReplyOfLead(now);
-  }
-
   /** The revision at which a record was removed; the store's revision if the
    * removal shows only from a full list. */
   removalRevisionOf(name: string): number {
@@ -192,6 +187,8 @@
     while (!this.#isClosed) {
       try {
         if (hasList && !this.#mayWatch) {
+          // Nothing is known of a store that is not read.
+          this.#setReachable(true, "");
           await this.#pauseBetweenWatches(NON_READER_WATCH_PAUSE_MS);
           continue;
         }
@@ -225,7 +222,7 @@
       if (this.#isClosed) return;
       const { kind, log } = this.#options;
       const now = performance.now();
-      if (!this.#confirmation.isFailing) {
+      if (!this.#confirmation.isFailing(now)) {
         log.write(events.CONFIRMATION_FAILED, {
           kind,
           ageMs: Math.round(this.ageMs(now)),
--- a/packages/gateway/src/shared_records.ts
+++ b/packages/gateway/src/shared_records.ts
@@ -87,7 +87,6 @@
       if (row === undefined) return;
       const [revision, fingerprint, ageMs] = row;
       const own = this.summary(kind);
-      this.follower(kind).recordReplyOfLead(performance.now());
       if (!this.follower(kind).known) {
         if (ageMs !== null) void this.pull(member, kind);
       } else if (fingerprint === own.fingerprint) {
--- a/packages/serving/src/confirmation.ts
+++ b/packages/serving/src/confirmation.ts
@@ -15,6 +15,10 @@
 const RETRY_PAUSE_MS = 200;
 const RETRY_PAUSE_MAX_MS = 1600;
 
+/** How long a failed read shows that the store does not reply, in
+ * milliseconds. */
+const FAILURE_VALID_MS = 5000;
+
 /** Shares of the time within which a change must be known, after which an
  * instance acts. The rest of that time is for the check that was just missed, a
  * read that times out on a dead connection, and the read after it. */
@@ -23,11 +27,8 @@
 const RELAY_ASK_SHARE = 0.26;
 const ASK_SHARE = 0.36;
 const READ_SHARE = 0.48;
-const READ_BESIDE_LEAD_SHARE = 0.72;
-
-/** How long a reply of a lead shows that it is there, in milliseconds: three
- * checks. */
-const LEAD_REPLY_VALID_MS = 600;
+const BACKUP_READ_SHARE = 0.6;
+const LAST_READ_SHARE = 0.72;
 
 /** What an instance does to confirm its records. */
 export type ConfirmationRole =
@@ -38,8 +39,15 @@
   | "relayed_lead"
   /** It asks a lead in another region on behalf of its own region. */
   | "relay"
+  /** As a relay, beside another that reads a list first. */
+  | "second_relay"
+  /** As a member, but it reads a list before the last instances do. */
+  | "backup"
   /** It asks an instance nearby. */
-  | "member";
+  | "member"
+  /** As a member, but instances of its region can do what it would do: it reads a
+   * list only after they had time to. */
+  | "last";
 
 /** Ages of the last confirmation at which an instance acts, in milliseconds. */
 export interface ConfirmationTimes {
@@ -51,11 +59,12 @@
   readonly relayAskMs: number;
   /** Any other instance asks a peer. */
   readonly askMs: number;
-  /** Any other instance reads a list itself, since no lead replies. */
+  /** Any other instance reads a list itself. */
   readonly readMs: number;
-  /** Any other instance reads a list itself although a lead replies: the lead
-   * does not know either that its records are the newest. */
-  readonly readBesideLeadMs: number;
+  /** Backups read a list themselves. */
+  readonly backupReadMs: number;
+  /** The last instances read a list themselves. */
+  readonly lastReadMs: number;
 }
 
 /** What to do next. */
@@ -75,7 +84,8 @@
     relayAskMs: boundMs * RELAY_ASK_SHARE,
     askMs: boundMs * ASK_SHARE,
     readMs: boundMs * READ_SHARE,
-    readBesideLeadMs: boundMs * READ_BESIDE_LEAD_SHARE,
+    backupReadMs: boundMs * BACKUP_READ_SHARE,
+    lastReadMs: boundMs * LAST_READ_SHARE,
   };
 }
 
@@ -85,15 +95,16 @@
   #confirmedAt = -Infinity;
   #retryAt = -Infinity;
   #failureCount = 0;
-  #leadRepliedAt = -Infinity;
+  #failedAt = -Infinity;
 
   constructor(times: ConfirmationTimes) {
     this.#times = times;
   }
 
-  /** Whether the last read failed. */
-  get isFailing(): boolean {
-    return this.#failureCount > 0;
+  /** Whether the last read failed recently. An instance that others confirm may
+   * read no more, and then knows nothing of the store. */
+  isFailing(now: number): boolean {
+    return this.#failureCount > 0 && now - this.#failedAt < FAILURE_VALID_MS;
   }
 
   /** Time since the records were last known to be the newest, in
@@ -107,11 +118,6 @@
     this.#confirmedAt = Math.max(this.#confirmedAt, at);
   }
 
-  /** Records that a lead has replied at `now`, whatever it confirmed. */
-  recordReplyOfLead(now: number): void {
-    this.#leadRepliedAt = now;
-  }
-
   /** Records that a read succeeded, or that the store was reached otherwise. */
   recordContact(): void {
     this.#failureCount = 0;
@@ -125,6 +131,7 @@
       RETRY_PAUSE_MS * 2 ** this.#failureCount,
     );
     this.#failureCount += 1;
+    this.#failedAt = now;
     this.#retryAt = now + pauseMs * (0.75 + jitter / 2);
   }
 
@@ -136,7 +143,7 @@
    * ```
    */
   nextStep(now: number, role: ConfirmationRole): ConfirmationStep {
-    const { readMs, askMs } = this.#timesOf(role, now);
+    const { readMs, askMs } = this.#timesOf(role);
     const ageMs = this.ageMs(now);
     if (ageMs >= readMs && now >= this.#retryAt) return "read";
     return ageMs >= askMs ? "ask" : "none";
@@ -144,11 +151,8 @@
 
   #timesOf(
     role: ConfirmationRole,
-    now: number,
   ): { readonly askMs: number; readonly readMs: number } {
-    const times = this.#times;
-    const hasLead = now - this.#leadRepliedAt < LEAD_REPLY_VALID_MS;
-    const readMs = hasLead ? times.readBesideLeadMs : times.readMs;
+    const { readMs, backupReadMs, lastReadMs, ...times } = this.#times;
     switch (role) {
       case "lead":
         return { askMs: Infinity, readMs: times.leadMs };
@@ -156,8 +160,14 @@
         return { askMs: Infinity, readMs: times.relayedLeadMs };
       case "relay":
         return { askMs: times.relayAskMs, readMs };
+      case "second_relay":
+        return { askMs: times.relayAskMs, readMs: backupReadMs };
+      case "backup":
+        return { askMs: times.askMs, readMs: backupReadMs };
       case "member":
         return { askMs: times.askMs, readMs };
+      case "last":
+        return { askMs: times.askMs, readMs: lastReadMs };
     }
   }
 }
