Use what is left of a share for a request that borrows the rest

Cause: each share keeps a rest that is smaller than a request; lenders of the whole request found none with enough. The old limit was also passed a little. Change: a request takes the rest of the own share and borrows only what is missing; refused, it gives the rest back. The tests that meet instances a window after the start now also hear of them then: they depended on how long their process ran. Measured: workspace_rates_test.ts, 'what is left of two shares is used for one request', fails before and passes.

--- a/packages/gateway/src/workspace_rates.ts
+++ b/packages/gateway/src/workspace_rates.ts
@@ -354,7 +354,10 @@
   ): Promise<RateGrant | RateRefusal> {
     const { members, clocks, links, windowMs } = this.#options;
     const { rate, name: workspace } = entry;
-    const { units, waitMaxMs } = request;
+    const { waitMaxMs } = request;
+    // Otherwise what is left of each share would be too small for any request.
+    const own = rate.takeRest(request.units, performance.now());
+    const units = request.units - own.units;
     const search = new LoanSearch(
       this.#lenders,
       entry.sharers.filter(({ name }) =>
@@ -388,14 +391,22 @@
       });
       if (isAccepted) {
         entry.counts.borrowed += units;
-        return { refund: giveBack };
+        return {
+          refund: () => {
+            rate.refund(own, performance.now());
+            giveBack();
+          },
+        };
       }
       if (reply === undefined) entry.counts.unanswered += 1;
       if (reply?.t !== "taken" || reply.ok) giveBack();
     }
     const now = performance.now();
+    rate.refund(own, now);
     return {
-      waitMs: rate.share > 0 ? rate.waitMs(units, now) : NO_SHARE_WAIT_MS,
+      waitMs: rate.share > 0
+        ? rate.waitMs(request.units, now)
+        : NO_SHARE_WAIT_MS,
       left: rate.levelAt(now),
       share: rate.share,
       asked: search.asked,
--- a/packages/gateway/src/workspace_rates_review_test.ts
+++ b/packages/gateway/src/workspace_rates_review_test.ts
@@ -51,7 +51,9 @@
   meet(peer: Instance): void {
     this.peers = [...this.peers, peer];
     this.members.add(peer.member);
-    this.members.setState(peer.member.name, performance.now(), {
+    // The tests begin a window after the start of the process.
+    const heardAt = performance.now() + WINDOW_MS;
+    this.members.setState(peer.member.name, heardAt, {
       leaving: false,
       ready: true,
       digestIntervalMs: 200,
--- a/packages/gateway/src/workspace_rates_test.ts
+++ b/packages/gateway/src/workspace_rates_test.ts
@@ -51,7 +51,9 @@
   meet(peer: Instance): void {
     this.peers = [...this.peers, peer];
     this.members.add(peer.member);
-    this.members.setState(peer.member.name, performance.now(), {
+    // The tests begin a window after the start of the process.
+    const heardAt = performance.now() + WINDOW_MS;
+    this.members.setState(peer.member.name, heardAt, {
       leaving: false,
       ready: true,
       digestIntervalMs: 200,
@@ -131,9 +133,19 @@
 test("an instance whose share is used up borrows from another", async () => {
   await first.take(4500);
   expect(isRefusal(await first.take(4000))).toBe(false);
-  expect(levelOf(second)).toBe(SHARE_UNITS - 4000);
+  // Both leave a tenth of their share of the burst to small requests.
+  expect(levelOf(first)).toBe(100);
+  expect(levelOf(second)).toBe(SHARE_UNITS - 3600);
   const refusal = await first.take(4000);
-  expect(refusal).toMatchObject({ left: 500, share: 0.5 });
+  expect(refusal).toMatchObject({ left: 100, share: 0.5 });
+});
+
+// Guards against rests of shares that nobody can use.
+test("what is left of two shares is used for one request", async () => {
+  await first.take(4400);
+  await second.take(4400);
+  expect(isRefusal(await first.take(900))).toBe(false);
+  expect([levelOf(first), levelOf(second)]).toEqual([100, 200]);
 });
 
 // Guards against asking again and again for units that nobody has.
--- a/packages/serving/src/token_rate.ts
+++ b/packages/serving/src/token_rate.ts
@@ -191,6 +191,14 @@
     return { units, bucket: this.#window.add(units, now + validMs) };
   }
 
+  /** Takes what the share has left of the units that a request needs, if that is
+   * less; the rest must come from other instances. */
+  takeRest(units: number, now: number): TakenUnits {
+    const spare = this.levelAt(now) - this.#reservedUnits(units);
+    const rest = Math.max(0, Math.min(units, Math.floor(spare)));
+    return { units: rest, bucket: this.#window.add(rest, now) };
+  }
+
   /** Gives units back that were not used. */
   refund(taken: TakenUnits, now: number): void {
     this.#window.advance(now);
@@ -211,11 +219,15 @@
   /** The level from which a request of `units` is admitted. One instance admits a
    * request above its whole share, when nothing of it was used. */
   #requiredLevel(units: number): number {
+    if (units > this.#shareUnits && !this.#admitsLarge) return Infinity;
+    return Math.min(units + this.#reservedUnits(units), this.#shareUnits);
+  }
+
+  /** Units of the share that a request of `units` must leave to smaller ones. */
+  #reservedUnits(units: number): number {
     const { burst } = this.#limit;
-    const reservedUnits = units > burst * LARGE_REQUEST_FRACTION
+    return units > burst * LARGE_REQUEST_FRACTION
       ? burst * SMALL_REQUEST_RESERVE_FRACTION * this.#share
       : 0;
-    if (units > this.#shareUnits && !this.#admitsLarge) return Infinity;
-    return Math.min(units + reservedUnits, this.#shareUnits);
   }
 }
