Let a soak's link hold bytes back for longer than a caller waits

Cause: a "slow" link adds 150 ms for good, and a close overtook the bytes before it, so no request could arrive after its caller had left. Change: state "full" holds bytes and closes back by 700 ms in each direction, in order, and ends with the state. A close on a slow link no longer overtakes bytes. Ruled out: holding back the acceptance of connections (the kernel accepts them).

--- a/packages/trials/src/soak/proxy.ts
+++ b/packages/trials/src/soak/proxy.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import { connect, createServer, type Server, type Socket } from "node:net";
 
 /** How a proxy handles the bytes that it receives. */
@@ -10,6 +11,9 @@
   | "open"
   /** Each chunk is delayed. */
   | "slow"
+  /** Bytes and closes are under way for longer than a caller may wait, in each
+   * direction. */
+  | "full"
   /** Bytes from the target are dropped. A connection that lost some forwards
    * nothing more in either direction. */
   | "no_answers"
@@ -24,6 +28,7 @@
 }
 
 const DELAY_MS = 150;
+const FULL_DELAY_MS = 700;
 
 interface ProxiedConnection {
   /** Socket to the client. */
@@ -84,31 +89,57 @@
   }
 
   #forward(pair: ProxiedConnection, from: Socket, to: Socket): void {
-    let slow = false;
+    const deliver = this.#createQueue();
     from.setNoDelay(true);
     from.on("data", (bytes: Buffer) => {
       if (this.#state === "no_answers" && from === pair.far) pair.isDead = true;
-      if (this.#state === "slow") slow = true;
-      const write = () => {
+      deliver(() => {
         // TCP has no gaps: a connection that lost bytes may not deliver later
         // ones.
         if (!pair.isDead && !to.destroyed) to.write(bytes);
-      };
-      // Once delayed, a direction stays delayed; otherwise later bytes would
-      // overtake earlier ones.
-      if (slow) setTimeout(write, DELAY_MS);
-      else write();
+      });
     });
     from.on("end", () => {
-      if (!pair.isDead) setTimeout(() => to.end(), DELAY_MS);
+      if (pair.isDead) return;
+      deliver(() => void setTimeout(() => to.end(), DELAY_MS));
     });
     // A "close" event follows each error, and its listener closes the other
     // side.
     from.on("error", () => undefined);
     from.on("close", (hadError) => {
       this.#connections.delete(pair);
-      if (hadError) to.resetAndDestroy();
-      else setTimeout(() => to.destroy(), DELAY_MS * 2);
+      deliver(() => {
+        if (hadError) to.resetAndDestroy();
+        else setTimeout(() => to.destroy(), DELAY_MS * 2);
+      });
     });
   }
+
+  /** Returns a function that runs actions one after another, each after the
+   * delay of the link. */
+  #createQueue(): (action: () => void) => void {
+    let slow = false;
+    let dueMs = 0;
+    let waiting = 0;
+    let last = Promise.resolve();
+    return (action) => {
+      // Once slow, a connection stays slow.
+      if (this.#state === "slow") slow = true;
+      const delayMs = this.#state === "full"
+        ? FULL_DELAY_MS
+        : slow
+        ? DELAY_MS
+        : 0;
+      dueMs = Math.max(dueMs, performance.now() + delayMs);
+      if (delayMs === 0 && waiting === 0) return action();
+      const actionDueMs = dueMs;
+      waiting += 1;
+      last = last
+        .then(() => pause(Math.max(0, actionDueMs - performance.now())))
+        .then(() => {
+          waiting -= 1;
+          action();
+        });
+    };
+  }
 }
