Check workspace limits and callers that leave in the soak

Change: workspace w3 gets half of the requests at 27, 45 or 72 requests a window. In any window it may get 1.135 times its limit (a tenth, and 17,000 of 480,000 units), and in the window after the recovery at least half. Counted are requests that were both sent and run in the window, once each. A lower limit binds 2.5 s after its acknowledgement, not before the calm part; one comes with the withdrawal of the key. New faults: changes of the limit, gateways restarted in series, links to a zone full. One in ten streams and reads is given up after 100 to 400 ms. While the links to n-b are full, from 1.5 s on, 30 callers more give up eight in ten; at most 3 requests may run over 0.5 s after their callers left. Refusals over w3's limit and requests that were given up don't count as unserved. The last phase takes a window, 8 s instead of 3.

--- a/packages/trials/src/soak/callers.ts
+++ b/packages/trials/src/soak/callers.ts
@@ -33,6 +33,11 @@
  * requests are sent. */
 const CRASHING_RATIO = 0.1;
 
+/** Bounds of the time after which a caller gives up a request that it does not
+ * wait for, in milliseconds. */
+const MIN_LEAVE_MS = 100;
+const LEAVE_JITTER_MS = 300;
+
 /** Settings that the callers of a soak share. */
 export interface CallerOptions {
   readonly random: () => number;
@@ -49,6 +54,8 @@
   readonly isKeyValidSince: (key: string, sinceMs: number) => boolean;
   /** Whether some streams have a part that crashes engines. */
   readonly sendsCrashingPart: () => boolean;
+  /** Ratio of the streams and reads that the caller gives up early. */
+  readonly leaveRatio: number;
 }
 
 /** One caller, with its own connection pool. */
@@ -135,12 +142,18 @@
     const parts = attempt.isCrashing
       ? [FIRST_PART, CRASHING_PART, ownPart]
       : [FIRST_PART, ownPart];
+    const leavesEarly = kind !== "once" && random() < this.#options.leaveRatio;
+    const leaveAfterMs = MIN_LEAVE_MS + random() * LEAVE_JITTER_MS;
     const response = await this.#sendRequest(address, {
       ...attempt,
       key,
+      leaveAfterMs: leavesEarly ? leaveAfterMs : undefined,
       parts: kind === "stream" ? parts : undefined,
     });
-    if (response.status === 0) this.#failedAtMs.set(address, performance.now());
+    const { status, leftAt } = response;
+    if (status === 0 && leftAt === undefined) {
+      this.#failedAtMs.set(address, performance.now());
+    }
     this.#attempts.push({
       ...attempt,
       ...response,
@@ -157,18 +170,20 @@
       readonly model: string | undefined;
       readonly key: string;
       readonly parts: readonly string[] | undefined;
+      readonly leaveAfterMs: number | undefined;
     },
   ): Promise<
-    Pick<Attempt, "status" | "responseId" | "body" | "complete">
+    Pick<Attempt, "status" | "responseId" | "body" | "complete" | "leftAt">
   > {
     const [host, port] = address.split(":");
     return new Promise((resolve) => {
       let status = 0;
       let responseId: string | undefined;
       let body = "";
+      let leftAt: number | undefined;
       const finish = (complete: boolean) => {
         clearTimeout(timer);
-        resolve({ status, responseId, body, complete });
+        resolve({ status, responseId, body, complete, leftAt });
       };
       const clientRequest = request({
         agent: this.#agent,
@@ -185,10 +200,10 @@
           ...(req.parts === undefined ? {} : { parts: req.parts }),
         }),
       });
-      const timer = setTimeout(
-        () => clientRequest.destroy(),
-        REQUEST_TIMEOUT_MS,
-      );
+      const timer = setTimeout(() => {
+        if (req.leaveAfterMs !== undefined) leftAt = Date.now();
+        clientRequest.destroy();
+      }, req.leaveAfterMs ?? REQUEST_TIMEOUT_MS);
       clientRequest.on("error", () => finish(false));
       clientRequest.on("response", (res) => {
         status = res.statusCode ?? 0;
--- a/packages/trials/src/soak/checks.ts
+++ b/packages/trials/src/soak/checks.ts
@@ -10,6 +10,12 @@
   STREAM_EVENTS,
 } from "@banyanlb/platform/stand_in";
 
+import {
+  checkWorkspaceLimits,
+  isOverLimit,
+  type WorkspaceLimits,
+} from "./limit_checks.ts";
+
 /** Kind of a request, which decides how the gateways may repeat it. */
 export type RequestKind = "stream" | "once" | "read";
 
@@ -32,6 +38,8 @@
   readonly isCrashing: boolean;
   /** Whether the key was valid from the start of the attempt to its end. */
   readonly isKeyValid: boolean;
+  /** When the caller gave up before the end of the response, if it did. */
+  readonly leftAt?: number | undefined;
 }
 
 /** Observations of a soak, and the limits to check them against. */
@@ -46,6 +54,7 @@
   /** Time as in `Date.now` from which no fault has been in effect for the time
    * in which instances must know of each other's crashes. */
   readonly calmFromMs: number;
+  readonly limits: WorkspaceLimits;
 }
 
 /** Statuses which guarantee that a request has not run and never will. */
@@ -71,11 +80,16 @@
 const LIMIT_FACTOR = 1.5;
 const LIMIT_SLACK = 5;
 
+/** From this time after their callers left, at most so many requests may reach
+ * engines. */
+const LEFT_MS = 500;
+const LATE_RUNS_MAX = 3;
+
 /** Returns a description of each violation; none if all guarantees held.
  *
  * @example
  * ```ts
- * const observations = { attempts, records, orderGapMs: 1000 };
+ * const observations = { attempts, records, limits, orderGapMs: 1000 };
  * checkSoak({ ...observations, recoveredFromMs: 0, calmFromMs: 0 }); // []
  * ```
  */
@@ -87,6 +101,8 @@
     ...checkRecovery(observations),
     ...checkCrashes(observations),
     ...checkLimits(observations),
+    ...checkWorkspaceLimits(observations),
+    ...checkLeft(observations),
   ];
 }
 
@@ -227,11 +243,42 @@
   ];
 }
 
+/** Checks that few requests reach engines after their callers left. */
+function checkLeft(
+  { attempts, records, calmFromMs }: SoakObservations,
+): readonly string[] {
+  const leftAtById = new Map(
+    attempts.filter((a) => a.sentAt >= calmFromMs)
+      .map((a) => [a.id, a.leftAt ?? Infinity]),
+  );
+  const late = records.flatMap((record) => {
+    if (record.t !== "run") return [];
+    const afterMs = record.at - (leftAtById.get(record.id) ?? Infinity);
+    return afterMs > LEFT_MS
+      ? [`${record.id} on ${record.engine} after ${afterMs} ms`]
+      : [];
+  });
+  return late.length <= LATE_RUNS_MAX
+    ? []
+    : [`${late.length} runs after the callers had left: ${late.join(", ")}`];
+}
+
+/** Whether an attempt shows whether requests are served: its caller waited, and
+ * it is proper and within all limits. */
+export function countsForRecovery(
+  attempt: Attempt,
+  limits: WorkspaceLimits,
+): boolean {
+  const { isKeyValid, isCrashing, leftAt } = attempt;
+  return isKeyValid && !isCrashing && leftAt === undefined &&
+    !isOverLimit(attempt, limits);
+}
+
 function checkRecovery(
-  { attempts, recoveredFromMs }: SoakObservations,
+  { attempts, recoveredFromMs, limits }: SoakObservations,
 ): readonly string[] {
   const lateAttempts = attempts.filter((a) =>
-    a.sentAt >= recoveredFromMs && a.isKeyValid && !a.isCrashing
+    a.sentAt >= recoveredFromMs && countsForRecovery(a, limits)
   );
   const served =
     lateAttempts.filter((a) => a.status === 200 && a.complete).length;
--- a/packages/trials/src/soak/checks_test.ts
+++ b/packages/trials/src/soak/checks_test.ts
@@ -6,6 +6,7 @@
 } from "@banyanlb/platform/stand_in";
 import { expect, test } from "vitest";
 import { type Attempt, checkSoak } from "./checks.ts";
+import type { LimitChange, WorkspaceLimits } from "./limit_checks.ts";
 
 const plainAttempt: Attempt = {
   id: "r1",
@@ -34,7 +35,7 @@
   ).join(""),
 };
 
-const runRecord: EngineRecord = {
+const runRecord: Extract<EngineRecord, { t: "run" }> = {
   t: "run",
   engine: "e",
   at: 110,
@@ -55,9 +56,17 @@
   status: 202,
 };
 
+/** Limits of a workspace that no attempt belongs to. */
+const noLimits: WorkspaceLimits = {
+  workspace: "other",
+  windowMs: 8000,
+  changes: [],
+};
+
 function check(
   attempts: readonly Attempt[],
   records: readonly EngineRecord[] = [],
+  limits: WorkspaceLimits = noLimits,
 ) {
   return checkSoak({
     attempts,
@@ -65,6 +74,7 @@
     orderGapMs: 1000,
     recoveredFromMs: 0,
     calmFromMs: 2000,
+    limits,
   });
 }
 
@@ -175,3 +185,138 @@
   const ended: EngineRecord = { ...limit, at: 4000, perSecond: undefined };
   expect(isReported([limit, ended, ...runs(12, 5000)])).toBe(false);
 });
+
+/** A request of the limited workspace for each time, run 10 ms later. */
+function limitedRequests(times: readonly number[]) {
+  const attempts = times.map((sentAt, i): Attempt => ({
+    ...plainAttempt,
+    id: `q${i}`,
+    responseId: `q${i}`,
+    body: plainText(`q${i}`),
+    workspace: "limited",
+    sentAt,
+  }));
+  const records = attempts.map(({ id, workspace, sentAt }): EngineRecord => ({
+    ...runRecord,
+    id,
+    workspace,
+    at: sentAt + 10,
+  }));
+  return { attempts, records };
+}
+
+/** `count` times, 10 ms apart. */
+const timesFrom = (fromMs: number, count: number) =>
+  Array.from({ length: count }, (_, i) => fromMs + i * 10);
+
+function checkLimited(
+  times: readonly number[],
+  changes: readonly LimitChange[],
+) {
+  const { attempts, records } = limitedRequests(times);
+  return check(attempts, records, {
+    workspace: "limited",
+    windowMs: 8000,
+    changes,
+  });
+}
+
+/** 45 requests in a window, of which 51 are allowed; 27 and 30 once lowered. */
+const usual: LimitChange = {
+  limit: { perSecond: 5, burst: 5 },
+  sentAt: 0,
+  acceptedAt: 0,
+};
+const lowered: LimitChange = {
+  limit: { perSecond: 3, burst: 3 },
+  sentAt: 10_000,
+  acceptedAt: 10_500,
+};
+
+test("reports a workspace that got more than its limit in some window", () => {
+  const isReported = (times: readonly number[]) =>
+    checkLimited([...timesFrom(0, 40), ...times], [usual])
+      .some((text) => text.includes("limited got"));
+  expect(isReported(timesFrom(7000, 11))).toBe(false);
+  expect(isReported(timesFrom(7000, 12))).toBe(true);
+  expect(isReported(timesFrom(8400, 40))).toBe(false);
+  const { attempts, records } = limitedRequests(timesFrom(0, 51));
+  const limits = { ...noLimits, workspace: "limited", changes: [usual] };
+  expect(check(attempts, [...records, ...records], limits).join())
+    .not.toContain("limited got");
+});
+
+test("a lower limit binds from when it must be known, a higher one is allowed at once", () => {
+  const isReported = (times: readonly number[], changes = [usual, lowered]) =>
+    checkLimited([...timesFrom(0, 40), ...times], changes)
+      .some((text) => text.includes("allowed"));
+  expect(isReported(timesFrom(13_000, 30))).toBe(false);
+  expect(isReported(timesFrom(13_000, 31))).toBe(true);
+  expect(isReported(timesFrom(12_900, 31))).toBe(false);
+  const unconfirmed = { limit: lowered.limit, sentAt: 10_000 };
+  expect(isReported(timesFrom(13_000, 31), [usual, unconfirmed])).toBe(false);
+  const raised = { limit: { perSecond: 8, burst: 8 }, sentAt: 12_000 };
+  expect(isReported(timesFrom(13_000, 60), [usual, raised])).toBe(false);
+});
+
+test("while there are faults a lower limit does not bind yet", () => {
+  const early = { ...lowered, sentAt: -9000, acceptedAt: -9000 };
+  const first = { ...usual, sentAt: -10_000, acceptedAt: -10_000 };
+  const isReported = (fromMs: number) =>
+    checkLimited(timesFrom(fromMs, 40), [first, early])
+      .some((text) => text.includes("allowed"));
+  expect(isReported(0)).toBe(false);
+  expect(isReported(2000)).toBe(true);
+});
+
+test("reports a workspace that gets less than half of its limit", () => {
+  const isReported = (count: number) =>
+    checkLimited(timesFrom(0, count), [usual])
+      .some((text) => text.includes("less than"));
+  expect(isReported(23)).toBe(false);
+  expect(isReported(22)).toBe(true);
+});
+
+test("a refusal over the workspace's limit is no failure to recover", () => {
+  const { attempts, records } = limitedRequests(timesFrom(0, 23));
+  const limits = { ...noLimits, workspace: "limited", changes: [usual] };
+  const refused: Attempt = {
+    ...plainAttempt,
+    id: "q99",
+    workspace: "limited",
+    status: 429,
+    body: "",
+  };
+  const refusals = timesFrom(0, 9).map((_, i) => ({ ...refused, id: `x${i}` }));
+  expect(check([...attempts, ...refusals], records, limits)).toEqual([]);
+  expect(check([...attempts, ...refusals], records).join())
+    .toContain("served after the faults");
+});
+
+test("reports requests that run after their callers left", () => {
+  const left = (count: number, sentAt: number) =>
+    Array.from({ length: count }, (_, i): Attempt => ({
+      ...streamAttempt,
+      id: `s${i}`,
+      sentAt,
+      status: 0,
+      body: "",
+      complete: false,
+      leftAt: sentAt + 200,
+    }));
+  const runs = (attempts: readonly Attempt[], afterMs: number) =>
+    attempts.map(({ id, model, leftAt }): EngineRecord => ({
+      ...runRecord,
+      id,
+      model,
+      at: (leftAt ?? 0) + afterMs,
+    }));
+  const find = (count: number, sentAt: number, afterMs: number) => {
+    const attempts = left(count, sentAt);
+    return check([plainAttempt, ...attempts], runs(attempts, afterMs));
+  };
+  expect(find(3, 2000, 501)).toEqual([]);
+  expect(find(4, 2000, 501).join()).toContain("4 runs after the callers");
+  expect(find(4, 2000, 500)).toEqual([]);
+  expect(find(4, 1999, 501)).toEqual([]);
+});
--- a/packages/trials/src/soak/faults.ts
+++ b/packages/trials/src/soak/faults.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { setTimeout as pause } from "node:timers/promises";
-import type { SoakWorld } from "./world.ts";
+import { LIMITS, type SoakWorld, ZONES } from "./world.ts";
 
 /** Injects a fault and returns the function that lifts it. */
 type Fault = (world: SoakWorld, pick: PickOne) => () => void | Promise<unknown>;
@@ -38,6 +38,21 @@
     process.signal("SIGTERM");
     return () => process.exited.then(() => world.restartGateway(slot));
   },
+  gateways_restarted_in_series: (world, pick) => {
+    const first = pick([...world.gateways.keys()]);
+    const slots = [...world.gateways.slice(first), ...world.gateways]
+      .slice(0, pick([2, 3]));
+    const signals = slots.map(() => pick(["SIGTERM", "SIGKILL"] as const));
+    const restarts = slots.map(async (slot, i) => {
+      await pause(i * SERIES_STEP_MS);
+      const { process } = slot;
+      process.signal("SIGCONT");
+      process.signal(signals[i] ?? "SIGKILL");
+      await process.exited;
+      world.restartGateway(slot);
+    });
+    return () => Promise.all(restarts);
+  },
   gateway_frozen: (world, pick) => {
     const { process } = pick(world.gateways);
     process.signal("SIGSTOP");
@@ -81,6 +96,11 @@
     proxy.setState("silent");
     return () => proxy.setState("open");
   },
+  zone_links_full: (world, pick) => {
+    const zone = pick(Object.keys(ZONES));
+    world.setZoneLinks(zone, "full");
+    return () => world.setZoneLinks(zone, "open");
+  },
   engine_answers_lost: (world, pick) => {
     const { proxy } = pick(world.engines);
     proxy.setState("no_answers");
@@ -115,8 +135,16 @@
     void world.publish();
     return nothingToLift;
   },
+  workspace_limit_changes: (world, pick) => {
+    void world.publish({ limit: pick(Object.values(LIMITS)) });
+    return nothingToLift;
+  },
 };
 
+/** Time between the signals to gateways that are restarted in series, in
+ * milliseconds. A gateway that is stopped takes longer to exit. */
+const SERIES_STEP_MS = 300;
+
 const MIN_PAUSE_MS = 200;
 const PAUSE_JITTER_MS = 1200;
 const MIN_FAULT_MS = 200;
--- a/packages/trials/src/soak/soak.ts
+++ b/packages/trials/src/soak/soak.ts
@@ -5,13 +5,28 @@
  * @module
  */
 import { setTimeout as pause } from "node:timers/promises";
+import { TRIAL_RATE_WINDOW_MS } from "@banyanlb/platform/stand_in";
 import { createRandom } from "../harness/random.ts";
-import { SoakCaller } from "./callers.ts";
+import { type CallerOptions, SoakCaller } from "./callers.ts";
 import { runFaults } from "./faults.ts";
-import { type Attempt, checkSoak } from "./checks.ts";
-import { ORDER_GAP_MS, type SoakSize, SoakWorld, ZONES } from "./world.ts";
+import { type Attempt, checkSoak, countsForRecovery } from "./checks.ts";
+import {
+  LIMITED_WORKSPACE,
+  LIMITS,
+  ORDER_GAP_MS,
+  type SoakSize,
+  SoakWorld,
+  ZONES,
+} from "./world.ts";
 
 const CALLER_COUNT = 10;
+
+/** Ratio of the requests that are sent for the limited workspace. */
+const LIMITED_RATIO = 0.5;
+
+/** Ratio of the streams and reads that a caller gives up early. */
+const LEAVE_RATIO = 0.1;
+
 const ADAPTER_COUNT = 40;
 
 /** Time before the first fault, in milliseconds, in which instances become the
@@ -27,7 +42,21 @@
  * milliseconds. The engine is started again, listed, and loads its adapters. */
 const ENGINE_RECOVERY_MS = 4000;
 
-const FINAL_PHASE_MS = 3000;
+/** Time for which requests must be served, in milliseconds: one window of the
+ * workspace's limit. */
+const FINAL_PHASE_MS = TRIAL_RATE_WINDOW_MS;
+
+/** Zone whose engines are behind full links for a part of the recovery, and how
+ * long, in milliseconds. */
+const FULL_ZONE = "n-b";
+const FULL_LINK_MS = 7000;
+
+/** Time after the links became full from which instances must know it, in
+ * milliseconds; the number of callers that send more requests from then on, and
+ * the ratio of those that they give up early. */
+const FULL_LINK_KNOWN_MS = 1500;
+const LEAVING_CALLERS = 30;
+const LEAVING_RATIO = 0.8;
 
 /** Time from the end of the last fault to the withdrawal of a key, in
  * milliseconds. From then on all instances are within reach. */
@@ -49,6 +78,7 @@
 const LIMITED_ENGINES = 1;
 const REQUEST_LIMIT = 1.5;
 
+const UNLIMITED_KEY = ["w1", "key-1"] as const;
 const WITHDRAWN_KEY = { workspace: "w2", key: "key-2b" } as const;
 
 /** Outcome of a soak. */
@@ -80,24 +110,45 @@
     await world.start(size);
     const workspaceKeys = Object.entries(world.keys)
       .flatMap(([name, keys]) => keys.map((key) => [name, key] as const));
-    const callers = Array.from(
-      { length: CALLER_COUNT },
-      (_, i) =>
-        new SoakCaller(`c${i}`, {
-          random,
-          instances: world.instances,
-          zones: ZONES,
-          model: world.model,
-          adapters: ADAPTER_COUNT,
-          pickKey: () =>
-            workspaceKeys[Math.floor(random() * workspaceKeys.length)] ??
-              ["", ""],
-          isKeyValidSince: (key, sinceMs) =>
-            key !== WITHDRAWN_KEY.key || (sinceMs < withdrawnAtMs &&
-              Date.now() < withdrawnAtMs),
-          sendsCrashingPart: () => world.sendsCrashingPart,
-        }),
-    );
+    const pickKey = () => {
+      const isLimited = random() < LIMITED_RATIO;
+      const keys = workspaceKeys.filter(([name]) =>
+        (name === LIMITED_WORKSPACE) === isLimited
+      );
+      return keys[Math.floor(random() * keys.length)] ?? ["", ""] as const;
+    };
+    const createCallers = (
+      prefix: string,
+      rest: Pick<CallerOptions, "leaveRatio" | "pickKey"> & {
+        readonly count: number;
+      },
+    ) =>
+      Array.from(
+        { length: rest.count },
+        (_, i) =>
+          new SoakCaller(`${prefix}${i}`, {
+            random,
+            instances: world.instances,
+            zones: ZONES,
+            model: world.model,
+            adapters: ADAPTER_COUNT,
+            isKeyValidSince: (key, sinceMs) =>
+              key !== WITHDRAWN_KEY.key || (sinceMs < withdrawnAtMs &&
+                Date.now() < withdrawnAtMs),
+            sendsCrashingPart: () => world.sendsCrashingPart,
+            ...rest,
+          }),
+      );
+    const callers = createCallers("c", {
+      count: CALLER_COUNT,
+      pickKey,
+      leaveRatio: LEAVE_RATIO,
+    });
+    const leavingCallers = createCallers("l", {
+      count: LEAVING_CALLERS,
+      pickKey: () => UNLIMITED_KEY,
+      leaveRatio: LEAVING_RATIO,
+    });
     await pause(WARM_UP_MS);
     const callerTasks = callers.map((caller) => caller.run());
     const faults = await runFaults(world, { random, durationMs: faultPhaseMs });
@@ -112,7 +163,8 @@
       world.store.write("lose_history")
     );
     withdrawnAtMs = Date.now();
-    while (!await world.withdraw(WITHDRAWN_KEY.workspace, WITHDRAWN_KEY.key)) {
+    const { workspace, key } = WITHDRAWN_KEY;
+    while (!await world.withdraw(workspace, { key, limit: LIMITS.low })) {
       if (Date.now() - withdrawnAtMs > WITHDRAWAL_TIMEOUT_MS) {
         throw new Error(`seed ${seed}: the store accepts no configuration`);
       }
@@ -120,7 +172,13 @@
     }
     const refusedFromMs = Date.now() + WITHDRAWAL_BOUND_MS;
     await historyLost;
-    await pause(RECOVERY_MS - ENGINE_RECOVERY_MS);
+    world.setZoneLinks(FULL_ZONE, "full");
+    await pause(FULL_LINK_KNOWN_MS);
+    callerTasks.push(...leavingCallers.map((caller) => caller.run()));
+    await pause(FULL_LINK_MS - FULL_LINK_KNOWN_MS);
+    for (const caller of leavingCallers) caller.close();
+    world.setZoneLinks(FULL_ZONE, "open");
+    await pause(RECOVERY_MS - ENGINE_RECOVERY_MS - FULL_LINK_MS);
     // The trial of a held part ends an engine, which must be back before the
     // requests of the final phase count.
     world.sendsCrashingPart = false;
@@ -129,7 +187,9 @@
     await pause(FINAL_PHASE_MS);
     for (const caller of callers) caller.close();
     await Promise.all(callerTasks);
-    const attempts = callers.flatMap((caller) => caller.attempts);
+    const attempts = [...callers, ...leavingCallers]
+      .flatMap((caller) => caller.attempts);
+    const limits = world.workspaceLimits;
     const violations = [
       ...checkSoak({
         attempts,
@@ -137,6 +197,7 @@
         orderGapMs: ORDER_GAP_MS,
         recoveredFromMs,
         calmFromMs,
+        limits,
       }),
       ...attempts.filter((a) =>
         !a.isKeyValid && a.sentAt > refusedFromMs && a.status === 200
@@ -150,7 +211,9 @@
       sent: attempts.length,
       served: attempts.filter((a) => a.status === 200 && a.complete).length,
       unserved: countUnserved(
-        attempts.filter((a) => a.sentAt >= recoveredFromMs && !a.isCrashing),
+        attempts.filter((a) =>
+          a.sentAt >= recoveredFromMs && countsForRecovery(a, limits)
+        ),
       ),
       logs: violations.length > 0
         ? [...world.records.map((r) => JSON.stringify(r)), ...world.logs()]
@@ -165,10 +228,8 @@
   attempts: readonly Attempt[],
 ): Readonly<Record<string, number>> {
   const counts: Record<string, number> = {};
-  for (
-    const { kind, status, complete, body, isKeyValid } of attempts
-  ) {
-    if ((status === 200 && complete) || !isKeyValid) continue;
+  for (const { kind, status, complete, body } of attempts) {
+    if (status === 200 && complete) continue;
     const reason = /"type":"([^"]*)"/.exec(body)?.[1] ?? "";
     const name = `${kind} ${status} ${complete ? "" : "cut "}${reason}`.trim();
     counts[name] = (counts[name] ?? 0) + 1;
--- a/packages/trials/src/soak/world.ts
+++ b/packages/trials/src/soak/world.ts
@@ -15,8 +15,11 @@
   type EngineStandInOptions,
   publishConfiguration,
   STAND_IN_PROGRAM,
+  TRIAL_RATE_WINDOW_MS,
+  type TrialLimit,
 } from "@banyanlb/platform/stand_in";
-import { LinkProxy } from "./proxy.ts";
+import type { LimitChange, WorkspaceLimits } from "./limit_checks.ts";
+import { LinkProxy, type LinkState } from "./proxy.ts";
 import { SoakProcess } from "./soak_process.ts";
 
 /** Path of the gateway's main script. */
@@ -48,6 +51,14 @@
   "s-a": "south",
 };
 
+/** The workspace whose limit binds, and its limits. */
+export const LIMITED_WORKSPACE = "w3";
+export const LIMITS: Readonly<Record<"low" | "usual" | "high", TrialLimit>> = {
+  low: { perSecond: 3, burst: 3 },
+  usual: { perSecond: 5, burst: 5 },
+  high: { perSecond: 8, burst: 8 },
+};
+
 /** Number of processes of each kind. `plain` are engines without adapters. */
 export interface SoakSize {
   readonly gateways: number;
@@ -58,6 +69,7 @@
 interface EngineSlot {
   readonly plain: boolean;
   readonly index: number;
+  readonly zone: string;
   readonly proxy: LinkProxy;
   process: SoakProcess;
   /** Number of restarts, which the id of the engine follows from. */
@@ -85,7 +97,10 @@
   readonly #keys: Record<string, string[]> = {
     w1: ["key-1"],
     w2: ["key-2", "key-2b"],
+    [LIMITED_WORKSPACE]: ["key-3"],
   };
+  readonly #limitChanges: LimitChange[] = [];
+  #limit = LIMITS.usual;
   #store: SoakProcess;
   #version = 1;
   #isClosed = false;
@@ -109,6 +124,15 @@
     return this.#keys;
   }
 
+  /** The limits of the limited workspace so far. */
+  get workspaceLimits(): WorkspaceLimits {
+    return {
+      workspace: LIMITED_WORKSPACE,
+      windowMs: TRIAL_RATE_WINDOW_MS,
+      changes: this.#limitChanges,
+    };
+  }
+
   /** Hosts of the instances that callers may send requests to. */
   get instances(): readonly string[] {
     return this.gateways.map(({ host }) => host);
@@ -127,7 +151,14 @@
         port: ENGINE_PORT,
       });
       await proxy.listen({ host: this.#addressOf(60 + i), port: ENGINE_PORT });
-      const slot = { plain: i >= size.engines, index: i, proxy, starts: 0 };
+      const zones = Object.keys(ZONES);
+      const slot = {
+        plain: i >= size.engines,
+        index: i,
+        zone: zones[i % zones.length] ?? "",
+        proxy,
+        starts: 0,
+      };
       const engine = { ...slot, process: this.#startEngine(slot) };
       this.engines.push(engine);
       this.#restartAfterCrash(engine);
@@ -150,11 +181,16 @@
     }
   }
 
-  /** Publishes a new version of the configuration with the current keys.
-   * Returns whether the store accepted it. */
-  publish(): Promise<boolean> {
+  /** Publishes a new version of the configuration with the current keys and,
+   * if given, another limit. Returns whether the store accepted it. */
+  async publish(
+    { limit = this.#limit }: { readonly limit?: TrialLimit } = {},
+  ): Promise<boolean> {
     this.#version += 1;
-    return publishConfiguration(
+    this.#limit = limit;
+    const change: LimitChange = { limit, sentAt: Date.now() };
+    const index = this.#limitChanges.push(change) - 1;
+    const isAccepted = await publishConfiguration(
       this.#storeAddress,
       buildTrialConfiguration({
         version: this.#version,
@@ -162,16 +198,31 @@
         adapterSlots: ADAPTER_SLOTS,
         slots: REQUEST_SLOTS,
         keys: this.#keys,
+        limits: { [LIMITED_WORKSPACE]: limit },
       }),
     );
+    if (isAccepted) {
+      this.#limitChanges[index] = { ...change, acceptedAt: Date.now() };
+    }
+    return isAccepted;
   }
 
-  /** Removes a key and publishes the configuration. Returns whether the store
-   * accepted it. */
-  withdraw(workspace: string, key: string): Promise<boolean> {
+  /** Removes a key and publishes the configuration with another limit. Returns
+   * whether the store accepted it. */
+  withdraw(
+    workspace: string,
+    rest: { readonly key: string; readonly limit: TrialLimit },
+  ): Promise<boolean> {
     this.#keys[workspace] = (this.#keys[workspace] ?? [])
-      .filter((k) => k !== key);
-    return this.publish();
+      .filter((k) => k !== rest.key);
+    return this.publish({ limit: rest.limit });
+  }
+
+  /** Sets the state of the links to all engines of a zone. */
+  setZoneLinks(zone: string, state: LinkState): void {
+    for (const engine of this.engines) {
+      if (engine.zone === zone) engine.proxy.setState(state);
+    }
   }
 
   /** Restarts a gateway if it has exited. */
@@ -249,16 +300,16 @@
     slot: {
       readonly plain: boolean;
       readonly index: number;
+      readonly zone: string;
       readonly starts: number;
     },
   ): SoakProcess {
-    const { plain, index, starts } = slot;
-    const zones = Object.keys(ZONES);
+    const { plain, index, zone, starts } = slot;
     const options: EngineStandInOptions = {
       // Every second restart reuses the id of the start before it.
       id: `e-${index}-${Math.floor(starts / 2)}`,
       service: plain ? "plain" : "engines",
-      zone: zones[index % zones.length] ?? "",
+      zone,
       host: this.#addressOf(20 + index),
       port: ENGINE_PORT,
       advertisedAddress: `${this.#addressOf(60 + index)}:${ENGINE_PORT}`,
