Judge the path to an engine by its latest responses

The class: a state without its age, once more. Change: the last three responses count, how long requests have been waiting that were sent after all that were answered, and a request that was given up keeps what was known.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -445,7 +445,7 @@
       this.#trackAttempt(view, request, resolve);
     }).finally(() => {
       this.#log.endAttempt();
-      view.path.end(probe);
+      view.path.end(probe, performance.now());
       view.inFlight -= 1;
       usage.end(view.engine.key, caller.adapter);
     });
--- a/packages/serving/src/engine_path.ts
+++ b/packages/serving/src/engine_path.ts
@@ -1,28 +1,36 @@
 /** How long the path to an engine and back takes at present.
  *
  * A write into a connection is no arrival: on a link that carries more than it
- * can, bytes are under way for seconds. Every response bounds the path from
- * above, so the fastest recent one is taken; while nothing arrives, the path
- * takes at least as long as the oldest request has been waiting.
+ * can, bytes are under way for seconds. Each response bounds the path from
+ * above, and requests that wait bound it from below. The latest ones count,
+ * since a link becomes full within a moment.
  *
  * @module
  */
 
 /** How long a response counts, in milliseconds. */
-const VALID_MS = 3000;
+const VALID_MS = 5000;
 
-/** Number of responses that are kept; with more, older ones are dropped. */
-const KEPT_MAX = 16;
+/** Number of responses that count: the fastest of them, since an engine may be
+ * slow with a single one. */
+const COUNTED = 3;
 
 /** A request that waits for its response. */
 export interface PathProbe {
   readonly startedAt: number;
 }
 
+interface Response {
+  readonly startedAt: number;
+  readonly at: number;
+  readonly ms: number;
+}
+
 /** The path to one engine, as this instance's requests show it. */
 export class EnginePath {
   readonly #waiting = new Set<PathProbe>();
-  #responses: readonly { readonly at: number; readonly ms: number }[] = [];
+  /** The latest responses, and requests that were given up. */
+  #responses: readonly Response[] = [];
 
   /** Records that a request is sent at `now`. */
   start(now: number): PathProbe {
@@ -33,14 +41,17 @@
 
   /** Records that the response to a request has begun at `now`. */
   recordResponse(probe: PathProbe, now: number): void {
-    this.#waiting.delete(probe);
-    const response = { at: now, ms: now - probe.startedAt };
-    this.#responses = [...this.#responses.slice(1 - KEPT_MAX), response];
+    if (!this.#waiting.delete(probe)) return;
+    this.#add(probe, { now, ms: now - probe.startedAt });
   }
 
-  /** Records that a request has ended, with or without a response. */
-  end(probe: PathProbe): void {
+  /** Records that a request has ended at `now`. One that was given up shows that
+   * the path is no faster than was known. */
+  end(probe: PathProbe, now: number): void {
+    if (!this.#waiting.has(probe)) return;
+    const ms = Math.max(now - probe.startedAt, this.delayMs(now));
     this.#waiting.delete(probe);
+    this.#add(probe, { now, ms });
   }
 
   /** Time from the sending of a request to the response, in milliseconds, if the
@@ -53,14 +64,33 @@
    */
   delayMs(now: number): number {
     const recent = this.#responses.filter(({ at }) => now - at < VALID_MS);
-    const lastAt = this.#responses.at(-1)?.at ?? -Infinity;
-    const [oldest] = this.#waiting;
-    const silentMs = oldest === undefined
-      ? 0
-      : now - Math.max(oldest.startedAt, lastAt);
     const fastestMs = recent.length === 0
       ? 0
       : Math.min(...recent.map(({ ms }) => ms));
-    return Math.max(fastestMs, silentMs);
+    return Math.max(fastestMs, this.#waitedMs(now));
+  }
+
+  /** How long requests have been waiting, in the median, that were sent after all
+   * that were answered. */
+  #waitedMs(now: number): number {
+    const answeredUpTo = Math.max(
+      -Infinity,
+      ...this.#responses.map(({ startedAt }) => startedAt),
+    );
+    const waited = [...this.#waiting]
+      .filter(({ startedAt }) => startedAt > answeredUpTo)
+      .map(({ startedAt }) => now - startedAt);
+    // In the order of their sending.
+    return waited[Math.floor(waited.length / 2)] ?? 0;
+  }
+
+  #add(
+    { startedAt }: PathProbe,
+    { now, ms }: { readonly now: number; readonly ms: number },
+  ): void {
+    this.#responses = [
+      ...this.#responses.slice(1 - COUNTED),
+      { startedAt, at: now, ms },
+    ];
   }
 }
