--- a/packages/gateway/src/workspace_rates.ts
+++ b/packages/gateway/src/workspace_rates.ts
@@ -89,6 +89,8 @@
 interface Entry {
   readonly name: string;
   readonly rate: TokenRate;
+  /** Units of a usual request. */
+  requestUnits: number;
   /** The instances that share the limit equally. */
   sharers: readonly Member[];
   /** Counts since the last `states`. */
@@ -138,13 +140,16 @@
   setWorkspaces(workspaces: readonly Workspace[], now: number): void {
     const { windowMs } = this.#options;
     const names = new Set<string>();
-    for (const { name, ratePerSecond, burst } of workspaces) {
+    for (const workspace of workspaces) {
+      const { name, ratePerSecond, burst } = workspace;
       if (ratePerSecond <= 0) continue;
       names.add(name);
+      const requestUnits = workspace.countsTokens ? workspace.defaultTokens : 1;
       const limit = { perSecond: ratePerSecond, burst };
       const entry = this.#entries.get(name);
       if (entry !== undefined) {
         entry.rate.setLimit(limit);
+        entry.requestUnits = requestUnits;
         continue;
       }
       // Performance time starts with the process.
@@ -154,6 +159,7 @@
       this.#entries.set(name, {
         name,
         rate,
+        requestUnits,
         sharers: [],
         counts,
         removedAt: undefined,
@@ -182,7 +188,13 @@
         continue;
       }
       const { limit } = rate;
-      entry.sharers = rateSharers(all, { workspace, limit, windowMs });
+      const { requestUnits } = entry;
+      entry.sharers = rateSharers(all, {
+        workspace,
+        limit,
+        windowMs,
+        requestUnits,
+      });
       const rank = entry.sharers.findIndex(({ name }) => name === self.name);
       const share = isListed && rank >= 0 ? 1 / entry.sharers.length : 0;
       rate.setShare(share, now, rank === 0);
--- a/packages/serving/src/rate_sharers.ts
+++ b/packages/serving/src/rate_sharers.ts
@@ -6,16 +6,27 @@
 import { type RateLimit, unitsInWindow } from "./token_rate.ts";
 import type { Member } from "./types.ts";
 
-/** The instances that share the limit of a workspace equally. A share is no
- * smaller than the burst, since many small shares leave no room for a large
- * request although their sum does; all instances share the limit if that allows
- * it. The strongest come first: callers use them, so that few units have to be
- * lent. All instances with the same list of members find the same ones in the
- * same order, and one that is removed changes no other's place.
+/** Largest number of shares: many small ones leave no room for a large request
+ * although their sum does. It does not follow from the limit, since each change
+ * of the number moves shares, and a share that moves rests for a window. */
+const SHARES_MAX = 9;
+
+/** A share has units for at least this many usual requests. */
+const REQUESTS_MIN = 2;
+
+/** The instances that share the limit of a workspace equally. The strongest come
+ * first: callers use them, so that few units have to be lent. All instances with
+ * the same list of members find the same ones in the same order, and one that is
+ * removed changes no other's place.
  *
  * @example
  * ```ts
- * const sharers = rateSharers(members, { workspace: "w1", limit, windowMs });
+ * const sharers = rateSharers(members, {
+ *   workspace: "w1",
+ *   limit,
+ *   windowMs,
+ *   requestUnits: 1,
+ * });
  * const share = 1 / sharers.length;
  * ```
  */
@@ -25,15 +36,18 @@
     readonly workspace: string;
     readonly limit: RateLimit;
     readonly windowMs: number;
+    /** Units of a usual request. */
+    readonly requestUnits: number;
   },
 ): readonly Member[] {
-  const { workspace, limit, windowMs } = options;
-  const shares = unitsInWindow(limit, windowMs) / Math.max(1, limit.burst);
-  const count = Math.max(1, Math.floor(shares));
+  const { workspace, limit, windowMs, requestUnits } = options;
+  const requests = unitsInWindow(limit, windowMs) / Math.max(1, requestUnits);
+  const count = Math.floor(requests / REQUESTS_MIN);
   const ranked = rankByRendezvous(members, {
     key: workspace,
     name: (member) => member.name,
   });
   // The sort is stable.
-  return [...ranked].sort((a, b) => b.cores - a.cores).slice(0, count);
+  return [...ranked].sort((a, b) => b.cores - a.cores)
+    .slice(0, Math.max(1, Math.min(SHARES_MAX, count)));
 }
--- a/packages/serving/src/testing/rate_fleet_simulation.ts
+++ b/packages/serving/src/testing/rate_fleet_simulation.ts
@@ -226,10 +226,26 @@
     if (taken !== undefined) {
       return admit(now, (at) => instance.refund(taken, at));
     }
-    const search = instance.search(units, now);
-    this.#borrow({ id, process, units, search, now, startedAt: now }, {
-      admit,
-      refuse,
+    const own = instance.takeRest(units, now);
+    const missing = units - own.units;
+    const search = instance.search(missing, now);
+    this.#borrow({
+      id,
+      process,
+      units: missing,
+      search,
+      now,
+      startedAt: now,
+    }, {
+      admit: (at, giveBack) =>
+        admit(at, (refundAt) => {
+          instance.refund(own, refundAt);
+          giveBack(refundAt);
+        }),
+      refuse: (at) => {
+        instance.refund(own, at);
+        refuse(at);
+      },
     });
   }
 
--- a/packages/serving/src/testing/simulated_instance.ts
+++ b/packages/serving/src/testing/simulated_instance.ts
@@ -79,6 +79,7 @@
   readonly tryTake: (units: number, now: number) => TakenUnits | undefined;
   /** What the instance writes to the store. */
   readonly store: (now: number) => StoredUse;
+  readonly takeRest: (units: number, now: number) => TakenUnits;
   readonly refund: (taken: TakenUnits, now: number) => void;
   /** The search for units of other instances. */
   readonly search: (units: number, now: number) => LoanSearch;
@@ -138,6 +139,7 @@
       workspace: WORKSPACE,
       limit,
       windowMs,
+      requestUnits: 1,
     });
     const isSharer = sharers.some(({ name }) => name === self.name);
     rate.setShare(isSharer ? 1 / sharers.length : 0, now);
@@ -156,6 +158,7 @@
   >();
   return {
     tryTake: (units, now) => rate.tryTake(units, { now }),
+    takeRest: (units, now) => rate.takeRest(units, now),
     store: (now) => ({ slices: rate.useAt(now), at: now }),
     refund: (taken, now) => rate.refund(taken, now),
     search: (units, now) =>
