Report engines behind slow paths to instances that are no nearer

Change: digests name the engines whose path is slow by the sender's own requests. An instance that is no nearer takes it over for 1.5 s, or until a later request of its own was answered. Measured: engine_path_test.ts, 'the report of a peer counts until later requests were answered', does not compile before and passes.

--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from "@banyanlb/core";
 import {
   aggregatesLoads,
+  type Engine,
   type EngineLimits,
   type EngineTable,
   type EngineView,
@@ -15,6 +16,7 @@
   type PartQuarantine,
   type PathDelays,
   type ReportRow,
+  SLOW_PATH_MS,
   ticksBetweenDigests,
 } from "@banyanlb/serving";
 import type { AdapterLoader } from "./adapter_loader.ts";
@@ -92,6 +94,8 @@
   readonly limits: EngineLimits;
   readonly roles: Pick<ReaderRoles, "expectsRecordsBefore">;
   readonly pathDelays: PathDelays;
+  /** The region of a zone. */
+  readonly regionOf: (zone: string) => string | undefined;
   readonly links: () => PeerLinks;
   readonly state: () => {
     readonly ready: boolean;
@@ -164,6 +168,7 @@
     };
     const held = loader.held();
     const rooms = this.#options.rates.roomRows(now);
+    const slow = this.#slowPaths(now);
     const { crashes, answers, holds } = this.#options.quarantine.report(now);
     const limits = this.#options.limits.report(now);
     const selfRole = {
@@ -191,6 +196,7 @@
         ackHeldMs: Math.round(now - peer.ackedAt),
         every: tickInterval === 1 ? undefined : tickInterval,
         flight: this.#inFlightFor(member.name, engines, ownersSumLoads),
+        slow,
         rooms: changed("rooms", rooms),
         formerRooms: this.#formerRoomsFor(peer, now),
         held: changed("held", held),
@@ -252,6 +258,10 @@
     for (const view of engineTable.all()) {
       const key = view.engine.key;
       view.setPeerLoad(from, digest.flight?.[key] ?? 0, now + validMs);
+      const slowMs = digest.slow?.[key];
+      if (slowMs !== undefined && this.#isNoFarther(member, view.engine)) {
+        view.path.recordReport(slowMs, now);
+      }
       if (this.#options.membership.ownerOf(key) === from) {
         view.down = digest.down?.includes(key) === true;
       }
@@ -281,6 +291,24 @@
     this.#compareRevisions(member, digest, now);
   }
 
+  /** Engines whose path is slow, by this instance's own requests. */
+  #slowPaths(now: number): Readonly<Record<string, number>> | undefined {
+    const slow: Record<string, number> = {};
+    for (const { engine, path } of this.#options.engineTable.all()) {
+      const delayMs = path.ownDelayMs(now);
+      if (delayMs > SLOW_PATH_MS) slow[engine.key] = Math.round(delayMs);
+    }
+    return isEmpty(slow) ? undefined : slow;
+  }
+
+  /** Whether a path that is slow for the peer is slow for this instance too. */
+  #isNoFarther(peer: Member, engine: Engine): boolean {
+    const { self, regionOf } = this.#options;
+    const distanceFrom = ({ zone, region }: Member) =>
+      zone === engine.zone ? 0 : region === regionOf(engine.zone) ? 1 : 2;
+    return distanceFrom(peer) <= distanceFrom(self);
+  }
+
   #newestRevisions(): readonly number[] {
     const { records } = this.#options;
     return SHARED_KINDS.map((kind) => records.summary(kind).revision);
--- a/packages/gateway/src/digest_exchange_review_test.ts
+++ b/packages/gateway/src/digest_exchange_review_test.ts
@@ -75,6 +75,7 @@
     limits: new EngineLimits("i0", () => ({ names: ["i0"], isCutOff: false })),
     roles: { expectsRecordsBefore: () => true },
     pathDelays: new PathDelays(),
+    regionOf: () => undefined,
     links: () => links,
     state: () => ({ ready: true, leaving: false, serves: true, busy: 0 }),
     log: new EventLog(pino({ level: "silent" })),
--- a/packages/gateway/src/digest_exchange_test.ts
+++ b/packages/gateway/src/digest_exchange_test.ts
@@ -80,6 +80,7 @@
     })),
     roles: { expectsRecordsBefore: () => true },
     pathDelays: new PathDelays(),
+    regionOf: () => undefined,
     links: () => ({ confirmDelivery: () => undefined }) as unknown as PeerLinks,
     state: () => ({ ready: true, leaving: false, serves: true, busy: 0 }),
     log: new EventLog(pino({ level: "silent" })),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -257,6 +257,7 @@
       limits: this.#engineLimits,
       roles: this.#readerRoles,
       pathDelays: this.#pathDelays,
+      regionOf: (zone) => this.#settings.regions.get(zone),
       links: () => this.#links,
       state: () => ({
         ready: this.#isReady,
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -78,6 +78,9 @@
   readonly held?: Readonly<Record<string, readonly HeldRow[]>>;
   /** Engines that the sender owns and that do not reply to it. */
   readonly down?: readonly string[];
+  /** Time to the first byte of engines whose path is slow for the sender, in
+   * milliseconds. */
+  readonly slow?: Readonly<Record<string, number>>;
   /** Adapters being fetched by the engines that the sender owns; 0 if
    * omitted. */
   readonly fetches?: number;
--- a/packages/gateway/src/testing/fake_region_fleet.ts
+++ b/packages/gateway/src/testing/fake_region_fleet.ts
@@ -264,6 +264,7 @@
       quarantine,
       roles: this.#roles,
       pathDelays: new PathDelays(),
+      regionOf: () => undefined,
       limits: new EngineLimits(self.name, () => ({
         names: [self.name],
         isCutOff: false,
--- a/packages/serving/src/choose_engine.ts
+++ b/packages/serving/src/choose_engine.ts
@@ -59,7 +59,7 @@
 /** Time that the links to an engine and back take, above which other engines are
  * used if there are any, in milliseconds. Callers leave at any time, and a
  * request that arrives long after that is work for nobody. */
-const SLOW_PATH_MS = 400;
+export const SLOW_PATH_MS = 400;
 
 /** Cost of each further such time until an engine's fastest response. An engine
  * may be slow for other reasons, so it is not left out. */
--- a/packages/serving/src/engine_path.ts
+++ b/packages/serving/src/engine_path.ts
@@ -15,6 +15,9 @@
  * slow with a single one. */
 const COUNTED = 3;
 
+/** How long a delay counts that a peer reports, in milliseconds. */
+const REPORT_VALID_MS = 1500;
+
 /** A request that waits for its response. */
 export interface PathProbe {
   readonly startedAt: number;
@@ -31,6 +34,7 @@
   readonly #waiting = new Set<PathProbe>();
   /** The latest responses, and requests that were given up. */
   #responses: readonly Response[] = [];
+  #reported = { ms: 0, at: -Infinity };
 
   /** Records that a request is sent at `now`. */
   start(now: number): PathProbe {
@@ -54,6 +58,21 @@
     this.#add(probe, { now, ms });
   }
 
+  /** Records that the path from an instance that is no farther from the engine
+   * takes `ms`. It counts until this instance has sent requests later. */
+  recordReport(ms: number, now: number): void {
+    this.#reported = { ms, at: now };
+  }
+
+  /** What this instance's own requests show, see `delayMs`. */
+  ownDelayMs(now: number): number {
+    const recent = this.#responses.filter(({ at }) => now - at < VALID_MS);
+    const fastestMs = recent.length === 0
+      ? 0
+      : Math.min(...recent.map(({ ms }) => ms));
+    return Math.max(fastestMs, this.#waitedMs(now));
+  }
+
   /** Time from the sending of a request to the response, in milliseconds, if the
    * engine replied at once; 0 if nothing is known.
    *
@@ -63,20 +82,24 @@
    * ```
    */
   delayMs(now: number): number {
-    const recent = this.#responses.filter(({ at }) => now - at < VALID_MS);
-    const fastestMs = recent.length === 0
-      ? 0
-      : Math.min(...recent.map(({ ms }) => ms));
-    return Math.max(fastestMs, this.#waitedMs(now));
+    const { ms, at } = this.#reported;
+    const isReportValid = now - at < REPORT_VALID_MS &&
+      this.#answeredUpTo <= at;
+    return Math.max(isReportValid ? ms : 0, this.ownDelayMs(now));
   }
 
-  /** How long requests have been waiting, in the median, that were sent after all
-   * that were answered. */
-  #waitedMs(now: number): number {
-    const answeredUpTo = Math.max(
+  /** When the latest of the requests was sent that were answered. */
+  get #answeredUpTo(): number {
+    return Math.max(
       -Infinity,
       ...this.#responses.map(({ startedAt }) => startedAt),
     );
+  }
+
+  /** How long requests have been waiting, in the median, that were sent after all
+   * that were answered. */
+  #waitedMs(now: number): number {
+    const answeredUpTo = this.#answeredUpTo;
     const waited = [...this.#waiting]
       .filter(({ startedAt }) => startedAt > answeredUpTo)
       .map(({ startedAt }) => now - startedAt);
--- a/packages/serving/src/engine_path_test.ts
+++ b/packages/serving/src/engine_path_test.ts
@@ -60,3 +60,16 @@
   path.end(path.start(0), 10);
   expect(path.delayMs(100)).toBe(10);
 });
+
+// Guards against instances that each learn of a full link by requests of their
+// own.
+test("the report of a peer counts until later requests were answered", () => {
+  const path = answered([20]);
+  path.recordReport(1400, 100);
+  expect(path.delayMs(200)).toBe(1400);
+  expect(path.ownDelayMs(200)).toBe(20);
+  path.recordResponse(path.start(300), 320);
+  expect(path.delayMs(400)).toBe(20);
+  path.recordReport(1400, 500);
+  expect(path.delayMs(2100)).toBe(20);
+});
