--- a/packages/gateway/src/workspace_rates_test.ts
+++ b/packages/gateway/src/workspace_rates_test.ts
@@ -1,117 +1,20 @@
-import { ManualClocks, type Member, MemberTable } from "@banyanlb/serving";
 import { beforeEach, expect, test } from "vitest";
-import type { PeerMessage } from "./peer_messages.ts";
-import type { RateRefusal } from "./rate_borrower.ts";
-import { WorkspaceRates } from "./workspace_rates.ts";
-
-const WINDOW_MS = 8000;
-const WORKSPACE = {
-  name: "w",
-  keys: [],
-  priority: undefined,
-  countsTokens: true,
-  defaultTokens: 10,
-  ratePerSecond: 1000,
-  burst: 2000,
-};
-/** What each of two instances may admit within a window. */
-const SHARE_UNITS = 5000;
-
-/** An instance whose messages reach the others at once, unless one is silent.
- * Its process started long ago. */
-class Instance {
-  readonly member: Member;
-  readonly rates: WorkspaceRates;
-  readonly members: MemberTable;
-  readonly clocks = new ManualClocks();
-  /** How long a question to this instance takes, in milliseconds; undefined if
-   * it is not answered in time. */
-  responseMs: number | undefined = 0;
-  /** Numbers of the questions whose units were given back. */
-  readonly returned: number[] = [];
-  peers: readonly Instance[] = [];
-  #asked = 0;
-
-  constructor(member: Member, areMembersKnown = () => true) {
-    this.member = member;
-    this.members = new MemberTable(member.name, 0);
-    this.rates = new WorkspaceRates({
-      self: member,
-      members: this.members,
-      areMembersKnown,
-      clocks: this.clocks,
-      windowMs: WINDOW_MS,
-      links: () => ({
-        ask: (address, buildRequest, timeoutMs) =>
-          Promise.resolve(this.#ask(address, buildRequest, timeoutMs)),
-        send: (address, message) => this.#send(address, message),
-      }),
-    });
-  }
-
-  meet(peer: Instance): void {
-    this.peers = [...this.peers, peer];
-    this.members.add(peer.member);
-    // The tests begin a window after the start of the process.
-    const heardAt = performance.now() + WINDOW_MS;
-    this.members.setState(peer.member.name, heardAt, {
-      leaving: false,
-      ready: true,
-      digestIntervalMs: 200,
-      serves: true,
-      orders: false,
-      busy: 0,
-      reachesStore: true,
-      storeRoundTripMs: undefined,
-      tenure: undefined,
-    });
-  }
-
-  take(units: number) {
-    return this.rates.take("w", { units, waitMaxMs: 1000 });
-  }
-
-  #ask(
-    address: string,
-    buildRequest: (n: number) => PeerMessage,
-    timeoutMs: number,
-  ): PeerMessage | undefined {
-    const peer = this.peers.find(({ member }) => member.name === address);
-    const request = buildRequest(++this.#asked);
-    if (peer === undefined || request.t !== "take") return undefined;
-    let reply: PeerMessage | undefined;
-    peer.rates.lend(this.member.name, request, (message) => reply = message);
-    this.clocks.advance(peer.responseMs ?? timeoutMs);
-    return peer.responseMs === undefined ? undefined : reply;
-  }
-
-  #send(address: string, message: PeerMessage): boolean {
-    const peer = this.peers.find(({ member }) => member.name === address);
-    if (message.t !== "return") return false;
-    this.returned.push(message.n);
-    peer?.rates.takeBack(this.member.name, message.n);
-    return true;
-  }
-}
-
-function memberOf(name: string): Member {
-  return {
-    name,
-    zone: "z",
-    region: "r",
-    peerAddress: name,
-    callerAddress: name,
-    incarnation: "1",
-    cores: 1,
-  };
-}
-
-let first: Instance;
-let second: Instance;
+import {
+  isRefusal,
+  levelOf,
+  memberOf,
+  RateInstance,
+  SHARE_UNITS,
+  WINDOW_MS,
+  WORKSPACE,
+} from "./testing/rate_instance.ts";
+
+let first: RateInstance;
+let second: RateInstance;
 
 beforeEach(() => {
-  first = new Instance(memberOf("i1"));
-  second = new Instance(memberOf("i2"));
+  first = new RateInstance(memberOf("i1"));
+  second = new RateInstance(memberOf("i2"));
   first.meet(second);
   second.meet(first);
   for (const { rates } of [first, second]) {
@@ -120,15 +23,6 @@
   }
 });
 
-/** Units left of an instance's share. */
-function levelOf({ rates }: Instance): number | undefined {
-  return rates.states(performance.now())[0]?.left;
-}
-
-function isRefusal(taken: unknown): taken is RateRefusal {
-  return typeof taken === "object" && taken !== null && "waitMs" in taken;
-}
-
 // Guards against callers of one instance that are refused while another
 // instance's share is unused.
 test("an instance whose share is used up borrows from another", async () => {
@@ -187,7 +81,7 @@
 // knows no other instance yet.
 test("a process without the list of members has no share, however long", async () => {
   let areMembersKnown = false;
-  const third = new Instance(memberOf("i3"), () => areMembersKnown);
+  const third = new RateInstance(memberOf("i3"), () => areMembersKnown);
   third.rates.setWorkspaces([WORKSPACE], 100);
   expect(isRefusal(await third.take(1))).toBe(true);
   third.rates.update(60_000);
@@ -200,7 +94,7 @@
 // Guards against use of an earlier process that its next one does not count.
 test("a new process adopts what peers know of the one before", () => {
   second.rates.recordRooms("i1", { w: 700 });
-  const restarted = new Instance(memberOf("i1"));
+  const restarted = new RateInstance(memberOf("i1"));
   restarted.meet(second);
   restarted.rates.setWorkspaces([WORKSPACE], 100);
   restarted.rates.adoptFormerRooms(second.rates.roomsOf("i1"));
@@ -221,7 +115,7 @@
 test("a process adopts the use that the one before kept in the store", async () => {
   await first.take(4000);
   const kept = first.rates.useAt(performance.now());
-  const restarted = new Instance(memberOf("i1"));
+  const restarted = new RateInstance(memberOf("i1"));
   restarted.meet(second);
   restarted.rates.adoptFormerUse(kept, 0);
   restarted.rates.setWorkspaces([WORKSPACE], 100);
@@ -233,14 +127,14 @@
 test("use that was not restored yet is kept for the next process", async () => {
   await first.take(4000);
   const kept = first.rates.useAt(performance.now());
-  const second = new Instance(memberOf("i1"));
+  const second = new RateInstance(memberOf("i1"));
   second.rates.adoptFormerUse(kept, 2500);
   const [latest, before] = second.rates.useAt(performance.now())["w"] ?? [];
   expect([latest, before]).toEqual([0, 4000]);
 });
 
 test("use that was kept longer ago than a window does not count", () => {
-  const restarted = new Instance(memberOf("i1"));
+  const restarted = new RateInstance(memberOf("i1"));
   restarted.rates.adoptFormerUse({ w: [5000] }, WINDOW_MS + 1);
   expect(restarted.rates.useAt(performance.now())).toEqual({});
 });
--- a/packages/gateway/src/workspace_rates_review_test.ts
+++ b/packages/gateway/src/workspace_share_test.ts
@@ -1,117 +1,20 @@
-import { ManualClocks, type Member, MemberTable } from "@banyanlb/serving";
 import { beforeEach, expect, test } from "vitest";
-import type { PeerMessage } from "./peer_messages.ts";
-import type { RateRefusal } from "./rate_borrower.ts";
-import { WorkspaceRates } from "./workspace_rates.ts";
-
-const WINDOW_MS = 8000;
-const WORKSPACE = {
-  name: "w",
-  keys: [],
-  priority: undefined,
-  countsTokens: true,
-  defaultTokens: 10,
-  ratePerSecond: 1000,
-  burst: 2000,
-};
-/** What each of two instances may admit within a window. */
-const SHARE_UNITS = 5000;
-
-/** An instance whose messages reach the others at once, unless one is silent.
- * Its process started long ago. */
-class Instance {
-  readonly member: Member;
-  readonly rates: WorkspaceRates;
-  readonly members: MemberTable;
-  readonly clocks = new ManualClocks();
-  /** How long a question to this instance takes, in milliseconds; undefined if
-   * it is not answered in time. */
-  responseMs: number | undefined = 0;
-  /** Numbers of the questions whose units were given back. */
-  readonly returned: number[] = [];
-  peers: readonly Instance[] = [];
-  #asked = 0;
-
-  constructor(member: Member, areMembersKnown = () => true) {
-    this.member = member;
-    this.members = new MemberTable(member.name, 0);
-    this.rates = new WorkspaceRates({
-      self: member,
-      members: this.members,
-      areMembersKnown,
-      clocks: this.clocks,
-      windowMs: WINDOW_MS,
-      links: () => ({
-        ask: (address, buildRequest, timeoutMs) =>
-          Promise.resolve(this.#ask(address, buildRequest, timeoutMs)),
-        send: (address, message) => this.#send(address, message),
-      }),
-    });
-  }
-
-  meet(peer: Instance): void {
-    this.peers = [...this.peers, peer];
-    this.members.add(peer.member);
-    // The tests begin a window after the start of the process.
-    const heardAt = performance.now() + WINDOW_MS;
-    this.members.setState(peer.member.name, heardAt, {
-      leaving: false,
-      ready: true,
-      digestIntervalMs: 200,
-      serves: true,
-      orders: false,
-      busy: 0,
-      reachesStore: true,
-      storeRoundTripMs: undefined,
-      tenure: undefined,
-    });
-  }
-
-  take(units: number) {
-    return this.rates.take("w", { units, waitMaxMs: 1000 });
-  }
-
-  #ask(
-    address: string,
-    buildRequest: (n: number) => PeerMessage,
-    timeoutMs: number,
-  ): PeerMessage | undefined {
-    const peer = this.peers.find(({ member }) => member.name === address);
-    const request = buildRequest(++this.#asked);
-    if (peer === undefined || request.t !== "take") return undefined;
-    let reply: PeerMessage | undefined;
-    peer.rates.lend(this.member.name, request, (message) => reply = message);
-    this.clocks.advance(peer.responseMs ?? timeoutMs);
-    return peer.responseMs === undefined ? undefined : reply;
-  }
-
-  #send(address: string, message: PeerMessage): boolean {
-    const peer = this.peers.find(({ member }) => member.name === address);
-    if (message.t !== "return") return false;
-    this.returned.push(message.n);
-    peer?.rates.takeBack(this.member.name, message.n);
-    return true;
-  }
-}
-
-function memberOf(name: string): Member {
-  return {
-    name,
-    zone: "z",
-    region: "r",
-    peerAddress: name,
-    callerAddress: name,
-    incarnation: "1",
-    cores: 1,
-  };
-}
-
-let first: Instance;
-let second: Instance;
+import {
+  isRefusal,
+  levelOf,
+  memberOf,
+  RateInstance,
+  SHARE_UNITS,
+  WINDOW_MS,
+  WORKSPACE,
+} from "./testing/rate_instance.ts";
+
+let first: RateInstance;
+let second: RateInstance;
 
 beforeEach(() => {
-  first = new Instance(memberOf("i1"));
-  second = new Instance(memberOf("i2"));
+  first = new RateInstance(memberOf("i1"));
+  second = new RateInstance(memberOf("i2"));
   first.meet(second);
   second.meet(first);
   for (const { rates } of [first, second]) {
@@ -120,17 +23,8 @@
   }
 });
 
-/** Units left of an instance's share. */
-function levelOf({ rates }: Instance): number | undefined {
-  return rates.states(performance.now())[0]?.left;
-}
-
-function isRefusal(taken: unknown): taken is RateRefusal {
-  return typeof taken === "object" && taken !== null && "waitMs" in taken;
-}
-
 /** Units that an instance admits now without a loan, in requests of 100. */
-async function admitAll({ rates }: Instance): Promise<number> {
+async function admitAll({ rates }: RateInstance): Promise<number> {
   let used = 0;
   for (;;) {
     const taken = await rates.take("w", { units: 100, waitMaxMs: 0 });
@@ -166,12 +60,12 @@
 test("a process that never reads the list of members takes no share of others", () => {
   const fleet = Array.from(
     { length: 9 },
-    (_, i) => new Instance(memberOf(`f${i}`)),
+    (_, i) => new RateInstance(memberOf(`f${i}`)),
   );
   for (const a of fleet) {
     for (const b of fleet) if (a !== b) a.meet(b);
   }
-  const added = new Instance(memberOf("new"), () => false);
+  const added = new RateInstance(memberOf("new"), () => false);
   for (const seed of fleet.slice(0, 3)) {
     seed.meet(added);
     added.meet(seed);
@@ -192,7 +86,7 @@
 test("instances that are cut off and removed keep no share", () => {
   const fleet = Array.from(
     { length: 9 },
-    (_, i) => new Instance(memberOf(`f${i}`)),
+    (_, i) => new RateInstance(memberOf(`f${i}`)),
   );
   for (const a of fleet) {
     for (const b of fleet) if (a !== b) a.meet(b);
@@ -216,7 +110,7 @@
 test("a lower burst brings no units that the former sharers have used", async () => {
   const fleet = Array.from(
     { length: 12 },
-    (_, i) => new Instance(memberOf(`f${i}`)),
+    (_, i) => new RateInstance(memberOf(`f${i}`)),
   );
   for (const a of fleet) {
     for (const b of fleet) if (a !== b) a.meet(b);
@@ -237,7 +131,7 @@
 test("an instance without a share serves a request above a share", async () => {
   const fleet = Array.from(
     { length: 12 },
-    (_, i) => new Instance(memberOf(`f${i}`)),
+    (_, i) => new RateInstance(memberOf(`f${i}`)),
   );
   for (const a of fleet) {
     for (const b of fleet) if (a !== b) a.meet(b);
