Count requests that were given up as silence of an engine

Change: requests that are given up extend the time in which nothing sent later was answered; they show nothing once none is in progress for 0.5 s.

--- a/packages/serving/src/engine_path.ts
+++ b/packages/serving/src/engine_path.ts
@@ -18,6 +18,10 @@
 /** How long a delay counts that a peer reports, in milliseconds. */
 const REPORT_VALID_MS = 1500;
 
+/** Time without a request in progress after which earlier ones that were given up
+ * show nothing more, in milliseconds. */
+const IDLE_MS = 500;
+
 /** A request that waits for its response. */
 export interface PathProbe {
   readonly startedAt: number;
@@ -32,13 +36,18 @@
 /** The path to one engine, as this instance's requests show it. */
 export class EnginePath {
   readonly #waiting = new Set<PathProbe>();
-  /** The latest responses, and requests that were given up. */
   #responses: readonly Response[] = [];
   #reported = { ms: 0, at: -Infinity };
+  /** When the first request was sent that was given up, of those without a
+   * response to a later one; and when the last of them was. */
+  #givenUpSince = Infinity;
+  #givenUpAt = -Infinity;
 
   /** Records that a request is sent at `now`. */
   start(now: number): PathProbe {
     const probe = { startedAt: now };
+    const isIdle = this.#waiting.size === 0 && now - this.#givenUpAt > IDLE_MS;
+    if (isIdle) this.#givenUpSince = Infinity;
     this.#waiting.add(probe);
     return probe;
   }
@@ -46,16 +55,20 @@
   /** Records that the response to a request has begun at `now`. */
   recordResponse(probe: PathProbe, now: number): void {
     if (!this.#waiting.delete(probe)) return;
-    this.#add(probe, { now, ms: now - probe.startedAt });
+    const { startedAt } = probe;
+    this.#responses = [
+      ...this.#responses.slice(1 - COUNTED),
+      { startedAt, at: now, ms: now - startedAt },
+    ];
+    if (startedAt >= this.#givenUpSince) this.#givenUpSince = Infinity;
   }
 
-  /** Records that a request has ended at `now`. One that was given up shows that
-   * the path is no faster than was known. */
+  /** Records that a request has ended at `now`, given up if it had no response. */
   end(probe: PathProbe, now: number): void {
-    if (!this.#waiting.has(probe)) return;
-    const ms = Math.max(now - probe.startedAt, this.delayMs(now));
-    this.#waiting.delete(probe);
-    this.#add(probe, { now, ms });
+    if (!this.#waiting.delete(probe)) return;
+    if (probe.startedAt <= this.#answeredUpTo) return;
+    this.#givenUpSince = Math.min(this.#givenUpSince, probe.startedAt);
+    this.#givenUpAt = now;
   }
 
   /** Records that the path from an instance that is no farther from the engine
@@ -96,24 +109,18 @@
     );
   }
 
-  /** How long requests have been waiting, in the median, that were sent after all
-   * that were answered. */
+  /** How long no request has been answered that was sent after all that were. */
   #waitedMs(now: number): number {
     const answeredUpTo = this.#answeredUpTo;
-    const waited = [...this.#waiting]
-      .filter(({ startedAt }) => startedAt > answeredUpTo)
-      .map(({ startedAt }) => now - startedAt);
-    // In the order of their sending.
-    return waited[Math.floor(waited.length / 2)] ?? 0;
-  }
-
-  #add(
-    { startedAt }: PathProbe,
-    { now, ms }: { readonly now: number; readonly ms: number },
-  ): void {
-    this.#responses = [
-      ...this.#responses.slice(1 - COUNTED),
-      { startedAt, at: now, ms },
-    ];
+    let since = this.#givenUpSince;
+    let isWaiting = false;
+    for (const { startedAt } of this.#waiting) {
+      if (startedAt <= answeredUpTo) continue;
+      since = Math.min(since, startedAt);
+      isWaiting = true;
+    }
+    if (isWaiting) return now - since;
+    const isForgotten = now - this.#givenUpAt >= VALID_MS;
+    return isForgotten ? 0 : Math.max(0, this.#givenUpAt - since);
   }
 }
