Ask the rate for the units of its share

WorkspaceRates computed share x units of the limit in three places, which TokenRate already did for itself. It is now a property of the rate. No change of behaviour; the tests of rates and shares pass unchanged (82).

--- a/packages/gateway/src/workspace_rates.ts
+++ b/packages/gateway/src/workspace_rates.ts
@@ -12,7 +12,6 @@
   rateSharers,
   type ReportRow,
   TokenRate,
-  unitsInWindow,
   type Workspace,
 } from "@banyanlb/serving";
 import { FormerUse, type UseByWorkspace } from "./former_use.ts";
@@ -144,17 +143,15 @@
       !members.isCutOffFor(CUT_OFF_MS, now);
     const all = [self, ...members.list()];
     for (const entry of this.#entries.values()) {
-      const { name: workspace, rate, removedAt = now } = entry;
+      const { name: workspace, rate, requestUnits, removedAt = now } = entry;
       if (now - removedAt > windowMs + LOAN_MAX_MS) {
         this.#entries.delete(workspace);
         continue;
       }
-      const { limit: { perSecond, burst } } = rate;
+      const { limit } = rate;
       const basis =
-        `${members.generation} ${perSecond} ${burst} ${entry.requestUnits}`;
+        `${members.generation} ${limit.perSecond} ${limit.burst} ${requestUnits}`;
       if (basis !== entry.sharersBasis) {
-        const { limit } = rate;
-        const { requestUnits } = entry;
         const options = { workspace, limit, windowMs, requestUnits };
         entry.sharers = rateSharers(all, options);
         entry.sharersBasis = basis;
@@ -229,11 +226,9 @@
 
   /** Whether much of a share is used, so that the use should be kept often. */
   isNearlyUsed(now: number): boolean {
-    const { windowMs } = this.#options;
     return [...this.#entries.values()].some(({ rate }) =>
       rate.share > 0 &&
-      rate.levelAt(now) <
-        rate.share * unitsInWindow(rate.limit, windowMs) * NEARLY_USED_FRACTION
+      rate.levelAt(now) < rate.shareUnits * NEARLY_USED_FRACTION
     );
   }
 
@@ -247,14 +242,13 @@
 
   /** The use of all shares at `now`. Starts new counts. */
   states(now: number): readonly RateState[] {
-    const { windowMs } = this.#options;
     return [...this.#entries.values()].map((entry) => {
       const { name: workspace, rate, counts } = entry;
       entry.counts = noLoans();
       return {
         workspace,
         share: rate.share,
-        shareUnits: rate.share * unitsInWindow(rate.limit, windowMs),
+        shareUnits: rate.shareUnits,
         left: Math.round(rate.levelAt(now)),
         ...counts,
       };
@@ -263,17 +257,12 @@
 
   /** What is left of this instance's shares, for digests. */
   roomRows(now: number): readonly ReportRow<number>[] {
-    const { windowMs } = this.#options;
     return [...this.#entries.values()].flatMap(
       ({ name, rate }): readonly ReportRow<number>[] => {
         if (rate.share === 0) return [];
         const room = Math.max(0, Math.floor(rate.levelAt(now)));
-        const fullRoom = rate.share * unitsInWindow(rate.limit, windowMs);
-        return [[
-          name,
-          Math.round(room / fullRoom / REPORTED_ROOM_STEP),
-          room,
-        ]];
+        const left = room / rate.shareUnits;
+        return [[name, Math.round(left / REPORTED_ROOM_STEP), room]];
       },
     );
   }
--- a/packages/serving/src/token_rate.ts
+++ b/packages/serving/src/token_rate.ts
@@ -105,6 +105,11 @@
     return this.#share;
   }
 
+  /** Units that the share allows within a window. */
+  get shareUnits(): number {
+    return this.#share * unitsInWindow(this.#limit, this.#windowMs);
+  }
+
   /** Replaces the limit. */
   setLimit(limit: RateLimit): void {
     this.#limit = limit;
@@ -133,7 +138,7 @@
    * lowered. */
   levelAt(now: number): number {
     this.#window.advance(now);
-    return this.#shareUnits - this.#window.total;
+    return this.shareUnits - this.#window.total;
   }
 
   /** Lowers the level to what an earlier process of this instance had left, as
@@ -212,15 +217,11 @@
     return missing <= 0 ? 0 : this.#window.waitMs(missing, now);
   }
 
-  get #shareUnits(): number {
-    return this.#share * unitsInWindow(this.#limit, this.#windowMs);
-  }
-
   /** The level from which a request of `units` is admitted. One instance admits a
    * request above its whole share, when nothing of it was used. */
   #requiredLevel(units: number): number {
-    if (units > this.#shareUnits && !this.#admitsLarge) return Infinity;
-    return Math.min(units + this.#reservedUnits(units), this.#shareUnits);
+    if (units > this.shareUnits && !this.#admitsLarge) return Infinity;
+    return Math.min(units + this.#reservedUnits(units), this.shareUnits);
   }
 
   /** Units of the share that a request of `units` must leave to smaller ones. */
