--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from "@banyanlb/core";
 import {
   aggregatesLoads,
+  distanceBetween,
   type Engine,
   type EngineLimits,
   type EngineTable,
@@ -304,9 +305,8 @@
   /** Whether a path that is slow for the peer is slow for this instance too. */
   #isNoFarther(peer: Member, engine: Engine): boolean {
     const { self, regionOf } = this.#options;
-    const distanceFrom = ({ zone, region }: Member) =>
-      zone === engine.zone ? 0 : region === regionOf(engine.zone) ? 1 : 2;
-    return distanceFrom(peer) <= distanceFrom(self);
+    const place = { zone: engine.zone, region: regionOf(engine.zone) };
+    return distanceBetween(peer, place) <= distanceBetween(self, place);
   }
 
   #newestRevisions(): readonly number[] {
--- a/packages/serving/src/choose_engine.ts
+++ b/packages/serving/src/choose_engine.ts
@@ -12,6 +12,7 @@
  */
 import { rankByRendezvous } from "@banyanlb/core";
 import { CONCURRENT_FETCHES_MAX } from "./adapter_slot_table.ts";
+import { distanceBetween } from "./distance.ts";
 import type { EngineRoom } from "./engine_limits.ts";
 import type { EngineTable, EngineView } from "./engine_table.ts";
 
@@ -22,6 +23,8 @@
  * and adds a round trip, but a busy engine adds more. */
 const OTHER_REGION_COST = 0.12;
 
+const DISTANCE_COSTS = [0, OTHER_ZONE_COST, OTHER_REGION_COST] as const;
+
 /** Cost of a failure rate of 1. */
 const FAILURE_COST = 2;
 
@@ -396,16 +399,15 @@
 
 function costOf(view: EngineView, context: SelectionContext): number {
   const { zone, regionOf, now } = context;
-  const distance = view.engine.zone === zone
-    ? 0
-    : regionOf(view.engine.zone) === regionOf(zone)
-    ? OTHER_ZONE_COST
-    : OTHER_REGION_COST;
+  const distance = distanceBetween(
+    { zone, region: regionOf(zone) },
+    { zone: view.engine.zone, region: regionOf(view.engine.zone) },
+  );
   const limitedCost = context.roomOf(view.engine.key) === "open"
     ? 0
     : LIMITED_COST;
   const lateMs = Math.max(0, view.path.delayMs(now) - SLOW_PATH_MS);
-  return loadRatio(view, now) + distance + limitedCost +
+  return loadRatio(view, now) + DISTANCE_COSTS[distance] + limitedCost +
     SLOW_RESPONSE_COST * lateMs / SLOW_PATH_MS +
     FAILURE_COST * view.health.failureRate(now);
 }
--- a/packages/serving/src/digest_interval.ts
+++ b/packages/serving/src/digest_interval.ts
@@ -8,6 +8,8 @@
  *
  * @module
  */
+import { distanceBetween } from "./distance.ts";
+
 /** Largest number of peers that receive a digest every tick: about a hundred
  * messages a second. */
 const SMALL_FLEET_PEERS_MAX = 20;
@@ -18,9 +20,7 @@
 /** Ticks between digests to peers in the same zone, in another zone of the
  * region, and in another region: links between regions have little
  * bandwidth. */
-const SAME_ZONE_TICKS = 2;
-const SAME_REGION_TICKS = 3;
-const OTHER_REGION_TICKS = 4;
+const TICKS_BY_DISTANCE = [2, 3, 4] as const;
 
 /** Interval factor between instances that need little of each other: their
  * digests only show that they are alive and which revisions they have. */
@@ -65,11 +65,7 @@
   peerCount: number,
 ): number {
   if (!aggregatesLoads(peerCount)) return 1;
-  const ticks = self.zone === peer.zone
-    ? SAME_ZONE_TICKS
-    : self.region === peer.region
-    ? SAME_REGION_TICKS
-    : OTHER_REGION_TICKS;
+  const ticks = TICKS_BY_DISTANCE[distanceBetween(self, peer)];
   const isNeeded = (self.serves && (peer.serves || peer.orders)) ||
     (self.orders && peer.serves);
   return ticks * Math.max(1, Math.ceil(peerCount / LARGE_FLEET_PEERS)) *
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -9,6 +9,7 @@
 export * from "./confirmation.ts";
 export * from "./crash_evidence.ts";
 export * from "./digest_interval.ts";
+export * from "./distance.ts";
 export * from "./engine_limits.ts";
 export * from "./engine_table.ts";
 export * from "./engine_health.ts";
--- a/packages/serving/src/rate_lenders.ts
+++ b/packages/serving/src/rate_lenders.ts
@@ -6,9 +6,10 @@
  *
  * @module
  */
-import { BUCKET_MS } from "./use_window.ts";
+import { distanceBetween } from "./distance.ts";
 import { LOAN_MAX_MS } from "./token_rate.ts";
 import type { Member } from "./types.ts";
+import { BUCKET_MS } from "./use_window.ts";
 
 /** Assumed response time of an instance that was not asked yet, in
  * milliseconds. */
@@ -27,10 +28,9 @@
 /** Number of instances that are asked for the units of one request. */
 const ASKED_MAX = 3;
 
-/** Preference for lenders nearby: links between regions have little
- * bandwidth. */
-const SAME_ZONE_WEIGHT = 3;
-const SAME_REGION_WEIGHT = 2;
+/** Preference for lenders in the same zone, in another zone of the region, and
+ * in another region: links between regions have little bandwidth. */
+const WEIGHTS_BY_DISTANCE = [3, 2, 1] as const;
 
 /** An instance to ask for units, and how long the units may be used after the
  * question, in milliseconds. */
@@ -133,7 +133,8 @@
       }
       const room = this.roomOf(workspace, member.name) ?? fullRoom;
       if (room < Math.min(units, fullRoom)) continue;
-      const weight = room * this.#nearness(member) *
+      const weight = room *
+        WEIGHTS_BY_DISTANCE[distanceBetween(this.#self, member)] *
         (0.5 + this.#random()) /
         (1 + this.#responseMsOf(member.name) / SLOW_RESPONSE_MS);
       if (weight <= bestWeight) continue;
@@ -167,11 +168,6 @@
   #responseMsOf(lender: string): number {
     return this.#responseMs.get(lender) ?? INITIAL_RESPONSE_MS;
   }
-
-  #nearness({ zone, region }: Member): number {
-    if (zone === this.#self.zone) return SAME_ZONE_WEIGHT;
-    return region === this.#self.region ? SAME_REGION_WEIGHT : 1;
-  }
 }
 
 /** The search for units that one request needs from other instances. */
