Share what tests of instances build

Each is now built in one place, and a test says only what matters to it; members are shared between packages by @banyanlb/serving/testing.

--- a/packages/gateway/src/digest_exchange_test.ts
+++ b/packages/gateway/src/digest_exchange_test.ts
@@ -1,21 +1,9 @@
-import { EventLog } from "@banyanlb/core";
-import {
-  EngineLimits,
-  EngineTable,
-  MemberTable,
-  PartQuarantine,
-  PathDelays,
-  SystemClocks,
-} from "@banyanlb/serving";
-import pino from "pino";
+import { MemberTable } from "@banyanlb/serving";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import type { AdapterLoader } from "./adapter_loader.ts";
-import { AdapterUsageCounts } from "./adapter_usage.ts";
 import { DigestExchange } from "./digest_exchange.ts";
-import type { Membership } from "./membership.ts";
 import type { PeerLinks } from "./peer_links.ts";
 import type { Digest } from "./peer_messages.ts";
-import { WorkspaceRates } from "./workspace_rates.ts";
+import { digestOptions } from "./testing/digest_options.ts";
 import { FakeInstance } from "./testing/fake_instance.ts";
 import { FakeRecordStore } from "./testing/fake_record_store.ts";
 
@@ -49,42 +37,15 @@
   });
   const members = new MemberTable(own.member.name, performance.now());
   members.add(peer.member);
-  const quarantine = new PartQuarantine(own.member.name, {
-    onHold: () => undefined,
-    onRelease: () => undefined,
-    settleMs: () => 0,
-  });
-  const exchange = new DigestExchange({
+  const options = digestOptions({
     self: own.member,
     members,
-    membership: { ownerOf: () => undefined } as unknown as Membership,
-    engineTable: new EngineTable(),
-    loader: {
-      recordPeerFetches: () => undefined,
-    } as unknown as AdapterLoader,
     storeView: own.view,
     records: own.records,
-    rates: new WorkspaceRates({
-      self: own.member,
-      members,
-      areMembersKnown: () => true,
-      clocks: new SystemClocks(),
-      windowMs: 8000,
-      links: () => ({}) as unknown as PeerLinks,
-    }),
-    use: new AdapterUsageCounts(),
-    quarantine,
-    limits: new EngineLimits(own.member.name, () => ({
-      names: [own.member.name],
-      isCutOff: false,
-    })),
-    roles: { expectsRecordsBefore: () => true },
-    pathDelays: new PathDelays(),
-    regionOf: () => undefined,
-    links: () => ({ confirmDelivery: () => undefined }) as unknown as PeerLinks,
-    state: () => ({ ready: true, leaving: false, serves: true, busy: 0 }),
-    log: new EventLog(pino({ level: "silent" })),
+    links: { confirmDelivery: () => undefined } as unknown as PeerLinks,
   });
+  const { quarantine } = options;
+  const exchange = new DigestExchange(options);
   let seq = 0;
   const deliverDigest = (fields: Partial<Digest> = {}) => {
     seq += 1;
--- a/packages/gateway/src/digest_rows_test.ts
+++ b/packages/gateway/src/digest_rows_test.ts
@@ -1,23 +1,11 @@
-import { EventLog } from "@banyanlb/core";
-import {
-  EngineLimits,
-  EngineTable,
-  MemberTable,
-  PartQuarantine,
-  PathDelays,
-  SystemClocks,
-} from "@banyanlb/serving";
-import pino from "pino";
+import { MemberTable } from "@banyanlb/serving";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import type { AdapterLoader } from "./adapter_loader.ts";
-import { AdapterUsageCounts } from "./adapter_usage.ts";
 import { DIGEST_TICK_MS, DigestExchange } from "./digest_exchange.ts";
-import type { Membership } from "./membership.ts";
 import type { PeerLinks } from "./peer_links.ts";
 import type { Digest, PeerMessage } from "./peer_messages.ts";
+import { digestOptions } from "./testing/digest_options.ts";
 import { FakeInstance } from "./testing/fake_instance.ts";
 import { FakeRecordStore } from "./testing/fake_record_store.ts";
-import { WorkspaceRates } from "./workspace_rates.ts";
 
 beforeEach(() => {
   vi.useFakeTimers();
@@ -44,42 +32,15 @@
       return isConnected;
     },
   } as unknown as PeerLinks;
-  const rates = new WorkspaceRates({
+  const options = digestOptions({
     self: own.member,
     members,
-    areMembersKnown: () => true,
-    clocks: new SystemClocks(),
-    windowMs: 8000,
-    links: () => links,
-  });
-  const exchange = new DigestExchange({
-    self: own.member,
-    members,
-    membership: { ownerOf: () => undefined } as unknown as Membership,
-    engineTable: new EngineTable(),
-    loader: {
-      recordPeerFetches: () => undefined,
-      held: () => [],
-      down: () => [],
-      fetches: 0,
-    } as unknown as AdapterLoader,
     storeView: own.view,
     records: own.records,
-    rates,
-    use: new AdapterUsageCounts(),
-    quarantine: new PartQuarantine("i0", {
-      onHold: () => undefined,
-      onRelease: () => undefined,
-      settleMs: () => 0,
-    }),
-    limits: new EngineLimits("i0", () => ({ names: ["i0"], isCutOff: false })),
-    roles: { expectsRecordsBefore: () => true },
-    pathDelays: new PathDelays(),
-    regionOf: () => undefined,
-    links: () => links,
-    state: () => ({ ready: true, leaving: false, serves: true, busy: 0 }),
-    log: new EventLog(pino({ level: "silent" })),
+    links,
   });
+  const { rates } = options;
+  const exchange = new DigestExchange(options);
   rates.setWorkspaces([{
     name: "w",
     keys: [],
--- a/packages/gateway/src/membership_join_test.ts
+++ b/packages/gateway/src/membership_join_test.ts
@@ -1,9 +1,9 @@
-import { EventLog } from "@banyanlb/core";
-import { EngineTable, ManualClocks, MemberTable } from "@banyanlb/serving";
-import pino from "pino";
+import { ManualClocks, MemberTable } from "@banyanlb/serving";
+import { memberOf } from "@banyanlb/serving/testing";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { Membership } from "./membership.ts";
 import { FakeRecordStore } from "./testing/fake_record_store.ts";
+import { membershipOptions } from "./testing/membership_options.ts";
 
 /** Within this time of their starts instances have each other's digests, or
  * count each other as unresponsive, in milliseconds. */
@@ -23,30 +23,15 @@
 /** Starts an instance's membership; returns the members that it knows. */
 function startMember(store: FakeRecordStore, name: string): MemberTable {
   const members = new MemberTable(name, performance.now());
+  const self = memberOf(name, {
+    peerAddress: `${name}:1`,
+    callerAddress: `${name}:2`,
+  });
   const membership = new Membership(store, {
-    self: {
-      name,
-      zone: "z1",
-      region: "r1",
-      peerAddress: `${name}:1`,
-      callerAddress: `${name}:2`,
-      incarnation: "one",
-      cores: 1,
-    },
-    members,
-    engineTable: new EngineTable(),
+    ...membershipOptions(self, members),
     clocks: new ManualClocks(),
-    log: new EventLog(pino({}, { write: () => undefined })),
     orderGapMs: 9000,
-    changeKnownMs: 2500,
     isStoreReader: () => false,
-    rates: {
-      useAt: () => ({}),
-      isNearlyUsed: () => false,
-      adoptFormerUse: () => undefined,
-    },
-    onAssignmentChange: () => undefined,
-    onStoreFailure: () => undefined,
     acceptsOrders: () => false,
   });
   membership.start();
--- a/packages/gateway/src/membership_test.ts
+++ b/packages/gateway/src/membership_test.ts
@@ -1,15 +1,12 @@
 import { EventLog } from "@banyanlb/core";
-import {
-  EngineTable,
-  type Member,
-  MemberTable,
-  SystemClocks,
-} from "@banyanlb/serving";
+import { EngineTable, type Member, MemberTable } from "@banyanlb/serving";
+import { memberOf } from "@banyanlb/serving/testing";
 import pino from "pino";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import * as events from "./events.ts";
 import { Membership } from "./membership.ts";
 import { FakeRecordStore } from "./testing/fake_record_store.ts";
+import { membershipOptions } from "./testing/membership_options.ts";
 
 /** Time after which an instance has settled and written the assignment, in
  * milliseconds. */
@@ -33,15 +30,8 @@
 }
 
 function member(name: string, port: number): Member {
-  return {
-    name,
-    zone: "z",
-    region: "r",
-    peerAddress: `127.0.0.1:${port}`,
-    callerAddress: `127.0.0.1:${port}`,
-    incarnation: "1",
-    cores: 1,
-  };
+  const address = `127.0.0.1:${port}`;
+  return memberOf(name, { peerAddress: address, callerAddress: address });
 }
 
 function startMembership(store: FakeRecordStore, name = "a") {
@@ -61,24 +51,11 @@
   })));
   const members = new MemberTable(name, performance.now());
   const membership = new Membership(store, {
-    self: member(name, 1),
-    members,
+    ...membershipOptions(member(name, 1), members),
     engineTable,
-    clocks: new SystemClocks(),
     log: new EventLog(pino({}, {
       write: (line: string) => void logged.push(JSON.parse(line)),
     })),
-    orderGapMs: 1000,
-    changeKnownMs: 2500,
-    isStoreReader: () => true,
-    rates: {
-      useAt: () => ({}),
-      isNearlyUsed: () => false,
-      adoptFormerUse: () => undefined,
-    },
-    onAssignmentChange: () => undefined,
-    onStoreFailure: () => undefined,
-    acceptsOrders: () => true,
   });
   membership.start();
   cleanups.push(() => {
--- a/packages/gateway/src/peer_links_test.ts
+++ b/packages/gateway/src/peer_links_test.ts
@@ -1,6 +1,6 @@
 import { connect, createServer } from "node:net";
 import type { AddressInfo } from "node:net";
-import type { Member } from "@banyanlb/serving";
+import { memberOf } from "@banyanlb/serving/testing";
 import { expect, onTestFinished, test, vi } from "vitest";
 import { PeerLinks } from "./peer_links.ts";
 import type { PeerMessage } from "./peer_messages.ts";
@@ -15,15 +15,10 @@
 
 async function startLinks() {
   const port = await findFreePort();
-  const member: Member = {
-    name: "a",
-    zone: "z",
-    region: "r",
+  const member = memberOf("a", {
     peerAddress: `127.0.0.1:${port}`,
     callerAddress: "127.0.0.1:1",
-    incarnation: "1",
-    cores: 1,
-  };
+  });
   const received: PeerMessage[] = [];
   const invalid: string[] = [];
   const links = new PeerLinks(member, {
--- a/packages/gateway/src/reader_roles_test.ts
+++ b/packages/gateway/src/reader_roles_test.ts
@@ -1,4 +1,5 @@
 import { type Member, MemberTable } from "@banyanlb/serving";
+import { memberOf } from "@banyanlb/serving/testing";
 import { expect, test } from "vitest";
 import { SHARED_KINDS } from "./peer_messages.ts";
 import { ReaderRoles } from "./reader_roles.ts";
@@ -6,22 +7,15 @@
 const NEAR_ROUND_TRIP_MS = 5;
 const FAR_ROUND_TRIP_MS = 21;
 
-function memberOf(i: number): Member {
+function regionMember(i: number): Member {
   const region = i % 2 === 0 ? "far" : "near";
-  return {
-    name: `${region}${String(i).padStart(2, "0")}`,
-    zone: region,
-    region,
-    peerAddress: "",
-    callerAddress: "",
-    incarnation: "",
-    cores: 1,
-  };
+  const name = `${region}${String(i).padStart(2, "0")}`;
+  return memberOf(name, { zone: region, region });
 }
 
 /** The roles of each instance of a fleet in two regions, by name. */
 function rolesOf(size: number, isReachable = (_: string) => true) {
-  const members = Array.from({ length: size }, (_, i) => memberOf(i));
+  const members = Array.from({ length: size }, (_, i) => regionMember(i));
   return new Map(members.map((self) => {
     const table = new MemberTable(self.name, 0);
     for (const member of members) {
@@ -114,7 +108,7 @@
   const roles = rolesOf(60).get("far58");
   for (const kind of SHARED_KINDS) {
     const options = { kind, now: 100 };
-    expect(roles?.expectsRecordsBefore(memberOf(1), options)).toBe(true);
-    expect(roles?.expectsRecordsBefore(memberOf(0), options)).toBe(false);
+    expect(roles?.expectsRecordsBefore(regionMember(1), options)).toBe(true);
+    expect(roles?.expectsRecordsBefore(regionMember(0), options)).toBe(false);
   }
 });
--- a/packages/gateway/src/relay_slow_path_test.ts
+++ b/packages/gateway/src/relay_slow_path_test.ts
@@ -146,12 +146,9 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
-// Guards against requests that reach engines after their callers' deadlines,
-// because a write into a connection was taken as an arrival at the engine.
-test("a request that a slow path would deliver after its deadline is not sent", async () => {
-  const { arrivals, proxies, ports } = await startEngines(2);
-  const port = await startRelay(ports, { route: { timeoutMs: 5000 } });
-  for (const proxy of proxies) proxy.delayMs = FULL_LINK_DELAY_MS;
+/** Sends requests that all wait for their responses: the relay learns how long
+ * the paths take. */
+async function callPatiently(port: number): Promise<void> {
   const unanswered = await callOften(port, {
     prefix: "patient",
     count: 20,
@@ -159,6 +156,15 @@
     patienceMs: 5000,
   });
   expect(unanswered.size).toBe(0);
+}
+
+// Guards against requests that reach engines after their callers' deadlines,
+// because a write into a connection was taken as an arrival at the engine.
+test("a request that a slow path would deliver after its deadline is not sent", async () => {
+  const { arrivals, proxies, ports } = await startEngines(2);
+  const port = await startRelay(ports, { route: { timeoutMs: 5000 } });
+  for (const proxy of proxies) proxy.delayMs = FULL_LINK_DELAY_MS;
+  await callPatiently(port);
   const leftAt = await callOften(port, {
     prefix: "short",
     count: 40,
@@ -178,13 +184,7 @@
     route: { kind: "stream", timeoutMs: 5000, targetLatencyMs: 600 },
   });
   for (const proxy of proxies.slice(0, 2)) proxy.delayMs = FULL_LINK_DELAY_MS;
-  const unanswered = await callOften(port, {
-    prefix: "patient",
-    count: 20,
-    deadlineMs: 4500,
-    patienceMs: 5000,
-  });
-  expect(unanswered.size).toBe(0);
+  await callPatiently(port);
   const leftAt = await callOften(port, {
     prefix: "early",
     count: 60,
--- a/packages/gateway/src/testing/fake_instance.ts
+++ b/packages/gateway/src/testing/fake_instance.ts
@@ -6,6 +6,7 @@
 import { EventLog } from "@banyanlb/core";
 import { EngineTable, type Member, type RecordStore } from "@banyanlb/serving";
 import { confirmationTimes } from "@banyanlb/serving";
+import { memberOf } from "@banyanlb/serving/testing";
 import pino from "pino";
 import type { PeerMessage } from "../peer_messages.ts";
 import { RecordConfirmer } from "../record_confirmer.ts";
@@ -37,15 +38,7 @@
   readonly #confirmer: RecordConfirmer;
 
   constructor(name: string, store: RecordStore) {
-    this.member = {
-      name,
-      zone: "z",
-      region: "r",
-      peerAddress: name,
-      callerAddress: name,
-      incarnation: "1",
-      cores: 1,
-    };
+    this.member = memberOf(name);
     const log = new EventLog(pino({}, {
       write: (line: string) => void this.logged.push(JSON.parse(line)),
     }));
--- a/packages/gateway/src/testing/fake_region_fleet.ts
+++ b/packages/gateway/src/testing/fake_region_fleet.ts
@@ -6,18 +6,13 @@
 import { EventLog } from "@banyanlb/core";
 import {
   confirmationTimes,
-  EngineLimits,
   EngineTable,
   type Member,
   MemberTable,
-  PartQuarantine,
-  PathDelays,
   type RecordStore,
-  SystemClocks,
 } from "@banyanlb/serving";
+import { memberOf } from "@banyanlb/serving/testing";
 import pino from "pino";
-import type { AdapterLoader } from "../adapter_loader.ts";
-import { AdapterUsageCounts } from "../adapter_usage.ts";
 import { DIGEST_TICK_MS, DigestExchange } from "../digest_exchange.ts";
 import type { Membership } from "../membership.ts";
 import type { PeerLinks } from "../peer_links.ts";
@@ -27,7 +22,7 @@
 import { RecordFollower } from "../record_follower.ts";
 import { SharedRecords } from "../shared_records.ts";
 import { StoreView } from "../store_view.ts";
-import { WorkspaceRates } from "../workspace_rates.ts";
+import { digestOptions } from "./digest_options.ts";
 import { FakeRecordStore } from "./fake_record_store.ts";
 import { RegionLink } from "./region_link.ts";
 import { RemoteRecordStore, sizeOfRecords } from "./remote_record_store.ts";
@@ -71,15 +66,8 @@
     this.toNear = createLink();
     const members = Array.from({ length: options.size }, (_, i): Member => {
       const region = i % 2 === 0 ? NEAR : FAR;
-      return {
-        name: `${region}${i}`,
-        zone: region,
-        region,
-        peerAddress: `${region}${i}`,
-        callerAddress: `${region}${i}`,
-        incarnation: "1",
-        cores: i < 4 ? 2 : 1,
-      };
+      const cores = i < 4 ? 2 : 1;
+      return memberOf(`${region}${i}`, { zone: region, region, cores });
     });
     this.instances = members.map((member) =>
       new FleetInstance(this, {
@@ -231,46 +219,20 @@
       role: () => this.#roles.role,
       links: () => links,
     });
-    const quarantine = new PartQuarantine(self.name, {
-      onHold: () => undefined,
-      onRelease: () => undefined,
-      settleMs: () => 0,
-    });
     this.#digests = new DigestExchange({
-      self,
-      members,
+      ...digestOptions({
+        self,
+        members,
+        storeView: this.#view,
+        records: this.#records,
+        links,
+      }),
       membership: {
         ownerOf: () => undefined,
         storeRoundTripMs,
       } as unknown as Membership,
       engineTable,
-      loader: {
-        recordPeerFetches: () => undefined,
-        held: () => [],
-        down: () => [],
-        fetches: 0,
-      } as unknown as AdapterLoader,
-      storeView: this.#view,
-      records: this.#records,
-      rates: new WorkspaceRates({
-        self,
-        members,
-        areMembersKnown: () => true,
-        clocks: new SystemClocks(),
-        windowMs: 8000,
-        links: () => links,
-      }),
-      use: new AdapterUsageCounts(),
-      quarantine,
       roles: this.#roles,
-      pathDelays: new PathDelays(),
-      regionOf: () => undefined,
-      limits: new EngineLimits(self.name, () => ({
-        names: [self.name],
-        isCutOff: false,
-      })),
-      links: () => links,
-      state: () => ({ ready: true, leaving: false, serves: true, busy: 0 }),
       log,
     });
     this.#view.onRecordsApplied = () => {
--- a/packages/gateway/src/testing/rate_instance.ts
+++ b/packages/gateway/src/testing/rate_instance.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { ManualClocks, type Member, MemberTable } from "@banyanlb/serving";
+import { memberOf } from "@banyanlb/serving/testing";
 import type { PeerMessage } from "../peer_messages.ts";
 import type { RateRefusal } from "../rate_borrower.ts";
 import { WorkspaceRates } from "../workspace_rates.ts";
@@ -99,17 +100,36 @@
   }
 }
 
-/** A member of this name. */
-export function memberOf(name: string): Member {
-  return {
-    name,
-    zone: "z",
-    region: "r",
-    peerAddress: name,
-    callerAddress: name,
-    incarnation: "1",
-    cores: 1,
-  };
+/** Instances that have met each other. */
+export function createFleet(
+  names: readonly string[],
+): readonly RateInstance[] {
+  const fleet = names.map((name) => new RateInstance(memberOf(name)));
+  for (const a of fleet) {
+    for (const b of fleet) if (a !== b) a.meet(b);
+  }
+  return fleet;
+}
+
+/** Begins to limit a workspace, longer than a window after the start of the
+ * instances' processes. */
+export function startLimit(
+  instances: readonly RateInstance[],
+  workspace = WORKSPACE,
+): void {
+  for (const { rates } of instances) {
+    rates.setWorkspaces([workspace], WINDOW_MS + 1);
+  }
+}
+
+/** Two instances that share the limit of the workspace. */
+export function createPair(): readonly [RateInstance, RateInstance] {
+  const first = new RateInstance(memberOf("i1"));
+  const second = new RateInstance(memberOf("i2"));
+  first.meet(second);
+  second.meet(first);
+  startLimit([first, second]);
+  return [first, second];
 }
 
 /** Units left of an instance's share. */
--- a/packages/gateway/src/workspace_rates_test.ts
+++ b/packages/gateway/src/workspace_rates_test.ts
@@ -1,8 +1,9 @@
+import { memberOf } from "@banyanlb/serving/testing";
 import { beforeEach, expect, test } from "vitest";
 import {
+  createPair,
   isRefusal,
   levelOf,
-  memberOf,
   RateInstance,
   SHARE_UNITS,
   WINDOW_MS,
@@ -13,14 +14,7 @@
 let second: RateInstance;
 
 beforeEach(() => {
-  first = new RateInstance(memberOf("i1"));
-  second = new RateInstance(memberOf("i2"));
-  first.meet(second);
-  second.meet(first);
-  for (const { rates } of [first, second]) {
-    // Longer than a window after the start of the process.
-    rates.setWorkspaces([WORKSPACE], WINDOW_MS + 1);
-  }
+  [first, second] = createPair();
 });
 
 // Guards against callers of one instance that are refused while another
--- a/packages/gateway/src/workspace_share_test.ts
+++ b/packages/gateway/src/workspace_share_test.ts
@@ -1,10 +1,13 @@
+import { memberOf } from "@banyanlb/serving/testing";
 import { beforeEach, expect, test } from "vitest";
 import {
+  createFleet,
+  createPair,
   isRefusal,
   levelOf,
-  memberOf,
   RateInstance,
   SHARE_UNITS,
+  startLimit,
   WINDOW_MS,
   WORKSPACE,
 } from "./testing/rate_instance.ts";
@@ -13,16 +16,13 @@
 let second: RateInstance;
 
 beforeEach(() => {
-  first = new RateInstance(memberOf("i1"));
-  second = new RateInstance(memberOf("i2"));
-  first.meet(second);
-  second.meet(first);
-  for (const { rates } of [first, second]) {
-    // Longer than a window after the start of the process.
-    rates.setWorkspaces([WORKSPACE], WINDOW_MS + 1);
-  }
+  [first, second] = createPair();
 });
 
+function fleetOf(size: number): readonly RateInstance[] {
+  return createFleet(Array.from({ length: size }, (_, i) => `f${i}`));
+}
+
 /** Units that an instance admits now without a loan, in requests of 100. */
 async function admitAll({ rates }: RateInstance): Promise<number> {
   let used = 0;
@@ -58,22 +58,14 @@
 // new instance: it knows only the seeds that it introduced itself to, and only
 // these know it.
 test("a process that never reads the list of members takes no share of others", () => {
-  const fleet = Array.from(
-    { length: 9 },
-    (_, i) => new RateInstance(memberOf(`f${i}`)),
-  );
-  for (const a of fleet) {
-    for (const b of fleet) if (a !== b) a.meet(b);
-  }
+  const fleet = fleetOf(9);
   const added = new RateInstance(memberOf("new"), () => false);
   for (const seed of fleet.slice(0, 3)) {
     seed.meet(added);
     added.meet(seed);
   }
-  for (const { rates } of [...fleet, added]) {
-    rates.setWorkspaces([WORKSPACE], WINDOW_MS + 1);
-    rates.update(WINDOW_MS * 3);
-  }
+  startLimit([...fleet, added]);
+  for (const { rates } of [...fleet, added]) rates.update(WINDOW_MS * 3);
   const shares = [...fleet, added].reduce(
     (sum, { rates }) => sum + (rates.states(WINDOW_MS * 3)[0]?.share ?? 0),
     0,
@@ -84,14 +76,8 @@
 // Guards against an instance that is cut off, whose entry was removed and whose
 // share the others have divided: it goes on with its own share.
 test("instances that are cut off and removed keep no share", () => {
-  const fleet = Array.from(
-    { length: 9 },
-    (_, i) => new RateInstance(memberOf(`f${i}`)),
-  );
-  for (const a of fleet) {
-    for (const b of fleet) if (a !== b) a.meet(b);
-    a.rates.setWorkspaces([{ ...WORKSPACE, burst: 1000 }], WINDOW_MS + 1);
-  }
+  const fleet = fleetOf(9);
+  startLimit(fleet, { ...WORKSPACE, burst: 1000 });
   for (const { members } of fleet.slice(3)) {
     for (const name of ["f0", "f1", "f2"]) members.remove(name);
   }
@@ -108,15 +94,8 @@
 // Guards against units that come twice when a limit with a smaller burst is
 // shared among more instances.
 test("a lower burst brings no units that the former sharers have used", async () => {
-  const fleet = Array.from(
-    { length: 12 },
-    (_, i) => new RateInstance(memberOf(`f${i}`)),
-  );
-  for (const a of fleet) {
-    for (const b of fleet) if (a !== b) a.meet(b);
-    const before = { ...WORKSPACE, ratePerSecond: 10_000, burst: 80_000 };
-    a.rates.setWorkspaces([before], WINDOW_MS + 1);
-  }
+  const fleet = fleetOf(12);
+  startLimit(fleet, { ...WORKSPACE, ratePerSecond: 10_000, burst: 80_000 });
   let used = 0;
   for (const instance of fleet) used += await admitAll(instance);
   for (const { rates } of fleet) {
@@ -129,14 +108,8 @@
 
 // Guards against requests above a share that nobody lends.
 test("an instance without a share serves a request above a share", async () => {
-  const fleet = Array.from(
-    { length: 12 },
-    (_, i) => new RateInstance(memberOf(`f${i}`)),
-  );
-  for (const a of fleet) {
-    for (const b of fleet) if (a !== b) a.meet(b);
-    a.rates.setWorkspaces([{ ...WORKSPACE, burst: 900 }], WINDOW_MS + 1);
-  }
+  const fleet = fleetOf(12);
+  startLimit(fleet, { ...WORKSPACE, burst: 900 });
   const without = fleet.find(({ rates }) => rates.states(0)[0]?.share === 0);
   if (without === undefined) throw new Error("all instances have a share");
   expect(isRefusal(await without.take(1000))).toBe(false);
--- a/packages/serving/src/rate_lenders_test.ts
+++ b/packages/serving/src/rate_lenders_test.ts
@@ -1,24 +1,13 @@
 import { expect, test } from "vitest";
 import { LoanSearch, RateLenders } from "./rate_lenders.ts";
+import { memberOf } from "./testing/member_of.ts";
 
 const FULL_ROOM = 10_000;
 
-function member(name: string, zone: string, region: string) {
-  return {
-    name,
-    zone,
-    region,
-    peerAddress: "",
-    callerAddress: "",
-    incarnation: "",
-    cores: 1,
-  };
-}
-
-const SELF = member("self", "z1", "r1");
-const NEAR = member("near", "z1", "r1");
-const REGION = member("region", "z2", "r1");
-const FAR = member("far", "z3", "r2");
+const SELF = memberOf("self", { zone: "z1", region: "r1" });
+const NEAR = memberOf("near", { zone: "z1", region: "r1" });
+const REGION = memberOf("region", { zone: "z2", region: "r1" });
+const FAR = memberOf("far", { zone: "z3", region: "r2" });
 const SHARERS = [SELF, FAR, REGION, NEAR];
 
 function createLenders(): RateLenders {
--- a/packages/serving/src/rate_share_changes_test.ts
+++ b/packages/serving/src/rate_share_changes_test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from "vitest";
 import { unitsBound } from "./testing/admitted_units.ts";
+import { memberOf } from "./testing/member_of.ts";
 import { runFleet } from "./testing/rate_fleet_simulation.ts";
 import { rateSharers } from "./rate_sharers.ts";
 import { TokenRate, unitsInWindow } from "./token_rate.ts";
@@ -12,18 +13,6 @@
   return new TokenRate(limit, { now: 0, windowMs: WINDOW_MS, hasEarlierUse });
 }
 
-function member(name: string, cores: number): Member {
-  return {
-    name,
-    zone: "z",
-    region: "r",
-    peerAddress: name,
-    callerAddress: name,
-    incarnation: "1",
-    cores,
-  };
-}
-
 // Guards against units that the former holder of a share has used and an
 // instance without a share gets once more, as its share grows for the first
 // time.
@@ -62,7 +51,7 @@
 // Guards against requests above a share that each sharer admits once.
 test("requests above a share stay within the limit of all shares", () => {
   const limit = { perSecond: 1000, burst: 100 };
-  const members = Array.from({ length: 62 }, (_, i) => member(`i${i}`, 1));
+  const members = Array.from({ length: 62 }, (_, i) => memberOf(`i${i}`));
   const sharers = rateSharers(members, {
     workspace: "w",
     limit,
@@ -83,10 +72,13 @@
 // Guards against shares that add up to more than one for longer than a window:
 // a removal is known to the coordinators at once and to others up to 20 s later.
 test("sharers change by the removed instance only", () => {
-  const strongest = member("s", 1.35);
+  const strongest = memberOf("s", { cores: 1.35 });
   const others = [
-    ...Array.from({ length: 12 }, (_, i) => member(`a${i}`, 0.9)),
-    ...Array.from({ length: 47 }, (_, i) => member(`b${i}`, 0.675)),
+    ...Array.from({ length: 12 }, (_, i) => memberOf(`a${i}`, { cores: 0.9 })),
+    ...Array.from(
+      { length: 47 },
+      (_, i) => memberOf(`b${i}`, { cores: 0.675 }),
+    ),
   ];
   const namesOf = (members: readonly Member[]) =>
     rateSharers(members, {
--- a/packages/serving/src/rate_sharers_test.ts
+++ b/packages/serving/src/rate_sharers_test.ts
@@ -1,18 +1,14 @@
 import { expect, test } from "vitest";
 import { rateSharers } from "./rate_sharers.ts";
+import { memberOf } from "./testing/member_of.ts";
 
 const LIMIT = { perSecond: 50_000, burst: 50_000 };
 
 function fleet(size: number, coresOf = (_: number) => 1) {
-  return Array.from({ length: size }, (_, i) => ({
-    name: `i${i}`,
-    zone: "z",
-    region: "r",
-    peerAddress: "",
-    callerAddress: "",
-    incarnation: "",
-    cores: coresOf(i),
-  }));
+  return Array.from(
+    { length: size },
+    (_, i) => memberOf(`i${i}`, { cores: coresOf(i) }),
+  );
 }
 
 function sharersOf(
--- a/packages/serving/src/retry_budget_sharing_test.ts
+++ b/packages/serving/src/retry_budget_sharing_test.ts
@@ -1,23 +1,11 @@
 import { expect, test } from "vitest";
 import { MemberTable, UNRESPONSIVE_AFTER_MS } from "./member_table.ts";
 import { RetryBudget } from "./retry_budget.ts";
-import type { Member } from "./types.ts";
+import { memberOf } from "./testing/member_of.ts";
 
 const FIXED_RETRIES = 56;
 const FLEET_SIZE = 9;
 
-function member(name: string): Member {
-  return {
-    name,
-    zone: "z",
-    region: "r",
-    peerAddress: name,
-    callerAddress: name,
-    incarnation: "1",
-    cores: 1,
-  };
-}
-
 // Guards against instances that each use the whole budget while none hears of
 // the others: after all connections have gone silent, or a restart of all.
 test.each([["silent", 0], ["restarted", undefined]])(
@@ -28,7 +16,7 @@
     for (let i = 0; i < FLEET_SIZE; i++) {
       const members = new MemberTable(`i${i}`, 0);
       for (let peer = 0; peer < FLEET_SIZE; peer++) {
-        members.add(member(`i${peer}`));
+        members.add(memberOf(`i${peer}`));
         if (digestAt === undefined) continue;
         members.setState(`i${peer}`, 10_000, {
           leaving: false,
--- /dev/null
+++ b/packages/serving/src/testing/mod.ts
@@ -0,0 +1,5 @@
+/** Parts that the tests of other packages use too.
+ *
+ * @module
+ */
+export * from "./member_of.ts";
--- a/packages/serving/src/testing/simulated_instance.ts
+++ b/packages/serving/src/testing/simulated_instance.ts
@@ -13,6 +13,7 @@
   unitsInWindow,
 } from "../token_rate.ts";
 import type { Member } from "../types.ts";
+import { memberOf } from "./member_of.ts";
 
 /** How long a peer's process counts as new, in milliseconds: reports to it have
  * what the peer's earlier process had left. */
@@ -116,15 +117,9 @@
  */
 export function startInstance(context: InstanceContext): SimulatedInstance {
   const { id, peers, limit, windowMs, startedAt, random } = context;
-  const memberOf = (peer: InstanceId): Member => ({
-    name: `${peer}`,
-    ...context.placeOf(peer),
-    peerAddress: "",
-    callerAddress: "",
-    incarnation: "",
-    cores: 1,
-  });
-  const self = memberOf(id);
+  const member = (peer: InstanceId) =>
+    memberOf(`${peer}`, context.placeOf(peer));
+  const self = member(id);
   const rate = new TokenRate(limit, {
     now: startedAt,
     windowMs,
@@ -133,7 +128,7 @@
   const lenders = new RateLenders(self, random);
   const members = new MemberTable(self.name, startedAt);
   let sharers: readonly Member[] = [];
-  const addMember = (peer: InstanceId) => members.add(memberOf(peer));
+  const addMember = (peer: InstanceId) => members.add(member(peer));
   const updateShare = (now: number) => {
     sharers = rateSharers([self, ...members.list()], {
       workspace: WORKSPACE,
