Let a few instances of a zone own its engines

Cause: the engines of a zone were spread over all of its instances. Each owner renews its lease every 2 s and wakes up 20 times a second: with 62 instances nearly all renewals were those of owners with one or two engines each.

A zone has three owners, and one more for each six engines. Instances that own engines already come first, then those with the fewest cores, since callers use the others. In a fleet of nine in three zones nothing changes.

Ruled out: the strongest instances as owners. They serve callers, and faults that follow the last order would hit running requests.

--- a/packages/serving/src/assignment.ts
+++ b/packages/serving/src/assignment.ts
@@ -22,10 +22,16 @@
   readonly zone: string;
 }
 
+/** Number of engines for which a zone has one owner more, and the least number of
+ * its owners: each owner renews its lease often. */
+const ENGINES_PER_OWNER = 6;
+const OWNERS_MIN = 3;
+
 /** Assigns each engine of `unassigned` to a member of its zone, or to any
- * member if the zone has none. The member with the fewest engines is chosen;
- * ties go to the fewest cores, then to the hash. Engines in `kept` keep their
- * owners, since each move interrupts the orders to the engine.
+ * member if the zone has none. A few members of each zone become owners, first
+ * those that are, then those with the fewest cores; the one with the fewest
+ * engines is chosen; ties go to the fewest cores, then to the hash. Engines in
+ * `kept` keep their owners, since each move interrupts the orders to the engine.
  *
  * @example
  * ```ts
@@ -46,13 +52,19 @@
   }
   const planned: Record<string, string> = {};
   const sorted = [...unassigned].sort((a, b) => a.key < b.key ? -1 : 1);
+  const ownersByZone = new Map<string, readonly OwnerCandidate[]>();
   for (const { key, zone } of sorted) {
-    const sameZone = members.filter((m) => m.zone === zone);
-    const owner = leastLoaded(
-      key,
-      sameZone.length > 0 ? sameZone : members,
-      counts,
-    );
+    let owners = ownersByZone.get(zone);
+    if (owners === undefined) {
+      const sameZone = members.filter((m) => m.zone === zone);
+      const added = unassigned.filter((engine) => engine.zone === zone).length;
+      owners = ownersOf(sameZone.length > 0 ? sameZone : members, {
+        counts,
+        added,
+      });
+      ownersByZone.set(zone, owners);
+    }
+    const owner = leastLoaded(key, owners, counts);
     if (owner === undefined) continue;
     planned[key] = owner;
     counts.set(owner, (counts.get(owner) ?? 0) + 1);
@@ -60,6 +72,27 @@
   return planned;
 }
 
+/** The members that may own the engines of a zone. */
+function ownersOf(
+  members: readonly OwnerCandidate[],
+  options: {
+    readonly counts: ReadonlyMap<string, number>;
+    readonly added: number;
+  },
+): readonly OwnerCandidate[] {
+  const { counts, added } = options;
+  const countOf = ({ owner }: OwnerCandidate) => counts.get(owner) ?? 0;
+  const engines = members.reduce((sum, m) => sum + countOf(m), added);
+  const ranked = [...members].sort((a, b) =>
+    Number(countOf(b) > 0) - Number(countOf(a) > 0) || a.cores - b.cores ||
+    (a.owner < b.owner ? -1 : 1)
+  );
+  return ranked.slice(
+    0,
+    Math.max(OWNERS_MIN, Math.ceil(engines / ENGINES_PER_OWNER)),
+  );
+}
+
 function leastLoaded(
   engine: string,
   members: readonly OwnerCandidate[],
