Ask other leads while one does not answer

Cause: an instance asked its leads to confirm its records in rounds, and a round ended with the slowest answer. While two leads were dead, the two that had just read the list were asked again only 250 ms later, when it was too late: all instances of the region read the list themselves.

Each lead is asked again as soon as it has answered. Backups ask the leads of the fleet when the relays are silent, since a question costs less than a list, and read a list as early as relays do. Roles are kept for at most 2.5 s while most members are silent because those who pass digests on were lost.

--- a/packages/gateway/src/reader_roles.ts
+++ b/packages/gateway/src/reader_roles.ts
@@ -4,10 +4,11 @@
  */
 import type { SharedKind } from "./peer_messages.ts";
 import {
-  aggregatesLoads,
   type ConfirmationRole,
+  isLargeFleet,
   type Member,
   type MemberTable,
+  precedes,
 } from "@banyanlb/serving";
 
 /** Number of instances per region that read the store on behalf of the region's
@@ -22,6 +23,11 @@
  * the records. They read lists before the last instances do. */
 const BACKUPS_MAX = 2;
 
+/** Fraction of silent members above which the roles are kept for a while, and the
+ * longest such time in milliseconds: other collectors take over sooner. */
+const SILENT_SHARE_MAX = 0.25;
+const BLACKOUT_MAX_MS = 2500;
+
 /** Parts of the gateway that the roles follow from. */
 export interface ReaderRolesOptions {
   readonly self: Member;
@@ -40,7 +46,10 @@
   readonly #options: ReaderRolesOptions;
   #isStoreReader = true;
   #leads: readonly Member[] = [];
+  #fallbackLeads: readonly Member[] = [];
   #role: ConfirmationRole = "lead";
+  /** When most members were last heard of. */
+  #heardAt = -Infinity;
 
   constructor(options: ReaderRolesOptions) {
     this.#options = options;
@@ -57,6 +66,12 @@
     return this.#leads;
   }
 
+  /** The instances to ask when the leads do not confirm the records: a backup asks
+   * those that a relay asks, since a question costs less than a list. */
+  get fallbackLeads(): readonly Member[] {
+    return this.#fallbackLeads;
+  }
+
   /** What this instance does to confirm its records. */
   get role(): ConfirmationRole {
     return this.#role;
@@ -77,8 +92,15 @@
       members.isStoreReachedFrom(self.region, now);
   }
 
-  /** Decides the roles anew. */
+  /** Decides the roles anew, unless those who pass digests on have just been
+   * lost: then nobody is heard of for a moment, and every instance would take
+   * itself for the only reader. */
   update(now: number): void {
+    const { members } = this.#options;
+    const isHeard = !isLargeFleet(members.list().length) ||
+      members.silentShare(now) <= SILENT_SHARE_MAX;
+    if (isHeard) this.#heardAt = now;
+    else if (now - this.#heardAt < BLACKOUT_MAX_MS) return;
     this.#updateLeads(now);
     this.#updateStoreReader(now);
   }
@@ -93,15 +115,16 @@
     const candidates = [
       ...members.membersReachingStore(now),
       ...(reachesStore() ? [self] : []),
-    ].sort((a, b) => precedesAsReader(a, b) ? -1 : 1);
+    ].sort((a, b) => precedes(a, b) ? -1 : 1);
     const nearest = this.#nearestRegion(candidates);
     const firstOf = (region: string | undefined, count: number) =>
       candidates.filter((m) => m.region === region).slice(0, count);
     const fleetLeads = firstOf(nearest, LEADS_MAX);
     const ownRank = fleetLeads.indexOf(self);
+    this.#fallbackLeads = [];
     if (ownRank >= 0) this.#leads = fleetLeads.slice(0, ownRank);
     else this.#leads = fleetLeads;
-    if (!aggregatesLoads(members.list().length)) {
+    if (!isLargeFleet(members.list().length)) {
       this.#role = this.#leads.length === 0 ? "lead" : "member";
       return;
     }
@@ -117,6 +140,7 @@
       return;
     }
     this.#role = rank >= 0 ? "backup" : "last";
+    if (rank >= 0) this.#fallbackLeads = fleetLeads;
     const others = near.slice(0, rank >= 0 ? rank : near.length);
     if (others.length > 0) this.#leads = others;
     else if (fleetLeads.length === 0) this.#role = "lead";
@@ -143,16 +167,16 @@
    * from them. */
   #updateStoreReader(now: number): void {
     const { self, members, onBecomeReader } = this.#options;
-    const preceding = members.membersReachingStore(now).filter((m) =>
-      m.region === self.region && precedesAsReader(m, self)
+    // While no digests have arrived, the listed members are assumed to read.
+    const candidates = members.isStarting(now) &&
+        isLargeFleet(members.list().length)
+      ? members.list().filter(({ name }) => !members.isReportedLost(name))
+      : members.membersReachingStore(now);
+    const preceding = candidates.filter((m) =>
+      m.region === self.region && precedes(m, self)
     );
     const isStoreReader = preceding.length < STORE_READERS_PER_REGION;
     if (isStoreReader && !this.#isStoreReader) onBecomeReader();
     this.#isStoreReader = isStoreReader;
   }
 }
-
-/** Whether `a` is chosen as a store reader before `b`. */
-function precedesAsReader(a: Member, b: Member): boolean {
-  return a.cores === b.cores ? a.name < b.name : a.cores > b.cores;
-}
--- a/packages/gateway/src/record_confirmer.ts
+++ b/packages/gateway/src/record_confirmer.ts
@@ -8,10 +8,6 @@
 import type { RecordFollower } from "./record_follower.ts";
 import type { SharedRecords } from "./shared_records.ts";
 
-/** Time between checks of whether records must be confirmed, in
- * milliseconds. */
-const CHECK_INTERVAL_MS = 200;
-
 /** Timeout of a question to a peer, in milliseconds: it ends before this
  * instance has to read the store itself. */
 const ASK_TIMEOUT_MS = 250;
@@ -24,6 +20,8 @@
   /** The instances to ask, the first to ask first; none if this instance is the
    * lead. */
   readonly leads: () => readonly Member[];
+  /** Instances to ask too when the leads did not confirm everything. */
+  readonly fallbackLeads: () => readonly Member[];
   /** What this instance does to confirm its records. */
   readonly role: () => ConfirmationRole;
   readonly links: () => Pick<PeerLinks, "ask">;
@@ -33,8 +31,8 @@
  * confirmed. */
 export class RecordConfirmer {
   readonly #options: RecordConfirmerOptions;
-  #timer: NodeJS.Timeout | undefined;
-  #isAsking = false;
+  /** Names of the peers whose answer is awaited. */
+  readonly #asking = new Set<string>();
   /** Whether the last question did not confirm everything. The next one goes to
    * all leads: one of them may be lost, or know nothing newer. */
   #hasFailed = false;
@@ -43,20 +41,7 @@
     this.#options = options;
   }
 
-  /** Starts the regular checks. */
-  start(): void {
-    this.#timer = setInterval(
-      () => this.check(performance.now()),
-      CHECK_INTERVAL_MS,
-    );
-  }
-
-  /** Stops the checks. */
-  close(): void {
-    clearInterval(this.#timer);
-  }
-
-  /** Confirms the records that need it at `now`. */
+  /** Confirms the records that need it at `now`. Called a few times a second. */
   check(now: number): void {
     const { records, unshared } = this.#options;
     const leads = this.#options.leads();
@@ -72,19 +57,25 @@
     // No peer can confirm these.
     for (const follower of unshared) {
       follower.restartSilentWatch();
-      if (follower.nextConfirmationStep(now, "lead") === "read") {
+      const ownRole = role === "last" ? "last" : "lead";
+      if (follower.nextConfirmationStep(now, ownRole) === "read") {
         void follower.confirm();
       }
     }
-    if (!mustAsk || this.#isAsking) return;
-    const asked = this.#hasFailed ? leads : leads.slice(0, 1);
-    if (asked.length > 0) void this.#askAll(asked, now);
+    if (!mustAsk) return;
+    const asked = this.#hasFailed
+      ? new Set([...leads, ...this.#options.fallbackLeads()])
+      : leads.slice(0, 1);
+    // One that does not answer must not keep the others from being asked.
+    for (const lead of asked) {
+      if (!this.#asking.has(lead.name)) void this.#askOnce(lead, now);
+    }
   }
 
-  async #askAll(leads: readonly Member[], askedAt: number): Promise<void> {
-    this.#isAsking = true;
-    await Promise.all(leads.map((lead) => this.#ask(lead, askedAt)));
-    this.#isAsking = false;
+  async #askOnce(lead: Member, askedAt: number): Promise<void> {
+    this.#asking.add(lead.name);
+    await this.#ask(lead, askedAt);
+    this.#asking.delete(lead.name);
     const { records, role } = this.#options;
     const now = performance.now();
     this.#hasFailed = SHARED_KINDS.some((kind) =>
--- a/packages/serving/src/confirmation.ts
+++ b/packages/serving/src/confirmation.ts
@@ -27,7 +27,7 @@
 const RELAY_ASK_SHARE = 0.26;
 const ASK_SHARE = 0.36;
 const READ_SHARE = 0.48;
-const BACKUP_READ_SHARE = 0.6;
+const BACKUP_READ_SHARE = 0.48;
 const LAST_READ_SHARE = 0.72;
 
 /** What an instance does to confirm its records. */
