--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -68,7 +68,7 @@
 export class AdapterLoader {
   readonly #options: AdapterLoaderOptions;
   readonly #engines = new Map<string, OwnedEngine>();
-  readonly #peerFetches = new Map<string, number>();
+  #otherFetches = 0;
   /** Number of engines that have an owner, this instance or another. */
   #assignedEngineCount = 1;
   /** Versions of engine list, assignment and configuration from which the owned
@@ -117,9 +117,10 @@
       .map(([key]) => key);
   }
 
-  /** Records how many adapters the engines of a peer are fetching. */
-  recordPeerFetches(peer: string, count: number): void {
-    this.#peerFetches.set(peer, count);
+  /** Records how many adapters the engines of all other instances are
+   * fetching. */
+  recordOtherFetches(count: number): void {
+    this.#otherFetches = count;
   }
 
   /** Records the use of adapters, by a peer or by this instance itself, on an
@@ -341,8 +342,7 @@
    * speed: the deployments' weight stores serve about one for each engine with
    * models. */
   #fetchSlowdown(): number {
-    let fetches = this.fetches;
-    for (const count of this.#peerFetches.values()) fetches += count;
+    const fetches = this.fetches + this.#otherFetches;
     return (fetches + 1) / Math.max(1, this.#assignedEngineCount);
   }
 
--- a/packages/gateway/src/adapter_usage.ts
+++ b/packages/gateway/src/adapter_usage.ts
@@ -2,15 +2,13 @@
  *
  * @module
  */
+import type { AdapterUse } from "@banyanlb/serving";
 
 interface UsageCount {
   started: number;
   running: number;
 }
 
-/** Request counts by adapter: started since the last report, running now. */
-export type AdapterUsage = Readonly<Record<string, readonly [number, number]>>;
-
 /** Request counts that are reported to the instances that own the engines. */
 export class AdapterUsageCounts {
   readonly #countsByEngine = new Map<string, Map<string, UsageCount>>();
@@ -46,7 +44,7 @@
 
   /** Returns the counts to report for an engine, and resets those of started
    * requests. Undefined if there are none. */
-  collect(engineKey: string): AdapterUsage | undefined {
+  collect(engineKey: string): AdapterUse | undefined {
     const adapters = this.#countsByEngine.get(engineKey);
     if (adapters === undefined) return undefined;
     const usage: Record<string, readonly [number, number]> = {};
--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -5,78 +5,66 @@
  */
 import type { EventLog } from "@banyanlb/core";
 import {
-  aggregatesLoads,
-  distanceBetween,
-  type Engine,
+  type BoardRow,
+  type ClockPair,
+  decodeDigest,
+  type Digest,
+  DigestPlane,
   type EngineLimits,
   type EngineTable,
-  type EngineView,
+  isLargeFleet,
   LagDetector,
+  type LoadCounts,
   type Member,
   type MemberTable,
+  type Moment,
   type PartQuarantine,
   type PathDelays,
-  type ReportRow,
-  SLOW_PATH_MS,
-  ticksBetweenDigests,
 } from "@banyanlb/serving";
 import type { AdapterLoader } from "./adapter_loader.ts";
+import type { AdapterUsageCounts } from "./adapter_usage.ts";
+import { DigestRows } from "./digest_rows.ts";
 import * as events from "./events.ts";
 import type { Membership } from "./membership.ts";
 import type { PeerLinks } from "./peer_links.ts";
+import { SHARED_KINDS, type SharedKind } from "./peer_messages.ts";
 import type { ReaderRoles } from "./reader_roles.ts";
-import { type Digest, SHARED_KINDS } from "./peer_messages.ts";
-import { SentRows } from "./sent_rows.ts";
 import type { SharedRecords } from "./shared_records.ts";
-import type { StoreView } from "./store_view.ts";
-import type { AdapterUsage, AdapterUsageCounts } from "./adapter_usage.ts";
 import type { WorkspaceRates } from "./workspace_rates.ts";
 
-/** Time between ticks, in milliseconds. It bounds the age of the request counts
- * that nearby instances report. */
-export const DIGEST_TICK_MS = 200;
-
-/** Number of digests to a peer after which a digest repeats every value,
- * including unchanged ones, since a digest may have been lost with its
- * connection. */
-const REFRESH_EVERY_DIGESTS = 10;
-
-/** Number of ticks of which the time is known; an acknowledgement of an older
- * one shows only that the peer is alive. */
-const TICKS_KEPT = 128;
-
-/** Request counts reported by a peer stay valid for this many of its digest
- * intervals, and at least for the minimum time, in milliseconds. */
-const COUNTS_VALID_DIGESTS = 4;
-const COUNTS_VALID_MIN_MS = 1500;
-
 /** How long after the first digest from a peer the digests to it include what
  * its earlier process had left of its rates, in milliseconds. A new process
  * adopts that only from a peer that has been running for longer than it by more
  * than this time. */
 const NEW_PEER_MS = 1500;
 
-/** An engine and the instance that sends orders to it. */
-interface EngineWithOwner {
-  readonly view: EngineView;
-  readonly key: string;
-  readonly owner: string | undefined;
-}
+/** Time for which news that must be passed on at once are gathered, and the
+ * minimum time between two rounds of them, in milliseconds. */
+const GATHER_MS = 10;
+const URGENT_PAUSE_MS = 100;
+
+/** Connections to peers that were not used for so long are closed, in
+ * milliseconds. */
+const IDLE_LINK_MS = 30_000;
+
+/** A difference of the clocks since the last tick above which this process was
+ * suspended, in milliseconds. */
+const SUSPENDED_MIN_MS = 500;
+
+/** Busy time is reported in steps of this fraction, and the time of calls to the
+ * store in steps of this many milliseconds. */
+const BUSY_STEP = 0.05;
+const STORE_STEP_MS = 2;
 
-/** The digests exchanged with one peer. */
+/** The name under which fetches of adapters are counted beside the requests at
+ * engines. */
+const FETCHES = "";
+
+/** What is known of a peer's process. */
 interface PeerState {
-  readonly incarnation: string;
-  /** The newest tick received from the peer, and when. */
-  ack: number;
-  ackedAt: number;
-  /** When the first digest arrived from the peer, by the monotonic clock;
-   * undefined until then. */
-  aliveSince: number | undefined;
-  /** Number of digests sent to the peer, and the tick of the last one. */
-  digestsSent: number;
-  lastSentTick: number;
-  readonly sentRows: SentRows;
-  /** What the peer's earlier process had left of its rates. */
+  /** When its first digest arrived, by the monotonic clock. */
+  readonly aliveSince: number;
+  /** What its earlier process had left of its rates. */
   readonly formerRooms: Readonly<Record<string, number>>;
 }
 
@@ -87,16 +75,19 @@
   readonly membership: Membership;
   readonly engineTable: EngineTable;
   readonly loader: AdapterLoader;
-  readonly storeView: StoreView;
   readonly records: SharedRecords;
   readonly rates: WorkspaceRates;
   readonly use: AdapterUsageCounts;
   readonly quarantine: PartQuarantine;
   readonly limits: EngineLimits;
-  readonly roles: Pick<ReaderRoles, "expectsRecordsBefore">;
+  readonly roles: Pick<ReaderRoles, "expectsRecordsBefore" | "isStoreReader">;
+  /** Whether the store replies to this instance. */
+  readonly reachesStore: () => boolean;
   readonly pathDelays: PathDelays;
+  readonly clocks: ClockPair;
   /** The region of a zone. */
   readonly regionOf: (zone: string) => string | undefined;
+  readonly otherRegions: () => readonly string[];
   readonly links: () => PeerLinks;
   readonly state: () => {
     readonly ready: boolean;
@@ -112,10 +103,8 @@
 /** Sends digests to peers and applies those received from them. */
 export class DigestExchange {
   readonly #options: DigestExchangeOptions;
-  /** Number of the current tick. */
-  #tick = 0;
-  /** When the latest ticks were. */
-  readonly #tickTimes = new Map<number, number>();
+  readonly #plane: DigestPlane;
+  readonly #rows: DigestRows;
   readonly #peers = new Map<string, PeerState>();
   // Most instances read records from the store rarely, so they pull them at once
   // from a peer that is ahead.
@@ -124,9 +113,32 @@
   readonly #patientLagDetectors = createLagDetectors();
   /** The newest revisions announced so far, in the order of `SHARED_KINDS`. */
   #announcedRevisions: readonly number[] = [];
+  #tickedAt: Moment;
+  #gathering: NodeJS.Timeout | undefined;
+  #urgentAt = -Infinity;
 
   constructor(options: DigestExchangeOptions) {
     this.#options = options;
+    const { self, members, pathDelays, loader } = options;
+    this.#tickedAt = options.clocks.read();
+    this.#plane = new DigestPlane(self, {
+      members,
+      now: performance.now(),
+      onRows: (member, rows) => this.#applyRows(member, rows),
+      onUse: (from, engine, use) => loader.recordAdapterUse(from, engine, use),
+      onLoads: (counts, validUntil) => this.#setLoads(counts, validUntil),
+      onRoundTrip: (member, { roundTripMs, intervalMs }) =>
+        pathDelays.record(member.name, {
+          region: member.region,
+          roundTripMs,
+          intervalMs,
+          at: performance.now(),
+        }),
+      onDelivered: (member, sentAt) =>
+        options.links().confirmDelivery(member.peerAddress, sentAt),
+      onPeer: (member) => this.#addPeer(member),
+    });
+    this.#rows = new DigestRows({ ...options, board: this.#plane.board });
   }
 
   /** Sends a digest to all peers at once if a shared kind has a newer revision
@@ -141,304 +153,227 @@
       return;
     }
     this.#announcedRevisions = revisions;
-    this.send(true);
+    this.#sendSoon();
   }
 
   /** Sends a digest to each peer for which one is due; to all if `isUrgent`. */
   send(isUrgent = false): void {
-    const { members, membership, loader, self, use, engineTable } =
-      this.#options;
+    const { links } = this.#options;
     const now = performance.now();
-    this.#tick += 1;
-    this.#tickTimes.set(this.#tick, now);
-    this.#tickTimes.delete(this.#tick - TICKS_KEPT);
-    const peers = members.list();
-    const engines = [...engineTable.all()].map((view): EngineWithOwner => {
-      const key = view.engine.key;
-      return { view, key, owner: membership.ownerOf(key) };
-    });
-    let isOwner = false;
-    for (const { key, owner } of engines) {
-      if (owner !== self.name) continue;
-      isOwner = true;
-      loader.recordAdapterUse(owner, key, use.collect(key) ?? {});
-    }
-    const common = {
-      ...this.#commonFields(),
-      orders: isOwner ? true as const : undefined,
-    };
-    const held = loader.held();
-    const rooms = this.#options.rates.roomRows(now);
-    const slow = this.#slowPaths(now);
-    const { crashes, answers, holds } = this.#options.quarantine.report(now);
-    const limits = this.#options.limits.report(now);
-    const selfRole = {
-      ...self,
-      serves: common.serves === true,
-      orders: isOwner,
-    };
-    const ownersSumLoads = aggregatesLoads(peers.length);
-    for (const member of peers) {
-      const peerRole = members.roleOf(member);
-      const tickInterval = ticksBetweenDigests(
-        selfRole,
-        peerRole,
-        peers.length,
-      );
-      const peer = this.#peerState(member);
-      if (!isUrgent && this.#tick - peer.lastSentTick < tickInterval) continue;
-      peer.digestsSent += 1;
-      peer.lastSentTick = this.#tick;
-      const changed = <T>(kind: string, rows: readonly ReportRow<T>[]) =>
-        peer.sentRows.takeChanged(kind, rows, isRefreshDue(peer));
-      const digest: Digest = {
-        ...common,
-        ack: peer.ack,
-        ackHeldMs: Math.round(now - peer.ackedAt),
-        every: tickInterval === 1 ? undefined : tickInterval,
-        flight: this.#inFlightFor(member.name, engines, ownersSumLoads),
-        slow,
-        rooms: changed("rooms", rooms),
-        formerRooms: this.#formerRoomsFor(peer, now),
-        held: changed("held", held),
-        use: this.#adapterUseFor(member.name, engines),
-        crashes: changed("crashes", crashes),
-        answers: changed("answers", answers),
-        holds: changed("holds", holds),
-        limits: changed("limits", limits),
-      };
-      const isSent = this.#options.links().send(
+    this.#recordSuspension();
+    this.#publish(now);
+    for (const { member, everyMs, build } of this.#plane.plan(now, isUrgent)) {
+      const connection = links().connect(member.peerAddress, everyMs);
+      if (connection === undefined) continue;
+      const digest = build(connection);
+      const formerRooms = this.#formerRoomsFor(member, now);
+      links().send(
         member.peerAddress,
-        digest,
-        tickInterval * DIGEST_TICK_MS,
+        formerRooms === undefined ? digest : { ...digest, formerRooms },
       );
-      if (!isSent) peer.sentRows.clear();
     }
-    this.#dropLostPeers();
+    if (isUrgent) return;
+    this.#rows.applyOwners();
+    this.#compareRevisions(now);
+    this.#dropLostPeers(now);
+    links().closeIdle(now - IDLE_LINK_MS);
   }
 
   /** Applies a digest received from the peer `from`. */
-  receive(from: string, digest: Digest): void {
-    const { members, engineTable, loader, rates, log } = this.#options;
+  receive(from: string, message: Digest): void {
+    const { members, rates, log } = this.#options;
     const now = performance.now();
     const member = members.get(from);
     if (member === undefined) return;
-    const peer = this.#peerState(member);
-    if (peer.aliveSince === undefined) {
-      peer.aliveSince = now;
-      log.write(events.PEER_REACHABLE, { peer: from });
-    }
-    const intervalMs = (digest.every ?? 1) * DIGEST_TICK_MS;
-    members.setState(from, now, {
-      ready: digest.ready,
-      leaving: digest.leaving === true,
-      tenure: digest.tenure,
-      digestIntervalMs: intervalMs,
-      serves: digest.serves === true,
-      orders: digest.orders === true,
-      busy: (digest.busy ?? 0) / 100,
-      reachesStore: digest.cut !== true,
-      storeRoundTripMs: digest.storeMs,
-    });
-    peer.ack = digest.seq;
-    peer.ackedAt = now;
-    const sentAt = this.#tickTimes.get(digest.ack);
-    if (sentAt !== undefined) {
-      this.#options.links().confirmDelivery(member.peerAddress, sentAt);
-      this.#options.pathDelays.record(from, {
-        region: member.region,
-        roundTripMs: Math.max(0, now - sentAt - (digest.ackHeldMs ?? 0)),
-        intervalMs,
-        at: now,
-      });
-    }
-    const validMs = Math.max(
-      COUNTS_VALID_MIN_MS,
-      intervalMs * COUNTS_VALID_DIGESTS,
-    );
-    for (const view of engineTable.all()) {
-      const key = view.engine.key;
-      view.setPeerLoad(from, digest.flight?.[key] ?? 0, now + validMs);
-      const slowMs = digest.slow?.[key];
-      if (slowMs !== undefined && this.#isNoFarther(member, view.engine)) {
-        view.path.recordReport(slowMs, now);
-      }
-      if (this.#options.membership.ownerOf(key) === from) {
-        view.down = digest.down?.includes(key) === true;
-      }
+    const digest = decodeDigest(message);
+    if (digest === undefined) {
+      log.write(events.PEER_MESSAGE_INVALID, { peer: from, reason: "digest" });
+      return;
     }
-    rates.recordRooms(from, digest.rooms ?? {});
+    this.#plane.receive(member, digest, now);
     if (digest.up > now + NEW_PEER_MS && now < NEW_PEER_MS * 2) {
       rates.adoptFormerRooms(digest.formerRooms ?? {});
     }
-    this.#options.quarantine.receive(from, digest, now);
-    this.#options.limits.receive(digest.limits ?? {}, now);
-    loader.recordPeerFetches(from, digest.fetches ?? 0);
-    for (const [key, use] of Object.entries(digest.use ?? {})) {
-      loader.recordAdapterUse(from, key, use);
-    }
-    for (const [key, rows] of Object.entries(digest.held ?? {})) {
-      const view = engineTable.get(key);
-      if (view === undefined) continue;
-      if (this.#options.membership.ownerOf(key) !== from) continue;
-      view.isReportedByOwner = true;
-      view.adapters = new Map(
-        rows.map(([adapter, version, readyIn]) => [
-          adapter,
-          { version, readyAt: readyIn === 0 ? 0 : now + readyIn },
-        ]),
-      );
-    }
-    this.#compareRevisions(member, digest, now);
+    if (this.#plane.isUrgent) this.#sendSoon();
   }
 
-  /** Engines whose path is slow, by this instance's own requests. */
-  #slowPaths(now: number): Readonly<Record<string, number>> | undefined {
-    const slow: Record<string, number> = {};
-    for (const { engine, path } of this.#options.engineTable.all()) {
-      const delayMs = path.ownDelayMs(now);
-      if (delayMs > SLOW_PATH_MS) slow[engine.key] = Math.round(delayMs);
-    }
-    return isEmpty(slow) ? undefined : slow;
+  /** Stops passing news on. */
+  close(): void {
+    clearTimeout(this.#gathering);
   }
 
-  /** Whether a path that is slow for the peer is slow for this instance too. */
-  #isNoFarther(peer: Member, engine: Engine): boolean {
-    const { self, regionOf } = this.#options;
-    const place = { zone: engine.zone, region: regionOf(engine.zone) };
-    return distanceBetween(peer, place) <= distanceBetween(self, place);
+  /** Sends digests to all peers, together with news that follow at once. */
+  #sendSoon(): void {
+    if (this.#gathering !== undefined) return;
+    const sinceMs = performance.now() - this.#urgentAt;
+    this.#gathering = setTimeout(() => {
+      this.#gathering = undefined;
+      this.#urgentAt = performance.now();
+      this.send(true);
+    }, Math.max(GATHER_MS, URGENT_PAUSE_MS - sinceMs));
   }
 
-  #newestRevisions(): readonly number[] {
-    const { records } = this.#options;
-    return SHARED_KINDS.map((kind) => records.summary(kind).revision);
+  /** Makes what is known older by the time for which this process was
+   * suspended: its monotonic clock does not count it. */
+  #recordSuspension(): void {
+    const { clocks } = this.#options;
+    const before = this.#tickedAt;
+    const elapsedMs = clocks.elapsedMs(before);
+    this.#tickedAt = clocks.read();
+    const missingMs = elapsedMs - (this.#tickedAt.monotonic - before.monotonic);
+    if (missingMs >= SUSPENDED_MIN_MS) this.#plane.recordSuspension(missingMs);
   }
 
-  /** The fields that are the same in the digests to all peers. */
-  #commonFields() {
-    const { membership, storeView, loader } = this.#options;
+  #publish(now: number): void {
+    const { members, roles } = this.#options;
+    this.#plane.setState(this.#state(now), now);
+    this.#rows.publish(this.#plane, now);
+    const isReported = roles.isStoreReader ||
+      !isLargeFleet(members.list().length);
+    const revisions = isReported ? this.#newestRevisions() : [];
+    this.#plane.publish(
+      "revisions",
+      revisions.map((revision, i) => [
+        SHARED_KINDS[i] ?? "",
+        revision,
+        revision,
+      ]),
+      now,
+    );
+    this.#plane.setLoads(this.#ownLoads());
+  }
+
+  /** This instance's state; sends use of adapters to the owners of engines. */
+  #state(now: number) {
+    const { self, membership, loader, engineTable, use } = this.#options;
     const { ready, leaving, serves, busy } = this.#options.state();
-    const down = loader.down();
-    const fetches = loader.fetches;
+    let isOwner = false;
+    for (const { engine: { key } } of engineTable.all()) {
+      const owner = membership.ownerOf(key);
+      if (owner === self.name) isOwner = true;
+      const counts = owner === undefined ? undefined : use.collect(key);
+      if (owner === undefined || counts === undefined) continue;
+      if (owner === self.name) loader.recordAdapterUse(owner, key, counts);
+      else this.#plane.sendUse(owner, key, counts, now);
+    }
+    const { storeRoundTripMs } = membership;
     return {
-      t: "digest" as const,
-      seq: this.#tick,
       ready,
-      leaving: leaving ? true as const : undefined,
-      serves: serves ? true as const : undefined,
-      busy: Math.round(busy * 100) || undefined,
-      cut: storeView.reachesStore ? undefined : true as const,
-      storeMs: roundUp(membership.storeRoundTripMs),
+      leaving,
+      serves,
+      orders: isOwner,
+      busy: Math.round(busy / BUSY_STEP) * BUSY_STEP,
+      reachesStore: this.#options.reachesStore(),
+      storeRoundTripMs: storeRoundTripMs === undefined
+        ? undefined
+        : Math.ceil(storeRoundTripMs / STORE_STEP_MS) * STORE_STEP_MS,
       tenure: membership.tenure,
-      revs: this.#newestRevisions(),
-      up: Math.round(performance.now()),
-      down: down.length === 0 ? undefined : down,
-      fetches: fetches === 0 ? undefined : fetches,
     };
   }
 
-  /** The state of the exchange with a peer; a new state if the peer's process
-   * was restarted. */
-  #peerState(member: Member): PeerState {
-    const existing = this.#peers.get(member.name);
-    if (existing?.incarnation === member.incarnation) return existing;
-    const peer = {
-      incarnation: member.incarnation,
-      ack: 0,
-      ackedAt: 0,
-      aliveSince: undefined,
-      digestsSent: 0,
-      lastSentTick: -Infinity,
-      sentRows: new SentRows(),
-      formerRooms: this.#options.rates.roomsOf(member.name),
-    };
-    this.#peers.set(member.name, peer);
-    return peer;
+  /** Requests of this instance by engine, and fetches of its engines. */
+  #ownLoads(): LoadCounts {
+    const { engineTable, loader } = this.#options;
+    const counts = new Map<string, number>();
+    for (const { engine, inFlight } of engineTable.all()) {
+      if (inFlight > 0) counts.set(engine.key, inFlight);
+    }
+    if (loader.fetches > 0) counts.set(FETCHES, loader.fetches);
+    return counts;
   }
 
-  /** Number of requests in flight by engine, as reported to a peer. If owners
-   * sum up loads, the owner of an engine reports the requests of all instances
-   * except the peer, and an instance that is not the owner reports its own
-   * requests to the owner only. Otherwise each instance reports its own
-   * requests to every peer. */
-  #inFlightFor(
-    peer: string,
-    engines: readonly EngineWithOwner[],
-    ownersSumLoads: boolean,
-  ): Readonly<Record<string, number>> | undefined {
-    const { self } = this.#options;
-    const now = performance.now();
-    const inFlight: Record<string, number> = {};
-    for (const { view, key, owner } of engines) {
-      const count = ownersSumLoads && owner === self.name
-        ? view.loadExcluding(peer, now)
-        : !ownersSumLoads || owner === undefined || owner === peer
-        ? view.inFlight
-        : 0;
-      if (count > 0) inFlight[key] = count;
+  #setLoads(counts: LoadCounts, validUntil: number): void {
+    const { engineTable, loader } = this.#options;
+    for (const view of engineTable.all()) {
+      view.setOthersLoad(counts.get(view.engine.key) ?? 0, validUntil);
     }
-    return isEmpty(inFlight) ? undefined : inFlight;
+    loader.recordOtherFetches(counts.get(FETCHES) ?? 0);
   }
 
-  #adapterUseFor(
-    peer: string,
-    engines: readonly EngineWithOwner[],
-  ): Readonly<Record<string, AdapterUsage>> | undefined {
-    const byEngine: Record<string, AdapterUsage> = {};
-    for (const { key, owner } of engines) {
-      if (owner !== peer) continue;
-      const adapterUse = this.#options.use.collect(key);
-      if (adapterUse !== undefined) byEngine[key] = adapterUse;
+  #applyRows(member: Member, rows: readonly BoardRow[]): void {
+    this.#rows.apply(member, rows);
+    if (rows.some(({ kind }) => kind === "revisions")) {
+      this.#compareRevisions(performance.now());
     }
-    return isEmpty(byEngine) ? undefined : byEngine;
+  }
+
+  #newestRevisions(): readonly number[] {
+    const { records } = this.#options;
+    return SHARED_KINDS.map((kind) => records.summary(kind).revision);
+  }
+
+  #addPeer(member: Member): void {
+    const { rates, log } = this.#options;
+    log.write(events.PEER_REACHABLE, { peer: member.name });
+    this.#peers.set(member.name, {
+      aliveSince: performance.now(),
+      formerRooms: rates.roomsOf(member.name),
+    });
   }
 
   #formerRoomsFor(
-    peer: PeerState,
+    { name }: Member,
     now: number,
   ): Readonly<Record<string, number>> | undefined {
-    const isNew = now - (peer.aliveSince ?? -Infinity) <= NEW_PEER_MS;
+    const peer = this.#peers.get(name);
+    const isNew = peer !== undefined && now - peer.aliveSince <= NEW_PEER_MS;
     return isNew ? peer.formerRooms : undefined;
   }
 
-  #dropLostPeers(): void {
-    const now = performance.now();
-    for (const [name, peer] of this.#peers) {
-      if (peer.aliveSince === undefined) continue;
+  #dropLostPeers(now: number): void {
+    for (const name of this.#peers.keys()) {
       if (this.#options.members.isAlive(name, now)) continue;
       this.#peers.delete(name);
       this.#options.log.write(events.PEER_UNRESPONSIVE, { peer: name });
     }
   }
 
-  /** Pulls the records of each kind of which the peer has a newer revision than
-   * this instance's watch has delivered: the watch may be dead, or the store
-   * may be rejecting this instance. */
-  #compareRevisions(member: Member, digest: Digest, now: number): void {
-    const { records, roles } = this.#options;
-    SHARED_KINDS.forEach((kind, i) => {
-      const follower = records.follower(kind);
-      const announcedRevision = digest.revs[i] ?? 0;
-      const isExpected = roles.expectsRecordsBefore(member, { kind, now });
-      const detectors = isExpected
-        ? this.#patientLagDetectors
-        : this.#lagDetectors;
-      const detector = detectors[kind];
-      const isBehind = detector.observe({
-        // The revision up to which the watch has reported changes says nothing
-        // about changes that it missed. For engines it is used nonetheless,
-        // because the revision of a removal may differ between instances.
-        ownRevision: kind === "engines"
-          ? Math.max(follower.revision, records.summary(kind).revision)
-          : follower.newestRevision,
-        peerRevision: announcedRevision,
-        now,
-      });
-      // A process without any records of the kind does not wait for the store.
-      if (isBehind || (!follower.known && announcedRevision > 0)) {
-        void records.pull(member, kind);
+  /** Pulls the records of each kind of which a peer has a newer revision than
+   * this instance's watch has delivered: the watch may be dead, or the store may
+   * be rejecting this instance. */
+  #compareRevisions(now: number): void {
+    const { members, self } = this.#options;
+    for (const { member } of this.#plane.board.origins()) {
+      if (member.name === self.name || !members.isAlive(member.name, now)) {
+        continue;
+      }
+      for (const kind of SHARED_KINDS) {
+        const row = this.#plane.board.rowOf(member.name, "revisions", kind);
+        const revision = Number(row?.value ?? 0);
+        if (revision > 0) {
+          this.#compareRevision(member, { kind, revision, now });
+        }
       }
+    }
+  }
+
+  #compareRevision(
+    member: Member,
+    announced: {
+      readonly kind: SharedKind;
+      readonly revision: number;
+      readonly now: number;
+    },
+  ): void {
+    const { records, roles } = this.#options;
+    const { kind, revision, now } = announced;
+    const follower = records.follower(kind);
+    const isExpected = roles.expectsRecordsBefore(member, { kind, now });
+    const detectors = isExpected
+      ? this.#patientLagDetectors
+      : this.#lagDetectors;
+    const isBehind = detectors[kind].observe({
+      // The revision up to which the watch has reported changes says nothing
+      // about changes that it missed. For engines it is used nonetheless,
+      // because the revision of a removal may differ between instances.
+      ownRevision: kind === "engines"
+        ? Math.max(follower.revision, records.summary(kind).revision)
+        : follower.newestRevision,
+      peerRevision: revision,
+      now,
     });
+    // A process without any records of the kind does not wait for the store.
+    if (isBehind || !follower.known) void records.pull(member, kind);
   }
 }
 
@@ -450,16 +385,3 @@
     assignment: new LagDetector(toleranceMs),
   };
 }
-
-function roundUp(ms: number | undefined): number | undefined {
-  return ms === undefined ? undefined : Math.ceil(ms);
-}
-
-function isRefreshDue(peer: PeerState): boolean {
-  return peer.digestsSent % REFRESH_EVERY_DIGESTS === 0;
-}
-
-function isEmpty(fields: Readonly<Record<string, unknown>>): boolean {
-  for (const _ in fields) return false;
-  return true;
-}
--- a/packages/gateway/src/digest_exchange_test.ts
+++ b/packages/gateway/src/digest_exchange_test.ts
@@ -1,12 +1,21 @@
-import { MemberTable } from "@banyanlb/serving";
+import {
+  type Digest,
+  encodeState,
+  MemberTable,
+  type RowField,
+} from "@banyanlb/serving";
+import { BUSY_STATE } from "@banyanlb/serving/testing";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { DigestExchange } from "./digest_exchange.ts";
 import type { PeerLinks } from "./peer_links.ts";
-import type { Digest } from "./peer_messages.ts";
+import { SHARED_KINDS } from "./peer_messages.ts";
 import { digestOptions } from "./testing/digest_options.ts";
 import { FakeInstance } from "./testing/fake_instance.ts";
 import { FakeRecordStore } from "./testing/fake_record_store.ts";
 
+/** Kind, name and value. */
+type Row = readonly [RowField[1], string, unknown];
+
 const cleanups: (() => void)[] = [];
 
 beforeEach(() => {
@@ -40,58 +49,84 @@
   const options = digestOptions({
     self: own.member,
     members,
-    storeView: own.view,
+    reachesStore: () => own.view.reachesStore,
     records: own.records,
-    links: { confirmDelivery: () => undefined } as unknown as PeerLinks,
+    links: {
+      connect: () => undefined,
+      closeIdle: () => undefined,
+      confirmDelivery: () => undefined,
+    } as unknown as PeerLinks,
   });
   const { quarantine } = options;
   const exchange = new DigestExchange(options);
   let seq = 0;
-  const deliverDigest = (fields: Partial<Digest> = {}) => {
+  let version = 0;
+  const toRow = (
+    [kind, name, value]: Row,
+  ): RowField => [0, kind, name, ++version, 0, value];
+  const deliverDigest = (rows: readonly Row[] = []) => {
     seq += 1;
-    const revs = peer.records.confirmedRows(performance.now())
-      .map(([revision]) => revision);
+    const revisions = peer.records.confirmedRows(performance.now())
+      .map(([revision], i): Row => [
+        "revisions",
+        SHARED_KINDS[i] ?? "",
+        revision,
+      ]);
     const digest: Digest = {
-      t: "digest",
+      t: "digest2",
+      inc: peer.member.incarnation,
+      epoch: 1,
       seq,
-      ack: 0,
-      ready: true,
-      tenure: undefined,
-      revs,
-      up: 10_000,
-      ...fields,
+      ack: [0, 0, 0],
+      up: 10_000 + performance.now(),
+      every: 200,
+      group: peer.member.name,
+      scope: "group",
+      origins: [[
+        0,
+        seq === 1 ? peer.member : null,
+        10_000,
+        seq,
+        encodeState(BUSY_STATE),
+      ]],
+      ages: "0",
+      rows: [...revisions, ...rows].map(toRow),
     };
     exchange.receive(peer.member.name, digest);
   };
   await vi.advanceTimersByTimeAsync(1000);
-  return { stores, own, peer, quarantine, deliverDigest };
+  return { stores, own, peer, quarantine, deliverDigest, exchange };
 }
 
 function writeConfiguration(store: FakeRecordStore, version: number): void {
   store.write("configuration", "main", { version, routes: [], services: [] });
 }
 
-async function deliverDigestsFor(ms: number, deliver: () => void) {
+async function deliverDigestsFor(
+  ms: number,
+  { deliverDigest, exchange }: Awaited<ReturnType<typeof startPair>>,
+) {
   for (let passedMs = 0; passedMs < ms; passedMs += 200) {
-    deliver();
+    deliverDigest();
+    exchange.send();
     await vi.advanceTimersByTimeAsync(200);
   }
 }
 
 test("a peer's newer configuration is fetched if the own watch is silent", async () => {
-  const { stores: [ownStore, peerStore], own, deliverDigest } =
-    await startPair();
+  const pair = await startPair();
+  const { stores: [ownStore, peerStore], own } = pair;
   ownStore.areWatchesDeaf = true;
   writeConfiguration(peerStore, 2);
-  await deliverDigestsFor(1000, deliverDigest);
+  await deliverDigestsFor(1000, pair);
   expect(own.version).toBe(2);
 });
 
 // The own watch had gone on past the peer's revision, so that the peer did not
 // count as ahead and its list was refused.
 test("a peer's newer configuration is fetched although the own watch skipped it", async () => {
-  const { stores: [ownStore, peerStore], own, deliverDigest } =
-    await startPair();
+  const pair = await startPair();
+  const { stores: [ownStore, peerStore], own } = pair;
   for (let i = 0; i < 5; i += 1) ownStore.write("members", `m${i}`, {});
   ownStore.areWatchesDeaf = true;
   ownStore.skipsMissedChanges = true;
@@ -99,18 +134,18 @@
   await vi.advanceTimersByTimeAsync(30_000);
   expect(own.view.follower("configuration").revision).toBe(ownStore.revision);
   writeConfiguration(peerStore, 2);
-  await deliverDigestsFor(1000, deliverDigest);
+  await deliverDigestsFor(1000, pair);
   expect(peerStore.revision).toBeLessThan(ownStore.revision);
   expect(own.version).toBe(2);
 });
 
 test("a peer that is behind changes nothing", async () => {
-  const { stores: [ownStore, peerStore], own, peer, deliverDigest } =
-    await startPair();
+  const pair = await startPair();
+  const { stores: [ownStore, peerStore], own, peer } = pair;
   peerStore.areWatchesDeaf = true;
   peerStore.readMode = "silent";
   writeConfiguration(ownStore, 2);
-  await deliverDigestsFor(1000, deliverDigest);
+  await deliverDigestsFor(1000, pair);
   expect(peer.version).toBe(1);
   expect(own.version).toBe(2);
   expect(peer.answered).toBe(0);
@@ -119,8 +154,8 @@
 test("what peers report of crashes holds a part here", async () => {
   const { quarantine, deliverDigest } = await startPair();
   const report = { ageMs: 20, suspects: [["first", "bad"]] };
-  deliverDigest({ crashes: { "e1@1": report }, answers: { first: [4, 9] } });
+  deliverDigest([["crashes", "e1@1", report], ["answers", "first", [4, 9]]]);
   expect(quarantine.beliefOn("bad").isHeld).toBe(false);
-  deliverDigest({ crashes: { "e2@1": report } });
+  deliverDigest([["crashes", "e2@1", report]]);
   expect(quarantine.beliefOn("bad").isHeld).toBe(true);
 });
--- a/packages/gateway/src/digest_rows_test.ts
+++ b/packages/gateway/src/digest_rows_test.ts
@@ -1,8 +1,8 @@
-import { MemberTable } from "@banyanlb/serving";
+import { type Digest, DIGEST_TICK_MS, MemberTable } from "@banyanlb/serving";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import { DIGEST_TICK_MS, DigestExchange } from "./digest_exchange.ts";
+import { DigestExchange } from "./digest_exchange.ts";
 import type { PeerLinks } from "./peer_links.ts";
-import type { Digest, PeerMessage } from "./peer_messages.ts";
+import type { PeerMessage } from "./peer_messages.ts";
 import { digestOptions } from "./testing/digest_options.ts";
 import { FakeInstance } from "./testing/fake_instance.ts";
 import { FakeRecordStore } from "./testing/fake_record_store.ts";
@@ -26,16 +26,18 @@
   const sent: Digest[] = [];
   let isConnected = false;
   const links = {
+    connect: () => isConnected ? 1 : undefined,
+    closeIdle: () => undefined,
     confirmDelivery: () => undefined,
     send: (_: string, message: PeerMessage) => {
-      if (isConnected && message.t === "digest") sent.push(message);
+      if (message.t === "digest2") sent.push(message);
       return isConnected;
     },
   } as unknown as PeerLinks;
   const options = digestOptions({
     self: own.member,
     members,
-    storeView: own.view,
+    reachesStore: () => own.view.reachesStore,
     records: own.records,
     links,
   });
@@ -52,19 +54,12 @@
   }], 60_000);
   for (let seq = 1; seq <= 4; seq += 1) {
     isConnected = seq > 2;
-    exchange.receive("i1", {
-      t: "digest",
-      seq,
-      ack: 0,
-      ready: true,
-      tenure: undefined,
-      revs: [],
-      up: 10_000,
-    });
     exchange.send();
     await vi.advanceTimersByTimeAsync(DIGEST_TICK_MS);
   }
-  expect(sent[0]?.rooms).toEqual({ w: 5000 });
+  const rooms = sent[0]?.rows?.filter(([, kind]) => kind === "rooms");
+  expect(rooms?.map(([, , name, , , value]) => [name, value]))
+    .toEqual([["w", 5000]]);
   own.close();
   peer.close();
   store.close();
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -200,6 +200,14 @@
   text: "invalid peer message",
 };
 
+/** A row of a digest could not be applied. `peer` is the instance that reported
+ * it; its other rows, and those of other instances, are applied. */
+export const PEER_ROW_INVALID: LogEvent = {
+  id: 860,
+  severity: "error",
+  text: "invalid row of a peer",
+};
+
 /** The member entries or the assignment could not be checked or updated, since
  * a call to the store failed. The next periodic check tries again. */
 export const MEMBERSHIP_CHECK_FAILED: LogEvent = {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,9 +7,11 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { EventLog } from "@banyanlb/core";
 import {
+  DIGEST_TICK_MS,
   EngineChooser,
   EngineLimits,
   EngineTable,
+  isLargeFleet,
   type Member,
   MemberTable,
   PathDelays,
@@ -27,7 +29,7 @@
 import { AdapterLoader } from "./adapter_loader.ts";
 import { AdapterUsageCounts } from "./adapter_usage.ts";
 import { CallerServer } from "./caller_server.ts";
-import { DIGEST_TICK_MS, DigestExchange } from "./digest_exchange.ts";
+import { DigestExchange } from "./digest_exchange.ts";
 import { EngineConnections } from "./engine_connections.ts";
 import { EventLoopWatch } from "./event_loop_watch.ts";
 import * as events from "./events.ts";
@@ -48,15 +50,15 @@
 import { TrafficLog } from "./traffic_log.ts";
 import { WorkspaceRates } from "./workspace_rates.ts";
 
-/** Time between runs of the periodic work, in milliseconds: load measurement,
- * choice of store readers, removal of engines that are no longer listed. */
-const TICK_MS = 200;
-
 /** Time between ticks of the adapter loader, in milliseconds. It is longer
  * while this instance owns no engine, since wake-ups of many idle instances are
  * expensive. */
 const LOADER_TICK_MS = 50;
-const LOADER_IDLE_TICK_MS = 250;
+const LOADER_IDLE_TICK_MS = 1000;
+
+/** How long an instance that starts waits for the list of members before it
+ * reads other records, in milliseconds. */
+const MEMBERS_WAIT_MS = 250;
 
 /** How long a draining process still accepts streams, in milliseconds: the
  * longest streams last seconds and would be cut off when the grace period
@@ -149,7 +151,7 @@
     this.#readerRoles = new ReaderRoles({
       self: this.#self,
       members: this.#members,
-      reachesStore: () => this.#storeView.reachesStore,
+      reachesStore: () => this.#reachesStore,
       storeRoundTripMs: () => this.#membership.storeRoundTripMs,
       onBecomeReader: () => {
         this.#storeView.readNow();
@@ -226,6 +228,7 @@
       records: this.#records,
       unshared: [this.#membership.memberFollower],
       leads: () => this.#readerRoles.leads,
+      fallbackLeads: () => this.#readerRoles.fallbackLeads,
       role: () => this.#readerRoles.role,
       links: () => this.#links,
     });
@@ -249,15 +252,20 @@
       membership: this.#membership,
       engineTable: this.#engineTable,
       loader: this.#loader,
-      storeView: this.#storeView,
       records: this.#records,
       rates: this.#rates,
       use,
       quarantine: this.#promptProtection.quarantine,
       limits: this.#engineLimits,
       roles: this.#readerRoles,
+      reachesStore: () => this.#reachesStore,
       pathDelays: this.#pathDelays,
+      clocks: this.#clocks,
       regionOf: (zone) => this.#settings.regions.get(zone),
+      otherRegions: () =>
+        [...new Set(this.#settings.regions.values())].filter((region) =>
+          region !== this.#self.region
+        ),
       links: () => this.#links,
       state: () => ({
         ready: this.#isReady,
@@ -333,8 +341,8 @@
 
   /** Starts to follow the store and opens the listeners. */
   async start(): Promise<void> {
-    this.#storeView.start();
     this.#membership.start();
+    void this.#startStoreView();
     this.#promptProtection.start();
     await Promise.all([
       this.#links.listen(this.#settings.peers),
@@ -350,10 +358,8 @@
       this.#links.send(seed, { t: "hello", member: this.#self });
     }
     this.#timers.push(
-      setInterval(() => this.#digestExchange.send(), DIGEST_TICK_MS),
-      setInterval(() => this.#tick(), TICK_MS),
+      setInterval(() => this.#tick(), DIGEST_TICK_MS),
     );
-    this.#recordConfirmer.start();
     this.#eventLoopWatch.start();
     this.#runLoader();
     this.#log.write(events.STARTED, {
@@ -365,6 +371,22 @@
     });
   }
 
+  /** Reads the records once the members are known: in a large fleet most
+   * instances receive them from a peer. */
+  async #startStoreView(): Promise<void> {
+    await this.#membership.waitForMembers(MEMBERS_WAIT_MS);
+    const now = performance.now();
+    this.#readerRoles.update(now);
+    this.#storeView.start();
+    this.#membership.startAssignment();
+    if (isLargeFleet(this.#members.list().length)) this.#digestExchange.send();
+  }
+
+  /** Whether the store replies to the calls of this instance. */
+  get #reachesStore(): boolean {
+    return this.#storeView.reachesStore && !this.#membership.isRenewalFailing;
+  }
+
   /** Drains this instance: readiness checks and digests report that it is not
    * ready, and requests that still arrive are served. Then closes the gateway;
    * resolves when the process may exit. */
@@ -396,11 +418,11 @@
   close(): void {
     for (const timer of this.#timers) clearInterval(timer);
     clearTimeout(this.#loaderTimer);
-    this.#recordConfirmer.close();
     this.#eventLoopWatch.close();
     this.#promptProtection.close();
     this.#storeView.close();
     this.#membership.close();
+    this.#digestExchange.close();
     this.#links.close();
     this.#connections.close();
     this.#control.close();
@@ -443,19 +465,24 @@
     );
   }
 
+  /** Does the periodic work at once, since wake-ups of many idle instances are
+   * expensive. */
   #tick(): void {
+    this.#digestExchange.send();
     const now = performance.now();
     this.#ownLoad.tick(now);
     this.#readerRoles.update(now);
     this.#rates.update(now);
     this.#storeView.dropMissingEngines(now);
     this.#rateLog.tick(now);
+    this.#recordConfirmer.check(now);
   }
 
   #onStoreViewChange(): void {
     const routeTable = this.#storeView.routeTable;
     if (routeTable === undefined) return;
     this.#callerServer.setLimits(routeTable.configuration.limits);
+    this.#loader.tick();
     this.#membership.checkNow();
     const keys = new Set([...this.#engineTable.all()].map((v) => v.engine.key));
     this.#promptProtection.recordEngineList((key) => keys.has(key));
@@ -511,7 +538,7 @@
       case "hello":
         this.#members.add(message.member);
         return;
-      case "digest":
+      case "digest2":
         this.#digestExchange.receive(from, message);
         return;
       case "load":
--- a/packages/gateway/src/hold_keeper.ts
+++ b/packages/gateway/src/hold_keeper.ts
@@ -5,6 +5,7 @@
  */
 import type { EventLog } from "@banyanlb/core";
 import {
+  agedHold,
   type HoldRecord,
   type PartQuarantine,
   type RecordStore,
@@ -114,7 +115,11 @@
     const ageMs = Math.max(0, Date.now() - stored.savedAtMs);
     const records = Object.entries(stored.parts).map((
       [part, hold],
-    ): ReportRow<HoldRecord> => [part, hold.revision, age(hold, ageMs)]);
+    ): ReportRow<HoldRecord> => [
+      part,
+      hold.revision,
+      agedHold(hold, ageMs),
+    ]);
     this.#storedState = stateOf(records);
     this.#options.quarantine.adopt(
       Object.fromEntries(records.map(([part, , hold]) => [part, hold])),
@@ -137,16 +142,6 @@
   }
 }
 
-/** A record that was written `ageMs` ago. */
-function age(hold: HoldRecord, ageMs: number): HoldRecord {
-  return {
-    ...hold,
-    ageMs: hold.ageMs + ageMs,
-    trialInMs: hold.trialInMs === null ? null : hold.trialInMs - ageMs,
-    expiresInMs: hold.expiresInMs - ageMs,
-  };
-}
-
 /** Differs after each change of a part's hold. */
 function stateOf(holds: readonly ReportRow<HoldRecord>[]): string {
   return holds.map(([part, revision]) => `${part}@${revision}`).sort().join();
@@ -167,7 +162,8 @@
   };
 }
 
-function isHold(value: unknown): value is HoldRecord {
+/** Whether a value of the store or of a peer is a record of a part. */
+export function isHold(value: unknown): value is HoldRecord {
   if (typeof value !== "object" || value === null) return false;
   const hold = value as Partial<HoldRecord>;
   const { revision, crashes, trials, ageMs, trialInMs, expiresInMs } = hold;
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -13,6 +13,7 @@
   confirmationTimes,
   type EngineTable,
   ExpiryDetector,
+  isLargeFleet,
   type Member,
   type MemberTable,
   OrderLease,
@@ -42,7 +43,11 @@
 
 /** Time between renewals for an instance that owns no engine and is not a
  * coordinator, in milliseconds: its entry only lets new members find it. */
-const IDLE_RENEWAL_INTERVAL_MS = 10_000;
+const IDLE_RENEWAL_INTERVAL_MS = 30_000;
+
+/** Time between reads of the entry of a member that is not heard of, in
+ * milliseconds: three of them show that it was unchanged for a whole term. */
+const EXPIRY_CHECK_INTERVAL_MS = 3050;
 
 /** Number of renewals that are measured: a single one may be slow. */
 const RENEWALS_MEASURED = 4;
@@ -63,6 +68,9 @@
  * remove the entries of expired members; the first also assigns engines. */
 const COORDINATOR_COUNT = 2;
 
+/** Time between checks of whether the members are known, in milliseconds. */
+const MEMBERS_POLL_MS = 10;
+
 /** Longest wait of one watch, in milliseconds. */
 const WATCH_WAIT_MS = 25_000;
 
@@ -71,9 +79,9 @@
  * is read rarely. */
 const MEMBERS_WATCH_PAUSE_MS = 20_000;
 
-/** When an instance that has written its entry reads the list of members, in
- * milliseconds after the writing. */
-const FIND_MEMBERS_DELAYS_MS: readonly number[] = [0, 1000];
+/** When an instance of a small fleet that has written its entry reads the list of
+ * members again, in milliseconds after the writing. */
+const FIND_MEMBERS_DELAY_MS = 1000;
 
 /** Factor of the time within which a new assignment must be known, compared
  * with other changes: an instance with an old one only asks the wrong owner. */
@@ -88,7 +96,8 @@
   askMs: Infinity,
   readMs: 20_000,
   backupReadMs: 20_000,
-  lastReadMs: 20_000,
+  // Digests tell of new members, and of those that are lost.
+  lastReadMs: 60_000,
 };
 const ASSIGNMENT_RECORD_NAME = "engines";
 
@@ -147,6 +156,10 @@
   /** Durations of the latest renewals that the store answered, in
    * milliseconds. */
   readonly #renewalMs: number[] = [];
+  #isFollowingMembers = false;
+  #isRenewalFailing = false;
+  /** When the entries of members that are not heard of are read next. */
+  readonly #expiryCheckAt = new Map<string, number>();
   #startCheck: (() => void) | undefined;
   #startRenewal: (() => void) | undefined;
   #isClosed = false;
@@ -160,6 +173,8 @@
       kind: "members",
       waitMs: WATCH_WAIT_MS,
       watchPauseMs: () => MEMBERS_WATCH_PAUSE_MS,
+      mayWatch: () =>
+        options.isStoreReader() || !isLargeFleet(options.members.list().length),
       confirmationTimes: MEMBERS_CONFIRMATION_TIMES,
       onRecords: (records) => this.#setMembers(records),
       onReachabilityChange: (reachable, reason) =>
@@ -171,6 +186,7 @@
       waitMs: WATCH_WAIT_MS,
       watchPauseMs: () =>
         options.isStoreReader() ? 0 : NON_READER_WATCH_PAUSE_MS,
+      mayWatch: options.isStoreReader,
       confirmationTimes: confirmationTimes(
         options.changeKnownMs * ASSIGNMENT_KNOWN_FACTOR,
       ),
@@ -250,8 +266,6 @@
   /** Starts to follow the store, to renew this instance's entry and to check
    * members and the assignment. */
   start(): void {
-    void this.#memberFollower.run();
-    void this.#assignmentFollower.run();
     void this.#runPeriodically(
       () => this.#renewsOften ? RENEWAL_INTERVAL_MS : IDLE_RENEWAL_INTERVAL_MS,
       () => this.#renew(),
@@ -264,6 +278,26 @@
     );
   }
 
+  /** Starts to follow the assignment. */
+  startAssignment(): void {
+    void this.#assignmentFollower.run();
+  }
+
+  /** Resolves when the members are known, or after `maxMs`. */
+  async waitForMembers(maxMs: number): Promise<void> {
+    for (
+      const until = performance.now() + maxMs;
+      !this.#memberFollower.known && performance.now() < until;
+    ) {
+      await new Promise((resolve) => setTimeout(resolve, MEMBERS_POLL_MS));
+    }
+  }
+
+  /** Whether the store did not answer the last renewal. */
+  get isRenewalFailing(): boolean {
+    return this.#isRenewalFailing;
+  }
+
   /** Stops the followers, the renewals and the checks. */
   close(): void {
     this.#isClosed = true;
@@ -326,11 +360,15 @@
       });
       this.#setTenure(tenure);
       this.#lease.recordRenewal(sentAt);
+      this.#isRenewalFailing = false;
       this.#renewalMs.push(clocks.elapsedMs(sentAt));
       if (this.#renewalMs.length > RENEWALS_MEASURED) this.#renewalMs.shift();
       if (isFirst) this.#findMembers();
+      this.#followMembers();
     } catch (err) {
       if (!(err instanceof StoreCallError)) throw err;
+      this.#isRenewalFailing = err.failure === "unknown" ||
+        err.failure === "rejected";
       if (err.failure === "not_found") this.#lease.revoke();
       const hadEntry = this.#entry !== undefined;
       if (hadEntry || err.failure !== "conflict") {
@@ -340,6 +378,7 @@
       // A write without a reply may have taken effect, and an earlier process
       // may have left an entry. In both cases the tenure of the stored entry is
       // kept.
+      this.#followMembers();
       this.#entry = await this.#store.get("members", self.name);
       const existing = this.#entry && decodeStoredMember(this.#entry);
       this.#setTenure(existing?.tenure);
@@ -348,16 +387,23 @@
     }
   }
 
-  /** Reads the list of members after this instance's entry was written. Of two
-   * instances that start together, the one whose entry is written last finds the
-   * other and introduces itself; the second read is for the case that this
-   * fails. */
+  /** Follows the members once this instance's entry was written, or could not
+   * be. Of two instances that start together, the one whose entry is written
+   * last finds the other and introduces itself. */
+  #followMembers(): void {
+    if (this.#isFollowingMembers) return;
+    this.#isFollowingMembers = true;
+    void this.#memberFollower.run();
+  }
+
+  /** Reads the list of members again after the entry was written, for the case
+   * that the introduction fails. In a large fleet collectors introduce all. */
   #findMembers(): void {
-    for (const delayMs of FIND_MEMBERS_DELAYS_MS) {
-      setTimeout(() => {
-        if (!this.#isClosed) void this.#memberFollower.confirm();
-      }, delayMs).unref();
-    }
+    setTimeout(() => {
+      const { members } = this.#options;
+      if (this.#isClosed || isLargeFleet(members.list().length)) return;
+      void this.#memberFollower.confirm();
+    }, FIND_MEMBERS_DELAY_MS).unref();
   }
 
   /** Whether the entry is renewed often: this instance needs its lease, much of
@@ -475,10 +521,9 @@
   }
 
   /** Whether the order lease must be kept without interruption: this instance
-   * owns engines, is a coordinator, or has just started. */
+   * owns engines or is a coordinator. */
   #needsLease(): boolean {
-    const isSettling = performance.now() - this.#startedAt < SETTLE_MS * 2;
-    return isSettling || this.#orderAllowedAt.size > 0 ||
+    return this.#orderAllowedAt.size > 0 ||
       this.#coordinators(this.#aliveNames()).includes(this.#options.self.name);
   }
 
@@ -506,13 +551,18 @@
     for (const name of this.#tenureByMember.keys()) {
       if (name === self.name || alive.has(name)) {
         this.#expiryDetector.forget(name);
+        this.#expiryCheckAt.delete(name);
         continue;
       }
+      const now = performance.now();
+      if (now < (this.#expiryCheckAt.get(name) ?? -Infinity)) continue;
+      this.#expiryCheckAt.set(name, now + EXPIRY_CHECK_INTERVAL_MS);
       const sentAt = clocks.read();
       const entry = await this.#store.get("members", name);
       if (entry === undefined) continue;
       if (!this.#expiryDetector.observe(name, entry.revision, sentAt)) continue;
       await this.#store.remove("members", entry);
+      this.#expiryCheckAt.delete(name);
       this.#expiryDetector.forget(name);
       const tenures = new Map(this.#tenureByMember);
       tenures.delete(name);
--- a/packages/gateway/src/membership_test.ts
+++ b/packages/gateway/src/membership_test.ts
@@ -58,6 +58,7 @@
     })),
   });
   membership.start();
+  membership.startAssignment();
   cleanups.push(() => {
     membership.close();
     store.close();
--- a/packages/gateway/src/peer_links.ts
+++ b/packages/gateway/src/peer_links.ts
@@ -52,11 +52,16 @@
   readonly timer: NodeJS.Timeout;
 }
 
+interface LinkOptions extends PeerLinksOptions {
+  /** A number that no connection had before. */
+  readonly nextConnection: () => number;
+}
+
 /** The connection that this instance dials to one peer. */
 class PeerLink {
   readonly address: string;
   readonly #hello: PeerMessage;
-  readonly #options: PeerLinksOptions;
+  readonly #options: LinkOptions;
   /** Requests that wait for a reply, by their number. */
   readonly #requests = new Map<number, PendingRequest>();
   #socket: Socket | undefined;
@@ -69,17 +74,27 @@
   lastAliveAt = 0;
   /** Maximum time between digests on this link, in milliseconds. */
   digestIntervalMs = 0;
+  /** Number of the present connection; each one has its own. */
+  connection = 0;
+  /** When the link was last used, by the monotonic clock. */
+  usedAt = 0;
 
   constructor(
     address: string,
     hello: PeerMessage,
-    options: PeerLinksOptions,
+    options: LinkOptions,
   ) {
     this.address = address;
     this.#hello = hello;
     this.#options = options;
   }
 
+  /** Dials if there is no usable connection; returns whether there is one
+   * then. */
+  connect(): boolean {
+    return this.#usableSocket() !== undefined;
+  }
+
   send(message: PeerMessage): boolean {
     const socket = this.#usableSocket();
     if (socket === undefined) return false;
@@ -118,6 +133,7 @@
 
   #usableSocket(): Socket | undefined {
     const now = performance.now();
+    this.usedAt = now;
     const socket = this.#socket;
     if (socket !== undefined) {
       const isDead = socket.destroyed ||
@@ -137,6 +153,7 @@
     if (address === undefined) return undefined;
     const socket = new Socket();
     this.#socket = socket;
+    this.connection = this.#options.nextConnection();
     this.#nextDialAt = now + REDIAL_PAUSE_MS;
     this.lastAliveAt = now;
     const timer = setTimeout(() => socket.destroy(), DIAL_TIMEOUT_MS);
@@ -166,6 +183,7 @@
   readonly #links = new Map<string, PeerLink>();
   readonly #acceptedSockets = new Set<Socket>();
   readonly #server: Server;
+  #connectionCount = 0;
 
   constructor(self: Member, options: PeerLinksOptions) {
     this.#self = self;
@@ -182,12 +200,18 @@
   }
 
   /** Sends a message to the peer at this address; returns false if there is no
-   * usable connection. `intervalMs`, if given, is the maximum time until the
-   * next digest. */
-  send(address: string, message: PeerMessage, intervalMs?: number): boolean {
+   * usable connection. */
+  send(address: string, message: PeerMessage): boolean {
+    return this.#link(address).send(message);
+  }
+
+  /** The number of the connection on which the next message to this address will
+   * be sent, which differs from that of each one before; undefined if there is
+   * none. `intervalMs` is the maximum time until the next digest. */
+  connect(address: string, intervalMs: number): number | undefined {
     const link = this.#link(address);
-    if (intervalMs !== undefined) link.digestIntervalMs = intervalMs;
-    return link.send(message);
+    link.digestIntervalMs = intervalMs;
+    return link.connect() ? link.connection : undefined;
   }
 
   /** Sends a request to the peer at this address and resolves to its reply, or
@@ -208,10 +232,10 @@
     link.lastAliveAt = Math.max(link.lastAliveAt, sentAt);
   }
 
-  /** Closes the connections to addresses that are not in `addresses`. */
-  closeAllExcept(addresses: ReadonlySet<string>): void {
+  /** Closes the connections that were not used since `time`. */
+  closeIdle(time: number): void {
     for (const [address, link] of this.#links) {
-      if (addresses.has(address)) continue;
+      if (link.usedAt >= time) continue;
       link.close();
       this.#links.delete(address);
     }
@@ -219,7 +243,7 @@
 
   /** Closes the listener and all connections. */
   close(): void {
-    this.closeAllExcept(new Set());
+    this.closeIdle(Infinity);
     this.#server.close();
     for (const socket of this.#acceptedSockets) socket.destroy();
   }
@@ -228,7 +252,13 @@
     let link = this.#links.get(address);
     if (link === undefined) {
       const hello: PeerMessage = { t: "hello", member: this.#self };
-      link = new PeerLink(address, hello, this.#options);
+      link = new PeerLink(address, hello, {
+        ...this.#options,
+        nextConnection: () => {
+          this.#connectionCount += 1;
+          return this.#connectionCount;
+        },
+      });
       this.#links.set(address, link);
     }
     return link;
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -2,14 +2,7 @@
  *
  * @module
  */
-import type {
-  AnswerCounts,
-  CrashReport,
-  HoldRecord,
-  LimitRecord,
-  Member,
-  RecordList,
-} from "@banyanlb/serving";
+import type { Digest, Member, RecordList } from "@banyanlb/serving";
 
 /** Kinds of records that peers pull from each other. */
 export const SHARED_KINDS = [
@@ -32,74 +25,6 @@
  * can serve. */
 export type HeldRow = readonly [string, number, number];
 
-/** The state that an instance reports to its peers a few times a second.
- * Omitted fields are false, empty or unchanged. */
-export interface Digest {
-  readonly t: "digest";
-  /** The sender's tick of this digest, and the newest tick that it has received
-   * from the receiver. */
-  readonly seq: number;
-  readonly ack: number;
-  /** Maximum number of ticks until the next digest; 1 if omitted. */
-  readonly every?: number;
-  readonly ready: boolean;
-  /** Whether callers send requests to the sender, and whether the sender sends
-   * orders to engines. */
-  readonly serves?: true;
-  readonly orders?: true;
-  /** The store does not reply to the sender. */
-  readonly cut?: true;
-  /** Time of the sender's small calls to the store, in milliseconds. */
-  readonly storeMs?: number;
-  /** Time from the arrival of the acknowledged digest to the sending of this
-   * one, in milliseconds. */
-  readonly ackHeldMs?: number;
-  /** Percentage of time for which the sender is busy. */
-  readonly busy?: number;
-  readonly leaving?: true;
-  /** The tenure under which the sender may own engines. */
-  readonly tenure: string | undefined;
-  /** The newest revision of each shared kind that the sender has received, in
-   * the order of `SHARED_KINDS`. */
-  readonly revs: readonly number[];
-  /** Number of requests in flight by engine: the sender's own requests, or, if
-   * the sender owns the engine and sums up loads, the requests of all instances
-   * except the receiver. 0 for omitted engines. */
-  readonly flight?: Readonly<Record<string, number>>;
-  /** Units that the sender has left of its shares of workspaces' rates, if
-   * changed. */
-  readonly rooms?: Readonly<Record<string, number>>;
-  /** Time since the sender's process started, in milliseconds. */
-  readonly up: number;
-  /** Units that an earlier process of the receiver last reported to have left of
-   * its shares, 0 if it reported none; for a receiver that was found recently. */
-  readonly formerRooms?: Readonly<Record<string, number>>;
-  /** Adapters held by the engines that the sender owns, if changed. */
-  readonly held?: Readonly<Record<string, readonly HeldRow[]>>;
-  /** Engines that the sender owns and that do not reply to it. */
-  readonly down?: readonly string[];
-  /** Time to the first byte of engines whose path is slow for the sender, in
-   * milliseconds. */
-  readonly slow?: Readonly<Record<string, number>>;
-  /** Adapters being fetched by the engines that the sender owns; 0 if
-   * omitted. */
-  readonly fetches?: number;
-  /** Use of adapters on engines that the receiver owns, by engine and adapter:
-   * requests started since the last digest, and requests running. */
-  readonly use?: Readonly<
-    Record<string, Readonly<Record<string, readonly [number, number]>>>
-  >;
-  /** Requests of the sender that were cut off at their beginning, by engine
-   * that crashed, if changed. */
-  readonly crashes?: Readonly<Record<string, CrashReport>>;
-  /** Answers at the sender by suspected prompt part, if changed. */
-  readonly answers?: Readonly<Record<string, AnswerCounts>>;
-  /** Prompt parts that are held or were released, if changed. */
-  readonly holds?: Readonly<Record<string, HoldRecord>>;
-  /** Limits that engines name, by engine, if changed. */
-  readonly limits?: Readonly<Record<string, LimitRecord>>;
-}
-
 /** Requests that the owner of an engine load an adapter on it. */
 export interface LoadRequest {
   readonly t: "load";
--- a/packages/gateway/src/prompt_protection.ts
+++ b/packages/gateway/src/prompt_protection.ts
@@ -5,9 +5,9 @@
  */
 import type { EventLog } from "@banyanlb/core";
 import {
-  aggregatesLoads,
   type CallerRequest,
   type EngineControl,
+  isLargeFleet,
   type Member,
   type MemberTable,
   PartQuarantine,
@@ -61,9 +61,7 @@
         this.#countHeld();
       },
       settleMs: () =>
-        aggregatesLoads(members.list().length)
-          ? SETTLE_LARGE_FLEET_MS
-          : SETTLE_MS,
+        isLargeFleet(members.list().length) ? SETTLE_LARGE_FLEET_MS : SETTLE_MS,
     });
     const { quarantine } = this;
     this.#crashWatch = new CrashWatch({ quarantine, control, log, metrics });
--- a/packages/gateway/src/reader_roles_test.ts
+++ b/packages/gateway/src/reader_roles_test.ts
@@ -1,5 +1,5 @@
 import { type Member, MemberTable } from "@banyanlb/serving";
-import { memberOf } from "@banyanlb/serving/testing";
+import { hearOf, memberOf } from "@banyanlb/serving/testing";
 import { expect, test } from "vitest";
 import { SHARED_KINDS } from "./peer_messages.ts";
 import { ReaderRoles } from "./reader_roles.ts";
@@ -20,16 +20,10 @@
     const table = new MemberTable(self.name, 0);
     for (const member of members) {
       table.add(member);
-      table.setState(member.name, 0, {
-        ready: true,
-        leaving: false,
-        digestIntervalMs: 200,
-        serves: true,
-        orders: true,
-        busy: 0,
+      hearOf(table, member.name, {
+        now: 0,
         reachesStore: isReachable(member.name),
         storeRoundTripMs: roundTripOf(member),
-        tenure: undefined,
       });
     }
     const roles = new ReaderRoles({
--- a/packages/gateway/src/record_follower.ts
+++ b/packages/gateway/src/record_follower.ts
@@ -28,6 +28,12 @@
 /** Longest wait of the first watch after a failure, in milliseconds. */
 const RECOVERY_WAIT_MS = 500;
 
+/** How long an instance that may not watch waits for the first list from a peer
+ * before it reads one itself, in milliseconds. The time is random, up to twice as
+ * long, so that instances that start together do not read at the same time. */
+const PEER_LIST_WAIT_MS = 600;
+const PEER_LIST_CHECK_MS = 20;
+
 /** Timeout of a list that confirms the records, in milliseconds. */
 const CONFIRM_TIMEOUT_MS = 400;
 
@@ -194,7 +200,8 @@
         }
         if (hasList) await this.#watchOnce();
         else {
-          await this.#readList();
+          await this.#waitForPeerList();
+          if (!this.#hasState || this.#mayWatch) await this.#readList();
           hasList = true;
         }
         this.#setReachable(true, "");
@@ -260,6 +267,16 @@
     this.readNow();
   }
 
+  /** Waits for a peer's list if this instance may not watch the records. */
+  async #waitForPeerList(): Promise<void> {
+    const until = performance.now() +
+      PEER_LIST_WAIT_MS * (1 + Math.random());
+    while (
+      !this.#isClosed && !this.#hasState && !this.#mayWatch &&
+      performance.now() < until
+    ) await pause(PEER_LIST_CHECK_MS);
+  }
+
   #pauseBetweenWatches(ms: number): Promise<void> {
     return new Promise((resolve) => {
       const timer = setTimeout(resolve, ms);
--- a/packages/gateway/src/store_view.ts
+++ b/packages/gateway/src/store_view.ts
@@ -110,8 +110,7 @@
         kind,
         waitMs,
         watchPauseMs,
-        // The configuration is one record, and long.
-        mayWatch: kind === "configuration" ? options.isStoreReader : undefined,
+        mayWatch: options.isStoreReader,
         confirmationTimes: confirmationTimes(options.changeKnownMs),
         onRecords: (records, source) => {
           onRecords(records, source);
--- a/packages/gateway/src/testing/digest_options.ts
+++ b/packages/gateway/src/testing/digest_options.ts
@@ -17,11 +17,12 @@
 /** Options of a digest exchange in which digests report nothing but revisions
  * and what is left of shares. Tests override what matters to them. */
 export function digestOptions(
-  { self, members, storeView, records, links }:
+  { self, members, records, reachesStore, links }:
     & Pick<
       DigestExchangeOptions,
-      "self" | "members" | "storeView" | "records"
+      "self" | "members" | "records"
     >
+    & Partial<Pick<DigestExchangeOptions, "reachesStore">>
     & { readonly links: PeerLinks },
 ): DigestExchangeOptions {
   return {
@@ -30,12 +31,11 @@
     membership: { ownerOf: () => undefined } as unknown as Membership,
     engineTable: new EngineTable(),
     loader: {
-      recordPeerFetches: () => undefined,
+      recordOtherFetches: () => undefined,
       held: () => [],
       down: () => [],
       fetches: 0,
     } as unknown as AdapterLoader,
-    storeView,
     records,
     rates: new WorkspaceRates({
       self,
@@ -55,9 +55,12 @@
       names: [self.name],
       isCutOff: false,
     })),
-    roles: { expectsRecordsBefore: () => true },
+    roles: { expectsRecordsBefore: () => true, isStoreReader: true },
+    reachesStore: reachesStore ?? (() => true),
     pathDelays: new PathDelays(),
+    clocks: new SystemClocks(),
     regionOf: () => undefined,
+    otherRegions: () => [],
     links: () => links,
     state: () => ({ ready: true, leaving: false, serves: true, busy: 0 }),
     log: new EventLog(pino({ level: "silent" })),
--- a/packages/gateway/src/testing/fake_instance.ts
+++ b/packages/gateway/src/testing/fake_instance.ts
@@ -4,8 +4,13 @@
  * @module
  */
 import { EventLog } from "@banyanlb/core";
-import { EngineTable, type Member, type RecordStore } from "@banyanlb/serving";
-import { confirmationTimes } from "@banyanlb/serving";
+import {
+  confirmationTimes,
+  DIGEST_TICK_MS,
+  EngineTable,
+  type Member,
+  type RecordStore,
+} from "@banyanlb/serving";
 import { memberOf } from "@banyanlb/serving/testing";
 import pino from "pino";
 import type { PeerMessage } from "../peer_messages.ts";
@@ -36,6 +41,7 @@
   readonly logged: Readonly<Record<string, unknown>>[] = [];
   readonly #assignment: RecordFollower;
   readonly #confirmer: RecordConfirmer;
+  #timer: NodeJS.Timeout | undefined;
 
   constructor(name: string, store: RecordStore) {
     this.member = memberOf(name);
@@ -81,6 +87,7 @@
       records: this.records,
       unshared: [],
       leads: () => this.leads.map(({ member }) => member),
+      fallbackLeads: () => [],
       role: () => this.leads.length === 0 ? "lead" : "member",
       links: () => links,
     });
@@ -95,12 +102,15 @@
   start(): void {
     this.view.start();
     void this.#assignment.run();
-    this.#confirmer.start();
+    this.#timer = setInterval(
+      () => this.#confirmer.check(performance.now()),
+      DIGEST_TICK_MS,
+    );
   }
 
   /** Ends all activity. */
   close(): void {
-    this.#confirmer.close();
+    clearInterval(this.#timer);
     this.view.close();
     this.#assignment.close();
   }
--- a/packages/gateway/src/testing/fake_region_fleet.ts
+++ b/packages/gateway/src/testing/fake_region_fleet.ts
@@ -6,6 +6,7 @@
 import { EventLog } from "@banyanlb/core";
 import {
   confirmationTimes,
+  DIGEST_TICK_MS,
   EngineTable,
   type Member,
   MemberTable,
@@ -13,7 +14,7 @@
 } from "@banyanlb/serving";
 import { memberOf } from "@banyanlb/serving/testing";
 import pino from "pino";
-import { DIGEST_TICK_MS, DigestExchange } from "../digest_exchange.ts";
+import { DigestExchange } from "../digest_exchange.ts";
 import type { Membership } from "../membership.ts";
 import type { PeerLinks } from "../peer_links.ts";
 import type { PeerMessage } from "../peer_messages.ts";
@@ -199,6 +200,8 @@
         void this.#send(address, message);
         return true;
       },
+      connect: () => 1,
+      closeIdle: () => undefined,
       confirmDelivery: () => undefined,
     } as unknown as PeerLinks;
     this.#records = new SharedRecords({
@@ -216,6 +219,7 @@
       records: this.#records,
       unshared: [],
       leads: () => this.#roles.leads,
+      fallbackLeads: () => this.#roles.fallbackLeads,
       role: () => this.#roles.role,
       links: () => links,
     });
@@ -223,7 +227,7 @@
       ...digestOptions({
         self,
         members,
-        storeView: this.#view,
+        reachesStore: () => this.#view.reachesStore,
         records: this.#records,
         links,
       }),
@@ -282,7 +286,7 @@
     const peer = this.#fleet.at(address);
     if (peer === undefined) return;
     await this.#fleet.carry(this.member, peer.member, message);
-    if (message.t === "digest" && !peer.#hasCrashed) {
+    if (message.t === "digest2" && !peer.#hasCrashed) {
       peer.#digests.receive(this.member.name, message);
     }
   }
--- a/packages/gateway/src/testing/rate_instance.ts
+++ b/packages/gateway/src/testing/rate_instance.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { ManualClocks, type Member, MemberTable } from "@banyanlb/serving";
-import { memberOf } from "@banyanlb/serving/testing";
+import { hearOf, memberOf } from "@banyanlb/serving/testing";
 import type { PeerMessage } from "../peer_messages.ts";
 import type { RateRefusal } from "../rate_borrower.ts";
 import { WorkspaceRates } from "../workspace_rates.ts";
@@ -60,17 +60,7 @@
     this.members.add(peer.member);
     // The tests begin a window after the start of the process.
     const heardAt = performance.now() + WINDOW_MS;
-    this.members.setState(peer.member.name, heardAt, {
-      leaving: false,
-      ready: true,
-      digestIntervalMs: 200,
-      serves: true,
-      orders: false,
-      busy: 0,
-      reachesStore: true,
-      storeRoundTripMs: undefined,
-      tenure: undefined,
-    });
+    hearOf(this.members, peer.member.name, { now: heardAt });
   }
 
   take(units: number) {
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -13,6 +13,7 @@
 import { EventLog } from "@banyanlb/core";
 import { PlatformCallerProtocol, RESPONSE_HEADERS } from "@banyanlb/platform";
 import {
+  DIGEST_TICK_MS,
   type Engine,
   type EngineAddress,
   EngineChooser,
@@ -30,7 +31,6 @@
 import { AdapterUsageCounts } from "../adapter_usage.ts";
 import { EngineConnections } from "../engine_connections.ts";
 import { CrashWatch } from "../crash_watch.ts";
-import { DIGEST_TICK_MS } from "../digest_exchange.ts";
 import { GatewayMetrics } from "../metrics.ts";
 import { LimitKeeper } from "../limit_keeper.ts";
 import { PromptGuard } from "../prompt_guard.ts";
--- a/packages/serving/src/engine_table.ts
+++ b/packages/serving/src/engine_table.ts
@@ -18,11 +18,6 @@
 /** Held adapters of one engine, by their name within the model. */
 export type AdapterStates = ReadonlyMap<string, AdapterState>;
 
-interface PeerLoad {
-  readonly count: number;
-  readonly validUntil: number;
-}
-
 /** This instance's view of one engine. */
 export class EngineView {
   engine: Engine;
@@ -36,7 +31,8 @@
   inFlight = 0;
   readonly health = new EngineHealth();
   readonly path = new EnginePath();
-  readonly #peerLoads = new Map<string, PeerLoad>();
+  #othersLoad = 0;
+  #othersLoadValidUntil = -Infinity;
 
   constructor(engine: Engine) {
     this.engine = engine;
@@ -53,28 +49,17 @@
     if (!this.isReportedByOwner) this.adapters = listedAdapters(engine);
   }
 
-  /** Sets the number of requests at the engine that a peer reports: the peer's
-   * own, or those of all other instances if the peer owns the engine. The count
-   * expires at `validUntil`, because the requests of a lost instance end with
-   * it. */
-  setPeerLoad(peer: string, count: number, validUntil: number): void {
-    if (count === 0) this.#peerLoads.delete(peer);
-    else this.#peerLoads.set(peer, { count, validUntil });
+  /** Sets the number of requests at the engine of all other instances. It expires
+   * at `validUntil`, because the requests of a lost instance end with it. */
+  setOthersLoad(count: number, validUntil: number): void {
+    this.#othersLoad = count;
+    this.#othersLoadValidUntil = validUntil;
   }
 
   /** Number of requests at the engine, of all instances. */
   load(now: number): number {
-    let load = this.inFlight;
-    for (const [peer, { count, validUntil }] of this.#peerLoads) {
-      if (now > validUntil) this.#peerLoads.delete(peer);
-      else load += count;
-    }
-    return load;
-  }
-
-  /** Number of requests at the engine, of all instances except this peer. */
-  loadExcluding(peer: string, now: number): number {
-    return this.load(now) - (this.#peerLoads.get(peer)?.count ?? 0);
+    const others = now > this.#othersLoadValidUntil ? 0 : this.#othersLoad;
+    return this.inFlight + others;
   }
 
   /** Whether the engine holds the base model. */
--- a/packages/serving/src/member_table.ts
+++ b/packages/serving/src/member_table.ts
@@ -2,13 +2,13 @@
  *
  * @module
  */
-import type { MemberRole } from "./digest_interval.ts";
+import type { InstanceState } from "./digest_board.ts";
 import type { ReadyMember } from "./steering.ts";
 import type { Member } from "./types.ts";
 
-/** How long an instance without digests still counts as alive, in milliseconds:
- * five digests at the usual interval, so that a short stall removes no
- * instance. */
+/** How long an instance that is not heard of still counts as alive, in
+ * milliseconds: five digests at the usual interval, so that a short stall removes
+ * no instance. */
 export const UNRESPONSIVE_AFTER_MS = 1200;
 
 /** How many digest intervals an instance without digests still counts as alive,
@@ -32,34 +32,29 @@
   readonly isCutOff: boolean;
 }
 
-interface MemberState {
-  /** When the digest was received, by the monotonic clock. */
-  readonly at: number;
-  readonly leaving: boolean;
-  readonly ready: boolean;
-  /** Longest time between the member's digests, in milliseconds. */
-  readonly digestIntervalMs: number;
-  /** Whether callers use the member. */
-  readonly serves: boolean;
-  /** Whether the member sends orders to engines. */
-  readonly orders: boolean;
-  /** Fraction of its time for which the member is busy, in [0, 1]. */
-  readonly busy: number;
-  /** Whether the store responds to the member. */
-  readonly reachesStore: boolean;
-  /** Time of the member's small calls to the store, in milliseconds; undefined
-   * before the first. */
-  readonly storeRoundTripMs: number | undefined;
-  /** Identifies the member as an owner of engines, and changes when its entry
-   * is written anew; undefined until the store has confirmed the entry. */
-  readonly tenure: string | undefined;
+/** What shows that a member is alive. */
+export interface Evidence {
+  /** When the member was last heard of, here or by those that pass its digests
+   * on, by the monotonic clock. */
+  readonly heardAt: number;
+  /** When that was reported here. */
+  readonly checkedAt: number;
+  /** Longest time until the next report of it, in milliseconds. */
+  readonly intervalMs: number;
 }
 
+const NO_EVIDENCE: Evidence = {
+  heardAt: -Infinity,
+  checkedAt: -Infinity,
+  intervalMs: 0,
+};
+
 /** The other members and the state in their last digests. */
 export class MemberTable {
   #members: ReadonlyMap<string, Member> = new Map();
   #generation = 0;
-  readonly #states = new Map<string, MemberState>();
+  readonly #states = new Map<string, InstanceState>();
+  readonly #evidence = new Map<string, Evidence>();
   readonly #ownName: string;
   readonly #startedAt: number;
 
@@ -79,27 +74,37 @@
         .map((m) => [m.name, m]),
     );
     for (const name of this.#states.keys()) {
-      if (!this.#members.has(name)) this.#states.delete(name);
+      if (!this.#members.has(name)) this.#forget(name);
     }
   }
 
   /** Adds a member that introduced itself. */
   add(member: Member): void {
     if (member.name === this.#ownName) return;
+    const known = this.#members.get(member.name);
+    if (known?.incarnation === member.incarnation) return;
     const members = new Map(this.#members);
     members.set(member.name, member);
     this.#generation += 1;
     this.#members = members;
   }
 
-  /** Records the state in a digest that was received from a member. */
-  setState(name: string, now: number, state: Omit<MemberState, "at">): void {
-    this.#states.set(name, { at: now, ...state });
+  /** Records the state that a member reports. */
+  setState(name: string, state: InstanceState): void {
+    this.#states.set(name, state);
+  }
+
+  /** Records what shows that a member is alive. Of two ways on which it is heard
+   * of, the one that heard of it last counts. */
+  recordEvidence(name: string, evidence: Evidence): void {
+    const current = this.#evidence.get(name) ?? NO_EVIDENCE;
+    const heardAt = Math.max(current.heardAt, evidence.heardAt);
+    this.#evidence.set(name, { ...evidence, heardAt });
   }
 
   /** Removes a member whose entry was removed from the store. */
   remove(name: string): void {
-    this.#states.delete(name);
+    this.#forget(name);
     const members = new Map(this.#members);
     members.delete(name);
     this.#generation += 1;
@@ -111,6 +116,12 @@
     return this.#generation;
   }
 
+  /** Whether this process started so lately that it need not have heard of the
+   * others. */
+  isStarting(now: number): boolean {
+    return now < this.#startedAt + STARTUP_GRACE_MS;
+  }
+
   /** All members but this one. */
   list(): readonly Member[] {
     return [...this.#members.values()];
@@ -121,10 +132,25 @@
     return this.#members.get(name);
   }
 
-  /** Whether the member's last digest is recent enough. */
+  /** Whether the member was heard of recently enough. Between two reports of it
+   * the member does not count as silent, unless the reports are. */
   isAlive(name: string, now: number): boolean {
     const state = this.#states.get(name);
-    return state !== undefined && now - state.at < unresponsiveAfterMs(state);
+    const evidence = this.#evidence.get(name);
+    if (state === undefined || evidence === undefined) return false;
+    const { heardAt, checkedAt, intervalMs } = evidence;
+    return checkedAt - heardAt < unresponsiveAfterMs(state.digestIntervalMs) &&
+      now - checkedAt < unresponsiveAfterMs(intervalMs);
+  }
+
+  /** Whether the last report of the member said that it is silent. Old reports
+   * show nothing. */
+  isReportedLost(name: string): boolean {
+    const evidence = this.#evidence.get(name);
+    const state = this.#states.get(name);
+    if (state === undefined || evidence === undefined) return false;
+    return evidence.checkedAt - evidence.heardAt >=
+      unresponsiveAfterMs(state.digestIntervalMs);
   }
 
   /** The tenure in the member's last digest. */
@@ -141,9 +167,9 @@
   ready(now: number): readonly ReadyMember[] {
     return this.list().flatMap((m) => {
       const state = this.#states.get(m.name);
-      const usable = state !== undefined && state.ready && !state.leaving &&
-        now - state.at < unresponsiveAfterMs(state);
-      return usable ? [{ ...m, busy: state.busy }] : [];
+      const isUsable = state !== undefined && state.ready && !state.leaving &&
+        this.isAlive(m.name, now);
+      return isUsable ? [{ ...m, busy: state.busy }] : [];
     });
   }
 
@@ -163,20 +189,6 @@
     };
   }
 
-  /** Location of a member, and whether it serves callers or sends orders to
-   * engines. A member without digests is assumed to serve callers and to send
-   * orders. */
-  roleOf(member: Member): MemberRole {
-    const state = this.#states.get(member.name);
-    const { zone, region } = member;
-    return {
-      zone,
-      region,
-      serves: state?.serves ?? true,
-      orders: state?.orders ?? true,
-    };
-  }
-
   /** Members that can reach the store. */
   membersReachingStore(now: number): readonly Member[] {
     return this.list().filter((m) => this.#reachesStore(m, now));
@@ -208,7 +220,7 @@
    * time. */
   isCutOffFor(ms: number, now: number): boolean {
     const lost = this.list().filter(({ name }) =>
-      now - (this.#states.get(name)?.at ?? this.#startedAt) > ms
+      this.#silentMs(name, now) > ms
     );
     return lost.length * 2 > this.#members.size + 1;
   }
@@ -217,7 +229,7 @@
    * this process, members without digests do not count: after a restart of all
    * instances their first digests are still to arrive. */
   silentShare(now: number): number {
-    const expected = now < this.#startedAt + STARTUP_GRACE_MS
+    const expected = this.isStarting(now)
       ? this.list().filter((m) => this.#states.has(m.name))
       : this.list();
     const unresponsive =
@@ -225,13 +237,32 @@
     return unresponsive / (this.#members.size + 1);
   }
 
+  /** How long a member was not heard of. As in `isAlive`, the time between two
+   * reports of it does not count. */
+  #silentMs(name: string, now: number): number {
+    const state = this.#states.get(name);
+    const evidence = this.#evidence.get(name);
+    if (state === undefined || evidence === undefined) {
+      return now - this.#startedAt;
+    }
+    const { heardAt, checkedAt } = evidence;
+    const isHeard =
+      checkedAt - heardAt < unresponsiveAfterMs(state.digestIntervalMs);
+    return now - (isHeard ? checkedAt : heardAt);
+  }
+
+  #forget(name: string): void {
+    this.#states.delete(name);
+    this.#evidence.delete(name);
+  }
+
   #reachesStore({ name }: Member, now: number): boolean {
     return this.#states.get(name)?.reachesStore === true &&
       this.isAlive(name, now);
   }
 }
 
-function unresponsiveAfterMs({ digestIntervalMs }: MemberState): number {
+function unresponsiveAfterMs(digestIntervalMs: number): number {
   return Math.max(
     UNRESPONSIVE_AFTER_MS,
     digestIntervalMs * UNRESPONSIVE_AFTER_DIGESTS,
--- a/packages/serving/src/member_table_test.ts
+++ b/packages/serving/src/member_table_test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from "vitest";
 import { MemberTable, UNRESPONSIVE_AFTER_MS } from "./member_table.ts";
+import { hearOf } from "./testing/hear_of.ts";
 import type { Member } from "./types.ts";
 
 function member(name: string, zone: string, region: string): Member {
@@ -20,39 +21,27 @@
   member("b1", "b", "north"),
   member("c1", "c", "south"),
 ];
-const state = {
-  ready: true,
-  leaving: false,
-  tenure: undefined,
-  digestIntervalMs: 200,
-  serves: true,
-  orders: true,
-  busy: 0,
-  reachesStore: true,
-  storeRoundTripMs: 5,
-};
-
 test("a lost instance is not listed as ready once it is unresponsive", () => {
   const table = new MemberTable("self", -10_000);
   table.setMembers(all, 0);
-  for (const m of all) table.setState(m.name, 0, state);
+  for (const m of all) hearOf(table, m.name, { now: 0 });
   expect(table.ready(UNRESPONSIVE_AFTER_MS - 1)).toHaveLength(4);
-  table.setState("a1", UNRESPONSIVE_AFTER_MS, state);
+  hearOf(table, "a1", { now: UNRESPONSIVE_AFTER_MS });
   expect(table.ready(UNRESPONSIVE_AFTER_MS).map((m) => m.name)).toEqual(["a1"]);
 });
 
 test("instances that are leaving or not ready are not listed", () => {
   const table = new MemberTable("self", -10_000);
   table.setMembers(all, 0);
-  table.setState("a1", 0, { ...state, leaving: true });
-  table.setState("a2", 0, { ...state, ready: false });
+  hearOf(table, "a1", { now: 0, leaving: true });
+  hearOf(table, "a2", { now: 0, ready: false });
   expect(table.ready(1)).toEqual([]);
 });
 
 test("an instance that is not in the store's list stays in the table while it is alive", () => {
   const table = new MemberTable("self", -10_000);
   table.add(member("new", "a", "north"));
-  table.setState("new", 0, state);
+  hearOf(table, "new", { now: 0 });
   table.setMembers(all, 100);
   expect(table.get("new")).toBeDefined();
   table.setMembers(all, UNRESPONSIVE_AFTER_MS + 1);
@@ -62,9 +51,9 @@
 test("uneven machines: those that callers use share the common limits", () => {
   const table = new MemberTable("self", -10_000);
   table.setMembers(all, 0);
-  for (const m of all) table.setState(m.name, 0, { ...state, serves: false });
+  for (const m of all) hearOf(table, m.name, { now: 0, serves: false });
   expect(table.sharingCount(1)).toBe(3);
-  for (const m of all) table.setState(m.name, 0, state);
+  for (const m of all) hearOf(table, m.name, { now: 0 });
   expect(table.sharingCount(1)).toBe(5);
 });
 
@@ -72,7 +61,7 @@
   const table = new MemberTable("self", 0);
   table.setMembers(all, 0);
   expect(table.silentShare(500)).toBe(0);
-  table.setState("a1", 200, state);
+  hearOf(table, "a1", { now: 200 });
   expect(table.silentShare(1450)).toBeCloseTo(1 / 5);
   expect(table.silentShare(2000)).toBeCloseTo(4 / 5);
 });
@@ -80,8 +69,8 @@
 test("an instance with a longer digest interval counts as alive for longer", () => {
   const table = new MemberTable("self", -10_000);
   table.setMembers(all, 0);
-  table.setState("a1", 0, { ...state, digestIntervalMs: 600 });
-  table.setState("a2", 0, state);
+  hearOf(table, "a1", { now: 0, digestIntervalMs: 600 });
+  hearOf(table, "a2", { now: 0 });
   expect(table.isAlive("a2", UNRESPONSIVE_AFTER_MS)).toBe(false);
   expect(table.isAlive("a1", UNRESPONSIVE_AFTER_MS)).toBe(true);
   expect(table.isAlive("a1", 1500)).toBe(false);
--- a/packages/serving/src/part_quarantine.ts
+++ b/packages/serving/src/part_quarantine.ts
@@ -433,6 +433,23 @@
   }
 }
 
+/** A record that was made `ageMs` ago.
+ *
+ * @example
+ * ```ts
+ * quarantine.adopt({ part: agedHold(record, 300) }, "peer", now);
+ * ```
+ */
+export function agedHold(hold: HoldRecord, ageMs: number): HoldRecord {
+  const { trialInMs } = hold;
+  return {
+    ...hold,
+    ageMs: hold.ageMs + ageMs,
+    trialInMs: trialInMs === null ? null : trialInMs - ageMs,
+    expiresInMs: hold.expiresInMs - ageMs,
+  };
+}
+
 /** Changes with each of the first answers, then less and less often, so that the
  * answers on a popular part are not reported in each digest. */
 function reportState([before, since]: AnswerCounts): number {
--- a/packages/serving/src/retry_budget_sharing_test.ts
+++ b/packages/serving/src/retry_budget_sharing_test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from "vitest";
 import { MemberTable, UNRESPONSIVE_AFTER_MS } from "./member_table.ts";
 import { RetryBudget } from "./retry_budget.ts";
+import { hearOf } from "./testing/hear_of.ts";
 import { memberOf } from "./testing/member_of.ts";
 
 const FIXED_RETRIES = 56;
@@ -8,7 +9,7 @@
 
 // Guards against instances that each use the whole budget while none hears of
 // the others: after all connections have gone silent, or a restart of all.
-test.each([["silent", 0], ["restarted", undefined]])(
+test.each([["silent", 10_000], ["restarted", undefined]])(
   "%s instances share the retry budget",
   (_, digestAt) => {
     const now = 10_000 + UNRESPONSIVE_AFTER_MS + 100;
@@ -18,17 +19,7 @@
       for (let peer = 0; peer < FLEET_SIZE; peer++) {
         members.add(memberOf(`i${peer}`));
         if (digestAt === undefined) continue;
-        members.setState(`i${peer}`, 10_000, {
-          leaving: false,
-          ready: true,
-          digestIntervalMs: 200,
-          serves: true,
-          orders: true,
-          busy: 0,
-          reachesStore: true,
-          storeRoundTripMs: 5,
-          tenure: "1",
-        });
+        hearOf(members, `i${peer}`, { now: digestAt });
       }
       const budget = new RetryBudget({
         ratio: 0.2,
--- a/packages/serving/src/testing/fleet_parts.ts
+++ b/packages/serving/src/testing/fleet_parts.ts
@@ -2,7 +2,6 @@
  *
  * @module
  */
-import type { MemberRole } from "../digest_interval.ts";
 import type { InstanceId, SimulatedInstance } from "./simulated_instance.ts";
 
 /** Zones of the fleet; every other one is in the other region. */
@@ -49,15 +48,12 @@
   return exchange;
 }
 
-/** Where an instance is; callers use all of them. */
-export function role(id: InstanceId): MemberRole {
+/** Where an instance is. */
+export function placeOf(
+  id: InstanceId,
+): { readonly zone: string; readonly region: string } {
   const zone = id % ZONES;
-  return {
-    zone: `z${zone}`,
-    region: `r${zone % 2}`,
-    serves: true,
-    orders: false,
-  };
+  return { zone: `z${zone}`, region: `r${zone % 2}` };
 }
 
 /** Fraction of all requests that an instance receives. */
--- a/packages/serving/src/testing/mod.ts
+++ b/packages/serving/src/testing/mod.ts
@@ -3,3 +3,4 @@
  * @module
  */
 export * from "./member_of.ts";
+export * from "./hear_of.ts";
--- a/packages/serving/src/testing/rate_fleet_simulation.ts
+++ b/packages/serving/src/testing/rate_fleet_simulation.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { ticksBetweenDigests } from "../digest_interval.ts";
+import { isLargeFleet } from "../digest_topology.ts";
 import type { FleetOptions, FleetResult } from "./fleet_options.ts";
 import {
   AdmittedUnits,
@@ -15,8 +15,8 @@
   callersFraction,
   createRandom,
   exchangeWith,
+  placeOf,
   type Process,
-  role,
 } from "./fleet_parts.ts";
 import type { LoanReply, LoanSearch } from "../rate_lenders.ts";
 import {
@@ -29,6 +29,10 @@
 
 const REPORT_TICK_MS = 200;
 
+/** Ticks after which a report has passed through the collectors of a large
+ * fleet. */
+const LARGE_FLEET_TICKS = 4;
+
 /** How long the fleet runs without requests first, in milliseconds: longer than
  * a window, so that nothing is left of the initial level. */
 const WARM_UP_MS = 12_000;
@@ -150,7 +154,7 @@
         windowMs: WINDOW_MS,
         startedAt: now,
         random: this.#random,
-        placeOf: role,
+        placeOf,
         storedUse: this.#stored.get(id),
       }),
       number,
@@ -308,7 +312,7 @@
       ? 0
       : this.#options.delayMs({ from, to, now, random });
     if (delayMs === undefined) return undefined;
-    const networkMs = role(from).region === role(to).region
+    const networkMs = placeOf(from).region === placeOf(to).region
       ? SAME_REGION_DELAY_MS
       : OTHER_REGION_DELAY_MS;
     return Math.ceil((networkMs + delayMs) / STEP_MS) * STEP_MS;
@@ -334,8 +338,8 @@
       const sinceFirst = now + WARM_UP_MS - (this.#phases[from] ?? 0) * STEP_MS;
       if (sinceFirst < 0 || sinceFirst % REPORT_TICK_MS !== 0) continue;
       const tick = sinceFirst / REPORT_TICK_MS;
+      const ticks = isLargeFleet(instances - 1) ? LARGE_FLEET_TICKS : 1;
       for (let to = 0; to < instances; to++) {
-        const ticks = ticksBetweenDigests(role(from), role(to), instances - 1);
         if (from === to || (tick + to) % ticks !== 0) continue;
         if (this.#areStrangers(from, { peer: to, now })) continue;
         this.#sendReport(process, {
--- a/packages/serving/src/testing/simulated_instance.ts
+++ b/packages/serving/src/testing/simulated_instance.ts
@@ -191,7 +191,7 @@
         addMember(envelope.from);
         updateShare(now);
       }
-      members.setState(peer, now, {
+      members.setState(peer, {
         leaving: false,
         ready: true,
         digestIntervalMs: envelope.intervalMs,
@@ -202,6 +202,11 @@
         storeRoundTripMs: undefined,
         tenure: undefined,
       });
+      members.recordEvidence(peer, {
+        heardAt: now,
+        checkedAt: now,
+        intervalMs: envelope.intervalMs,
+      });
       if (processes.get(peer)?.number !== envelope.process) {
         processes.set(peer, {
           number: envelope.process,
