Load an adapter that an engine denies to hold before asking it again

Callers saw: a request was sent to one engine three times within 90 ms, turned away each time for an adapter that the engine did not hold, and refused with 503.

Cause: the engine's owner was told of the first denial and asked the engine for a report, but went on to say that the adapter is held until the report arrived. So the request was sent again at once, with the same result.

A denied adapter does not count as held until the engine has reported; a load of it waits for the report, and then for the adapter. An engine that denies a second time is left out for the request.

--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -212,8 +212,9 @@
     if (request.early === true) {
       if (slot === undefined || slot.readyAt <= now - EARLY_MAX_MS) {
         engine.adapterSlots.doubt();
+        engine.denied.add(adapter);
       } else engine.adapterSlots.recordEarlyRequest(adapter, now);
-    } else if (slot !== undefined && slot.readyAt <= now) {
+    } else if (isHeld(engine, request, now)) {
       return Promise.resolve(true);
     }
     if (slot === undefined && !engine.adapterSlots.canLoadSoon(adapter, now)) {
@@ -318,8 +319,7 @@
 
   #resolveWaiters(engine: OwnedEngine, now: number): void {
     for (const waiter of engine.waiters) {
-      const slot = engine.adapterSlots.find(waiter.adapter, waiter.version);
-      const isLoaded = slot !== undefined && slot.readyAt <= now;
+      const isLoaded = isHeld(engine, waiter, now);
       if (!isLoaded && now < waiter.until) continue;
       engine.waiters.delete(waiter);
       if (!isLoaded) engine.adapterSlots.cancelLoad(waiter.adapter);
@@ -328,6 +328,7 @@
     let nextReadyAt = Infinity;
     for (const waiter of engine.waiters) {
       const slot = engine.adapterSlots.find(waiter.adapter, waiter.version);
+      if (engine.denied.has(waiter.adapter)) continue;
       nextReadyAt = Math.min(nextReadyAt, slot?.readyAt ?? Infinity);
     }
     if (nextReadyAt < Infinity) {
@@ -448,6 +449,12 @@
       view.engine = { ...view.engine, models: report.models };
     }
     engine.adapterSlots.applyReport(report, engine.model, now);
+    if (engine.denied.size > 0) {
+      engine.denied.clear();
+      for (const { adapter, version } of engine.waiters) {
+        engine.adapterSlots.requestLoad(adapter, version, now);
+      }
+    }
     this.#process(view.engine.key, engine);
   }
 
@@ -483,3 +490,15 @@
     );
   }
 }
+
+/** Whether an engine holds an adapter and has not denied it since its last
+ * report. */
+function isHeld(
+  engine: OwnedEngine,
+  { adapter, version }: { readonly adapter: string; readonly version: number },
+  now: number,
+): boolean {
+  const slot = engine.adapterSlots.find(adapter, version);
+  return slot !== undefined && slot.readyAt <= now &&
+    !engine.denied.has(adapter);
+}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -111,6 +111,9 @@
   readonly #log: ExchangeLog;
   /** Attempts in which the engine may have run the request. */
   #runCount = 0;
+  /** Engines that turned the request away or failed it: none is asked twice for
+   * an adapter that it does not hold. */
+  readonly #deniedBy = new Set<string>();
   #notRunCount = 0;
   #loadCount = 0;
   #lastEventId: string | undefined;
@@ -290,7 +293,12 @@
       view.health.recordResult(isUnresponsive ? "silent" : "failed", now);
     }
     this.#log.attemptFailed(outcome, reason, now);
-    if (reason === "adapter_missing" && this.#notRunCount < REFUSALS_MAX) {
+    const hasDeniedBefore = this.#deniedBy.has(view.engine.key);
+    this.#deniedBy.add(view.engine.key);
+    if (
+      reason === "adapter_missing" && this.#notRunCount < REFUSALS_MAX &&
+      !hasDeniedBefore
+    ) {
       // The request arrived before the load had ended, or the adapter has been
       // evicted. The instance that owns the engine is notified and corrects its
       // view of the adapter.
--- a/packages/gateway/src/owned_engine.ts
+++ b/packages/gateway/src/owned_engine.ts
@@ -27,6 +27,8 @@
   readonly adapterSlots: AdapterSlotTable;
   readonly model: string;
   readonly waiters = new Set<Waiter>();
+  /** Adapters that the engine denied to hold, until it reports what it holds. */
+  readonly denied = new Set<string>();
   /** Requests in flight by instance, then by adapter. */
   readonly flight = new Map<string, ReadonlyMap<string, number>>();
   reportRequestedAt = 0;
