--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
   EngineChooser,
   EngineLimits,
   EngineTable,
+  isAcceptedWhileDraining,
   isLargeFleet,
   type Member,
   MemberTable,
@@ -60,11 +61,6 @@
  * reads other records, in milliseconds. */
 const MEMBERS_WAIT_MS = 250;
 
-/** How long a draining process still accepts streams, in milliseconds: the
- * longest streams last seconds and would be cut off when the grace period
- * ends. */
-const DRAIN_STREAMS_MS = 2500;
-
 /** Minimum time that a process drains before it ends, in milliseconds: callers
  * that have cached its address still connect. */
 const DRAIN_MIN_MS = 3000;
@@ -450,11 +446,10 @@
 
   #hasTimeFor(route: Route): boolean {
     if (!this.#isDraining) return true;
-    const elapsedMs = performance.now() - this.#drainStartedAt;
-    if (route.kind === "stream") return elapsedMs < DRAIN_STREAMS_MS;
-    const remainingMs = this.#settings.bounds.graceMs - KILL_MARGIN_MS -
-      elapsedMs;
-    return remainingMs > route.timeoutMs;
+    return isAcceptedWhileDraining(route, {
+      elapsedMs: performance.now() - this.#drainStartedAt,
+      endsAfterMs: this.#settings.bounds.graceMs - KILL_MARGIN_MS,
+    });
   }
 
   #runLoader(): void {
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -13,6 +13,7 @@
 export * from "./digest_plane.ts";
 export * from "./digest_topology.ts";
 export * from "./distance.ts";
+export * from "./drain_window.ts";
 export * from "./engine_limits.ts";
 export * from "./engine_table.ts";
 export * from "./engine_health.ts";
