Heed engines that say they leave or ask for a pause

Cause: two headers of engines' answers were not read. An engine that leaves says so in all its answers, mostly before the list shows it; one that turns a request away may ask this instance for a pause.

Leaving: the view of the engine counts it as leaving from the answer on, also when its entry changes, until a later answer, to a request that was sent after that, says otherwise.

Pause: EngineLimits keeps it beside the limits, since both say how an engine may be used now; the check before each attempt is the same. It ends after 60 s at most, and is forgotten with the engine's key. If all engines of a service pause, the caller gets 503 with the time until the first is back.

--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -141,6 +141,20 @@
     this.#rows = new DigestRows({ ...options, board: this.#plane.board });
   }
 
+  /** The largest age of what is known of an instance that callers use and that is
+   * alive, in milliseconds. */
+  get oldestAgeMs(): number {
+    const { members, self } = this.#options;
+    const now = performance.now();
+    let oldestMs = 0;
+    for (const { member, state, heardAt } of this.#plane.board.origins()) {
+      if (member.name === self.name || !state.serves) continue;
+      if (!members.isAlive(member.name, now)) continue;
+      oldestMs = Math.max(oldestMs, now - heardAt);
+    }
+    return Math.round(oldestMs);
+  }
+
   /** Sends a digest to all peers at once if a shared kind has a newer revision
    * than the last one announced. Called by store readers. */
   announceChanges(): void {
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -200,6 +200,22 @@
   text: "invalid peer message",
 };
 
+/** An engine turned a request away and asked this instance to send it nothing
+ * for `pauseMs`. Written for the first of a pause. */
+export const ENGINE_PAUSED: LogEvent = {
+  id: 861,
+  severity: "info",
+  text: "engine asked for a pause",
+};
+
+/** An engine said in its answer to a request that it is leaving, or, after it had
+ * said so, that it is not. Requests go to other engines. */
+export const ENGINE_LEAVING_SAID: LogEvent = {
+  id: 862,
+  severity: "info",
+  text: "engine said whether it is leaving",
+};
+
 /** A row of a digest could not be applied. `peer` is the instance that reported
  * it; its other rows, and those of other instances, are applied. */
 export const PEER_ROW_INVALID: LogEvent = {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -16,6 +16,7 @@
   type EngineView,
   EventBoundary,
   EventFramer,
+  type ResponseHead,
   type Route,
   urgencyOf,
   type Workspace,
@@ -28,6 +29,7 @@
 import { withContentLength, withoutContentLength } from "./content_length.ts";
 import { type EngineRequest, reasonOf } from "./engine_connections.ts";
 import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
+import * as events from "./events.ts";
 import { ExchangeLog } from "./exchange_log.ts";
 import type { PromptGuard } from "./prompt_guard.ts";
 import { RateCharge } from "./rate_charge.ts";
@@ -115,6 +117,7 @@
    * an adapter that it does not hold. */
   readonly #deniedBy = new Set<string>();
   #notRunCount = 0;
+  #attemptStartedAt = 0;
   #loadCount = 0;
   #lastEventId: string | undefined;
   #errorResponse: BufferedResponse | undefined;
@@ -324,6 +327,25 @@
     this.#excludedEngines.add(view.engine.key);
   }
 
+  /** Records what the engine says of itself beside its answer. */
+  #recordNotices(
+    view: EngineView,
+    { isLeaving, pauseMs }: ResponseHead,
+    wasTurnedAway: boolean,
+  ): void {
+    const { limits, metrics, log } = this.#deps;
+    const { id } = this.#input.caller;
+    const engine = view.engine.key;
+    if (wasTurnedAway && pauseMs !== undefined) {
+      metrics.add("engine_pauses_total", "");
+      limits.recordPause(engine, pauseMs, id);
+    }
+    const now = performance.now();
+    if (!view.recordLeaving(isLeaving, this.#attemptStartedAt, now)) return;
+    metrics.add("engine_leaving_notices_total", `leaving="${isLeaving}"`);
+    log.write(events.ENGINE_LEAVING_SAID, { id, engine, leaving: isLeaving });
+  }
+
   /** Whether a request that did not run may be sent to an engine again. If so,
    * uses one retry of the service's retry budget. */
   #canResend(now: number): boolean {
@@ -409,6 +431,7 @@
     const { req, route, workspace, caller, body } = this.#input;
     const { protocol, connections, members, use: usage } = this.#deps;
     const now = performance.now();
+    this.#attemptStartedAt = now;
     const heldAdapter = caller.adapter === undefined
       ? undefined
       : view.adapters.get(caller.adapter);
@@ -527,6 +550,7 @@
       responseHead.requestLimit,
       caller.id,
     );
+    this.#recordNotices(view, responseHead, verdict.kind === "not_run");
     if (verdict.kind === "unusable") {
       return settle(this.#failedOutcome(verdict.reason));
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -329,6 +329,11 @@
         this.#storeView.follower("configuration").ageMs(performance.now()),
       );
       this.#metrics.set("limited_engines", this.#engineLimits.size);
+      this.#metrics.set("digest_age_ms", this.#digestExchange.oldestAgeMs);
+      this.#metrics.set(
+        "paused_engines",
+        this.#engineLimits.pausedCount(performance.now()),
+      );
       res.end(this.#metrics.render());
     });
     this.#storeView.onChange = () => this.#onStoreViewChange();
--- a/packages/gateway/src/limit_keeper.ts
+++ b/packages/gateway/src/limit_keeper.ts
@@ -54,6 +54,21 @@
     });
   }
 
+  /** Records that an engine asked for a pause in its response to a request. */
+  recordPause(
+    engineKey: string,
+    pauseMs: number,
+    requestId: string | undefined,
+  ): void {
+    const { limits, log } = this.#options;
+    if (!limits.recordPause(engineKey, pauseMs, performance.now())) return;
+    log.write(events.ENGINE_PAUSED, {
+      id: requestId,
+      engine: engineKey,
+      pauseMs: Math.round(pauseMs),
+    });
+  }
+
   /** When a caller should retry that was refused because the limits of these
    * engines are reached, in seconds; logs the limits. */
   waitSeconds(
@@ -66,6 +81,7 @@
       id: requestId,
       engines: engineKeys.slice(0, LOGGED_ENGINES_MAX).map((engine) => ({
         engine,
+        pauseMs: Math.round(limits.pauseLeftMs(engine, now)) || undefined,
         ...limits.stateOf(engine, now),
       })),
     });
--- a/packages/gateway/src/traffic_log.ts
+++ b/packages/gateway/src/traffic_log.ts
@@ -34,7 +34,10 @@
     const { kind, call, bytes, ms, bodyMs, isComplete } = transfer;
     const metrics = this.#metrics;
     metrics.add("store_bytes_total", `kind="${kind}",call="${call}"`, bytes);
-    metrics.add("store_calls_total", `kind="${kind}",complete="${isComplete}"`);
+    metrics.add(
+      "store_calls_total",
+      `kind="${kind}",call="${call}",complete="${isComplete}"`,
+    );
     if (bytes < LOGGED_BYTES && (bodyMs ?? 0) < LOGGED_BODY_MS) return;
     this.#log.write(events.STORE_TRANSFER_LONG, {
       kind,
--- a/packages/serving/src/engine_limits.ts
+++ b/packages/serving/src/engine_limits.ts
@@ -1,5 +1,5 @@
-/** Heeds the limits that engines name: requests a second from all instances
- * together.
+/** Heeds what engines say about how they may be used: limits on the requests a
+ * second from all instances together, and pauses for this one.
  *
  * A few instances share the limit of an engine and the others send it nothing,
  * because equal shares of all instances would each be too small for a single
@@ -36,13 +36,18 @@
  * milliseconds. */
 const REPORTED_AGE_STEP_MS = 5000;
 
+/** Longest pause that an engine may ask for, in milliseconds: after it the engine
+ * is asked again. */
+const PAUSE_MAX_MS = 60_000;
+
 /** How an engine may be used at present. */
 export type EngineRoom =
   /** It names no limit. */
   | "open"
   /** It names a limit, and this instance may send it a request. */
   | "limited"
-  /** It names a limit, and this instance must not send it a request now. */
+  /** It names a limit or asked for a pause, and this instance must not send it a
+   * request now. */
   | "closed";
 
 /** An engine's limit as peers report it. */
@@ -78,6 +83,8 @@
   readonly #self: string;
   readonly #instances: () => ServingInstances;
   readonly #limits = new Map<string, Limit>();
+  /** Until when engines asked this instance to pause. */
+  readonly #pausedUntil = new Map<string, number>();
 
   /** `self` is the name of this instance. */
   constructor(self: string, instances: () => ServingInstances) {
@@ -112,8 +119,34 @@
     return this.#update(engineKey, perSecond, { namedAt: now, now });
   }
 
+  /** Records that an engine, with a response that has just arrived, asked this
+   * instance to send it nothing for a time. What was sent before goes on. Returns
+   * whether the engine was not paused until then. */
+  recordPause(engineKey: string, pauseMs: number, now: number): boolean {
+    const until = now + Math.min(PAUSE_MAX_MS, pauseMs);
+    const current = this.#pausedUntil.get(engineKey) ?? -Infinity;
+    this.#pausedUntil.set(engineKey, Math.max(current, until));
+    return now >= current && pauseMs > 0;
+  }
+
+  /** Time until the end of an engine's pause, in milliseconds. */
+  pauseLeftMs(engineKey: string, now: number): number {
+    const until = this.#pausedUntil.get(engineKey);
+    if (until === undefined) return 0;
+    if (now >= until) this.#pausedUntil.delete(engineKey);
+    return Math.max(0, until - now);
+  }
+
+  /** Number of engines that asked for a pause. */
+  pausedCount(now: number): number {
+    let count = 0;
+    for (const until of this.#pausedUntil.values()) if (now < until) count += 1;
+    return count;
+  }
+
   /** How an engine may be used. */
   roomOf(engineKey: string, now: number): EngineRoom {
+    if (this.pauseLeftMs(engineKey, now) > 0) return "closed";
     const limit = this.#limits.get(engineKey);
     if (limit?.perSecond === undefined) return "open";
     this.#refill(engineKey, limit, now);
@@ -133,6 +166,8 @@
    * milliseconds; undefined if it has no share of any. */
   waitMs(engineKeys: readonly string[], now: number): number | undefined {
     const waits = engineKeys.flatMap((key) => {
+      const pauseMs = this.pauseLeftMs(key, now);
+      if (pauseMs > 0) return [pauseMs];
       const limit = this.#limits.get(key);
       if (limit?.perSecond === undefined) return [];
       this.#refill(key, limit, now);
@@ -178,6 +213,9 @@
     for (const key of this.#limits.keys()) {
       if (!isListed(key)) this.#limits.delete(key);
     }
+    for (const key of this.#pausedUntil.keys()) {
+      if (!isListed(key)) this.#pausedUntil.delete(key);
+    }
   }
 
   #update(
--- a/packages/serving/src/engine_limits_test.ts
+++ b/packages/serving/src/engine_limits_test.ts
@@ -249,3 +249,22 @@
     expect(limits.roomOf(KEY, 2000)).toBe("limited");
   });
 });
+
+test("a pause ends, is bounded, and is forgotten with its engine", () => {
+  const limits = new EngineLimits("self", () => ({
+    names: ["self"],
+    isCutOff: false,
+  }));
+  expect(limits.recordPause("e", 2000, 0)).toBe(true);
+  expect(limits.recordPause("e", 500, 100)).toBe(false);
+  expect(limits.roomOf("e", 1999)).toBe("closed");
+  expect(limits.tryTake("e", 1999)).toBe(false);
+  expect(limits.waitMs(["e"], 500)).toBe(1500);
+  expect(limits.roomOf("e", 2000)).toBe("open");
+  limits.recordPause("e", 1e12, 3000);
+  expect(limits.roomOf("e", 62_999)).toBe("closed");
+  expect(limits.roomOf("e", 63_000)).toBe("open");
+  limits.recordPause("e", 5000, 70_000);
+  limits.keepOnly(() => false);
+  expect(limits.roomOf("e", 70_001)).toBe("open");
+});
--- a/packages/serving/src/engine_table.ts
+++ b/packages/serving/src/engine_table.ts
@@ -28,6 +28,8 @@
   down = false;
   /** When the engine was first seen to be leaving, by the monotonic clock. */
   leavingSince: number | undefined;
+  /** When a response first said that the engine is leaving. */
+  #saidLeavingAt: number | undefined;
   inFlight = 0;
   readonly health = new EngineHealth();
   readonly path = new EnginePath();
@@ -45,10 +47,34 @@
    * reported are kept, because they are newer than the entry. */
   updateEntry(engine: Engine, now: number): void {
     if (engine.leaving) this.leavingSince ??= now;
-    this.engine = engine;
+    this.engine = this.#saidLeavingAt === undefined
+      ? engine
+      : { ...engine, leaving: true };
     if (!this.isReportedByOwner) this.adapters = listedAdapters(engine);
   }
 
+  /** Records whether the engine said that it is leaving, in the response to a
+   * request that was sent at `sentAt`. The list may show it later, or never.
+   * Returns whether that is news. */
+  recordLeaving(isLeaving: boolean, sentAt: number, now: number): boolean {
+    if (isLeaving) {
+      if (this.#saidLeavingAt !== undefined) return false;
+      this.#saidLeavingAt = now;
+      if (this.engine.leaving) return false;
+      this.leavingSince ??= now;
+      this.engine = { ...this.engine, leaving: true };
+      return true;
+    }
+    // An answer may have been under way when the engine began to leave.
+    if (this.#saidLeavingAt === undefined || sentAt <= this.#saidLeavingAt) {
+      return false;
+    }
+    this.#saidLeavingAt = undefined;
+    this.leavingSince = undefined;
+    this.engine = { ...this.engine, leaving: false };
+    return true;
+  }
+
   /** Sets the number of requests at the engine of all other instances. It expires
    * at `validUntil`, because the requests of a lost instance end with it. */
   setOthersLoad(count: number, validUntil: number): void {
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -207,6 +207,11 @@
   /** The requests a second that the engine accepts at present from all instances
    * together; undefined if it names no limit. */
   readonly requestLimit: number | undefined;
+  /** Whether the engine says that it is leaving. */
+  readonly isLeaving: boolean;
+  /** Time for which the engine wants no request from this instance, in
+   * milliseconds; undefined if it asks for no pause. */
+  readonly pauseMs: number | undefined;
 }
 
 /** A caller's request for addresses of instances. */
