Keep the order of engines of an adapter while no engine comes or goes

All orders were thrown away whenever any engine wrote its entry, about once a second.

They are kept until an engine joins or leaves, 200,000 places in all. The delay of an engine's path, the failure rate of one without failures and the number of instances that share a budget are computed without lists in between.

--- a/packages/serving/src/choose_engine.ts
+++ b/packages/serving/src/choose_engine.ts
@@ -73,6 +73,9 @@
  * their orders, since waiting costs more than another adapter slot. */
 const FETCH_LIMIT_COST = 0.6;
 
+/** Largest number of engines in all orders that are kept. */
+const RANKED_ENGINES_MAX = 200_000;
+
 /** Requirements of a request on the engine that serves it. */
 export interface EngineRequirements {
   readonly service: string;
@@ -182,9 +185,9 @@
 
   /** The order of engines for an adapter, by rendezvous hashing. */
   rank(service: string, key: string): readonly EngineView[] {
-    if (this.#generation !== this.#engines.generation) {
+    if (this.#generation !== this.#engines.setGeneration) {
       this.#rankings.clear();
-      this.#generation = this.#engines.generation;
+      this.#generation = this.#engines.setGeneration;
     }
     const cacheKey = `${service} ${key}`;
     const cached = this.#rankings.get(cacheKey);
@@ -194,6 +197,12 @@
       name: (view) => view.engine.id,
     });
     this.#rankings.set(cacheKey, ranked);
+    if (this.#rankings.size * ranked.length > RANKED_ENGINES_MAX) {
+      for (const oldest of this.#rankings.keys()) {
+        this.#rankings.delete(oldest);
+        break;
+      }
+    }
     return ranked;
   }
 
--- a/packages/serving/src/engine_health.ts
+++ b/packages/serving/src/engine_health.ts
@@ -35,6 +35,7 @@
 
   /** Failure rate in [0, 1]; decays while no results are recorded. */
   failureRate(now: number): number {
+    if (this.#rate === 0) return 0;
     return this.#rate * 2 ** (-(now - this.#updatedAt) / FAILURE_HALF_LIFE_MS);
   }
 }
--- a/packages/serving/src/engine_path.ts
+++ b/packages/serving/src/engine_path.ts
@@ -79,11 +79,14 @@
 
   /** What this instance's own requests show, see `delayMs`. */
   ownDelayMs(now: number): number {
-    const recent = this.#responses.filter(({ at }) => now - at < VALID_MS);
-    const fastestMs = recent.length === 0
-      ? 0
-      : Math.min(...recent.map(({ ms }) => ms));
-    return Math.max(fastestMs, this.#waitedMs(now));
+    let fastestMs = Infinity;
+    for (const { at, ms } of this.#responses) {
+      if (now - at < VALID_MS && ms < fastestMs) fastestMs = ms;
+    }
+    return Math.max(
+      fastestMs === Infinity ? 0 : fastestMs,
+      this.#waitedMs(now),
+    );
   }
 
   /** Time from the sending of a request to the response, in milliseconds, if the
@@ -103,10 +106,11 @@
 
   /** When the latest of the requests was sent that were answered. */
   get #answeredUpTo(): number {
-    return Math.max(
-      -Infinity,
-      ...this.#responses.map(({ startedAt }) => startedAt),
-    );
+    let answeredUpTo = -Infinity;
+    for (const { startedAt } of this.#responses) {
+      if (startedAt > answeredUpTo) answeredUpTo = startedAt;
+    }
+    return answeredUpTo;
   }
 
   /** How long no request has been answered that was sent after all that were. */
--- a/packages/serving/src/engine_table.ts
+++ b/packages/serving/src/engine_table.ts
@@ -107,6 +107,12 @@
   readonly #views = new Map<string, EngineView>();
   #byService: ReadonlyMap<string, readonly EngineView[]> = new Map();
   #generation = 0;
+  #setGeneration = 0;
+
+  /** Increases each time an engine joins or leaves the list. */
+  get setGeneration(): number {
+    return this.#setGeneration;
+  }
 
   /** Increases each time the engine list is replaced. */
   get generation(): number {
@@ -117,6 +123,7 @@
    * removed. */
   setEngines(engines: readonly Engine[], now = 0): readonly EngineView[] {
     const seen = new Set<string>();
+    const sizeBefore = this.#views.size;
     for (const engine of engines) {
       seen.add(engine.key);
       const view = this.#views.get(engine.key);
@@ -129,6 +136,8 @@
     const removed = [...this.#views.values()].filter((v) =>
       !seen.has(v.engine.key)
     );
+    const hasJoined = this.#views.size > sizeBefore;
+    if (hasJoined || removed.length > 0) this.#setGeneration += 1;
     for (const view of removed) this.#views.delete(view.engine.key);
     const byService = new Map<string, EngineView[]>();
     for (const view of this.#views.values()) {
--- a/packages/serving/src/engine_table_test.ts
+++ b/packages/serving/src/engine_table_test.ts
@@ -43,3 +43,18 @@
   expect(viewOf(table).engine.leaving).toBe(false);
   expect(viewOf(table).leavingSince).toBeUndefined();
 });
+
+// Guards against an order of all engines for each adapter that is computed again
+// whenever any engine writes its entry.
+test("changes of entries are no change of the set of engines", () => {
+  const table = new EngineTable();
+  table.setEngines([ENGINE], 0);
+  const { setGeneration } = table;
+  table.setEngines([{ ...ENGINE, slots: 4 }], 100);
+  expect(table.setGeneration).toBe(setGeneration);
+  table.setEngines([ENGINE, { ...ENGINE, key: "f@1", id: "f" }], 200);
+  expect(table.setGeneration).toBeGreaterThan(setGeneration);
+  const { setGeneration: ofTwo } = table;
+  table.setEngines([{ ...ENGINE, key: "f@1", id: "f" }], 300);
+  expect(table.setGeneration).toBeGreaterThan(ofTwo);
+});
--- a/packages/serving/src/member_table.ts
+++ b/packages/serving/src/member_table.ts
@@ -203,17 +203,18 @@
 
   /** Number of members alive, including this one. */
   aliveCount(now: number): number {
-    return 1 + this.list().filter((m) => this.isAlive(m.name, now)).length;
+    return 1 + this.#counts(now).alive;
   }
 
   /** Number of instances that share a common limit: those that callers use, and
    * at least half of those alive, since others may start to serve callers; all
    * that are listed, if fewer than half of them are heard of. */
   sharingCount(now: number): number {
-    const alive = this.aliveCount(now);
+    const counts = this.#counts(now);
+    const alive = 1 + counts.alive;
     const listed = this.#members.size + 1;
     if (alive * 2 < listed) return listed;
-    return Math.max(1 + this.serving(now).length, Math.ceil(alive / 2));
+    return Math.max(1 + counts.serving, Math.ceil(alive / 2));
   }
 
   /** Whether more than half of the listed members were not heard of for a
@@ -237,6 +238,21 @@
     return unresponsive / (this.#members.size + 1);
   }
 
+  /** Number of the other members that are alive, and of those among them that
+   * callers use. Asked for with each request. */
+  #counts(
+    now: number,
+  ): { readonly alive: number; readonly serving: number } {
+    let alive = 0;
+    let serving = 0;
+    for (const name of this.#members.keys()) {
+      if (!this.isAlive(name, now)) continue;
+      alive += 1;
+      if (this.#states.get(name)?.serves === true) serving += 1;
+    }
+    return { alive, serving };
+  }
+
   /** How long a member was not heard of. As in `isAlive`, the time between two
    * reports of it does not count. */
   #silentMs(name: string, now: number): number {
