Let idle instances of a large fleet do their periodic work once a second

Each tick of 0.2 s computes roles, shares and digests over all members, and each change of the list ranks all of them for each workspace.

An instance that neither serves, orders, collects nor reads the store ticks once a second; only the confirmation of records stays at 0.2 s. Sharers of a limit are ranked among the strongest instances alone, the list of members counts as changed only if it has, and whether an instance is a coordinator ends at the second name before its own.

--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -170,13 +170,24 @@
     this.#sendSoon();
   }
 
-  /** Sends a digest to each peer for which one is due; to all if `isUrgent`. */
-  send(isUrgent = false): void {
+  /** Whether this instance passes digests on. */
+  get isCollector(): boolean {
+    return this.#plane.isCollector;
+  }
+
+  /** Sends a digest to each peer for which one is due, `ticks` after the last
+   * call; to all if `isUrgent`. */
+  send({ isUrgent = false, ticks = 1 } = {}): void {
     const { links } = this.#options;
     const now = performance.now();
     this.#recordSuspension();
     this.#publish(now);
-    for (const { member, everyMs, build } of this.#plane.plan(now, isUrgent)) {
+    for (
+      const { member, everyMs, build } of this.#plane.plan(now, {
+        isUrgent,
+        ticks,
+      })
+    ) {
       const connection = links().connect(member.peerAddress, everyMs);
       if (connection === undefined) continue;
       const digest = build(connection);
@@ -223,7 +234,7 @@
     this.#gathering = setTimeout(() => {
       this.#gathering = undefined;
       this.#urgentAt = performance.now();
-      this.send(true);
+      this.send({ isUrgent: true });
     }, Math.max(GATHER_MS, URGENT_PAUSE_MS - sinceMs));
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
   EngineChooser,
   EngineLimits,
   EngineTable,
+  IDLE_TICKS,
   isAcceptedWhileDraining,
   isLargeFleet,
   type Member,
@@ -57,6 +58,9 @@
 const LOADER_TICK_MS = 50;
 const LOADER_IDLE_TICK_MS = 1000;
 
+/** Time after its start from which an instance may be idle, in milliseconds. */
+const IDLE_AFTER_MS = 5000;
+
 /** How long an instance that starts waits for the list of members before it
  * reads other records, in milliseconds. */
 const MEMBERS_WAIT_MS = 250;
@@ -112,6 +116,8 @@
   readonly #metricsServer: CallerServer;
   readonly #timers: NodeJS.Timeout[] = [];
   #loaderTimer: NodeJS.Timeout | undefined;
+  /** Ticks since the last digests. */
+  #ticks = 0;
   #isDraining = false;
   #drainStartedAt = Infinity;
 
@@ -398,7 +404,7 @@
     this.#drainStartedAt = startedAt;
     this.#log.write(events.STOPPING, { active: this.#callerServer.active });
     this.#callerServer.startDraining();
-    this.#digestExchange.send(true);
+    this.#digestExchange.send({ isUrgent: true });
     const endsAt = startedAt + this.#settings.bounds.graceMs - KILL_MARGIN_MS;
     while (performance.now() < endsAt) {
       const elapsedMs = performance.now() - startedAt;
@@ -468,14 +474,26 @@
   /** Does the periodic work at once, since wake-ups of many idle instances are
    * expensive. */
   #tick(): void {
-    this.#digestExchange.send();
     const now = performance.now();
     this.#ownLoad.tick(now);
+    this.#recordConfirmer.check(now);
+    this.#ticks += 1;
+    if (this.#isIdle && this.#ticks < IDLE_TICKS) return;
+    this.#digestExchange.send({ ticks: this.#ticks });
+    this.#ticks = 0;
     this.#readerRoles.update(now);
     this.#rates.update(now);
     this.#storeView.dropMissingEngines(now);
     this.#rateLog.tick(now);
-    this.#recordConfirmer.check(now);
+  }
+
+  /** Whether nobody in a large fleet needs news of this instance often: it does
+   * no work for others, and has been running for a while. */
+  get #isIdle(): boolean {
+    return !this.#ownLoad.serves && this.#loader.isIdle &&
+      !this.#digestExchange.isCollector && !this.#readerRoles.isStoreReader &&
+      isLargeFleet(this.#members.list().length) &&
+      performance.now() > IDLE_AFTER_MS && !this.#isDraining;
   }
 
   #onStoreViewChange(): void {
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -513,18 +513,25 @@
       .map((m) => m.name);
   }
 
-  #coordinators(alive: readonly string[]): readonly string[] {
-    return [this.#options.self.name, ...alive].sort().slice(
-      0,
-      COORDINATOR_COUNT,
-    );
+  /** The rank of this instance among the live members by name, up to the number
+   * of coordinators. */
+  #coordinatorRank(): number {
+    const { self, members } = this.#options;
+    const now = performance.now();
+    let rank = 0;
+    for (const { name } of members.list()) {
+      if (name >= self.name || !members.isAlive(name, now)) continue;
+      rank += 1;
+      if (rank === COORDINATOR_COUNT) break;
+    }
+    return rank;
   }
 
   /** Whether the order lease must be kept without interruption: this instance
    * owns engines or is a coordinator. */
   #needsLease(): boolean {
     return this.#orderAllowedAt.size > 0 ||
-      this.#coordinators(this.#aliveNames()).includes(this.#options.self.name);
+      this.#coordinatorRank() < COORDINATOR_COUNT;
   }
 
   async #check(): Promise<void> {
@@ -533,17 +540,16 @@
       this.#startRenewal?.();
     }
     if (performance.now() - this.#startedAt < SETTLE_MS) return;
-    const { self } = this.#options;
-    const alive = this.#aliveNames();
-    const coordinators = this.#coordinators(alive);
-    if (!coordinators.includes(self.name)) return;
+    const rank = this.#coordinatorRank();
+    if (rank >= COORDINATOR_COUNT) return;
     if (!this.#memberFollower.known) return;
     if (!this.#lease.isHeld()) {
       this.#startRenewal?.();
       return;
     }
+    const alive = this.#aliveNames();
     await this.#removeExpired(new Set(alive));
-    if (coordinators[0] === self.name) await this.#assignEngines(alive);
+    if (rank === 0) await this.#assignEngines(alive);
   }
 
   async #removeExpired(alive: ReadonlySet<string>): Promise<void> {
--- a/packages/serving/src/digest_plane.ts
+++ b/packages/serving/src/digest_plane.ts
@@ -40,7 +40,7 @@
 
 /** Ticks between digests of and to an instance that neither serves callers nor
  * sends orders, if they pass through a collector. */
-const IDLE_TICKS = 5;
+export const IDLE_TICKS = 5;
 
 /** Ticks between digests of the collectors of a group to each other. */
 const SIBLING_TICKS = 2;
@@ -274,8 +274,16 @@
    * }
    * ```
    */
-  plan(now: number, isUrgent = false): readonly PlannedDigest[] {
-    if (!isUrgent) this.#tick += 1;
+  plan(
+    now: number,
+    { isUrgent = false, ticks = 1 }: {
+      readonly isUrgent?: boolean;
+      /** Number of ticks since the last plan; an idle instance may plan less
+       * often. */
+      readonly ticks?: number;
+    } = {},
+  ): readonly PlannedDigest[] {
+    if (!isUrgent) this.#tick += ticks;
     this.#isUrgent = false;
     const { name, incarnation } = this.#self;
     this.#board.recordHeard(name, incarnation, now);
--- a/packages/serving/src/member_table.ts
+++ b/packages/serving/src/member_table.ts
@@ -68,11 +68,18 @@
    * even if the store rejects their renewals. */
   setMembers(members: readonly Member[], now: number): void {
     const aliveMembers = this.list().filter((m) => this.isAlive(m.name, now));
-    this.#generation += 1;
-    this.#members = new Map(
+    const next = new Map(
       [...members, ...aliveMembers].filter((m) => m.name !== this.#ownName)
         .map((m) => [m.name, m]),
     );
+    // What follows from the list of a large fleet takes long to compute.
+    const isSame = next.size === this.#members.size &&
+      [...next.values()].every(({ name, incarnation }) =>
+        this.#members.get(name)?.incarnation === incarnation
+      );
+    if (isSame) return;
+    this.#generation += 1;
+    this.#members = next;
     for (const name of this.#states.keys()) {
       if (!this.#members.has(name)) this.#forget(name);
     }
--- a/packages/serving/src/rate_sharers.ts
+++ b/packages/serving/src/rate_sharers.ts
@@ -43,11 +43,14 @@
   const { workspace, limit, windowMs, requestUnits } = options;
   const requests = unitsInWindow(limit, windowMs) / Math.max(1, requestUnits);
   const count = Math.floor(requests / REQUESTS_MIN);
-  const ranked = rankByRendezvous(members, {
-    key: workspace,
-    name: (member) => member.name,
-  });
+  const shares = Math.max(1, Math.min(SHARES_MAX, count));
+  const strongest = [...members].sort((a, b) => b.cores - a.cores);
+  const weakestCores = strongest[shares - 1]?.cores ?? 0;
+  // Weaker ones cannot be among them; hashes of a large fleet take long.
+  const ranked = rankByRendezvous(
+    strongest.filter(({ cores }) => cores >= weakestCores),
+    { key: workspace, name: (member) => member.name },
+  );
   // The sort is stable.
-  return [...ranked].sort((a, b) => b.cores - a.cores)
-    .slice(0, Math.max(1, Math.min(SHARES_MAX, count)));
+  return [...ranked].sort((a, b) => b.cores - a.cores).slice(0, shares);
 }
--- a/packages/serving/src/testing/digest_fleet.ts
+++ b/packages/serving/src/testing/digest_fleet.ts
@@ -242,7 +242,11 @@
       const stamp = { madeAt: this.now };
       node.plane.publish("answers", [["stamp", this.now, stamp]], node.clock);
     }
-    for (const { member, build } of node.plane.plan(node.clock, !isTick)) {
+    for (
+      const { member, build } of node.plane.plan(node.clock, {
+        isUrgent: !isTick,
+      })
+    ) {
       const to = this.nodes.get(member.name);
       if (to === undefined || to.isDead) continue;
       this.#send(node, to, build(this.#connection(node, to)));
