Let no answer end what the list says of an engine's leaving

Cause: the view of an engine kept one flag for two sources. An answer without the notice, to a request that was sent after one with it, set the flag back although the list, in between, showed the engine as leaving; it was used again until its entry changed.

The view keeps what the list says beside what answers said. The new test of engine_table_test.ts failed before.

--- a/packages/serving/src/engine_table.ts
+++ b/packages/serving/src/engine_table.ts
@@ -28,6 +28,8 @@
   down = false;
   /** When the engine was first seen to be leaving, by the monotonic clock. */
   leavingSince: number | undefined;
+  /** Whether the list shows the engine as leaving. */
+  #isListedLeaving: boolean;
   /** When a response first said that the engine is leaving. */
   #saidLeavingAt: number | undefined;
   inFlight = 0;
@@ -38,6 +40,7 @@
 
   constructor(engine: Engine) {
     this.engine = engine;
+    this.#isListedLeaving = engine.leaving;
     // The engine may have been leaving for long and may stop at any time.
     if (engine.leaving) this.leavingSince = -Infinity;
     this.adapters = listedAdapters(engine);
@@ -47,6 +50,7 @@
    * reported are kept, because they are newer than the entry. */
   updateEntry(engine: Engine, now: number): void {
     if (engine.leaving) this.leavingSince ??= now;
+    this.#isListedLeaving = engine.leaving;
     this.engine = this.#saidLeavingAt === undefined
       ? engine
       : { ...engine, leaving: true };
@@ -70,6 +74,7 @@
       return false;
     }
     this.#saidLeavingAt = undefined;
+    if (this.#isListedLeaving) return false;
     this.leavingSince = undefined;
     this.engine = { ...this.engine, leaving: false };
     return true;
--- a/packages/serving/src/engine_table_test.ts
+++ b/packages/serving/src/engine_table_test.ts
@@ -58,3 +58,15 @@
   table.setEngines([{ ...ENGINE, key: "f@1", id: "f" }], 300);
   expect(table.setGeneration).toBeGreaterThan(ofTwo);
 });
+
+// Guards against an answer that makes an engine usable which the list shows as
+// leaving.
+test("an answer does not end what the list says of an engine's leaving", () => {
+  const table = new EngineTable();
+  table.setEngines([ENGINE], 0);
+  viewOf(table).recordLeaving(true, 90, 100);
+  table.setEngines([{ ...ENGINE, leaving: true }], 200);
+  viewOf(table).recordLeaving(false, 210, 220);
+  expect(viewOf(table).engine.leaving).toBe(true);
+  expect(viewOf(table).leavingSince).toBe(100);
+});
