Leave out rows of digests whose values are malformed

Cause: rows were checked for their shape, not for their values. A crash report with an age or suspects of another kind ended in an endless computation: the new test hung until it was killed, with the rows of one peer; a limit, a delay or a room that is no number was taken over as NaN.

Each kind's values are checked before they are applied; malformed ones are left out and the others hold. The digests of before the change took such values as well.

--- a/packages/gateway/src/digest_exchange_test.ts
+++ b/packages/gateway/src/digest_exchange_test.ts
@@ -57,7 +57,7 @@
       confirmDelivery: () => undefined,
     } as unknown as PeerLinks,
   });
-  const { quarantine } = options;
+  const { quarantine, limits, rates, pathDelays } = options;
   const exchange = new DigestExchange(options);
   let seq = 0;
   let version = 0;
@@ -95,7 +95,17 @@
     exchange.receive(peer.member.name, digest);
   };
   await vi.advanceTimersByTimeAsync(1000);
-  return { stores, own, peer, quarantine, deliverDigest, exchange };
+  return {
+    stores,
+    own,
+    peer,
+    quarantine,
+    limits,
+    rates,
+    pathDelays,
+    deliverDigest,
+    exchange,
+  };
 }
 
 function writeConfiguration(store: FakeRecordStore, version: number): void {
@@ -159,3 +169,38 @@
   deliverDigest([["crashes", "e2@1", report]]);
   expect(quarantine.beliefOn("bad").isHeld).toBe(true);
 });
+
+// A row with values of another kind made a limit, a delay or the evidence on a
+// part into no number, which compares as nothing does.
+test.each<Row>([
+  ["limits", "e1@1", { limit: "many", ageMs: "old" }],
+  ["limits", "e1@1", { limit: -1, ageMs: 0 }],
+  ["limits", "e1@1", 7],
+  ["rooms", "w", "much"],
+  ["paths", "far", "slow"],
+  ["paths", "far", -1],
+  ["crashes", "e1@1", { ageMs: "old", suspects: [["bad"]] }],
+  ["crashes", "e1@1", { ageMs: 0, suspects: [7] }],
+  ["answers", "bad", ["a", "b"]],
+  ["answers", "bad", [1]],
+  ["holds", "bad", { isHeld: true }],
+])("a malformed row %j of %j is left out, the others hold", async (...row) => {
+  const { quarantine, limits, rates, pathDelays, deliverDigest } =
+    await startPair();
+  const report = { ageMs: 20, suspects: [["first", "bad"]] };
+  deliverDigest([
+    row as unknown as Row,
+    ["crashes", "e2@1", report],
+    ["crashes", "e3@1", report],
+    ["answers", "first", [4, 9]],
+  ]);
+  const now = performance.now();
+  expect(limits.roomOf("e1@1", now)).toBe("open");
+  expect(pathDelays.to("far", now)).toBe(0);
+  expect(rates.roomsOf("i1")).toEqual({});
+  expect(quarantine.beliefOn("bad")).toEqual({
+    crashes: 2,
+    answers: 0,
+    isHeld: true,
+  });
+});
--- a/packages/gateway/src/digest_rows.ts
+++ b/packages/gateway/src/digest_rows.ts
@@ -98,11 +98,19 @@
         rows,
         "crashes",
         (report, row) =>
-          Array.isArray(report.suspects)
+          isDuration(report.ageMs) && isListOfTexts(report.suspects)
             ? { ...report, ageMs: report.ageMs + now - row.madeAt }
             : undefined,
       ),
-      answers: valuesOf<AnswerCounts>(rows, "answers", (counts) => counts),
+      answers: valuesOf<AnswerCounts>(
+        rows,
+        "answers",
+        (counts) =>
+          Array.isArray(counts) && counts.length === 2 &&
+            counts.every(isDuration)
+            ? counts
+            : undefined,
+      ),
       holds: valuesOf<HoldRecord>(
         rows,
         "holds",
@@ -168,27 +176,29 @@
         if (view !== undefined && isOwner) view.down = value === true;
         return;
       case "rooms":
-        rates.recordRooms(from.name, { [name]: Number(value ?? 0) });
+        if (value !== null && !isDuration(value)) return;
+        rates.recordRooms(from.name, { [name]: value ?? 0 });
         return;
       case "limits": {
-        if (value === null) return;
-        const { limit, ageMs } = value as LimitRecord;
+        const { limit, ageMs } = (value ?? {}) as Partial<LimitRecord>;
+        if (limit === undefined || !isDuration(ageMs)) return;
+        if (limit !== null && !isDuration(limit)) return;
         const record = { limit, ageMs: ageMs + now - madeAt };
         limits.receive({ [name]: record }, now);
         return;
       }
       case "slow":
-        if (view === undefined || value === null) return;
+        if (view === undefined || !isDuration(value)) return;
         if (this.#isNoFarther(from, view.engine)) {
-          view.path.recordReport(Number(value), madeAt);
+          view.path.recordReport(value, madeAt);
         }
         return;
       case "paths":
         // Only those nearby measure the same paths.
-        if (value === null || from.zone !== self.zone) return;
+        if (!isDuration(value) || from.zone !== self.zone) return;
         pathDelays.record(`${from.name} ${name}`, {
           region: name,
-          roundTripMs: Number(value),
+          roundTripMs: value,
           intervalMs: DELAY_REPEAT_MS,
           at: madeAt,
         });
@@ -258,3 +268,14 @@
   });
   return values.length === 0 ? undefined : Object.fromEntries(values);
 }
+
+function isDuration(value: unknown): value is number {
+  return typeof value === "number" && Number.isFinite(value) && value >= 0;
+}
+
+function isListOfTexts(lists: unknown): boolean {
+  return Array.isArray(lists) &&
+    lists.every((list) =>
+      Array.isArray(list) && list.every((text) => typeof text === "string")
+    );
+}
