Log peers that come back; drop what the plane of digests does twice

An instance that was silent and came back as the same process was logged as unresponsive, and never as reachable again, since only a new process counts as a new peer. Both transitions are logged now, once each.

Besides, with no change of behaviour meant: whether an instance is idle and whether a round of reports is due are decided in one place each, and a time that nobody read is gone from outgoing streams.

--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -106,6 +106,8 @@
   readonly #plane: DigestPlane;
   readonly #rows: DigestRows;
   readonly #peers = new Map<string, PeerState>();
+  /** Names of the peers that are not heard of at present. */
+  readonly #unresponsive = new Set<string>();
   // Most instances read records from the store rarely, so they pull them at once
   // from a peer that is ahead.
   readonly #lagDetectors = createLagDetectors(0);
@@ -200,7 +202,7 @@
     if (isUrgent) return;
     this.#rows.applyOwners();
     this.#compareRevisions(now);
-    this.#dropLostPeers(now);
+    this.#logLostPeers(now);
     links().closeIdle(now - IDLE_LINK_MS);
   }
 
@@ -330,6 +332,7 @@
   #addPeer(member: Member): void {
     const { rates, log } = this.#options;
     log.write(events.PEER_REACHABLE, { peer: member.name });
+    this.#unresponsive.delete(member.name);
     this.#peers.set(member.name, {
       aliveSince: performance.now(),
       formerRooms: rates.roomsOf(member.name),
@@ -345,11 +348,19 @@
     return isNew ? peer.formerRooms : undefined;
   }
 
-  #dropLostPeers(now: number): void {
-    for (const name of this.#peers.keys()) {
-      if (this.#options.members.isAlive(name, now)) continue;
-      this.#peers.delete(name);
-      this.#options.log.write(events.PEER_UNRESPONSIVE, { peer: name });
+  #logLostPeers(now: number): void {
+    const { members, log } = this.#options;
+    for (const peer of this.#peers.keys()) {
+      const isAlive = members.isAlive(peer, now);
+      if (isAlive && this.#unresponsive.delete(peer)) {
+        log.write(events.PEER_REACHABLE, { peer });
+      } else if (!isAlive && !this.#unresponsive.has(peer)) {
+        this.#unresponsive.add(peer);
+        log.write(events.PEER_UNRESPONSIVE, { peer });
+      }
+      if (members.get(peer) !== undefined) continue;
+      this.#peers.delete(peer);
+      this.#unresponsive.delete(peer);
     }
   }
 
--- a/packages/serving/src/digest_plane.ts
+++ b/packages/serving/src/digest_plane.ts
@@ -123,8 +123,7 @@
   ) => void;
   /** The peer has received what was sent to it at `sentAt`. */
   readonly onDelivered: (member: Member, sentAt: number) => void;
-  /** The first digest of a peer's process arrived, or the first after the peer
-   * was silent. */
+  /** The first digest of a peer's process arrived. */
   readonly onPeer: (member: Member) => void;
 }
 
@@ -207,8 +206,7 @@
   /** Sets the state that this instance reports. */
   setState(state: Omit<InstanceState, "digestIntervalMs">, now: number): void {
     this.#updateTargets(now);
-    const isIdle = !state.serves && !state.orders &&
-      !this.#targets.isCollector;
+    const isIdle = this.#isIdle(state) && !this.#targets.isCollector;
     const digestIntervalMs = DIGEST_TICK_MS * (isIdle ? IDLE_TICKS : 1);
     const next = { ...state, digestIntervalMs };
     const current = this.#state;
@@ -462,20 +460,25 @@
     }
   }
 
-  #isIdle(state: InstanceState | undefined): boolean {
+  #isIdle(
+    state: Pick<InstanceState, "serves" | "orders"> | undefined,
+  ): boolean {
     return state !== undefined && !state.serves && !state.orders;
   }
 
   /** Reports go to the collectors in turn. */
   #isReportDue(member: Member, ticks: number): boolean {
-    if (this.#tick - this.#reportTick < ticks) return false;
+    if (!this.#isRoundDue(ticks)) return false;
     const { collectors } = this.#targets;
     return collectors[this.#reports % collectors.length] === member;
   }
 
+  #isRoundDue(ticks: number): boolean {
+    return this.#tick - this.#reportTick >= ticks;
+  }
+
   #countReport(): void {
-    const ticks = this.#isIdle(this.#state) ? IDLE_TICKS : 1;
-    if (this.#tick - this.#reportTick < ticks) return;
+    if (!this.#isRoundDue(this.#isIdle(this.#state) ? IDLE_TICKS : 1)) return;
     this.#reportTick = this.#tick;
     this.#reports += 1;
   }
@@ -497,7 +500,7 @@
     let stream = peer.outgoing;
     if (stream === undefined || peer.outgoingOf !== of) {
       this.#epochs += 1;
-      stream = new OutgoingStream(this.#epochs, now);
+      stream = new OutgoingStream(this.#epochs);
       peer.outgoing = stream;
       peer.outgoingOf = of;
       peer.sentAt.clear();
--- a/packages/serving/src/digest_stream.ts
+++ b/packages/serving/src/digest_stream.ts
@@ -32,7 +32,6 @@
 /** What was sent on one connection. */
 export class OutgoingStream {
   readonly epoch: number;
-  readonly startedAt: number;
   #seq = 0;
   #sentUpTo = 0;
   readonly #indexes = new Map<string, number>();
@@ -42,9 +41,8 @@
   readonly #sentLoads = new Map<string, number>();
 
   /** `epoch` is larger than that of any stream to the same peer before. */
-  constructor(epoch: number, now: number) {
+  constructor(epoch: number) {
     this.epoch = epoch;
-    this.startedAt = now;
   }
 
   /** Number of messages so far. */
