--- a/review/lib/run_case.mjs
+++ b/review/lib/run_case.mjs
@@ -14,6 +14,13 @@
     await world.close({ error: "took too long" });
     process.exit(2);
   }, TIME_MAX_MS);
+  // Whoever ends the script ends the processes that it started.
+  for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+    process.once(signal, async () => {
+      await world.close({ error: signal });
+      process.exit(2);
+    });
+  }
   let result;
   try {
     await world.open();
