Let each version of an adapter end by its own successor

Cause: of each adapter only the newest version and its time of receipt were kept, and for 2.5 s after that every older version was allowed, also one replaced long before. An engine keeps such a version while a stream runs on it, so it was chosen again.

Change: AdapterVersions keeps the usable versions with the time of each; one may be used until 2.5 s after its own successor. The chooser gets the oldest usable version instead of a flag.

Ruled out: a version learned late; a load answered with an older version. With the former rule in oldestUsable the new tests fail (3 failed, 12 passed); with the change they pass. Tests of gateway and serving: 601 passed.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -220,6 +220,14 @@
       : 0;
   }
 
+  /** The oldest version of the requested adapter that may still serve. */
+  #oldestVersion(): number {
+    const { model, adapter } = this.#input.caller;
+    return model !== undefined && adapter !== undefined
+      ? this.#deps.oldestVersionOf(model, adapter)
+      : 0;
+  }
+
   #chooseEngine(now: number, excluded: ReadonlySet<string>): EngineChoice {
     const { caller, service } = this.#input;
     const { model, adapter } = caller;
@@ -228,8 +236,7 @@
       model,
       adapter,
       version: this.#newestVersion(),
-      isOlderVersionAllowed: model !== undefined && adapter !== undefined &&
-        this.#deps.isOlderAllowed(model, adapter),
+      oldestVersion: this.#oldestVersion(),
       excludedEngines: excluded,
       timeLeftMs: this.#deadline - now,
     }, this.#deps.selectionContextAt(now));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -290,8 +290,8 @@
       rates: this.#rates,
       retryBudgetOf: (service) => this.#retryBudgetOf(service),
       versionOf: (model, adapter) => this.#storeView.versionOf(model, adapter),
-      isOlderAllowed: (model, adapter) =>
-        this.#storeView.isOlderAllowed(model, adapter),
+      oldestVersionOf: (model, adapter) =>
+        this.#storeView.oldestVersionOf(model, adapter),
       selectionContextAt: (now) => this.#selectionContextAt(now),
       use,
       limits: new LimitKeeper({ limits: this.#engineLimits, log }),
--- a/packages/gateway/src/relay_dependencies.ts
+++ b/packages/gateway/src/relay_dependencies.ts
@@ -44,7 +44,7 @@
   readonly rates: Pick<WorkspaceRates, "take">;
   readonly retryBudgetOf: (service: string) => RetryBudget;
   readonly versionOf: (model: string, adapter: string) => number;
-  readonly isOlderAllowed: (model: string, adapter: string) => boolean;
+  readonly oldestVersionOf: (model: string, adapter: string) => number;
   readonly selectionContextAt: (now: number) => SelectionContext;
   readonly use: AdapterUsageCounts;
   readonly limits: LimitKeeper;
--- a/packages/gateway/src/store_view.ts
+++ b/packages/gateway/src/store_view.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from "@banyanlb/core";
 import {
   adapterKey,
+  AdapterVersions,
   addFingerprints,
   confirmationTimes,
   type Engine,
@@ -47,17 +48,6 @@
  * announced in groups. */
 const VERSIONS_WATCH_PAUSE_MS = 100;
 
-/** How long requests may use an older version of an adapter after a newer one
- * was announced, in milliseconds: half of the time that the deployment
- * allows. */
-const OLDER_VERSION_ALLOWED_MS = 2500;
-
-interface AnnouncedVersion {
-  readonly version: number;
-  /** When this instance received the version, by the monotonic clock. */
-  readonly receivedAt: number;
-}
-
 /** Keeps configuration, engines and versions up to date. */
 export class StoreView {
   readonly #log: EventLog;
@@ -68,7 +58,7 @@
   /** Engines whose entries have vanished but may be written again, each
    * with the time until which the engine is kept. */
   readonly #missing = new Map<string, { engine: Engine; until: number }>();
-  #versions: ReadonlyMap<string, AnnouncedVersion> = new Map();
+  readonly #versions = new AdapterVersions();
   #hasVersionList = false;
   /** Revision of the newest change of the set of engines or of whether one is
    * leaving. */
@@ -194,14 +184,14 @@
 
   /** The newest announced version of an adapter; 0 if none was announced. */
   versionOf(model: string, adapter: string): number {
-    return this.#versions.get(adapterKey(model, adapter))?.version ?? 0;
+    return this.#versions.newestOf(adapterKey(model, adapter));
   }
 
-  /** Whether requests may still use an older version of an adapter. */
-  isOlderAllowed(model: string, adapter: string): boolean {
-    const announced = this.#versions.get(adapterKey(model, adapter));
-    return announced === undefined ||
-      performance.now() - announced.receivedAt < OLDER_VERSION_ALLOWED_MS;
+  /** The oldest version of an adapter that requests may use; 0 if they may use
+   * any. */
+  oldestVersionOf(model: string, adapter: string): number {
+    const key = adapterKey(model, adapter);
+    return this.#versions.oldestUsable(key, performance.now());
   }
 
   /** Starts to follow the store. */
@@ -277,7 +267,6 @@
   }
 
   #setVersions(records: ReadonlyMap<string, StoredRecord>): void {
-    const versions = new Map(this.#versions);
     // Versions of the first list may have been announced long before this
     // process started.
     const receivedAt = this.#hasVersionList ? performance.now() : -Infinity;
@@ -286,15 +275,14 @@
       const announced = decodeVersion(record);
       if (announced === undefined) continue;
       const key = adapterKey(announced.model, announced.adapter);
-      if ((versions.get(key)?.version ?? 0) >= announced.version) continue;
-      versions.set(key, { version: announced.version, receivedAt });
+      const { version } = announced;
+      if (!this.#versions.announce(key, { version, receivedAt })) continue;
       this.#log.write(events.VERSION_ANNOUNCED, {
         adapter: key,
-        version: announced.version,
+        version,
         revision: record.revision,
       });
     }
-    this.#versions = versions;
   }
 
   #setEngines(records: ReadonlyMap<string, StoredRecord>): void {
--- a/packages/gateway/src/store_view_test.ts
+++ b/packages/gateway/src/store_view_test.ts
@@ -122,6 +122,27 @@
   expect(instance.view.versionOf("m", "a2")).toBe(5);
 });
 
+// VERSION: each announced version made all older ones usable again.
+test("versions: a replaced one stays unusable when the next is announced", async () => {
+  const store = new FakeRecordStore();
+  const announce = (version: number) =>
+    store.write("versions", "m.a1", { model: "m", adapter: "a1", version });
+  announce(1);
+  const instance = await startAtVersion(store, 1);
+  const oldest = () => instance.view.oldestVersionOf("m", "a1");
+  announce(2);
+  await vi.advanceTimersByTimeAsync(1000);
+  expect(oldest()).toBe(1);
+  await vi.advanceTimersByTimeAsync(8000);
+  expect(oldest()).toBe(2);
+  announce(3);
+  await vi.advanceTimersByTimeAsync(1000);
+  expect(instance.view.versionOf("m", "a1")).toBe(3);
+  expect(oldest()).toBe(2);
+  await vi.advanceTimersByTimeAsync(4000);
+  expect(oldest()).toBe(3);
+});
+
 // An engine's entry is removed, or marked as leaving, while no watch hears it.
 test("lost history: an engine that leaves unheard gets no requests in time", async () => {
   const store = new FakeRecordStore();
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -206,7 +206,7 @@
     rates: { take: () => Promise.resolve(undefined) },
     retryBudgetOf: () => retryBudget,
     versionOf: () => 0,
-    isOlderAllowed: () => true,
+    oldestVersionOf: () => 0,
     selectionContextAt: (now) => ({
       zone: "z",
       regionOf: () => "r",
--- a/packages/serving/src/choose_engine.ts
+++ b/packages/serving/src/choose_engine.ts
@@ -83,9 +83,9 @@
   readonly adapter: string | undefined;
   /** The newest announced version of the adapter. */
   readonly version: number;
-  /** Whether an older version may still serve, because the newer one was
+  /** The oldest version that may still serve, because its successor was
    * announced very recently. */
-  readonly isOlderVersionAllowed: boolean;
+  readonly oldestVersion: number;
   /** Keys of engines that were already tried. */
   readonly excludedEngines: ReadonlySet<string>;
   /** Time until the request's deadline, in milliseconds. */
@@ -225,7 +225,7 @@
       if (held.version < requirements.version) {
         const cost = costOf(view, context);
         if (
-          requirements.isOlderVersionAllowed && held.readyAt <= now &&
+          held.version >= requirements.oldestVersion && held.readyAt <= now &&
           cost < olderCost
         ) {
           olderView = view;
--- a/packages/serving/src/choose_engine_test.ts
+++ b/packages/serving/src/choose_engine_test.ts
@@ -59,7 +59,7 @@
     model: "m",
     adapter: "a1",
     version: 0,
-    isOlderVersionAllowed: false,
+    oldestVersion: extra.version ?? 0,
     excludedEngines: new Set(),
     timeLeftMs: 10_000,
     ...extra,
@@ -221,7 +221,7 @@
   first.adapters = new Map([["a1", heldAdapter]]);
   expect(
     chooser.choose(
-      requirements({ version: 2, isOlderVersionAllowed: true }),
+      requirements({ version: 2, oldestVersion: 1 }),
       context,
     ),
   )
@@ -232,6 +232,25 @@
   });
 });
 
+// VERSION: an engine that still ran a stream on the first version was used for
+// new requests once a third version had been announced.
+test("new version: one that was replaced before the last is not used again", () => {
+  const { chooser, rank } = setUp(4);
+  const [first, second] = rank;
+  if (first === undefined || second === undefined) throw new Error("none");
+  first.adapters = new Map([["a1", heldAdapter]]);
+  const newest = requirements({ version: 3, oldestVersion: 2 });
+  expect(chooser.choose(newest, context)).toMatchObject({
+    kind: "load",
+    view: second,
+  });
+  second.adapters = new Map([["a1", { version: 2, readyAt: 0 }]]);
+  expect(chooser.choose(newest, context)).toMatchObject({
+    kind: "send",
+    view: second,
+  });
+});
+
 test("engines to which no instance can send orders are not chosen for loads", () => {
   const { chooser, rank } = setUp(3);
   const [first, second] = rank;
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -3,6 +3,7 @@
  * @module
  */
 export * from "./adapter_slot_table.ts";
+export * from "./adapter_versions.ts";
 export * from "./assignment.ts";
 export * from "./lag_detector.ts";
 export * from "./choose_engine.ts";
