Leave no part of a prompt out of the evidence on crashes

Cause: evidence was cut by position. Only the last eight parts of a suspect were kept, and parts behind the 32nd were not read.

Change: all parts are read; tables that need a limit drop the least telling evidence first (parts of a single crash, parts that were answered). Related limits did the same: of too many records of parts held ones went first, in memory and in the store, and answers on parts could crowd out all other rows of a digest. A request that was repeated gives all its parts the same two crashes; they no longer count as explained, which saves one more crash.

--- a/packages/gateway/src/crash_watch.ts
+++ b/packages/gateway/src/crash_watch.ts
@@ -121,6 +121,17 @@
     );
   }
 
+  /** The parts that are logged: those of the most crashes. */
+  #mostSuspected(parts: SharedParts): SharedParts {
+    const { quarantine } = this.#options;
+    if (parts.length <= events.LOGGED_PARTS_MAX) return parts;
+    return parts.map((part) =>
+      [quarantine.beliefOn(part).crashes, part] as const
+    )
+      .toSorted(([a], [b]) => b - a)
+      .slice(0, events.LOGGED_PARTS_MAX).map(([, part]) => part);
+  }
+
   /** The requests that ran on the engine, and what was believed of the parts of
    * the suspects: crashes, answers, and whether the part was held. */
   #fields(
@@ -141,7 +152,9 @@
       cut: requests.length,
       suspects: suspects.slice(0, LOGGED_REQUESTS_MAX).map((request) => ({
         id: request.id,
-        parts: request.parts.map((part) => `${part} ${beliefs.get(part)}`),
+        partCount: request.parts.length,
+        parts: this.#mostSuspected(request.parts)
+          .map((part) => `${part} ${beliefs.get(part)}`),
       })),
       others: requests.filter(({ isSuspect }) => !isSuspect)
         .slice(0, LOGGED_REQUESTS_MAX).map(({ id }) => id),
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -4,6 +4,9 @@
  */
 import type { LogEvent } from "@banyanlb/core";
 
+/** Maximum number of parts of a prompt in the line about a request. */
+export const LOGGED_PARTS_MAX = 16;
+
 /** The gateway has opened its listeners. The fields give the name of this
  * instance and its addresses. */
 export const STARTED: LogEvent = {
--- a/packages/gateway/src/exchange_log.ts
+++ b/packages/gateway/src/exchange_log.ts
@@ -108,7 +108,8 @@
         ? outcome.answer.status
         : undefined,
       load: Math.round(this.#attempt?.view.load(now) ?? 0),
-      parts: caller.sharedParts,
+      parts: caller.sharedParts.slice(0, events.LOGGED_PARTS_MAX),
+      partCount: caller.sharedParts.length,
       // Time since the first byte of a response, of this or an earlier attempt.
       answeredMs: this.#firstByteAt === undefined
         ? undefined
--- a/packages/gateway/src/hold_keeper_test.ts
+++ b/packages/gateway/src/hold_keeper_test.ts
@@ -55,6 +55,31 @@
   quarantine.report(performance.now());
 }
 
+// An object of the store has room for a part of the records only.
+test("held parts are stored rather than those that were released", async () => {
+  const store = new FakeStore();
+  const { quarantine, keeper } = startKeeper(store);
+  holdPart(quarantine, "held");
+  const released = {
+    revision: 2,
+    isHeld: false,
+    crashes: 2,
+    trials: 0,
+    ageMs: 0,
+    trialInMs: null,
+    expiresInMs: 60_000,
+  };
+  quarantine.adopt(
+    Object.fromEntries(
+      Array.from({ length: 200 }, (_, i) => [`released${i}`, released]),
+    ),
+    "peer",
+    performance.now(),
+  );
+  await keeper.check();
+  expect(store.record?.value).toMatchObject({ parts: { held: {} } });
+});
+
 // One odd part kept the record from being read and written again, and a line was
 // logged each second.
 test.each([
--- a/packages/gateway/src/relay_crashing_part_test.ts
+++ b/packages/gateway/src/relay_crashing_part_test.ts
@@ -49,29 +49,39 @@
 
 // Each request with such a part ended the engine that it was sent to, its
 // repeat the next one, until no engine of the service was left.
-test("requests with a prompt part that crashes engines stop reaching engines", async () => {
-  const engines = await startCrashingEngines();
-  const port = await startRelay(engines.ports, {
-    route: { kind: "stream", resumable: true, maxAttempts: 3 },
-  });
-  const sound = promptOf(FIRST_PART, "a1", "01");
-  expect((await sendRequest(port, sound)).isComplete).toBe(true);
-  const statuses: number[] = [];
-  for (let i = 0; i < ENGINE_COUNT; i += 1) {
-    const own = (i + 16).toString(16);
-    const response = await sendRequest(
-      port,
-      promptOf(FIRST_PART, "c6", CRASHING_PART, own),
-    );
-    statuses.push(response.status);
-    for (const middle of ["a1", "c6"]) {
-      expect(await sendRequest(port, promptOf(FIRST_PART, middle, own)))
-        .toMatchObject({ status: 200, isComplete: true });
+// With eight or more shared parts behind it, the part was never suspected.
+test.each([0, 12])(
+  "requests with a prompt part that crashes engines stop reaching engines, %i parts behind it",
+  async (behind) => {
+    const engines = await startCrashingEngines();
+    const port = await startRelay(engines.ports, {
+      route: { kind: "stream", resumable: true, maxAttempts: 3 },
+    });
+    const sound = promptOf(FIRST_PART, "a1", "01");
+    expect((await sendRequest(port, sound)).isComplete).toBe(true);
+    const statuses: number[] = [];
+    for (let i = 0; i < ENGINE_COUNT; i += 1) {
+      const own = (i + 16).toString(16);
+      const response = await sendRequest(
+        port,
+        promptOf(
+          FIRST_PART,
+          "c6",
+          CRASHING_PART,
+          ...Array.from({ length: behind }, (_, k) => `${own}${k + 10}`),
+          own,
+        ),
+      );
+      statuses.push(response.status);
+      for (const middle of ["a1", "c6"]) {
+        expect(await sendRequest(port, promptOf(FIRST_PART, middle, own)))
+          .toMatchObject({ status: 200, isComplete: true });
+      }
     }
-  }
-  expect(engines.crashCount()).toBeLessThanOrEqual(CRASHES_MAX);
-  expect(statuses.slice(-6)).toEqual(Array(6).fill(503));
-});
+    expect(engines.crashCount()).toBeLessThanOrEqual(CRASHES_MAX);
+    expect(statuses.slice(-6)).toEqual(Array(6).fill(503));
+  },
+);
 
 test("a request with a held part is told that it has not run, and no time to return", async () => {
   const engines = await startCrashingEngines(4);
--- a/packages/serving/src/crash_evidence.ts
+++ b/packages/serving/src/crash_evidence.ts
@@ -48,11 +48,20 @@
  * for a part: as many as there may be crashes. */
 const ANSWERS_SINCE_MAX = 64;
 
-/** Bounds of the tables. */
-const ANSWERED_PARTS_MAX = 4096;
+/** Bounds of the tables. A crash that no other one resembles is no evidence, so
+ * the parts of a single crash are dropped before those of several. */
+const ANSWERED_PARTS_MAX = 16_384;
 const CRASHES_MAX = 64;
-const SUSPECTS_MAX = 128;
-const PARTS_OF_SUSPECT_MAX = 8;
+const SUSPECT_PARTS_MAX = 65_536;
+/** Number of parts that are kept when there are too many. */
+const SUSPECT_PARTS_KEPT = 49_152;
+
+/** Maximum number of parts that one instance reports of one crash, summed over
+ * its suspects. */
+const REPORTED_PARTS_MAX = 4096;
+
+/** Maximum number of parts whose answers one instance reports. */
+const REPORTED_ANSWERS_MAX = 1024;
 
 const NO_ENGINES: ReadonlySet<string> = new Set();
 
@@ -60,6 +69,8 @@
   readonly at: number;
   /** The suspects by the instance that sent them. */
   readonly suspects: Map<string, readonly SharedParts[]>;
+  /** The parts of all suspects. */
+  readonly parts: Set<string>;
 }
 
 interface Candidate {
@@ -82,7 +93,8 @@
   depth: number;
   /** Counts of this instance. */
   own: AnswerCounts;
-  readonly byPeer: Map<string, AnswerCounts>;
+  /** Counts of peers; undefined as long as there are none. */
+  byPeer: Map<string, AnswerCounts> | undefined;
 }
 
 /** The crashes and answers that this instance and its peers have seen. */
@@ -93,6 +105,10 @@
   readonly #crashes = new Map<string, Crash>();
   /** The parts of all suspects. */
   readonly #suspected = new Map<string, SuspectedPart>();
+  /** The parts that are suspects of enough crashes to be their cause. */
+  readonly #repeated = new Set<string>();
+  /** Number of parts of each crash, summed over the crashes. */
+  #partCount = 0;
 
   /** `self` is the name of this instance. */
   constructor(self: string) {
@@ -100,7 +116,7 @@
   }
 
   /** Records that an answer of this instance got past its beginning. Returns
-   * whether the evidence on a suspected part has changed. */
+   * whether the evidence on a part has changed that may be the cause. */
   recordAnswer(parts: SharedParts, now: number): boolean {
     let isChanged = false;
     for (const part of parts) {
@@ -112,7 +128,7 @@
       const [before, since] = suspected.own;
       if (since >= ANSWERS_SINCE_MAX) continue;
       suspected.own = [before, since + 1];
-      isChanged = true;
+      isChanged ||= this.#repeated.has(part);
     }
     for (const part of this.#answered.keys()) {
       if (this.#answered.size <= ANSWERED_PARTS_MAX) break;
@@ -138,39 +154,54 @@
     },
   ): void {
     const { reporter, at } = report;
-    const suspects = report.suspects.filter((parts) => parts.length > 0)
-      .map((parts) => parts.slice(-PARTS_OF_SUSPECT_MAX));
+    const suspects = this.#fit(
+      report.suspects.filter((parts) => parts.length > 0),
+    );
     if (suspects.length === 0) return;
     let crash = this.#crashes.get(engineKey);
     if (crash === undefined) {
-      crash = { at, suspects: new Map() };
+      crash = { at, suspects: new Map(), parts: new Set() };
       this.#crashes.set(engineKey, crash);
       this.#dropOldCrashes(at);
     }
-    const others = [...crash.suspects].reduce(
-      (sum, [name, list]) => name === reporter ? sum : sum + list.length,
-      0,
-    );
-    const kept = suspects.slice(0, Math.max(0, SUSPECTS_MAX - others));
-    crash.suspects.set(reporter, kept);
-    for (const parts of kept) {
+    crash.suspects.set(reporter, suspects);
+    const { parts: known } = crash;
+    const countBefore = known.size;
+    for (const parts of suspects) {
       parts.forEach((part, depth) => {
+        known.add(part);
         const suspected = this.#suspectedPart(part, at);
         suspected.engines.add(engineKey);
         suspected.depth = Math.max(suspected.depth, depth);
+        if (suspected.engines.size >= CONVICTION_BALANCE) {
+          this.#repeated.add(part);
+        }
       });
     }
+    this.#partCount += known.size - countBefore;
+    this.#dropSurplusParts();
   }
 
   /** Records the answers on a suspected part that a peer has counted. */
   recordPeerAnswers(peer: string, part: string, counts: AnswerCounts): void {
-    this.#suspected.get(part)?.byPeer.set(peer, counts);
+    const suspected = this.#suspected.get(part);
+    if (suspected === undefined) return;
+    suspected.byPeer ??= new Map();
+    suspected.byPeer.set(peer, counts);
   }
 
-  /** The answers of this instance on each suspected part that has any. */
+  /** The answers of this instance on suspected parts that have any; on those of
+   * several crashes first, since a bounded number is reported. */
   *ownAnswers(): Iterable<readonly [part: string, counts: AnswerCounts]> {
-    for (const [part, { own }] of this.#suspected) {
-      if (own[0] + own[1] > 0) yield [part, own];
+    let count = 0;
+    for (
+      const part of new Set([...this.#repeated, ...this.#suspected.keys()])
+    ) {
+      const own = this.#suspected.get(part)?.own;
+      if (own === undefined || own[0] + own[1] === 0) continue;
+      yield [part, own];
+      count += 1;
+      if (count === REPORTED_ANSWERS_MAX) return;
     }
   }
 
@@ -249,6 +280,19 @@
     }
   }
 
+  /** Whether no other part explains the same crashes as well. All parts of a
+   * single request that was repeated explain them alike. */
+  isDistinct({ part, engines }: Explanation): boolean {
+    for (const other of this.#repeated) {
+      const crashed = this.#suspected.get(other)?.engines ?? NO_ENGINES;
+      if (
+        other !== part && engines.every((key) => crashed.has(key)) &&
+        engines.length - this.#answersOn(other) >= CONVICTION_BALANCE
+      ) return false;
+    }
+    return true;
+  }
+
   /** The part that best explains the crashes; undefined if there is none, or
    * if the evidence does not tell it apart from a part of other requests. */
   #bestCandidate(leftOut: ReadonlySet<string>): Candidate | undefined {
@@ -267,8 +311,9 @@
    * specific first. */
   #candidates(leftOut: ReadonlySet<string>): readonly Candidate[] {
     const candidates: Candidate[] = [];
-    for (const [part, suspected] of this.#suspected) {
-      if (suspected.engines.size < CONVICTION_BALANCE) continue;
+    for (const part of this.#repeated) {
+      const suspected = this.#suspected.get(part);
+      if (suspected === undefined) continue;
       const engines = new Set(
         [...suspected.engines].filter((key) => !leftOut.has(key)),
       );
@@ -301,7 +346,7 @@
       engines: new Set(),
       depth: 0,
       own: [before, 0],
-      byPeer: new Map(),
+      byPeer: undefined,
     };
     this.#suspected.set(part, suspected);
     return suspected;
@@ -311,24 +356,97 @@
     const suspected = this.#suspected.get(part);
     if (suspected === undefined) return 0;
     let [before, since] = suspected.own;
-    for (const [peerBefore, peerSince] of suspected.byPeer.values()) {
+    for (const [peerBefore, peerSince] of suspected.byPeer?.values() ?? []) {
       before += peerBefore;
       since += peerSince;
     }
     return Math.min(before, ANSWERS_BEFORE_MAX) + since;
   }
 
+  /** The suspects with as many parts as are reported. Those with fewer parts
+   * than their share are kept whole. Of the others, parts go first on which this
+   * instance had answers: they are the least likely to be the cause. */
+  #fit(suspects: readonly SharedParts[]): readonly SharedParts[] {
+    if (countParts(suspects) <= REPORTED_PARTS_MAX) return suspects;
+    let room = REPORTED_PARTS_MAX;
+    const shares = new Map<SharedParts, number>();
+    const byLength = suspects.toSorted((a, b) => a.length - b.length);
+    byLength.forEach((parts, i) => {
+      const share = Math.floor(room / (byLength.length - i));
+      shares.set(parts, Math.min(parts.length, share));
+      room -= Math.min(parts.length, share);
+    });
+    return suspects.map((parts) =>
+      this.#mostSuspicious(parts, shares.get(parts) ?? 0)
+    ).filter((parts) => parts.length > 0);
+  }
+
+  /** The `count` parts that are most likely to be the cause, in their order:
+   * suspects of other crashes, then parts without answers. */
+  #mostSuspicious(parts: SharedParts, count: number): SharedParts {
+    if (parts.length <= count) return parts;
+    const rank = (part: string) =>
+      this.#suspected.has(part) ? 0 : this.#answered.has(part) ? 2 : 1;
+    const ranked = parts.map((part) => [rank(part), part] as const)
+      .toSorted(([a], [b]) => a - b);
+    const kept = new Set(ranked.slice(0, count).map(([, part]) => part));
+    return parts.filter((part) => kept.has(part));
+  }
+
   #dropOldCrashes(now: number): void {
     for (const [key, { at }] of this.#crashes) {
       const isOld = now - at > EVIDENCE_MS;
-      if (!isOld && this.#crashes.size <= CRASHES_MAX) continue;
-      this.#crashes.delete(key);
-      for (const [part, { engines }] of this.#suspected) {
-        engines.delete(key);
-        if (engines.size === 0) this.#suspected.delete(part);
-      }
+      if (isOld || this.#crashes.size > CRASHES_MAX) this.#dropCrash(key);
     }
   }
+
+  /** Drops the parts that only one crash has, of the oldest crashes first; whole
+   * crashes if that is not enough. */
+  #dropSurplusParts(): void {
+    if (this.#partCount <= SUSPECT_PARTS_MAX) return;
+    for (const [key, crash] of this.#crashes) {
+      if (this.#partCount <= SUSPECT_PARTS_KEPT) return;
+      this.#reduceCrash(key, crash);
+    }
+    for (const key of this.#crashes.keys()) {
+      if (this.#partCount <= SUSPECT_PARTS_KEPT) return;
+      this.#dropCrash(key);
+    }
+  }
+
+  #reduceCrash(engineKey: string, { suspects, parts }: Crash): void {
+    const isRepeated = (part: string) => this.#repeated.has(part);
+    for (const part of parts) {
+      if (isRepeated(part)) continue;
+      parts.delete(part);
+      this.#partCount -= 1;
+      this.#removeEngine(part, engineKey);
+    }
+    for (const [reporter, list] of suspects) {
+      suspects.set(reporter, list.map((parts) => parts.filter(isRepeated)));
+    }
+  }
+
+  #dropCrash(engineKey: string): void {
+    const crash = this.#crashes.get(engineKey);
+    if (crash === undefined) return;
+    this.#crashes.delete(engineKey);
+    this.#partCount -= crash.parts.size;
+    for (const part of crash.parts) this.#removeEngine(part, engineKey);
+  }
+
+  #removeEngine(part: string, engineKey: string): void {
+    const engines = this.#suspected.get(part)?.engines;
+    if (engines === undefined) return;
+    engines.delete(engineKey);
+    if (engines.size < CONVICTION_BALANCE) this.#repeated.delete(part);
+    if (engines.size === 0) this.#suspected.delete(part);
+  }
+}
+
+/** Number of parts of all suspects. */
+function countParts(suspects: readonly SharedParts[]): number {
+  return suspects.reduce((sum, parts) => sum + parts.length, 0);
 }
 
 function overlaps(a: ReadonlySet<string>, b: ReadonlySet<string>): boolean {
--- a/packages/serving/src/crash_evidence_test.ts
+++ b/packages/serving/src/crash_evidence_test.ts
@@ -21,6 +21,11 @@
   for (let i = 0; i < times; i += 1) evidence.recordAnswer(parts, i);
 }
 
+/** Parts that no other request has. */
+function uniqueParts(name: string, count: number): SharedParts {
+  return Array.from({ length: count }, (_, i) => `${name}.${i}`);
+}
+
 function causesOf(evidence: CrashEvidence): readonly string[] {
   return evidence.explain(100, 100).map(({ part }) => part);
 }
@@ -128,6 +133,66 @@
     expect(evidence.explain(100, 1)).toMatchObject([{ part: "bad" }]);
   });
 
+  // BUDGET: a part with eight or more shared parts behind it was no suspect of
+  // any crash, so its requests crashed engines without end.
+  test.each([1, 12, 300])("is found with %i parts behind it", (behind) => {
+    const evidence = new CrashEvidence("i1");
+    answer(evidence, ["first"], 9);
+    recordCrashes(
+      evidence,
+      [0, 1].map((crash) => [
+        ["first", "bad", ...uniqueParts(`bad${crash}`, behind)],
+        ["first", ...uniqueParts(`sound${crash}`, behind)],
+      ]),
+    );
+    expect(causesOf(evidence)).toEqual(["bad"]);
+  });
+
+  test("is found among more parts than an instance reports", () => {
+    const evidence = new CrashEvidence("i1");
+    answer(evidence, ["first", ...uniqueParts("known", 200)], 9);
+    recordCrashes(
+      evidence,
+      [0, 1].map((crash) => [
+        ...Array.from({ length: 100 }, (_, i) => [
+          "first",
+          ...uniqueParts(`sound${crash}.${i}`, 100),
+        ]),
+        // The parts before it are known from answers.
+        ["first", ...uniqueParts("known", 200), "bad", `own${crash}`],
+      ]),
+    );
+    expect(causesOf(evidence)).toEqual(["bad"]);
+  });
+
+  test("is found although crashes without it have more parts than are kept", () => {
+    const evidence = new CrashEvidence("i1");
+    answer(evidence, ["first"], 9);
+    for (let crash = 0; crash < 40; crash += 1) {
+      const isBad = crash % 8 === 0;
+      evidence.recordCrash(`e${crash}@1`, {
+        reporter: "i1",
+        suspects: Array.from({ length: 10 }, (_, i) => [
+          "first",
+          ...(isBad && i === 0 ? ["bad"] : []),
+          ...uniqueParts(`${crash}.${i}`, 300),
+        ]),
+        at: crash,
+      });
+      answer(evidence, ["first"], 1);
+    }
+    expect(causesOf(evidence)).toEqual(["bad"]);
+  });
+
+  test("is found in time if long prompts are repeated", () => {
+    const evidence = new CrashEvidence("i1");
+    const prompts = ["a", "b"].map((name) => uniqueParts(name, 400));
+    recordCrashes(evidence, [prompts, prompts]);
+    const startedAt = performance.now();
+    evidence.explain(100, 100);
+    expect(performance.now() - startedAt).toBeLessThan(200);
+  });
+
   test("is forgotten with its crashes", () => {
     const evidence = new CrashEvidence("i1");
     recordCrashes(evidence, [[BAD], [BAD]]);
--- a/packages/serving/src/part_quarantine.ts
+++ b/packages/serving/src/part_quarantine.ts
@@ -119,7 +119,8 @@
   readonly #evidence: CrashEvidence;
   readonly #holds = new Map<string, Hold>();
   /** The parts that explain the crashes of the last minute, and the keys of the
-   * engines that crashed because of them. */
+   * engines that crashed because of them, as far as no other part may be the
+   * cause. */
   #causes: ReadonlySet<string> = new Set();
   #explainedEngines: ReadonlySet<string> = new Set();
   /** When a crash is settled, so that conclusions must be drawn again. */
@@ -354,7 +355,10 @@
     this.#concludeAt = this.#evidence.firstCrashAfter(now - settleMs) +
       settleMs;
     this.#causes = new Set(explanations.map(({ part }) => part));
-    this.#explainedEngines = new Set(explanations.flatMap((e) => e.engines));
+    this.#explainedEngines = new Set(
+      explanations.filter((e) => this.#evidence.isDistinct(e))
+        .flatMap(({ engines }) => engines),
+    );
     for (const [part, hold] of this.#holds) {
       if (!hold.isHeld || this.#causes.has(part)) continue;
       if (this.#isSuspected(part)) continue;
@@ -419,18 +423,25 @@
     };
   }
 
-  /** Drops records that have expired, and those that expire first if there are
-   * too many. */
+  /** Drops records that have expired, and if there are too many those of released
+   * parts and then those that expire first. */
   #dropSurplus(now: number): void {
-    const byExpiry = [...this.#holds].sort(([, a], [, b]) =>
-      a.expiresAt - b.expiresAt
+    for (const [part, hold] of this.#holds) {
+      if (now >= hold.expiresAt) this.#drop(part, hold);
+    }
+    if (this.#holds.size <= PARTS_MAX) return;
+    const byUse = [...this.#holds].sort(([, a], [, b]) =>
+      Number(a.isHeld) - Number(b.isHeld) || a.expiresAt - b.expiresAt
     );
-    for (const [part, hold] of byExpiry) {
-      if (now < hold.expiresAt && this.#holds.size <= PARTS_MAX) return;
-      if (hold.isHeld) this.#listener.onRelease(part, "idle");
-      this.#holds.delete(part);
+    for (const [part, hold] of byUse.slice(0, this.#holds.size - PARTS_MAX)) {
+      this.#drop(part, hold);
     }
   }
+
+  #drop(part: string, hold: Hold): void {
+    if (hold.isHeld) this.#listener.onRelease(part, "idle");
+    this.#holds.delete(part);
+  }
 }
 
 /** A record that was made `ageMs` ago.
--- a/packages/serving/src/part_quarantine_test.ts
+++ b/packages/serving/src/part_quarantine_test.ts
@@ -409,6 +409,29 @@
   });
 });
 
+test("records of released parts are dropped before those of held ones", () => {
+  const quarantine = new Fleet(1).instances.get("i0");
+  const record = {
+    revision: 1,
+    crashes: 2,
+    trials: 0,
+    ageMs: 0,
+    trialInMs: null,
+  };
+  quarantine?.adopt(
+    {
+      held: { ...record, isHeld: true, expiresInMs: 1000 },
+      ...Object.fromEntries(Array.from({ length: 300 }, (_, i) => [
+        `released${i}`,
+        { ...record, isHeld: false, expiresInMs: 2000 },
+      ])),
+    },
+    "peer",
+    0,
+  );
+  expect(quarantine?.beliefOn("held").isHeld).toBe(true);
+});
+
 describe("a request that was cut off at its beginning", () => {
   test("is repeated once, unless its parts are known to be sound", () => {
     const fleet = new Fleet(1);
