Take signals before the program is loaded

Cause: the handlers were installed after all modules had been loaded and the settings read, some 100 to 150 ms after the start. Until then SIGHUP has its default action. SIGUSR2 and SIGALRM had it all the time, and SIGUSR1 opened a debugger.

Change: main.ts takes the signals and then loads the program, in a second file of the bundle.

Ruled out: a handler that fails (at 150 and 250 ms the process ran on).

--- /dev/null
+++ b/packages/gateway/src/program.ts
@@ -0,0 +1,93 @@
+/** The gateway's command line.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import { EventLog } from "@banyanlb/core";
+import {
+  decodeSettings,
+  type InstanceSettings,
+  SETTINGS_PATH_VARIABLE,
+} from "@banyanlb/platform";
+import pino from "pino";
+import sade from "sade";
+import * as events from "./events.ts";
+import { Gateway } from "./gateway.ts";
+import { LogStream } from "./log_stream.ts";
+import type { ProcessSignals } from "./process_signals.ts";
+
+const VERSION = "0.1.0";
+
+/** Exit code for settings that cannot be used. */
+const BAD_SETTINGS_EXIT_CODE = 2;
+
+function readSettings(path: string): InstanceSettings {
+  return decodeSettings(readFileSync(path, "utf8"));
+}
+
+function exitWithError(message: string): never {
+  console.error(message);
+  process.exit(BAD_SETTINGS_EXIT_CODE);
+}
+
+async function serve(path: string, signals: ProcessSignals): Promise<void> {
+  const logStream = new LogStream(process.stdout);
+  const log = new EventLog(
+    pino(
+      { base: undefined, timestamp: pino.stdTimeFunctions.epochTime },
+      logStream,
+    ),
+  );
+  process.on("uncaughtException", (err) => {
+    log.write(events.UNEXPECTED_ERROR, { error: err.stack ?? String(err) });
+  });
+  process.on("unhandledRejection", (err) => {
+    log.write(events.UNEXPECTED_ERROR, { error: String(err) });
+  });
+  const settings = readSettings(path);
+  const gateway = new Gateway(settings, {
+    log,
+    droppedLogLines: () => logStream.dropped,
+  });
+  signals.register({
+    onStop: () => void gateway.stop().then(() => process.exit(0)),
+    onReload: () => {
+      try {
+        readSettings(path);
+        log.write(events.SETTINGS_REREAD);
+      } catch (err) {
+        log.write(events.SETTINGS_INVALID, { error: String(err) });
+      }
+    },
+  });
+  await gateway.start();
+}
+
+/** Runs the command that the arguments of the process name. */
+export function runProgram(signals: ProcessSignals): void {
+  sade("banyanlb-gateway", true)
+    .version(VERSION)
+    .describe("Serves callers on this machine until SIGTERM.")
+    .option(
+      "--settings",
+      `Path of the settings file; by default from ${SETTINGS_PATH_VARIABLE}`,
+    )
+    .option("--check", "Check the settings file and exit")
+    .action(async (options: { settings?: string; check?: boolean }) => {
+      const path = options.settings ?? process.env[SETTINGS_PATH_VARIABLE];
+      if (path === undefined) {
+        exitWithError(
+          `no settings file; name one with --settings or set ${SETTINGS_PATH_VARIABLE}`,
+        );
+      }
+      try {
+        if (options.check === true) readSettings(path);
+        else await serve(path, signals);
+      } catch (err) {
+        exitWithError(
+          `${path}: ${err instanceof Error ? err.message : String(err)}`,
+        );
+      }
+    })
+    .parse(process.argv);
+}
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,5 +1,6 @@
-/** Bundles the gateway into one file, because loading many modules slows down
- * the restart of a process.
+/** Bundles the gateway into two files, because loading many modules slows down
+ * the restart of a process. The first one takes the signals of the process and
+ * loads the other.
  *
  * Usage: node scripts/bundle.mjs
  */
@@ -25,9 +26,10 @@
   },
 });
 await bundle.write({
-  file: "target/banyanlb.mjs",
+  dir: "target",
+  entryFileNames: "banyanlb.mjs",
+  chunkFileNames: "banyanlb-[name].mjs",
   format: "esm",
-  codeSplitting: false,
   minify: true,
 });
 await bundle.close();
