Wait for addresses that are in use, and serve without the metrics page

Cause: a listener that could not be bound rejected the start, and the command line takes that for settings that cannot be used.

Change: a listener is opened again every 100 ms while its address is in use or not assigned yet, or no descriptor is free; other errors still end the start. Readiness waits for all listeners but the metrics page. A failed attempt no longer leaves a listener behind that hides the server's next error.

Ruled out: reuse of addresses (Node sets SO_REUSEADDR; the address was in use).

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -10,7 +10,9 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
+import type { ListenAddress } from "@banyanlb/platform";
 import type { CallerLimits } from "@banyanlb/serving";
+import { bindServer } from "./open_listener.ts";
 
 /** Added to the configured idle timeout, so that a request that a caller sends
  * just before the timeout expires still finds the connection open. */
@@ -89,11 +91,8 @@
   }
 
   /** Starts to accept connections. Rejects if the address cannot be bound. */
-  listen(address: { readonly host: string; readonly port: number }) {
-    return new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(address.port, address.host, 1024, () => resolve());
-    });
+  listen(address: ListenAddress): Promise<void> {
+    return bindServer(this.#server, address);
   }
 
   /** Stops listening and closes all connections at once. */
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -416,3 +416,11 @@
   severity: "warn",
   text: "malformed record ignored",
 };
+
+/** A listener could not be opened, since its address is in use or not assigned
+ * yet, or no descriptor is free. It is tried again. */
+export const ADDRESS_NOT_FREE: LogEvent = {
+  id: 863,
+  severity: "warn",
+  text: "address not free yet",
+};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,7 @@
 import {
   EngineControlClient,
   type InstanceSettings,
+  type ListenAddress,
   ObjectStoreClient,
   PlatformCallerProtocol,
 } from "@banyanlb/platform";
@@ -38,6 +39,7 @@
 import { LimitKeeper } from "./limit_keeper.ts";
 import { Membership } from "./membership.ts";
 import { GatewayMetrics } from "./metrics.ts";
+import { openListener } from "./open_listener.ts";
 import { OwnLoad } from "./own_load.ts";
 import { PeerLinks, type SendReply } from "./peer_links.ts";
 import type { PeerMessage } from "./peer_messages.ts";
@@ -118,6 +120,7 @@
   #loaderTimer: NodeJS.Timeout | undefined;
   /** Ticks since the last digests. */
   #ticks = 0;
+  #isListening = false;
   #isDraining = false;
   #drainStartedAt = Infinity;
 
@@ -346,18 +349,25 @@
     this.#storeView.onRecordsApplied = () => this.#announceChanges();
   }
 
-  /** Starts to follow the store and opens the listeners. */
+  /** Starts to follow the store and opens the listeners. An address that is not
+   * free is waited for; rejects if one cannot be used at all. */
   async start(): Promise<void> {
     this.#membership.start();
     void this.#startStoreView();
     this.#promptProtection.start();
+    const { peers, callers, readiness, steering, metrics } = this.#settings;
+    // Callers are served without the metrics page.
+    this.#open(this.#metricsServer, metrics).catch((err: unknown) =>
+      this.#log.write(events.UNEXPECTED_ERROR, { error: String(err) })
+    );
     await Promise.all([
-      this.#links.listen(this.#settings.peers),
-      this.#callerServer.listen(this.#settings.callers),
-      this.#readinessServer.listen(this.#settings.readiness),
-      this.#steeringServer.listen(this.#settings.steering),
-      this.#metricsServer.listen(this.#settings.metrics),
+      this.#open(this.#links, peers),
+      this.#open(this.#callerServer, callers),
+      this.#open(this.#readinessServer, readiness),
+      this.#open(this.#steeringServer, steering),
     ]);
+    if (this.#isDraining) return;
+    this.#isListening = true;
     for (const seed of this.#settings.seeds) {
       if (seed === this.#self.peerAddress) continue;
       // The peer adds the sender of a hello to its members and sends it
@@ -378,6 +388,17 @@
     });
   }
 
+  #open(
+    server: Pick<CallerServer, "listen">,
+    address: ListenAddress,
+  ): Promise<void> {
+    return openListener(() => server.listen(address), {
+      address,
+      isClosed: () => this.#isDraining,
+      log: this.#log,
+    });
+  }
+
   /** Reads the records once the members are known: in a large fleet most
    * instances receive them from a peer. */
   async #startStoreView(): Promise<void> {
@@ -445,8 +466,8 @@
   }
 
   get #isReady(): boolean {
-    return this.#storeView.ready && this.#promptProtection.isReady &&
-      !this.#isDraining;
+    return this.#isListening && this.#storeView.ready &&
+      this.#promptProtection.isReady && !this.#isDraining;
   }
 
   /** Announces changed records to all peers at once if this instance is a store
--- a/packages/gateway/src/peer_links.ts
+++ b/packages/gateway/src/peer_links.ts
@@ -6,9 +6,10 @@
  * @module
  */
 import { createServer, type Server, Socket } from "node:net";
-import { parseAddress } from "@banyanlb/platform";
+import { type ListenAddress, parseAddress } from "@banyanlb/platform";
 import type { Member } from "@banyanlb/serving";
 import { decodeMember } from "./membership_entries.ts";
+import { bindServer } from "./open_listener.ts";
 import type { PeerMessage } from "./peer_messages.ts";
 
 /** Minimum time from one dial of a peer to the next, in milliseconds. */
@@ -192,11 +193,8 @@
   }
 
   /** Starts to accept connections. */
-  listen(address: { readonly host: string; readonly port: number }) {
-    return new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(address.port, address.host, () => resolve());
-    });
+  listen(address: ListenAddress): Promise<void> {
+    return bindServer(this.#server, address);
   }
 
   /** Sends a message to the peer at this address; returns false if there is no
--- a/packages/gateway/src/program_test.ts
+++ b/packages/gateway/src/program_test.ts
@@ -7,7 +7,7 @@
   writeFileSync,
 } from "node:fs";
 import { afterEach, expect, test, vi } from "vitest";
-import { GatewayProcess } from "./testing/gateway_process.ts";
+import { GatewayProcess, nextHost, occupy } from "./testing/gateway_process.ts";
 
 const WAIT = { timeout: 10_000, interval: 20 };
 
@@ -92,6 +92,36 @@
   expect(await isListening(process.url("readiness"))).toBe(true);
 });
 
+// FAULT: nothing was served for lack of a page of figures.
+test("a metrics port that is in use does not keep the process from serving", async () => {
+  const other = await occupy(nextHost(), "metrics");
+  const process = startProcess();
+  await hasStarted(process);
+  expect(await isListening(process.url("callers"))).toBe(true);
+  other.close();
+  await vi.waitFor(
+    async () => expect(await isListening(process.url("metrics"))).toBe(true),
+    WAIT,
+  );
+});
+
+// FAULT: a predecessor that still held its address ended its successor.
+test.each(["callers", "readiness", "steering", "peers"] as const)(
+  "the address of %s is waited for if it is in use",
+  async (port) => {
+    const other = await occupy(nextHost(), port);
+    const process = startProcess();
+    await vi.waitFor(
+      () => expect(process.output).toContain("address not free yet"),
+      WAIT,
+    );
+    expect(process.end).toBeUndefined();
+    other.close();
+    await hasStarted(process);
+    expect(await isListening(process.url("callers"))).toBe(true);
+  },
+);
+
 test("settings that cannot be used end the process with path and remedy", async () => {
   const process = startProcess((path) =>
     writeFileSync(path, '{"listen": {}, "bounds": {}, "zones": {}}')
