Wait for a settings file that is being written

A process that started while its settings file was missing, empty or half written ended with exit code 2 (rule FAULT, "the system didn't start"; that the users saw this is only suspected). The platform writes the file at every start and whenever the settings change.

Cause: text that is no JSON was treated like settings that are wrong.

Change: such a file is read again every 50 ms for 5 s (event 864). A complete file with wrong values still ends the process at once, with its path and what is missing.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -424,3 +424,11 @@
   severity: "warn",
   text: "address not free yet",
 };
+
+/** The settings file is missing, empty or incomplete at the start. It is read
+ * again for a few seconds, since it may be about to be written. */
+export const SETTINGS_AWAITED: LogEvent = {
+  id: 864,
+  severity: "warn",
+  text: "settings file not complete yet",
+};
--- a/packages/gateway/src/program.ts
+++ b/packages/gateway/src/program.ts
@@ -18,6 +18,11 @@
 
 const VERSION = "0.1.0";
 
+/** How long the process waits for a settings file that is missing or incomplete,
+ * in milliseconds, and the time between two attempts. */
+const SETTINGS_WAIT_MS = 5000;
+const SETTINGS_PAUSE_MS = 50;
+
 /** Exit code for settings that cannot be used. */
 const BAD_SETTINGS_EXIT_CODE = 2;
 
@@ -25,6 +30,27 @@
   return decodeSettings(readFileSync(path, "utf8"));
 }
 
+/** Reads the settings file; waits for a while if it is not complete yet. */
+async function awaitSettings(
+  path: string,
+  log: EventLog,
+): Promise<InstanceSettings> {
+  const until = performance.now() + SETTINGS_WAIT_MS;
+  for (let attempt = 1;; attempt += 1) {
+    try {
+      return readSettings(path);
+    } catch (err) {
+      const isIncomplete = err instanceof SyntaxError ||
+        (err as NodeJS.ErrnoException).code === "ENOENT";
+      if (!isIncomplete || performance.now() > until) throw err;
+      if (attempt === 1) {
+        log.write(events.SETTINGS_AWAITED, { error: String(err) });
+      }
+      await new Promise((resolve) => setTimeout(resolve, SETTINGS_PAUSE_MS));
+    }
+  }
+}
+
 function exitWithError(message: string): never {
   console.error(message);
   process.exit(BAD_SETTINGS_EXIT_CODE);
@@ -44,7 +70,7 @@
   process.on("unhandledRejection", (err) => {
     log.write(events.UNEXPECTED_ERROR, { error: String(err) });
   });
-  const settings = readSettings(path);
+  const settings = await awaitSettings(path, log);
   const gateway = new Gateway(settings, {
     log,
     droppedLogLines: () => logStream.dropped,
--- a/packages/gateway/src/program_test.ts
+++ b/packages/gateway/src/program_test.ts
@@ -122,6 +122,30 @@
   },
 );
 
+// FAULT: a settings file that was just being replaced ended the process.
+test.each(["", '{"node": "gateway-1", "li'])(
+  "settings that are being written are waited for: %j",
+  async (written) => {
+    const process = startProcess((path) => writeFileSync(path, written));
+    await vi.waitFor(
+      () => expect(process.output).toContain("not complete yet"),
+      WAIT,
+    );
+    writeFileSync(process.settingsPath, process.settings());
+    await hasStarted(process);
+  },
+);
+
+test("a process that is stopped before it serves ends at once and in order", async () => {
+  const process = startProcess((path) => writeFileSync(path, ""));
+  await vi.waitFor(
+    () => expect(process.output).toContain("not complete yet"),
+    WAIT,
+  );
+  process.signal("SIGTERM");
+  expect(await process.ended).toEqual({ code: 0, signal: null });
+});
+
 test("settings that cannot be used end the process with path and remedy", async () => {
   const process = startProcess((path) =>
     writeFileSync(path, '{"listen": {}, "bounds": {}, "zones": {}}')
