Limit the memory of messages from peers that never end

Cause: each connection could keep a message of 8 MiB, on the heap, whoever had sent it; every chunk was joined to all before it, which also held up the event loop by more than 200 ms. Replies to a peer that does not read were kept without a limit.

Change: IncompleteMessages keeps chunks as they came, 24 MiB over all connections; beyond that the one with the most is closed, so that others are heard. Before its first message a connection may send 64 KiB. A peer with over 1 MiB of unread replies is closed.

Ruled out: complete messages in great number (60 MB at most), and heads and bodies of callers (56 and 87 MB).

--- a/packages/gateway/src/peer_links.ts
+++ b/packages/gateway/src/peer_links.ts
@@ -9,6 +9,7 @@
 import { type ListenAddress, parseAddress } from "@banyanlb/platform";
 import type { Member } from "@banyanlb/serving";
 import { decodeMember } from "./membership_entries.ts";
+import { IncompleteMessages } from "./message_reader.ts";
 import { bindServer } from "./open_listener.ts";
 import type { PeerMessage } from "./peer_messages.ts";
 
@@ -26,10 +27,6 @@
 /** Number of unsent bytes above which a connection counts as dead. */
 const UNSENT_MAX_BYTES = 1024 * 1024;
 
-/** Maximum size of a message: the size of a full list of engines for the
- * planned fleet. */
-const LINE_MAX_BYTES = 8 * 1024 * 1024;
-
 /** Sends a message on the connection on which a request arrived. */
 export type SendReply = (message: PeerMessage) => void;
 
@@ -56,6 +53,7 @@
 interface LinkOptions extends PeerLinksOptions {
   /** A number that no connection had before. */
   readonly nextConnection: () => number;
+  readonly incomplete: IncompleteMessages;
 }
 
 /** The connection that this instance dials to one peer. */
@@ -166,10 +164,14 @@
       if (this.#socket === socket) this.#socket = undefined;
       for (const n of [...this.#requests.keys()]) this.#resolve(n, undefined);
     });
-    readMessages(socket, (message) => {
-      this.lastAliveAt = performance.now();
-      if ("n" in message) this.#resolve(message.n, message);
-    }, this.#options);
+    this.#options.incomplete.read(socket, {
+      ...this.#options,
+      isFirst: () => false,
+      onMessage: (message) => {
+        this.lastAliveAt = performance.now();
+        if ("n" in message) this.#resolve(message.n, message);
+      },
+    });
     socket.setNoDelay(true);
     socket.connect(address.port, address.host);
     socket.write(`${JSON.stringify(this.#hello)}\n`);
@@ -183,6 +185,7 @@
   readonly #options: PeerLinksOptions;
   readonly #links = new Map<string, PeerLink>();
   readonly #acceptedSockets = new Set<Socket>();
+  readonly #incomplete = new IncompleteMessages();
   readonly #server: Server;
   #connectionCount = 0;
 
@@ -252,6 +255,7 @@
       const hello: PeerMessage = { t: "hello", member: this.#self };
       link = new PeerLink(address, hello, {
         ...this.#options,
+        incomplete: this.#incomplete,
         nextConnection: () => {
           this.#connectionCount += 1;
           return this.#connectionCount;
@@ -270,45 +274,22 @@
     socket.on("close", () => this.#acceptedSockets.delete(socket));
     let from: string | undefined;
     const sendReply = (message: PeerMessage) => {
+      // A peer that does not read its replies must not exhaust the memory.
+      if (socket.writableLength > UNSENT_MAX_BYTES) socket.destroy();
       if (!socket.destroyed) socket.write(`${JSON.stringify(message)}\n`);
     };
-    readMessages(socket, (message) => {
-      if (message.t === "hello") {
-        const member = decodeMember(message.member);
-        if (member === undefined) throw new Error("hello without a member");
-        from = member.name;
-      }
-      if (from === undefined) socket.destroy();
-      else this.#options.onMessage(from, message, sendReply);
-    }, this.#options);
+    this.#incomplete.read(socket, {
+      ...this.#options,
+      isFirst: () => from === undefined,
+      onMessage: (message) => {
+        if (message.t === "hello") {
+          const member = decodeMember(message.member);
+          if (member === undefined) throw new Error("hello without a member");
+          from = member.name;
+        }
+        if (from === undefined) socket.destroy();
+        else this.#options.onMessage(from, message, sendReply);
+      },
+    });
   }
 }
-
-function readMessages(
-  socket: Socket,
-  onMessage: (message: PeerMessage) => void,
-  { onInvalidMessage, onReceived }: PeerLinksOptions,
-): void {
-  let partialLine = "";
-  socket.setEncoding("utf8");
-  socket.on("data", (chunk: string) => {
-    const lines = (partialLine + chunk).split("\n");
-    partialLine = lines.pop() ?? "";
-    if (partialLine.length > LINE_MAX_BYTES) {
-      onInvalidMessage(`a message is longer than ${LINE_MAX_BYTES} bytes`);
-      socket.destroy();
-      return;
-    }
-    for (const line of lines) {
-      try {
-        const message = JSON.parse(line) as PeerMessage;
-        onReceived?.(message.t, line.length);
-        onMessage(message);
-      } catch (err) {
-        onInvalidMessage(String(err));
-        socket.destroy();
-        return;
-      }
-    }
-  });
-}
