--- a/packages/gateway/src/read_body.ts
+++ b/packages/gateway/src/read_body.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { IncomingMessage } from "node:http";
-import { ByteBudget } from "./byte_budget.ts";
+import { ByteBudget } from "@banyanlb/serving";
 
 /** Limit on the buffered bodies of all requests together, in bytes. */
 const BUFFERED_BODIES_MAX_BYTES = 64 * 1024 * 1024;
--- a/packages/gateway/src/response_buffer.ts
+++ b/packages/gateway/src/response_buffer.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { ByteBudget } from "./byte_budget.ts";
+import { ByteBudget } from "@banyanlb/serving";
 
 /** Maximum size of the body of a response, in bytes. */
 export const RESPONSE_MAX_BYTES = 8 * 1024 * 1024;
