Apply the configured limit on heads of requests

Cause: heads could have 64 KiB, whatever the configuration said, and 60 s until it was known.

Change: connections that are opened once the configuration is known have its limit (16 KiB in the deployments); before that heads have 3 s.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -18,6 +18,12 @@
  * just before the timeout expires still finds the connection open. */
 const KEEP_ALIVE_MARGIN_MS = 1000;
 
+/** Limits on heads until the configuration is known: their size in bytes, which
+ * no configuration exceeds, and their time in milliseconds. Thousands of
+ * connections may keep a part of a head each. */
+const HEADER_MAX_BYTES = 64 * 1024;
+const INITIAL_HEADER_TIMEOUT_MS = 3000;
+
 /** Responds to one request. */
 export type RequestHandler = (
   req: IncomingMessage,
@@ -32,15 +38,13 @@
   #lastActiveAt = performance.now();
   #isDraining = false;
 
-  constructor(
-    handle: RequestHandler,
-    options: { readonly maxHeaderBytes: number },
-  ) {
+  constructor(handle: RequestHandler) {
     this.#server = createServer(
       {
         keepAlive: true,
         noDelay: true,
-        maxHeaderSize: options.maxHeaderBytes,
+        maxHeaderSize: HEADER_MAX_BYTES,
+        headersTimeout: INITIAL_HEADER_TIMEOUT_MS,
         requestTimeout: 0,
         connectionsCheckingInterval: 1000,
       },
@@ -78,8 +82,13 @@
     return this.#activeCount > 0 ? 0 : performance.now() - this.#lastActiveAt;
   }
 
-  /** Applies the limits of the published configuration. */
+  /** Applies the limits of the published configuration. That on heads holds for
+   * connections that are opened from now on. */
   setLimits(limits: CallerLimits): void {
+    // Node reads it for each connection, but its types have no such property.
+    Object.assign(this.#server, {
+      maxHeaderSize: Math.min(limits.maxHeaderBytes, HEADER_MAX_BYTES),
+    });
     this.#server.headersTimeout = limits.headerTimeoutMs;
     this.#server.keepAliveTimeout = limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS;
   }
--- /dev/null
+++ b/packages/gateway/src/caller_server_test.ts
@@ -0,0 +1,49 @@
+import { connect, createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { expect, onTestFinished, test } from "vitest";
+import { CallerServer, type RequestHandler } from "./caller_server.ts";
+
+const LIMITS = {
+  headerTimeoutMs: 300,
+  idleTimeoutMs: 1000,
+  maxHeaderBytes: 4096,
+  maxBodyBytes: 1000,
+};
+
+async function startServer(handle: RequestHandler = (_, res) => res.end("ok")) {
+  const probe = createServer();
+  await new Promise<void>((resolve) => probe.listen(0, "127.0.0.1", resolve));
+  const { port } = probe.address() as AddressInfo;
+  await new Promise((resolve) => probe.close(resolve));
+  const server = new CallerServer(handle);
+  await server.listen({ host: "127.0.0.1", port });
+  onTestFinished(() => server.close());
+  return { server, port };
+}
+
+/** Sends text, and resolves to all that was received until the connection was
+ * closed. */
+function send(port: number, text: string): Promise<string> {
+  return new Promise((resolve) => {
+    const socket = connect(port, "127.0.0.1", () => socket.write(text));
+    let received = "";
+    socket.on("data", (chunk) => (received += chunk.toString()));
+    socket.on("error", () => undefined);
+    socket.on("close", () => resolve(received));
+  });
+}
+
+const requestOf = (headerBytes: number) =>
+  `GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nX: ${
+    "x".repeat(headerBytes)
+  }\r\n\r\n`;
+
+// FAULT: heads of 64 KiB on each of some thousand connections came close to the
+// memory of a process, whatever the configuration said.
+test("the configured limit of heads holds for new connections", async () => {
+  const { server, port } = await startServer();
+  expect(await send(port, requestOf(20_000))).toMatch(/^HTTP\/1.1 200 /);
+  server.setLimits(LIMITS);
+  expect(await send(port, requestOf(3000))).toMatch(/^HTTP\/1.1 200 /);
+  expect(await send(port, requestOf(20_000))).toMatch(/^HTTP\/1.1 400 /);
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -79,10 +79,6 @@
  * milliseconds. */
 const KILL_MARGIN_MS = 250;
 
-/** Maximum size of a request's header block, in bytes. The limit of the
- * configuration is not available yet when the listener opens. */
-const HEADER_MAX_BYTES = 64 * 1024;
-
 /** One gateway process, from its start to the end of its draining. */
 export class Gateway {
   readonly #settings: InstanceSettings;
@@ -305,7 +301,7 @@
     });
     const createCallerServer = (
       handle: (req: IncomingMessage, res: ServerResponse) => void,
-    ) => new CallerServer(handle, { maxHeaderBytes: HEADER_MAX_BYTES });
+    ) => new CallerServer(handle);
     this.#callerServer = createCallerServer((req, res) => {
       this.#ownLoad.countRequest(performance.now());
       relay.serve(req, res).catch((err: unknown) => {
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -163,7 +163,12 @@
     }],
     services: [],
     workspaces: [],
-    limits: { headerTimeoutMs: 1, idleTimeoutMs: 1, maxBodyBytes: 1000 },
+    limits: {
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+      maxHeaderBytes: 1000,
+      maxBodyBytes: 1000,
+    },
   });
   const engineTable = new EngineTable();
   engineTable.setEngines(engines);
--- a/packages/serving/src/route_table_test.ts
+++ b/packages/serving/src/route_table_test.ts
@@ -31,7 +31,12 @@
     ratePerSecond: 1,
     burst: 1,
   }],
-  limits: { headerTimeoutMs: 1, idleTimeoutMs: 1, maxBodyBytes: 1 },
+  limits: {
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+    maxHeaderBytes: 1,
+    maxBodyBytes: 1,
+  },
 };
 
 test("the longest prefix wins; the query is not part of the path", () => {
--- a/packages/serving/src/types.ts
+++ b/packages/serving/src/types.ts
@@ -74,6 +74,7 @@
 export interface CallerLimits {
   readonly headerTimeoutMs: number;
   readonly idleTimeoutMs: number;
+  readonly maxHeaderBytes: number;
   readonly maxBodyBytes: number;
 }
 
