Send no refusal in the place of an answer

A caller that opened a connection ahead got an unasked 400, and would take it for the answer to its first request. Bytes that are no request, sent while a request was being served, brought a 400 in the place of its answer although an engine ran it, so "not run" was untrue.

Cause: the handler for input that is no request wrote 400 without regard to what the caller waited for.

Change: a connection on which nothing arrived is closed silently; a request that is being served is answered first. A head that does not end gets 408, one that is too large 431.

Evidence: the three tests fail on (the caller got 400 instead of its answer) and pass now.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -24,6 +24,12 @@
 const HEADER_MAX_BYTES = 64 * 1024;
 const INITIAL_HEADER_TIMEOUT_MS = 3000;
 
+/** Responses to input that is no request, by the code of the error. */
+const REJECTIONS: Readonly<Record<string, string>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+};
+
 /** Responds to one request. */
 export type RequestHandler = (
   req: IncomingMessage,
@@ -63,8 +69,7 @@
       socket.on("close", () => this.#sockets.delete(socket));
     });
     this.#server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
-      if (err.code === "ECONNRESET" || !socket.writable) socket.destroy();
-      else socket.end("HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n");
+      rejectInput(err, socket as CallerSocket);
     });
     this.#server.on("checkContinue", (req, res) => {
       res.writeContinue();
@@ -110,3 +115,24 @@
     for (const socket of this.#sockets) socket.destroy();
   }
 }
+
+/** A socket and the response that is being served on it. */
+type CallerSocket = Socket & { readonly _httpMessage?: ServerResponse | null };
+
+/** Closes a connection after input that is no request. Nothing is sent that a
+ * caller could take for the response to a request: one that is being served is
+ * answered first, and a connection that was opened ahead is closed silently. */
+function rejectInput(err: NodeJS.ErrnoException, socket: CallerSocket): void {
+  if (!socket.writable || socket.bytesRead === 0) {
+    socket.destroy();
+    return;
+  }
+  const response = socket._httpMessage;
+  if (response) {
+    response.shouldKeepAlive = false;
+    response.once("finish", () => socket.destroySoon());
+    return;
+  }
+  const status = REJECTIONS[err.code ?? ""] ?? "400 Bad Request";
+  socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+}
--- a/packages/gateway/src/caller_server_test.ts
+++ b/packages/gateway/src/caller_server_test.ts
@@ -45,5 +45,29 @@
   expect(await send(port, requestOf(20_000))).toMatch(/^HTTP\/1.1 200 /);
   server.setLimits(LIMITS);
   expect(await send(port, requestOf(3000))).toMatch(/^HTTP\/1.1 200 /);
-  expect(await send(port, requestOf(20_000))).toMatch(/^HTTP\/1.1 400 /);
+  expect(await send(port, requestOf(20_000))).toMatch(/^HTTP\/1.1 431 /);
+});
+
+test("a head that does not end is given up with 408", async () => {
+  const { server, port } = await startServer();
+  server.setLimits(LIMITS);
+  expect(await send(port, "GET / HTTP/1.1\r\nHost: ")).toMatch(
+    /^HTTP\/1.1 408 /,
+  );
+});
+
+// A caller would take it for the answer to its first request.
+test("a connection on which nothing was sent is closed without a response", async () => {
+  const { server, port } = await startServer();
+  server.setLimits(LIMITS);
+  expect(await send(port, "")).toBe("");
+});
+
+// The refusal came before the answer to the request and in its place.
+test("bytes after a request that is being served bring no second response", async () => {
+  const { port } = await startServer((_, res) => {
+    setTimeout(() => res.end("ok"), 100);
+  });
+  const text = "GET / HTTP/1.1\r\nHost: h\r\n\r\nno request\r\n\r\n";
+  expect(await send(port, text)).toMatch(/^HTTP\/1.1 200 [^]*\r\n\r\nok$/);
 });
