Limit what surrounds a body, and join tiny chunks

An engine whose answer never ends and comes in chunks of one byte held its request until the deadline, and each byte was kept as a chunk of its own: a body within its limit of 8 MiB takes some 800 MB, so the process is aborted with all that it serves. A size of a chunk that never ends was read until the deadline as well.

Cause: limits counted bytes of bodies, neither what surrounds them nor what a chunk costs to keep.

Change: limitFraming closes a connection after 1 MiB of a response that is no body; ByteCollector joins small chunks, wherever chunks are kept.

--- a/packages/gateway/src/engine_connections.ts
+++ b/packages/gateway/src/engine_connections.ts
@@ -10,6 +10,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { limitFraming, ResponseTooLargeError } from "@banyanlb/platform";
 import { type Engine, IdleLimit } from "@banyanlb/serving";
 
 /** Timeout of a new connection, in milliseconds. Engines accept connections
@@ -32,14 +33,6 @@
 /** Idle time after which TCP keep-alive probes are sent, in milliseconds. */
 const KEEP_ALIVE_PROBE_MS = 1000;
 
-/** Maximum number of bytes that an engine may send before the head of its
- * response is complete, informational heads included. The parser limits one
- * head only. The rest leaves room for a body that arrives with the head. */
-const HEAD_MAX_BYTES = 256 * 1024;
-
-/** Thrown when an engine sends more than a response may have. */
-export class ResponseTooLargeError extends Error {}
-
 /** Why a request failed after it was sent. */
 export function reasonOf(err: Error): string {
   if (err instanceof ResponseTooLargeError) return "response_too_large";
@@ -147,20 +140,6 @@
   return seconds === undefined ? undefined : Number(seconds) * 1000;
 }
 
-/** Closes the connection if the engine sends too much before its response. */
-function limitHead(req: ClientRequest, socket: Socket): void {
-  let receivedBytes = 0;
-  const countBytes = (chunk: Buffer) => {
-    receivedBytes += chunk.length;
-    if (receivedBytes <= HEAD_MAX_BYTES) return;
-    socket.destroy(new ResponseTooLargeError("response head too large"));
-  };
-  const stopCounting = () => socket.removeListener("data", countBytes);
-  socket.on("data", countBytes);
-  req.once("response", stopCounting);
-  req.once("close", stopCounting);
-}
-
 function destroyOnData(this: Socket): void {
   this.destroy();
 }
@@ -242,7 +221,7 @@
       connectionMs = Math.round(performance.now() - startedAt);
     };
     req.on("socket", (socket: Socket) => {
-      limitHead(req, socket);
+      limitFraming(req, socket);
       agent.recordUse(socket, outgoing.id);
       if (!socket.connecting) {
         markSent();
--- a/packages/gateway/src/message_reader.ts
+++ b/packages/gateway/src/message_reader.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Socket } from "node:net";
+import { ByteCollector } from "@banyanlb/serving";
 import type { PeerMessage } from "./peer_messages.ts";
 
 /** Maximum size of a message, in bytes: the size of a full list of engines for
@@ -78,8 +79,7 @@
 class MessageReader {
   readonly #socket: Socket;
   readonly #options: MessageReaderOptions;
-  #chunks: Buffer[] = [];
-  #sizeBytes = 0;
+  readonly #incomplete = new ByteCollector();
 
   constructor(socket: Socket, options: MessageReaderOptions) {
     this.#socket = socket;
@@ -88,7 +88,7 @@
 
   /** Size of the message that is not complete yet. */
   get sizeBytes(): number {
-    return this.#sizeBytes;
+    return this.#incomplete.sizeBytes;
   }
 
   /** Reads the messages that a chunk completes. */
@@ -98,7 +98,7 @@
       const end = chunk.indexOf(LINE_END, start);
       this.#keep(chunk.subarray(start, end < 0 ? undefined : end));
       if (end < 0 || this.#socket.destroyed) return;
-      const line = Buffer.concat(this.#chunks).toString("utf8");
+      const line = this.#incomplete.concat().toString("utf8");
       this.clear();
       this.#process(line);
       start = end + 1;
@@ -114,18 +114,16 @@
 
   /** Drops the incomplete message. */
   clear(): void {
-    this.#chunks = [];
-    this.#sizeBytes = 0;
+    this.#incomplete.clear();
   }
 
   #keep(bytes: Buffer): void {
     if (bytes.length === 0) return;
-    this.#chunks.push(bytes);
-    this.#sizeBytes += bytes.length;
+    this.#incomplete.push(bytes);
     const maxBytes = this.#options.isFirst()
       ? FIRST_MESSAGE_MAX_BYTES
       : MESSAGE_MAX_BYTES;
-    if (this.#sizeBytes > maxBytes) {
+    if (this.sizeBytes > maxBytes) {
       this.reject(`a message is longer than ${maxBytes} bytes`);
     }
   }
--- a/packages/gateway/src/read_body.ts
+++ b/packages/gateway/src/read_body.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { IncomingMessage } from "node:http";
-import { ByteBudget } from "@banyanlb/serving";
+import { ByteBudget, ByteCollector } from "@banyanlb/serving";
 
 /** Limit on the buffered bodies of all requests together, in bytes. */
 const BUFFERED_BODIES_MAX_BYTES = 64 * 1024 * 1024;
@@ -26,16 +26,16 @@
   if (!hasBody) return Promise.resolve(undefined);
   if (Number(length ?? 0) > maxBytes) return Promise.resolve("too_large");
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const body = new ByteCollector();
     let sizeBytes = 0;
     req.on("data", (chunk: Buffer) => {
       sizeBytes += chunk.length;
       const hasRoom = bufferedBodies.take(chunk.length);
       if (sizeBytes > maxBytes) resolve("too_large");
       else if (!hasRoom) resolve("no_memory");
-      else chunks.push(chunk);
+      else body.push(chunk);
     });
-    req.on("end", () => resolve(Buffer.concat(chunks)));
+    req.on("end", () => resolve(body.concat()));
     req.on("error", () => resolve("broken"));
     req.on("close", () => {
       bufferedBodies.release(sizeBytes);
--- a/packages/gateway/src/relay_endless_test.ts
+++ b/packages/gateway/src/relay_endless_test.ts
@@ -69,6 +69,14 @@
   ["series of informational heads", "", "HTTP/1.1 103 Early\r\n\r\n"],
   ["series of empty lines", "", "\r\n"],
   ["text that is no head", "", "no answer "],
+  ["name of a header", OK, "x"],
+  ["header in folded lines", `${OK}X: y\r\n`, " z\r\n"],
+  ["informational head", "HTTP/1.1 103 Early\r\n", "X: y\r\n"],
+  [
+    "series of informational heads with headers",
+    "",
+    "HTTP/1.1 102 A\r\nX: y\r\n\r\n",
+  ],
 ].map(([name = "", prefix = "", filler = ""]) => ({
   name: `a ${name}`,
   prefix,
@@ -87,6 +95,31 @@
   ],
   ["chunk extension", `${OK}${SEALED}${CHUNKED}4;`, "x"],
   ["trailer", `${OK}${SEALED}${CHUNKED}0\r\n`, "X: y\r\n"],
+  ["line of a trailer", `${OK}${SEALED}${CHUNKED}0\r\nX: `, "y"],
+  ["body in chunks of one byte", `${OK}${SEALED}${CHUNKED}`, "1\r\nx\r\n"],
+  ["size of a chunk", `${OK}${SEALED}${CHUNKED}`, "0"],
+  ["chunk of enormous size", `${OK}${SEALED}${CHUNKED}ffffffffff\r\n`, "x"],
+  [
+    "body in another coding",
+    `${OK}${SEALED}Transfer-Encoding: gzip\r\n\r\n`,
+    "x",
+  ],
+  ["body of a redirect", `HTTP/1.1 302 Found\r\n${SEALED}${CHUNKED}`, CHUNK],
+  [
+    "body without a seal",
+    `${OK}${RESPONSE_HEADERS.id}: r1\r\n${CHUNKED}`,
+    CHUNK,
+  ],
+  [
+    "body for another request",
+    `${OK}${RESPONSE_HEADERS.id}: r2\r\n${RESPONSE_HEADERS.seal}: s\r\n${CHUNKED}`,
+    CHUNK,
+  ],
+  [
+    "body of an error in chunks of one byte",
+    `HTTP/1.1 500 Error\r\n${SEALED}${CHUNKED}`,
+    "1\r\nx\r\n",
+  ],
   [
     "body of an error",
     `HTTP/1.1 500 Error\r\n${SEALED}${CHUNKED}`,
@@ -139,6 +172,7 @@
 // response or with the deadline.
 test.each([
   ["an event that never ends", "data: x\n", GIVEN_UP_WITHIN_MS],
+  ["a line that never ends", "x", GIVEN_UP_WITHIN_MS],
   [
     "events without end",
     `id: 1\ndata: ${"x".repeat(1000)}\n\n`,
@@ -148,6 +182,7 @@
   "endless: a stream with %s breaks off visibly",
   async (_, data, withinMs) => {
     const size = Buffer.byteLength(data).toString(16);
+    const rssBytes = process.memoryUsage().rss;
     const { engine, port } = await startEndless(
       `${OK}${SEALED}${CHUNKED}`,
       `${size}\r\n${data}\r\n`,
@@ -162,6 +197,8 @@
     expect(response.body.length).toBeLessThan(RECEIVED_MAX_BYTES / 2);
     await vi.waitFor(() => expect(engine.openConnections).toBe(0));
     expect(engine.sentBytes).toBeLessThan(2 * RECEIVED_MAX_BYTES);
+    expect(process.memoryUsage().rss - rssBytes)
+      .toBeLessThan(GROWTH_MAX_BYTES);
   },
 );
 
--- a/packages/gateway/src/response_buffer.ts
+++ b/packages/gateway/src/response_buffer.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { ByteBudget } from "@banyanlb/serving";
+import { ByteBudget, ByteCollector } from "@banyanlb/serving";
 
 /** Maximum size of the body of a response, in bytes. */
 export const RESPONSE_MAX_BYTES = 8 * 1024 * 1024;
@@ -15,7 +15,7 @@
 
 /** The body of one response, as far as it was received. */
 export class ResponseBuffer {
-  readonly #chunks: Buffer[] = [];
+  readonly #body = new ByteCollector();
   #sizeBytes = 0;
 
   /** Adds a chunk; returns false, and keeps nothing, if the body has become
@@ -24,20 +24,20 @@
     this.#sizeBytes += chunk.length;
     const hasRoom = bufferedResponses.take(chunk.length) &&
       this.#sizeBytes <= RESPONSE_MAX_BYTES;
-    if (hasRoom) this.#chunks.push(chunk);
+    if (hasRoom) this.#body.push(chunk);
     else this.release();
     return hasRoom;
   }
 
   /** The body. */
   concat(): Buffer {
-    return Buffer.concat(this.#chunks);
+    return this.#body.concat();
   }
 
   /** Drops the body and makes room for others. May be called again. */
   release(): void {
     bufferedResponses.release(this.#sizeBytes);
     this.#sizeBytes = 0;
-    this.#chunks.length = 0;
+    this.#body.clear();
   }
 }
--- a/packages/serving/src/event_framer.ts
+++ b/packages/serving/src/event_framer.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { ByteCollector } from "./byte_collector.ts";
+
 const NEWLINE = 0x0a;
 const NO_BYTES = Buffer.alloc(0);
 
@@ -20,16 +22,14 @@
 
 /** Buffers the incomplete event at the end of the stream. */
 export class EventFramer {
-  /** The chunks of the incomplete event. They are joined only when the event is
-   * complete, since an event may come in very many chunks. */
-  #incomplete: Buffer[] = [];
-  #pendingBytes = 0;
+  /** The incomplete event, which may come in very many chunks. */
+  readonly #incomplete = new ByteCollector();
   /** The last bytes of the incomplete event. */
   #lastBytes: Buffer = NO_BYTES;
 
   /** Size of the incomplete event, in bytes. */
   get pendingBytes(): number {
-    return this.#pendingBytes;
+    return this.#incomplete.sizeBytes;
   }
 
   /** Adds a chunk and returns the events that it completes.
@@ -44,17 +44,15 @@
       ? chunk
       : Buffer.concat([this.#lastBytes, chunk]);
     this.#incomplete.push(chunk);
-    this.#pendingBytes += chunk.length;
     this.#lastBytes = recent.subarray(-LOOK_BEHIND_BYTES);
     const endInRecent = endOfEvents(recent);
     if (endInRecent === 0) return { bytes: NO_BYTES, lastId: undefined };
-    const all = Buffer.concat(this.#incomplete);
+    const all = this.#incomplete.concat();
     const end = all.length - (recent.length - endInRecent);
     const rest = all.subarray(end);
     this.reset();
     if (rest.length > 0) {
       this.#incomplete.push(rest);
-      this.#pendingBytes = rest.length;
       this.#lastBytes = rest.subarray(-LOOK_BEHIND_BYTES);
     }
     const bytes = all.subarray(0, end);
@@ -63,8 +61,7 @@
 
   /** Drops the incomplete event, because its engine ended the stream early. */
   reset(): void {
-    this.#incomplete = [];
-    this.#pendingBytes = 0;
+    this.#incomplete.clear();
     this.#lastBytes = NO_BYTES;
   }
 }
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./assignment.ts";
 export * from "./lag_detector.ts";
 export * from "./byte_budget.ts";
+export * from "./byte_collector.ts";
 export * from "./choose_engine.ts";
 export * from "./confirmation.ts";
 export * from "./crash_evidence.ts";
