Let bodies take room until their requests have been answered

Cause: the bytes of a body were released when the request emitted "close", which Node does once the body has been read; the body was kept until the answer. Its chunks were kept beside the joined body.

Change: a body takes room until its response emits "close". Without room a body of known length is refused at once with 503, "not run".

Ruled out: the heap, and responses, which have a limit of their own.

With the bytes released once the body has been read both tests of the relay fail.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { EventLog } from "@banyanlb/core";
 import {
+  BodyRoom,
   DIGEST_TICK_MS,
   EngineChooser,
   EngineLimits,
@@ -79,6 +80,10 @@
  * milliseconds. */
 const KILL_MARGIN_MS = 250;
 
+/** Share of the memory of a process that bodies of requests may take. The heap
+ * takes most of the rest. */
+const BODY_ROOM_SHARE = 3 / 16;
+
 /** One gateway process, from its start to the end of its draining. */
 export class Gateway {
   readonly #settings: InstanceSettings;
@@ -294,6 +299,7 @@
       selectionContextAt: (now) => this.#selectionContextAt(now),
       use,
       limits: new LimitKeeper({ limits: this.#engineLimits, log }),
+      bodyRoom: new BodyRoom(settings.memoryBytes * BODY_ROOM_SHARE),
       guardPrompt: (caller) => this.#promptProtection.guard(caller),
       hasTimeFor: (route) => this.#hasTimeFor(route),
       log,
--- a/packages/gateway/src/read_body.ts
+++ b/packages/gateway/src/read_body.ts
@@ -3,43 +3,61 @@
  *
  * @module
  */
-import type { IncomingMessage } from "node:http";
-import { ByteBudget, ByteCollector } from "@banyanlb/serving";
-
-/** Limit on the buffered bodies of all requests together, in bytes. */
-const BUFFERED_BODIES_MAX_BYTES = 64 * 1024 * 1024;
-
-const bufferedBodies = new ByteBudget(BUFFERED_BODIES_MAX_BYTES);
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { type BodyRoom, ByteCollector } from "@banyanlb/serving";
 
 /** Why a body was not read. */
 export type BodyFailure = "too_large" | "no_memory" | "broken";
 
-/** Reads the body; undefined if the request has none. Its bytes count against
- * the limit until the request emits `close`. */
+/** Limits on a body. */
+export interface BodyLimits {
+  readonly maxBytes: number;
+  readonly room: BodyRoom;
+  /** The workspace whose room it takes. */
+  readonly workspace: string;
+}
+
+/** Reads the body; undefined if the request has none. It takes room until the
+ * response to the request emits `close`: until then it may be sent again. A body
+ * for which there is no room is refused at once if its length is known. */
 export function readBody(
   req: IncomingMessage,
-  maxBytes: number,
+  res: ServerResponse,
+  { maxBytes, room, workspace }: BodyLimits,
 ): Promise<Buffer | undefined | BodyFailure> {
   const length = req.headers["content-length"];
   const hasBody = length !== undefined ||
     req.headers["transfer-encoding"] !== undefined;
   if (!hasBody) return Promise.resolve(undefined);
-  if (Number(length ?? 0) > maxBytes) return Promise.resolve("too_large");
+  const knownBytes = Number(length ?? 0);
+  if (knownBytes > maxBytes) return Promise.resolve("too_large");
+  if (!room.has(workspace, knownBytes)) return Promise.resolve("no_memory");
   return new Promise((resolve) => {
     const body = new ByteCollector();
-    let sizeBytes = 0;
-    req.on("data", (chunk: Buffer) => {
-      sizeBytes += chunk.length;
-      const hasRoom = bufferedBodies.take(chunk.length);
-      if (sizeBytes > maxBytes) resolve("too_large");
-      else if (!hasRoom) resolve("no_memory");
+    const onData = (chunk: Buffer) => {
+      if (body.sizeBytes + chunk.length > maxBytes) fail("too_large");
+      else if (!room.take(workspace, chunk.length)) fail("no_memory");
       else body.push(chunk);
+    };
+    const releaseAll = (bytes: number) => room.release(workspace, bytes);
+    const fail = (failure: BodyFailure) => {
+      // What still arrives is skipped.
+      req.removeListener("data", onData);
+      req.resume();
+      releaseAll(body.sizeBytes);
+      body.clear();
+      resolve(failure);
+    };
+    req.on("data", onData);
+    req.on("end", () => {
+      const whole = body.concat();
+      body.clear();
+      if (res.closed) releaseAll(whole.length);
+      else res.once("close", () => releaseAll(whole.length));
+      resolve(whole);
     });
-    req.on("end", () => resolve(body.concat()));
-    req.on("error", () => resolve("broken"));
-    req.on("close", () => {
-      bufferedBodies.release(sizeBytes);
-      resolve("broken");
-    });
+    req.on("error", () => fail("broken"));
+    // Also emitted after `end`, when there is nothing left to release.
+    req.on("close", () => fail("broken"));
   });
 }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -60,10 +60,11 @@
     const service = pickService(route, Math.random());
     if (service === undefined) return refuse(503, "no_service", 1);
     this.#deps.retryBudgetOf(service).recordRequest(arrivedAt);
-    const body = await readBody(
-      req,
-      routeTable.configuration.limits.maxBodyBytes,
-    );
+    const body = await readBody(req, res, {
+      maxBytes: routeTable.configuration.limits.maxBodyBytes,
+      room: this.#deps.bodyRoom,
+      workspace: workspace?.name ?? "",
+    });
     if (body === "too_large") return refuse(413, "body_too_large");
     if (body === "no_memory") return refuse(503, "no_memory", 1);
     if (body === "broken") {
--- a/packages/gateway/src/relay_dependencies.ts
+++ b/packages/gateway/src/relay_dependencies.ts
@@ -4,6 +4,7 @@
  */
 import type { EventLog } from "@banyanlb/core";
 import type {
+  BodyRoom,
   CallerProtocol,
   CallerRequest,
   EngineChooser,
@@ -48,6 +49,8 @@
   readonly selectionContextAt: (now: number) => SelectionContext;
   readonly use: AdapterUsageCounts;
   readonly limits: LimitKeeper;
+  /** Room for the bodies of requests. */
+  readonly bodyRoom: BodyRoom;
   readonly guardPrompt: (caller: CallerRequest) => PromptGuard;
   /** Whether a request on this route can end before this process exits. */
   readonly hasTimeFor: (route: Route) => boolean;
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -13,6 +13,7 @@
 import { EventLog } from "@banyanlb/core";
 import { PlatformCallerProtocol, RESPONSE_HEADERS } from "@banyanlb/platform";
 import {
+  BodyRoom,
   DIGEST_TICK_MS,
   type Engine,
   type EngineAddress,
@@ -46,6 +47,9 @@
  * relay without peers could do without. */
 const SETTLE_MS = 50;
 
+/** Room for the bodies of requests, in bytes. */
+const BODY_ROOM_BYTES = 64 * 1024 * 1024;
+
 const SINGLE_INSTANCE = { names: ["self"], isCutOff: false };
 
 /** Ends what a test has started, in reverse order. */
@@ -83,6 +87,8 @@
   readonly adapters?: readonly string[];
   readonly load?: () => Promise<boolean>;
   readonly limits?: EngineLimits;
+  readonly bodyRoom?: BodyRoom;
+  readonly maxBodyBytes?: number;
   /** Receives the fields of each log line. */
   readonly onLog?: (fields: Readonly<Record<string, unknown>>) => void;
 }
@@ -167,7 +173,7 @@
       headerTimeoutMs: 1,
       idleTimeoutMs: 1,
       maxHeaderBytes: 1000,
-      maxBodyBytes: 1000,
+      maxBodyBytes: options.maxBodyBytes ?? 1000,
     },
   });
   const engineTable = new EngineTable();
@@ -222,6 +228,7 @@
     }),
     use: new AdapterUsageCounts(),
     limits: new LimitKeeper({ limits, log }),
+    bodyRoom: options.bodyRoom ?? new BodyRoom(BODY_ROOM_BYTES),
     guardPrompt: (caller) => new PromptGuard(guardDependencies, caller),
     hasTimeFor: () => true,
     log,
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./adapter_versions.ts";
 export * from "./assignment.ts";
 export * from "./lag_detector.ts";
+export * from "./body_room.ts";
 export * from "./byte_budget.ts";
 export * from "./byte_collector.ts";
 export * from "./choose_engine.ts";
