Let no further request to stop cut the draining short

Cause: the handler exits when stop() resolves, and a second call resolved at once while the first one drained. It now gets the same promise.

Ruled out: the end of the grace period (1.5 s of 8 had passed).

The new test fails without the change: the process had ended when it was asked.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -124,6 +124,7 @@
   #isListening = false;
   #isDraining = false;
   #drainStartedAt = Infinity;
+  #stopped: Promise<void> | undefined;
 
   constructor(
     settings: InstanceSettings,
@@ -417,11 +418,15 @@
     return this.#storeView.reachesStore && !this.#membership.isRenewalFailing;
   }
 
-  /** Drains this instance: readiness checks and digests report that it is not
+  /** Drains this instance once, however often it is called: readiness checks and digests report that it is not
    * ready, and requests that still arrive are served. Then closes the gateway;
    * resolves when the process may exit. */
-  async stop(): Promise<void> {
-    if (this.#isDraining) return;
+  stop(): Promise<void> {
+    this.#stopped ??= this.#drain();
+    return this.#stopped;
+  }
+
+  async #drain(): Promise<void> {
     this.#isDraining = true;
     const startedAt = performance.now();
     this.#drainStartedAt = startedAt;
--- a/packages/gateway/src/program_test.ts
+++ b/packages/gateway/src/program_test.ts
@@ -92,6 +92,20 @@
   expect(await isListening(process.url("readiness"))).toBe(true);
 });
 
+// LOST: a second request to stop ended the process at once, with all requests
+// that it was serving.
+test("requests to stop that follow another one change nothing", async () => {
+  const process = startProcess();
+  await hasStarted(process);
+  for (const signal of ["SIGTERM", "SIGTERM", "SIGINT", "SIGHUP"] as const) {
+    process.signal(signal);
+    await new Promise((resolve) => setTimeout(resolve, SIGNAL_MS));
+  }
+  expect(process.end).toBeUndefined();
+  expect(await isListening(process.url("callers"))).toBe(true);
+  expect(await process.ended).toEqual({ code: 0, signal: null });
+});
+
 // FAULT: nothing was served for lack of a page of figures.
 test("a metrics port that is in use does not keep the process from serving", async () => {
   const other = await occupy(nextHost(), "metrics");
