Round the time to return up

A caller that returned at the time it was told could be refused again: the time was rounded to the nearest hundredth of a second, so up to 5 ms too short for an engine's limit.

--- a/packages/gateway/src/error_response.ts
+++ b/packages/gateway/src/error_response.ts
@@ -15,6 +15,12 @@
   return RETRY_AFTER_SECONDS + Math.random() * RETRY_AFTER_JITTER_SECONDS;
 }
 
+/** Writes a wait with two decimals, rounded up: a caller that returns too early is
+ * refused again. */
+export function formatWait(seconds: number): string {
+  return (Math.ceil(seconds * 100) / 100).toFixed(2);
+}
+
 /** Sends an error response with the reason as its type. Does nothing if a
  * response has already begun. */
 export function sendErrorResponse(
@@ -35,7 +41,7 @@
     "content-length": Buffer.byteLength(body),
     ...(options.waitSeconds === undefined
       ? {}
-      : { "retry-after": options.waitSeconds.toFixed(2) }),
+      : { "retry-after": formatWait(options.waitSeconds) }),
   });
   res.end(body);
 }
