Send signals in series and long prompts in the soak

Gateways that start get changes of their settings announced from the moment in which they take signals, those that stop get further signals until they have ended, and running ones signals that mean nothing to them. A gateway that ends by a signal that was not sent to end it, or without being asked, is a violation; before, only an exit code other than 0 was. Prompts have up to 15 turns, named by SHA-1 sums, so that the crashing part stands early in a long prompt.

--- a/packages/trials/src/soak/callers.ts
+++ b/packages/trials/src/soak/callers.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { createHash } from "node:crypto";
 import { Agent, request } from "node:http";
 import {
   CRASHING_PART,
@@ -29,6 +30,9 @@
 /** First part of every prompt. */
 const FIRST_PART = "f0";
 
+/** Number of turns that no conversation has. */
+const TURNS_MAX = 16;
+
 /** Ratio of the streams that have a part which crashes engines, while such
  * requests are sent. */
 const CRASHING_RATIO = 0.1;
@@ -139,9 +143,10 @@
         random() < CRASHING_RATIO,
     };
     const ownPart = this.#requestCount.toString(16);
+    const turns = this.#turns();
     const parts = attempt.isCrashing
-      ? [FIRST_PART, CRASHING_PART, ownPart]
-      : [FIRST_PART, ownPart];
+      ? [FIRST_PART, CRASHING_PART, ...turns, ownPart]
+      : [FIRST_PART, ...turns, ownPart];
     const leavesEarly = kind !== "once" && random() < this.#options.leaveRatio;
     const leaveAfterMs = MIN_LEAVE_MS + random() * LEAVE_JITTER_MS;
     const response = await this.#sendRequest(address, {
@@ -162,6 +167,17 @@
     });
   }
 
+  /** Ids of the turns of a conversation before the request, as hash sums. Each
+   * request is of another conversation. */
+  #turns(): readonly string[] {
+    return Array.from(
+      { length: this.#requestCount % TURNS_MAX },
+      (_, i) =>
+        createHash("sha1").update(`${this.#name} ${this.#requestCount} ${i}`)
+          .digest("hex"),
+    );
+  }
+
   #sendRequest(
     address: string,
     req: {
--- a/packages/trials/src/soak/faults.ts
+++ b/packages/trials/src/soak/faults.ts
@@ -14,6 +14,14 @@
 
 const nothingToLift = () => undefined;
 
+/** Signals that follow the one that stops a gateway. */
+const STOP_SERIES: readonly NodeJS.Signals[] = [
+  "SIGTERM",
+  "SIGHUP",
+  "SIGTERM",
+  "SIGINT",
+];
+
 /** Limits that engines name, in requests a second. */
 const REQUEST_LIMITS: readonly number[] = [0.5, 1.5, 5];
 
@@ -36,6 +44,7 @@
     const { process } = slot;
     process.signal("SIGCONT");
     process.signal("SIGTERM");
+    void process.signalInSeries(STOP_SERIES, SERIES_STEP_MS);
     return () => process.exited.then(() => world.restartGateway(slot));
   },
   gateways_restarted_in_series: (world, pick) => {
@@ -59,7 +68,9 @@
     return () => process.signal("SIGCONT");
   },
   settings_read_again: (world, pick) => {
-    pick(world.gateways).process.signal("SIGHUP");
+    const { process } = pick(world.gateways);
+    process.signal("SIGHUP");
+    void process.signalInSeries(["SIGHUP", "SIGUSR2", "SIGHUP"], 5);
     return nothingToLift;
   },
   engine_killed: (world, pick) => {
--- a/packages/trials/src/soak/soak_process.ts
+++ b/packages/trials/src/soak/soak_process.ts
@@ -3,11 +3,22 @@
  * @module
  */
 import { type ChildProcess, spawn } from "node:child_process";
+import { readFileSync } from "node:fs";
 import { createInterface } from "node:readline";
+import { setTimeout as pause } from "node:timers/promises";
 
 /** Number of output lines that are kept of each process. */
 const MAX_LINES = 3000;
 
+/** Signals whose purpose is to end a process. */
+const ENDING_SIGNALS: ReadonlySet<NodeJS.Signals> = new Set([
+  "SIGKILL",
+  "SIGTERM",
+]);
+
+/** Time between two looks at a process that starts, in milliseconds. */
+const POLL_MS = 2;
+
 /** Program to start and its settings. */
 export interface SoakProgram {
   readonly name: string;
@@ -23,6 +34,8 @@
   readonly lines: string[] = [];
   readonly exited: Promise<number | null>;
   readonly #child: ChildProcess;
+  /** The signals that were sent and may end the process. */
+  readonly #sent = new Set<NodeJS.Signals>();
 
   constructor(program: SoakProgram) {
     this.name = program.name;
@@ -55,6 +68,14 @@
     return this.#child.exitCode !== null && this.#child.exitCode !== 0;
   }
 
+  /** Whether the process ended although nobody asked it to, or not as asked: it
+   * exits with 0 when it is stopped. */
+  get hasEndedByItself(): boolean {
+    const { exitCode, signalCode } = this.#child;
+    if (signalCode !== null) return !this.#sent.has(signalCode);
+    return exitCode !== null && (exitCode !== 0 || !this.#sent.has("SIGTERM"));
+  }
+
   /** Whether the process is running. */
   get running(): boolean {
     return this.#child.exitCode === null && this.#child.signalCode === null;
@@ -62,7 +83,26 @@
 
   /** Sends a signal if the process is running. */
   signal(signal: NodeJS.Signals): void {
-    if (this.running) this.#child.kill(signal);
+    if (!this.running) return;
+    if (ENDING_SIGNALS.has(signal)) this.#sent.add(signal);
+    this.#child.kill(signal);
+  }
+
+  /** Sends signals in series, `pauseMs` apart, as long as the process runs. */
+  async signalInSeries(
+    signals: readonly NodeJS.Signals[],
+    pauseMs: number,
+  ): Promise<void> {
+    for (const signal of signals) {
+      await pause(pauseMs);
+      this.signal(signal);
+    }
+  }
+
+  /** Waits until the process takes SIGHUP. Before its runtime runs any program,
+   * no program can. */
+  async takesSignals(): Promise<void> {
+    while (this.running && !isCaught(this.pid)) await pause(POLL_MS);
   }
 
   /** Writes a line to the standard input of the process. */
@@ -77,3 +117,15 @@
     await this.exited;
   }
 }
+
+/** Whether a process has a handler for SIGHUP, the first signal of the mask. */
+function isCaught(pid: number): boolean {
+  try {
+    const status = readFileSync(`/proc/${pid}/status`, "utf8");
+    const mask = /^SigCgt:\s*([0-9a-f]+)$/m.exec(status)?.[1] ?? "0";
+    return (BigInt(`0x${mask}`) & 1n) === 1n;
+  } catch {
+    // The process has just ended.
+    return false;
+  }
+}
--- a/packages/trials/src/soak/world.ts
+++ b/packages/trials/src/soak/world.ts
@@ -37,6 +37,11 @@
 const DRAIN_MS = 3000;
 const RENEW_INTERVAL_MS = 1200;
 
+/** Signals to a gateway that starts, and the time between them in
+ * milliseconds. */
+const RELOADS: readonly NodeJS.Signals[] = Array(12).fill("SIGHUP");
+const RELOAD_PAUSE_MS = 15;
+
 /** Time after which an engine that crashed is started again, in milliseconds. */
 const CRASH_RESTART_MS = 1000;
 
@@ -230,6 +235,13 @@
     if (slot.process.running || this.#isClosed) return;
     this.ended.push(slot.process);
     slot.process = this.#startGateway(slot.name);
+    void this.#reloadDuringStart(slot.process);
+  }
+
+  /** Announces changes of the settings file while a gateway starts. */
+  async #reloadDuringStart(process: SoakProcess): Promise<void> {
+    await process.takesSignals();
+    await process.signalInSeries(RELOADS, RELOAD_PAUSE_MS);
   }
 
   /** Restarts an engine if it has exited. */
@@ -247,10 +259,11 @@
     });
   }
 
-  /** Describes each gateway that crashed, with its last lines of output. */
+  /** Describes each gateway that ended by itself, with its last lines of
+   * output. */
   describeCrashes(): readonly string[] {
     const all = [...this.ended, ...this.gateways.map((g) => g.process)];
-    return all.filter((p) => p.hasCrashed)
+    return all.filter((p) => p.hasEndedByItself)
       .map((p) =>
         `${p.name} ended by itself: ${p.lines.slice(-5).join(" | ")}`
       );
