--- a/packages/gateway/src/message_reader.ts
+++ b/packages/gateway/src/message_reader.ts
@@ -31,8 +31,8 @@
   readonly onReceived?:
     | ((type: PeerMessage["t"], bytes: number) => void)
     | undefined;
-  /** Whether the other side has yet to say who it is. */
-  readonly isFirst: () => boolean;
+  /** Whether the other side has not said yet who it is. */
+  readonly isSenderUnknown: () => boolean;
 }
 
 /** The messages of all connections that are not complete yet. */
@@ -44,7 +44,7 @@
    *
    * @example
    * ```ts
-   * incomplete.read(socket, { onMessage, onInvalidMessage, isFirst });
+   * incomplete.read(socket, { onMessage, onInvalidMessage, isSenderUnknown });
    * ```
    */
   read(socket: Socket, options: MessageReaderOptions): void {
@@ -120,7 +120,7 @@
   #keep(bytes: Buffer): void {
     if (bytes.length === 0) return;
     this.#incomplete.push(bytes);
-    const maxBytes = this.#options.isFirst()
+    const maxBytes = this.#options.isSenderUnknown()
       ? FIRST_MESSAGE_MAX_BYTES
       : MESSAGE_MAX_BYTES;
     if (this.sizeBytes > maxBytes) {
--- a/packages/gateway/src/peer_links.ts
+++ b/packages/gateway/src/peer_links.ts
@@ -166,7 +166,7 @@
     });
     this.#options.incomplete.read(socket, {
       ...this.#options,
-      isFirst: () => false,
+      isSenderUnknown: () => false,
       onMessage: (message) => {
         this.lastAliveAt = performance.now();
         if ("n" in message) this.#resolve(message.n, message);
@@ -280,7 +280,7 @@
     };
     this.#incomplete.read(socket, {
       ...this.#options,
-      isFirst: () => from === undefined,
+      isSenderUnknown: () => from === undefined,
       onMessage: (message) => {
         if (message.t === "hello") {
           const member = decodeMember(message.member);
