--- a/packages/gateway/src/caller_server_test.ts
+++ b/packages/gateway/src/caller_server_test.ts
@@ -1,7 +1,7 @@
-import { connect, createServer } from "node:net";
-import type { AddressInfo } from "node:net";
+import { connect } from "node:net";
 import { expect, onTestFinished, test } from "vitest";
 import { CallerServer, type RequestHandler } from "./caller_server.ts";
+import { findFreePort } from "./testing/free_port.ts";
 
 const LIMITS = {
   headerTimeoutMs: 300,
@@ -11,10 +11,7 @@
 };
 
 async function startServer(handle: RequestHandler = (_, res) => res.end("ok")) {
-  const probe = createServer();
-  await new Promise<void>((resolve) => probe.listen(0, "127.0.0.1", resolve));
-  const { port } = probe.address() as AddressInfo;
-  await new Promise((resolve) => probe.close(resolve));
+  const port = await findFreePort();
   const server = new CallerServer(handle);
   await server.listen({ host: "127.0.0.1", port });
   onTestFinished(() => server.close());
--- a/packages/gateway/src/peer_links_endless_test.ts
+++ b/packages/gateway/src/peer_links_endless_test.ts
@@ -1,9 +1,9 @@
-import { connect, createServer, type Socket } from "node:net";
-import type { AddressInfo } from "node:net";
+import { connect, type Socket } from "node:net";
 import { memberOf } from "@banyanlb/serving/testing";
 import { expect, onTestFinished, test, vi } from "vitest";
 import { PeerLinks, type PeerLinksOptions } from "./peer_links.ts";
 import type { PeerMessage } from "./peer_messages.ts";
+import { findFreePort } from "./testing/free_port.ts";
 
 const MIB = 1024 * 1024;
 const CHUNK = Buffer.alloc(64 * 1024, "x");
@@ -16,10 +16,7 @@
 const GROWTH_MAX_BYTES = 128 * MIB;
 
 async function startLinks(onMessage?: PeerLinksOptions["onMessage"]) {
-  const probe = createServer();
-  await new Promise<void>((resolve) => probe.listen(0, "127.0.0.1", resolve));
-  const { port } = probe.address() as AddressInfo;
-  await new Promise((resolve) => probe.close(resolve));
+  const port = await findFreePort();
   const member = memberOf("a", {
     peerAddress: `127.0.0.1:${port}`,
     callerAddress: "127.0.0.1:1",
--- a/packages/gateway/src/peer_links_test.ts
+++ b/packages/gateway/src/peer_links_test.ts
@@ -1,17 +1,9 @@
-import { connect, createServer } from "node:net";
-import type { AddressInfo } from "node:net";
+import { connect } from "node:net";
 import { memberOf } from "@banyanlb/serving/testing";
 import { expect, onTestFinished, test, vi } from "vitest";
 import { PeerLinks } from "./peer_links.ts";
 import type { PeerMessage } from "./peer_messages.ts";
-
-async function findFreePort(): Promise<number> {
-  const server = createServer();
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  const { port } = server.address() as AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return port;
-}
+import { findFreePort } from "./testing/free_port.ts";
 
 async function startLinks() {
   const port = await findFreePort();
