Keep the time for heads until the configuration is known

The 3 s that heads had before the configuration is known held for the listeners of readiness, steering and metrics for good, since no configuration applies to them: a connection that was opened ahead was closed after 3 s. They have Node's 60 s again, and so have callers until the configuration is known. A connection that was reset is destroyed whatever it was serving.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -18,11 +18,9 @@
  * just before the timeout expires still finds the connection open. */
 const KEEP_ALIVE_MARGIN_MS = 1000;
 
-/** Limits on heads until the configuration is known: their size in bytes, which
- * no configuration exceeds, and their time in milliseconds. Thousands of
- * connections may keep a part of a head each. */
+/** Maximum size of a head, in bytes, also until the configuration is known.
+ * Thousands of connections may keep a part of a head each. */
 const HEADER_MAX_BYTES = 64 * 1024;
-const INITIAL_HEADER_TIMEOUT_MS = 3000;
 
 /** Responses to input that is no request, by the code of the error. */
 const REJECTIONS: Readonly<Record<string, string>> = {
@@ -50,7 +48,6 @@
         keepAlive: true,
         noDelay: true,
         maxHeaderSize: HEADER_MAX_BYTES,
-        headersTimeout: INITIAL_HEADER_TIMEOUT_MS,
         requestTimeout: 0,
         connectionsCheckingInterval: 1000,
       },
@@ -123,7 +120,8 @@
  * caller could take for the response to a request: one that is being served is
  * answered first, and a connection that was opened ahead is closed silently. */
 function rejectInput(err: NodeJS.ErrnoException, socket: CallerSocket): void {
-  if (!socket.writable || socket.bytesRead === 0) {
+  const isGone = err.code === "ECONNRESET" || !socket.writable;
+  if (isGone || socket.bytesRead === 0) {
     socket.destroy();
     return;
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -418,9 +418,9 @@
     return this.#storeView.reachesStore && !this.#membership.isRenewalFailing;
   }
 
-  /** Drains this instance once, however often it is called: readiness checks and digests report that it is not
-   * ready, and requests that still arrive are served. Then closes the gateway;
-   * resolves when the process may exit. */
+  /** Drains this instance once, however often it is called: readiness checks and
+   * digests report that it is not ready, and requests that still arrive are
+   * served. Then closes the gateway; resolves when the process may exit. */
   stop(): Promise<void> {
     this.#stopped ??= this.#drain();
     return this.#stopped;
