Bind listeners with the tools that Node has for it

bindServer registered and removed its two listeners by hand, which is what once() of node:events does; tests that occupy an address had their own copy of it, and passed the next host around. createCallerServer had become a wrapper that changes nothing. No change of behaviour.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -306,17 +306,14 @@
       log,
       metrics: this.#metrics,
     });
-    const createCallerServer = (
-      handle: (req: IncomingMessage, res: ServerResponse) => void,
-    ) => new CallerServer(handle);
-    this.#callerServer = createCallerServer((req, res) => {
+    this.#callerServer = new CallerServer((req, res) => {
       this.#ownLoad.countRequest(performance.now());
       relay.serve(req, res).catch((err: unknown) => {
         log.write(events.UNEXPECTED_ERROR, { error: String(err) });
         res.destroy();
       });
     });
-    this.#readinessServer = createCallerServer((req, res) =>
+    this.#readinessServer = new CallerServer((req, res) =>
       this.#serveReadiness(req, res)
     );
     const steering = new SteeringEndpoint({
@@ -327,10 +324,10 @@
         ...(this.#isReady ? [{ ...this.#self, busy: this.#ownLoad.busy }] : []),
       ],
     });
-    this.#steeringServer = createCallerServer((req, res) =>
+    this.#steeringServer = new CallerServer((req, res) =>
       steering.serve(req, res)
     );
-    this.#metricsServer = createCallerServer((_, res) => {
+    this.#metricsServer = new CallerServer((_, res) => {
       this.#metrics.set("log_lines_dropped", options.droppedLogLines());
       this.#metrics.set(
         "configuration_version",
--- a/packages/gateway/src/open_listener.ts
+++ b/packages/gateway/src/open_listener.ts
@@ -2,7 +2,9 @@
  *
  * @module
  */
+import { once } from "node:events";
 import type { Server } from "node:net";
+import { setTimeout as pause } from "node:timers/promises";
 import type { ListenAddress } from "@banyanlb/platform";
 import type { EventLog } from "@banyanlb/core";
 import * as events from "./events.ts";
@@ -33,22 +35,13 @@
  * await bindServer(server, { host: "127.0.0.1", port: 8080 });
  * ```
  */
-export function bindServer(
+export async function bindServer(
   server: Server,
   address: ListenAddress,
 ): Promise<void> {
-  return new Promise((resolve, reject) => {
-    const settle = (end: () => void) => {
-      server.removeListener("error", onError);
-      server.removeListener("listening", onListening);
-      end();
-    };
-    const onError = (err: Error) => settle(() => reject(err));
-    const onListening = () => settle(resolve);
-    server.once("error", onError);
-    server.once("listening", onListening);
-    server.listen(address.port, address.host, BACKLOG);
-  });
+  server.listen(address.port, address.host, BACKLOG);
+  // Rejects if the server emits an error first.
+  await once(server, "listening");
 }
 
 /** Calls `bind` until it succeeds or `isClosed` returns true. Rejects with the
@@ -84,7 +77,7 @@
           reason: code,
         });
       }
-      await new Promise((resolve) => setTimeout(resolve, RETRY_PAUSE_MS));
+      await pause(RETRY_PAUSE_MS);
     }
   }
 }
--- a/packages/gateway/src/program.ts
+++ b/packages/gateway/src/program.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { readFileSync } from "node:fs";
+import { setTimeout as pause } from "node:timers/promises";
 import { EventLog } from "@banyanlb/core";
 import {
   decodeSettings,
@@ -46,7 +47,7 @@
       if (attempt === 1) {
         log.write(events.SETTINGS_AWAITED, { error: String(err) });
       }
-      await new Promise((resolve) => setTimeout(resolve, SETTINGS_PAUSE_MS));
+      await pause(SETTINGS_PAUSE_MS);
     }
   }
 }
--- a/packages/gateway/src/program_test.ts
+++ b/packages/gateway/src/program_test.ts
@@ -7,7 +7,7 @@
   writeFileSync,
 } from "node:fs";
 import { afterEach, expect, test, vi } from "vitest";
-import { GatewayProcess, nextHost, occupy } from "./testing/gateway_process.ts";
+import { GatewayProcess, occupyNext } from "./testing/gateway_process.ts";
 
 const WAIT = { timeout: 10_000, interval: 20 };
 
@@ -108,7 +108,7 @@
 
 // FAULT: nothing was served for lack of a page of figures.
 test("a metrics port that is in use does not keep the process from serving", async () => {
-  const other = await occupy(nextHost(), "metrics");
+  const other = await occupyNext("metrics");
   const process = startProcess();
   await hasStarted(process);
   expect(await isListening(process.url("callers"))).toBe(true);
@@ -123,7 +123,7 @@
 test.each(["callers", "readiness", "steering", "peers"] as const)(
   "the address of %s is waited for if it is in use",
   async (port) => {
-    const other = await occupy(nextHost(), port);
+    const other = await occupyNext(port);
     const process = startProcess();
     await vi.waitFor(
       () => expect(process.output).toContain("address not free yet"),
--- a/packages/gateway/src/testing/gateway_process.ts
+++ b/packages/gateway/src/testing/gateway_process.ts
@@ -9,6 +9,7 @@
 import { join } from "node:path";
 import { SETTINGS_PATH_VARIABLE } from "@banyanlb/platform";
 import { encodeSettings, TRIAL_PORTS } from "@banyanlb/platform/stand_in";
+import { bindServer } from "../open_listener.ts";
 
 const PROGRAM = new URL("../../dist/main.js", import.meta.url).pathname;
 
@@ -89,20 +90,15 @@
 }
 
 /** Takes the address of a listener of the process that starts next. */
-export function occupy(
-  host: string,
+export async function occupyNext(
   port: keyof typeof TRIAL_PORTS,
 ): Promise<Server> {
   const server = createServer((socket) => socket.destroy());
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(TRIAL_PORTS[port], host, () => resolve(server));
+  await bindServer(server, {
+    host: hostAt(hostCount),
+    port: TRIAL_PORTS[port],
   });
-}
-
-/** The address that the next process gets. */
-export function nextHost(): string {
-  return hostAt(hostCount);
+  return server;
 }
 
 function freeHost(): string {
