--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -214,17 +214,14 @@
   /** The newest announced version of the requested adapter; 0 if none was
    * announced. */
   #newestVersion(): number {
-    const { model, adapter } = this.#input.caller;
-    return model !== undefined && adapter !== undefined
-      ? this.#deps.versionOf(model, adapter)
-      : 0;
+    return this.#lookUpVersion(this.#deps.versionOf);
   }
 
-  /** The oldest version of the requested adapter that may still serve. */
-  #oldestVersion(): number {
+  /** Looks up a version of the requested adapter; 0 if none was requested. */
+  #lookUpVersion(lookUp: (model: string, adapter: string) => number): number {
     const { model, adapter } = this.#input.caller;
     return model !== undefined && adapter !== undefined
-      ? this.#deps.oldestVersionOf(model, adapter)
+      ? lookUp(model, adapter)
       : 0;
   }
 
@@ -236,7 +233,7 @@
       model,
       adapter,
       version: this.#newestVersion(),
-      oldestVersion: this.#oldestVersion(),
+      oldestVersion: this.#lookUpVersion(this.#deps.oldestVersionOf),
       excludedEngines: excluded,
       timeLeftMs: this.#deadline - now,
     }, this.#deps.selectionContextAt(now));
--- a/packages/gateway/src/message_reader.ts
+++ b/packages/gateway/src/message_reader.ts
@@ -9,7 +9,7 @@
 
 /** Maximum size of a message, in bytes: the size of a full list of engines for
  * the planned fleet. */
-export const MESSAGE_MAX_BYTES = 8 * 1024 * 1024;
+const MESSAGE_MAX_BYTES = 8 * 1024 * 1024;
 
 /** Maximum size of the first message of a connection, in bytes. It names its
  * sender only. */
--- a/packages/gateway/src/read_body.ts
+++ b/packages/gateway/src/read_body.ts
@@ -39,12 +39,12 @@
       else if (!room.take(workspace, chunk.length)) fail("no_memory");
       else body.push(chunk);
     };
-    const releaseAll = (bytes: number) => room.release(workspace, bytes);
+    const release = (bytes: number) => room.release(workspace, bytes);
     const fail = (failure: BodyFailure) => {
       // What still arrives is skipped.
       req.removeListener("data", onData);
       req.resume();
-      releaseAll(body.sizeBytes);
+      release(body.sizeBytes);
       body.clear();
       resolve(failure);
     };
@@ -52,8 +52,8 @@
     req.on("end", () => {
       const whole = body.concat();
       body.clear();
-      if (res.closed) releaseAll(whole.length);
-      else res.once("close", () => releaseAll(whole.length));
+      if (res.closed) release(whole.length);
+      else res.once("close", () => release(whole.length));
       resolve(whole);
     });
     req.on("error", () => fail("broken"));
--- a/packages/gateway/src/response_buffer.ts
+++ b/packages/gateway/src/response_buffer.ts
@@ -16,16 +16,14 @@
 /** The body of one response, as far as it was received. */
 export class ResponseBuffer {
   readonly #body = new ByteCollector();
-  #sizeBytes = 0;
 
   /** Adds a chunk; returns false, and keeps nothing, if the body has become
    * larger than a response may be or than there is room for. */
   push(chunk: Buffer): boolean {
-    this.#sizeBytes += chunk.length;
+    this.#body.push(chunk);
     const hasRoom = bufferedResponses.take(chunk.length) &&
-      this.#sizeBytes <= RESPONSE_MAX_BYTES;
-    if (hasRoom) this.#body.push(chunk);
-    else this.release();
+      this.#body.sizeBytes <= RESPONSE_MAX_BYTES;
+    if (!hasRoom) this.release();
     return hasRoom;
   }
 
@@ -36,8 +34,7 @@
 
   /** Drops the body and makes room for others. May be called again. */
   release(): void {
-    bufferedResponses.release(this.#sizeBytes);
-    this.#sizeBytes = 0;
+    bufferedResponses.release(this.#body.sizeBytes);
     this.#body.clear();
   }
 }
