Select parts of prompts in one place

The evidence on crashes and the line about a crash each ranked the parts of a prompt and kept the first ones; fitting reports into their limit was a second job of crash_evidence.ts. Which records of parts are kept if there is no room for all was decided twice, in memory and for the store; the quarantine decides it for both. The report of answers no longer copies the table of all suspected parts for each digest, and the log asks once for what is believed of a part.

Decisions are the same. A log line about a crash names the parts of a long prompt in the prompt's order instead of by crashes.

--- a/packages/gateway/src/crash_watch.ts
+++ b/packages/gateway/src/crash_watch.ts
@@ -3,11 +3,12 @@
  * @module
  */
 import type { EventLog } from "@banyanlb/core";
-import type {
-  EngineControl,
-  EngineView,
-  PartQuarantine,
-  SharedParts,
+import {
+  type EngineControl,
+  type EngineView,
+  type PartQuarantine,
+  selectParts,
+  type SharedParts,
 } from "@banyanlb/serving";
 import * as events from "./events.ts";
 import type { GatewayMetrics } from "./metrics.ts";
@@ -121,17 +122,6 @@
     );
   }
 
-  /** The parts that are logged: those of the most crashes. */
-  #mostSuspected(parts: SharedParts): SharedParts {
-    const { quarantine } = this.#options;
-    if (parts.length <= events.LOGGED_PARTS_MAX) return parts;
-    return parts.map((part) =>
-      [quarantine.beliefOn(part).crashes, part] as const
-    )
-      .toSorted(([a], [b]) => b - a)
-      .slice(0, events.LOGGED_PARTS_MAX).map(([, part]) => part);
-  }
-
   /** The requests that ran on the engine, and what was believed of the parts of
    * the suspects: crashes, answers, and whether the part was held. */
   #fields(
@@ -139,25 +129,34 @@
     { requests }: PossibleCrash,
   ): Readonly<Record<string, unknown>> {
     const suspects = requests.filter(({ isSuspect }) => isSuspect);
+    const logged = suspects.slice(0, LOGGED_REQUESTS_MAX);
     const beliefs = new Map(
-      suspects.flatMap(({ parts }) => parts).map((part) => {
-        const { crashes, answers, isHeld } = this.#options.quarantine.beliefOn(
-          part,
-        );
-        return [part, `${crashes}/${answers}${isHeld ? " held" : ""}`];
-      }),
+      logged.flatMap(({ parts }) => parts).map((part) =>
+        [part, this.#options.quarantine.beliefOn(part)] as const
+      ),
     );
+    const crashesOf = (part: string) => beliefs.get(part)?.crashes ?? 0;
     return {
       engine: key,
       cut: requests.length,
-      suspects: suspects.slice(0, LOGGED_REQUESTS_MAX).map((request) => ({
-        id: request.id,
-        partCount: request.parts.length,
-        parts: this.#mostSuspected(request.parts)
-          .map((part) => `${part} ${beliefs.get(part)}`),
+      suspects: logged.map(({ id, parts }) => ({
+        id,
+        partCount: parts.length,
+        parts: selectParts(parts, {
+          count: events.LOGGED_PARTS_MAX,
+          rank: (part) => -crashesOf(part),
+        }).map((part) => `${part} ${describeBelief(beliefs.get(part))}`),
       })),
       others: requests.filter(({ isSuspect }) => !isSuspect)
         .slice(0, LOGGED_REQUESTS_MAX).map(({ id }) => id),
     };
   }
 }
+
+function describeBelief(
+  belief: ReturnType<PartQuarantine["beliefOn"]> | undefined,
+): string {
+  if (belief === undefined) return "";
+  const { crashes, answers, isHeld } = belief;
+  return `${crashes}/${answers}${isHeld ? " held" : ""}`;
+}
--- a/packages/gateway/src/hold_keeper.ts
+++ b/packages/gateway/src/hold_keeper.ts
@@ -91,7 +91,7 @@
       if (!this.#options.isWriter() || stateOf(holds) === this.#storedState) {
         return;
       }
-      await this.#write(selectStored(holds));
+      await this.#write(holds.slice(0, STORED_PARTS_MAX));
       this.#storedState = stateOf(holds);
     } catch (err) {
       // Another instance wrote the record, or it is not known whether the call
@@ -142,16 +142,6 @@
   }
 }
 
-/** The records that fit into the object: those of held parts first, then those
- * that expire last. */
-function selectStored(
-  holds: readonly ReportRow<HoldRecord>[],
-): readonly ReportRow<HoldRecord>[] {
-  return holds.toSorted(([, , a], [, , b]) =>
-    Number(b.isHeld) - Number(a.isHeld) || b.expiresInMs - a.expiresInMs
-  ).slice(0, STORED_PARTS_MAX);
-}
-
 /** Differs after each change of a part's hold. */
 function stateOf(holds: readonly ReportRow<HoldRecord>[]): string {
   return holds.map(([part, revision]) => `${part}@${revision}`).sort().join();
--- a/packages/serving/src/crash_evidence.ts
+++ b/packages/serving/src/crash_evidence.ts
@@ -8,8 +8,7 @@
  * @module
  */
 
-/** Ids of the parts of a prompt that other requests may share, in order. */
-export type SharedParts = readonly string[];
+import { fitPrompts, type SharedParts } from "./select_parts.ts";
 
 /** How many answers on a part got past their beginning at one instance: before
  * the first crash of which the part was a suspect, and since. Both saturate. */
@@ -154,8 +153,9 @@
     },
   ): void {
     const { reporter, at } = report;
-    const suspects = this.#fit(
+    const suspects = fitPrompts(
       report.suspects.filter((parts) => parts.length > 0),
+      { maxParts: REPORTED_PARTS_MAX, rank: (part) => this.#rank(part) },
     );
     if (suspects.length === 0) return;
     let crash = this.#crashes.get(engineKey);
@@ -193,15 +193,21 @@
   /** The answers of this instance on suspected parts that have any; on those of
    * several crashes first, since a bounded number is reported. */
   *ownAnswers(): Iterable<readonly [part: string, counts: AnswerCounts]> {
-    let count = 0;
-    for (
-      const part of new Set([...this.#repeated, ...this.#suspected.keys()])
-    ) {
+    let room = REPORTED_ANSWERS_MAX;
+    for (const part of this.#mostSuspectedFirst()) {
       const own = this.#suspected.get(part)?.own;
       if (own === undefined || own[0] + own[1] === 0) continue;
+      if (room === 0) return;
       yield [part, own];
-      count += 1;
-      if (count === REPORTED_ANSWERS_MAX) return;
+      room -= 1;
+    }
+  }
+
+  /** The suspected parts, those of several crashes first. */
+  *#mostSuspectedFirst(): Iterable<string> {
+    yield* this.#repeated;
+    for (const part of this.#suspected.keys()) {
+      if (!this.#repeated.has(part)) yield part;
     }
   }
 
@@ -363,34 +369,11 @@
     return Math.min(before, ANSWERS_BEFORE_MAX) + since;
   }
 
-  /** The suspects with as many parts as are reported. Those with fewer parts
-   * than their share are kept whole. Of the others, parts go first on which this
-   * instance had answers: they are the least likely to be the cause. */
-  #fit(suspects: readonly SharedParts[]): readonly SharedParts[] {
-    if (countParts(suspects) <= REPORTED_PARTS_MAX) return suspects;
-    let room = REPORTED_PARTS_MAX;
-    const shares = new Map<SharedParts, number>();
-    const byLength = suspects.toSorted((a, b) => a.length - b.length);
-    byLength.forEach((parts, i) => {
-      const share = Math.floor(room / (byLength.length - i));
-      shares.set(parts, Math.min(parts.length, share));
-      room -= Math.min(parts.length, share);
-    });
-    return suspects.map((parts) =>
-      this.#mostSuspicious(parts, shares.get(parts) ?? 0)
-    ).filter((parts) => parts.length > 0);
-  }
-
-  /** The `count` parts that are most likely to be the cause, in their order:
-   * suspects of other crashes, then parts without answers. */
-  #mostSuspicious(parts: SharedParts, count: number): SharedParts {
-    if (parts.length <= count) return parts;
-    const rank = (part: string) =>
-      this.#suspected.has(part) ? 0 : this.#answered.has(part) ? 2 : 1;
-    const ranked = parts.map((part) => [rank(part), part] as const)
-      .toSorted(([a], [b]) => a - b);
-    const kept = new Set(ranked.slice(0, count).map(([, part]) => part));
-    return parts.filter((part) => kept.has(part));
+  /** The lower, the more likely a part is the cause: suspects of other crashes
+   * come first, then parts on which this instance had no answers. */
+  #rank(part: string): number {
+    if (this.#suspected.has(part)) return 0;
+    return this.#answered.has(part) ? 2 : 1;
   }
 
   #dropOldCrashes(now: number): void {
@@ -444,11 +427,6 @@
   }
 }
 
-/** Number of parts of all suspects. */
-function countParts(suspects: readonly SharedParts[]): number {
-  return suspects.reduce((sum, parts) => sum + parts.length, 0);
-}
-
 function overlaps(a: ReadonlySet<string>, b: ReadonlySet<string>): boolean {
   for (const value of a) if (b.has(value)) return true;
   return false;
--- a/packages/serving/src/crash_evidence_test.ts
+++ b/packages/serving/src/crash_evidence_test.ts
@@ -1,9 +1,6 @@
 import { describe, expect, test } from "vitest";
-import {
-  CrashEvidence,
-  EVIDENCE_MS,
-  type SharedParts,
-} from "./crash_evidence.ts";
+import { CrashEvidence, EVIDENCE_MS } from "./crash_evidence.ts";
+import type { SharedParts } from "./select_parts.ts";
 
 const BAD: SharedParts = ["first", "middle", "bad"];
 
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -38,6 +38,7 @@
 export * from "./record_set.ts";
 export * from "./report_row.ts";
 export * from "./retry_budget.ts";
+export * from "./select_parts.ts";
 export * from "./route_table.ts";
 export * from "./steering.ts";
 export * from "./rate_lenders.ts";
--- a/packages/serving/src/part_quarantine.ts
+++ b/packages/serving/src/part_quarantine.ts
@@ -14,10 +14,10 @@
   CrashEvidence,
   type Explanation,
   type PartEvidence,
-  type SharedParts,
 } from "./crash_evidence.ts";
 import type { ServingInstances } from "./member_table.ts";
 import type { ReportRow } from "./report_row.ts";
+import type { SharedParts } from "./select_parts.ts";
 import { hasTrialTurn, nextTrialAt } from "./trial_turn.ts";
 
 /** A held part that nobody has asked for is released after this time, in
@@ -282,9 +282,10 @@
     ) this.#conclude(now);
   }
 
-  /** The held and released parts, as peers and the store exchange them. */
+  /** The held and released parts, as peers and the store exchange them, in the
+   * order in which they are kept if there is no room for all. */
   holdRecords(now: number): readonly ReportRow<HoldRecord>[] {
-    return [...this.#holds].map(([part, hold]): ReportRow<HoldRecord> => [
+    return this.#holdsToKeep().map(([part, hold]): ReportRow<HoldRecord> => [
       part,
       hold.revision,
       {
@@ -429,15 +430,18 @@
     for (const [part, hold] of this.#holds) {
       if (now >= hold.expiresAt) this.#drop(part, hold);
     }
-    if (this.#holds.size <= PARTS_MAX) return;
-    const byUse = [...this.#holds].sort(([, a], [, b]) =>
-      Number(a.isHeld) - Number(b.isHeld) || a.expiresAt - b.expiresAt
-    );
-    for (const [part, hold] of byUse.slice(0, this.#holds.size - PARTS_MAX)) {
+    for (const [part, hold] of this.#holdsToKeep().slice(PARTS_MAX)) {
       this.#drop(part, hold);
     }
   }
 
+  /** All records: those of held parts first, then those that expire last. */
+  #holdsToKeep(): readonly (readonly [part: string, hold: Hold])[] {
+    return [...this.#holds].sort(([, a], [, b]) =>
+      Number(b.isHeld) - Number(a.isHeld) || b.expiresAt - a.expiresAt
+    );
+  }
+
   #drop(part: string, hold: Hold): void {
     if (hold.isHeld) this.#listener.onRelease(part, "idle");
     this.#holds.delete(part);
--- a/packages/serving/src/part_quarantine_test.ts
+++ b/packages/serving/src/part_quarantine_test.ts
@@ -1,11 +1,11 @@
 import { describe, expect, test } from "vitest";
-import type { SharedParts } from "./crash_evidence.ts";
 import {
   IDLE_RELEASE_MS,
   PartQuarantine,
   type PeerReport,
 } from "./part_quarantine.ts";
 import type { ReportRow } from "./report_row.ts";
+import type { SharedParts } from "./select_parts.ts";
 import { FIRST_TRIAL_MS, TRIALS_MAX } from "./trial_turn.ts";
 
 const BAD: SharedParts = ["first", "bad"];
