Let the soak evacuate zones and its engines become cold

New faults zone_evacuated and engine_becomes_cold; engines are cold after a restart. A calm evacuation where links are not filled: no run in the zone from the bound on, and cold engines get what they bear at most in any second.

--- a/packages/trials/src/soak/checks.ts
+++ b/packages/trials/src/soak/checks.ts
@@ -15,6 +15,11 @@
   isOverLimit,
   type WorkspaceLimits,
 } from "./limit_checks.ts";
+import {
+  checkColdEngines,
+  checkEvacuations,
+  type EvacuationSpan,
+} from "./place_checks.ts";
 
 /** Kind of a request, which decides how the gateways may repeat it. */
 export type RequestKind = "stream" | "once" | "read";
@@ -55,6 +60,7 @@
    * in which instances must know of each other's crashes. */
   readonly calmFromMs: number;
   readonly limits: WorkspaceLimits;
+  readonly evacuations: readonly EvacuationSpan[];
 }
 
 /** Statuses which guarantee that a request has not run and never will. */
@@ -89,7 +95,7 @@
  *
  * @example
  * ```ts
- * const observations = { attempts, records, limits, orderGapMs: 1000 };
+ * const observations = { attempts, records, limits, evacuations, orderGapMs };
  * checkSoak({ ...observations, recoveredFromMs: 0, calmFromMs: 0 }); // []
  * ```
  */
@@ -103,6 +109,8 @@
     ...checkLimits(observations),
     ...checkWorkspaceLimits(observations),
     ...checkLeft(observations),
+    ...checkEvacuations(observations),
+    ...checkColdEngines(observations),
   ];
 }
 
--- a/packages/trials/src/soak/checks_test.ts
+++ b/packages/trials/src/soak/checks_test.ts
@@ -75,6 +75,7 @@
     recoveredFromMs: 0,
     calmFromMs: 2000,
     limits,
+    evacuations: [],
   });
 }
 
--- a/packages/trials/src/soak/faults.ts
+++ b/packages/trials/src/soak/faults.ts
@@ -79,6 +79,11 @@
     slot.process.signal("SIGKILL");
     return () => world.restartEngine(slot);
   },
+  engine_becomes_cold: (world, pick) => {
+    world.coolDown(pick(world.engines.filter(({ plain }) => !plain)));
+    return nothingToLift;
+  },
+  zone_evacuated: (world, pick) => world.evacuate(pick(Object.keys(ZONES))),
   engine_limited: (world, pick) => {
     const { process } = pick(world.engines);
     process.write(String(pick(REQUEST_LIMITS)));
--- a/packages/trials/src/soak/soak.ts
+++ b/packages/trials/src/soak/soak.ts
@@ -51,6 +51,9 @@
 const FULL_ZONE = "n-b";
 const FULL_LINK_MS = 7000;
 
+/** Zone that is evacuated for that time where links are not filled. */
+const EVACUATED_ZONE = "s-a";
+
 /** Time after the links became full from which instances must know it, in
  * milliseconds; the number of callers that send more requests from then on, and
  * the ratio of those that they give up early. */
@@ -173,6 +176,9 @@
       }
       await pause(300);
     }
+    const endEvacuation = fillsLinks
+      ? () => Promise.resolve()
+      : world.evacuate(EVACUATED_ZONE);
     const refusedFromMs = Date.now() + WITHDRAWAL_BOUND_MS;
     await historyLost;
     if (fillsLinks) world.setZoneLinks(FULL_ZONE, "full");
@@ -181,6 +187,7 @@
     await pause(FULL_LINK_MS - FULL_LINK_KNOWN_MS);
     for (const caller of leavingCallers) caller.close();
     world.setZoneLinks(FULL_ZONE, "open");
+    await endEvacuation();
     await pause(RECOVERY_MS - ENGINE_RECOVERY_MS - FULL_LINK_MS);
     // The trial of a held part ends an engine, which must be back before the
     // requests of the final phase count.
@@ -201,6 +208,7 @@
         recoveredFromMs,
         calmFromMs,
         limits,
+        evacuations: world.evacuations,
       }),
       ...attempts.filter((a) =>
         !a.isKeyValid && a.sentAt > refusedFromMs && a.status === 200
--- a/packages/trials/src/soak/world.ts
+++ b/packages/trials/src/soak/world.ts
@@ -14,11 +14,14 @@
   type EngineRecord,
   type EngineStandInOptions,
   publishConfiguration,
+  setEvacuated,
   STAND_IN_PROGRAM,
+  TRIAL_COLD,
   TRIAL_RATE_WINDOW_MS,
   type TrialLimit,
 } from "@banyanlb/platform/stand_in";
 import type { LimitChange, WorkspaceLimits } from "./limit_checks.ts";
+import type { EvacuationSpan } from "./place_checks.ts";
 import { LinkProxy, type LinkState } from "./proxy.ts";
 import { SoakProcess } from "./soak_process.ts";
 
@@ -42,6 +45,10 @@
 const RELOADS: readonly NodeJS.Signals[] = Array(12).fill("SIGHUP");
 const RELOAD_PAUSE_MS = 15;
 
+/** Time until the end of an evacuation is sent to the store again, in
+ * milliseconds. */
+const EVACUATION_RETRY_MS = 300;
+
 /** Time after which an engine that crashed is started again, in milliseconds. */
 const CRASH_RESTART_MS = 1000;
 
@@ -95,6 +102,8 @@
   readonly gateways: GatewaySlot[] = [];
   readonly engines: EngineSlot[] = [];
   readonly ended: SoakProcess[] = [];
+  /** The evacuations so far that the store confirmed. */
+  readonly evacuations: EvacuationSpan[] = [];
   /** Whether callers send a part of prompts that crashes engines. */
   sendsCrashingPart = false;
   readonly #prefix: string;
@@ -212,6 +221,31 @@
     return isAccepted;
   }
 
+  /** Evacuates a zone. Returns the function that ends the evacuation, after which
+   * its engines are cold. */
+  evacuate(zone: string): () => Promise<void> {
+    const evacuated = setEvacuated(this.#storeAddress, zone, true)
+      .then((isAccepted) => isAccepted ? Date.now() : undefined);
+    return async () => {
+      const acceptedAt = await evacuated;
+      for (const engine of this.engines) {
+        if (engine.zone === zone && !engine.plain) this.coolDown(engine);
+      }
+      const endedAt = Date.now();
+      while (
+        !this.#isClosed && !await setEvacuated(this.#storeAddress, zone, false)
+      ) await pause(EVACUATION_RETRY_MS);
+      if (acceptedAt !== undefined) {
+        this.evacuations.push({ zone, acceptedAt, endedAt });
+      }
+    };
+  }
+
+  /** Lets an engine become cold. */
+  coolDown({ process }: { readonly process: SoakProcess }): void {
+    process.write(`cold ${TRIAL_COLD.ms}`);
+  }
+
   /** Removes a key and publishes the configuration with another limit. Returns
    * whether the store accepted it. */
   withdraw(
@@ -332,6 +366,7 @@
       model: MODEL,
       renewIntervalMs: RENEW_INTERVAL_MS,
       drainMs: DRAIN_MS,
+      coldStartMs: plain || starts === 0 ? 0 : TRIAL_COLD.ms,
     };
     return this.#startProcess(options.id, STAND_IN_PROGRAM, [
       "engine",
