Explain where a request would go now, and why

Text or JSON: each engine with the rule that leaves it out, or its load, the age of what is known, its penalty and its chance.

Choice and explanation share fillParts and EngineChooser.weigh.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -41,6 +41,7 @@
 import { EvacuationProgress } from "./evacuation_progress.ts";
 import { EventLoopWatch } from "./event_loop_watch.ts";
 import * as events from "./events.ts";
+import { EXPLAIN_PATH, serveExplanation } from "./explain_endpoint.ts";
 import { LimitKeeper } from "./limit_keeper.ts";
 import { Membership } from "./membership.ts";
 import { GatewayMetrics } from "./metrics.ts";
@@ -53,6 +54,7 @@
 import { RecordConfirmer } from "./record_confirmer.ts";
 import { PromptProtection } from "./prompt_protection.ts";
 import { Relay } from "./relay.ts";
+import type { RelayDependencies } from "./relay_dependencies.ts";
 import { SharedRecords } from "./shared_records.ts";
 import { SteeringEndpoint } from "./steering_endpoint.ts";
 import { StoreView } from "./store_view.ts";
@@ -315,7 +317,7 @@
       log,
     });
     this.#rateLog = new RateLog({ rates: this.#rates, log });
-    const relay = new Relay({
+    const relayDependencies: RelayDependencies = {
       protocol: this.#protocol,
       routeTable: () => this.#storeView.routeTable,
       configurationAgeMs: (now) =>
@@ -341,7 +343,8 @@
       hasTimeFor: (route) => this.#hasTimeFor(route),
       log,
       metrics: this.#metrics,
-    });
+    };
+    const relay = new Relay(relayDependencies);
     this.#callerServer = new CallerServer((req, res) => {
       this.#ownLoad.countRequest(performance.now());
       relay.serve(req, res).catch((err: unknown) => {
@@ -365,7 +368,10 @@
     this.#steeringServer = new CallerServer((req, res) =>
       steering.serve(req, res)
     );
-    this.#metricsServer = new CallerServer((_, res) => {
+    this.#metricsServer = new CallerServer((req, res) => {
+      if (req.url?.startsWith(EXPLAIN_PATH) === true) {
+        return serveExplanation(relayDependencies, req, res);
+      }
       this.#metrics.set("log_lines_dropped", options.droppedLogLines());
       this.#metrics.set(
         "configuration_version",
--- a/packages/gateway/src/program.ts
+++ b/packages/gateway/src/program.ts
@@ -13,6 +13,7 @@
 import pino from "pino";
 import sade from "sade";
 import * as events from "./events.ts";
+import { type ExplainOptions, runExplain } from "./explain_command.ts";
 import { Gateway } from "./gateway.ts";
 import { LogStream } from "./log_stream.ts";
 import type { ProcessSignals } from "./process_signals.ts";
@@ -92,9 +93,11 @@
 
 /** Runs the command that the arguments of the process name. */
 export function runProgram(signals: ProcessSignals): void {
-  sade("banyanlb-gateway", true)
+  sade("banyanlb-gateway")
     .version(VERSION)
-    .describe("Serves callers on this machine until SIGTERM.")
+    .command("serve", "Serves callers on this machine until SIGTERM.", {
+      default: true,
+    })
     .option(
       "--settings",
       `Path of the settings file; by default from ${SETTINGS_PATH_VARIABLE}`,
@@ -116,5 +119,24 @@
         );
       }
     })
+    .command("explain", "Explains where a request would go now, and why.")
+    .option("--at", "URL of an instance's metrics, http://HOST:PORT")
+    .option("--host", "Host that the caller calls")
+    .option("--path", "Path of the request")
+    .option("--workspace", "Name of the caller's workspace")
+    .option("--model", "Name of the base model")
+    .option("--adapter", "Name of the adapter")
+    .option("--deadline", "Time that the caller waits, in milliseconds")
+    .option("--json", "Print JSON")
+    .example(
+      "explain --at http://10.0.0.1:7600 --host api.example --path /chat/",
+    )
+    .action(async (options: ExplainOptions) => {
+      try {
+        process.exit(await runExplain(options) ? 0 : 1);
+      } catch (err) {
+        exitWithError(err instanceof Error ? err.message : String(err));
+      }
+    })
     .parse(process.argv);
 }
--- a/packages/serving/src/balance/load_level.ts
+++ b/packages/serving/src/balance/load_level.ts
@@ -44,6 +44,23 @@
   return level;
 }
 
+/** The part of the arrivals that each entry gets, in [0, 1]: the chance that
+ * `pickByLevel` picks it. */
+export function fillParts(
+  entries: readonly LevelEntry[],
+  arrivals: number,
+): readonly number[] {
+  if (arrivals > 0) {
+    const level = levelOf(entries, arrivals);
+    return entries.map(({ base, capacity }) =>
+      Math.max(0, level - base) * capacity / arrivals
+    );
+  }
+  const lowest = Math.min(...entries.map(({ base }) => base));
+  const count = entries.filter(({ base }) => base === lowest).length;
+  return entries.map(({ base }) => base === lowest ? 1 / count : 0);
+}
+
 /** Picks an entry by its part of the arrivals; one of the lowest if there are
  * none, at random, since others may know as little. `sample` is a random number in [0, 1). Undefined without entries.
  *
@@ -57,13 +74,16 @@
   { arrivals, sample }: { readonly arrivals: number; readonly sample: number },
 ): T | undefined {
   if (entries.length < 2) return entries[0];
-  const level = levelOf(entries, arrivals);
-  let remaining = sample * arrivals;
-  for (const entry of entries) {
-    remaining -= Math.max(0, level - entry.base) * entry.capacity;
+  const parts = fillParts(entries, arrivals);
+  let remaining = sample;
+  let last: T | undefined;
+  for (const [i, entry] of entries.entries()) {
+    const part = parts[i] ?? 0;
+    if (part <= 0) continue;
+    last = entry;
+    remaining -= part;
     if (remaining < 0) return entry;
   }
-  const base = Math.min(...entries.map((entry) => entry.base));
-  const lowest = entries.filter((entry) => entry.base === base);
-  return lowest[Math.floor(sample * lowest.length)];
+  // The parts may add up to a little less than 1.
+  return last;
 }
--- a/packages/serving/src/choose_engine.ts
+++ b/packages/serving/src/choose_engine.ts
@@ -13,7 +13,7 @@
 import { rankByRendezvous } from "@banyanlb/core";
 import { CONCURRENT_FETCHES_MAX } from "./adapter_slot_table.ts";
 import { LoadForecast, type RequestKind } from "./balance/load_forecast.ts";
-import { pickByLevel } from "./balance/load_level.ts";
+import { type LevelEntry, pickByLevel } from "./balance/load_level.ts";
 import { distanceBetween } from "./distance.ts";
 import type { EngineTable, EngineView } from "./engine_table.ts";
 import {
@@ -117,6 +117,15 @@
     readonly reason: NoEngineReason | "full";
   };
 
+/** An engine with what speaks for and against it. */
+export interface WeighedEngine extends LevelEntry {
+  readonly view: EngineView;
+  /** Requests that are expected there, without new arrivals. */
+  readonly load: number;
+  /** What speaks against it beside its load, on the scale of `base`. */
+  readonly penalty: number;
+}
+
 /** Chooses engines by cost, and caches the engine order of each adapter. */
 export class EngineChooser {
   readonly #engines: EngineTable;
@@ -183,6 +192,11 @@
     return { kind: "send", view: leaving, spreadTo };
   }
 
+  /** The engines of a service. */
+  enginesOf(service: string): readonly EngineView[] {
+    return this.#engines.ofService(service);
+  }
+
   /** The keys of a service's engines. */
   keysOf(service: string): readonly string[] {
     return this.#engines.ofService(service).map(({ engine }) => engine.key);
@@ -292,6 +306,18 @@
     context: SelectionContext,
   ): EngineView | undefined {
     if (views.length < 2) return views[0];
+    const { entries, arrivals } = this.weigh(views, kind, context);
+    const sample = this.#forecast.sample();
+    return pickByLevel(entries, { arrivals, sample })?.view;
+  }
+
+  /** What the choice among engines that can all serve a request now is made
+   * by. */
+  weigh(
+    views: readonly EngineView[],
+    kind: RequestKind,
+    context: SelectionContext,
+  ): { readonly entries: readonly WeighedEngine[]; readonly arrivals: number } {
     const serviceViews = this.#engines.ofService(kind.service);
     const { kept, arrivals } = this.#forecast.of(
       views,
@@ -301,11 +327,10 @@
     const entries = views.map((view) => {
       const capacity = fullSpeedCapacity(view);
       const load = kept.get(view) ?? 0;
-      const base = load / capacity + penaltyOf(view, context);
-      return { view, base, capacity };
+      const penalty = penaltyOf(view, context);
+      return { view, load, penalty, base: load / capacity + penalty, capacity };
     });
-    const sample = this.#forecast.sample();
-    return pickByLevel(entries, { arrivals, sample })?.view;
+    return { entries, arrivals };
   }
 
   #chooseWithoutAdapter(
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -26,6 +26,7 @@
 export * from "./engine_health.ts";
 export * from "./engine_path.ts";
 export * from "./evacuation/evacuations.ts";
+export * from "./explain/explain_choice.ts";
 export * from "./event_boundary.ts";
 export * from "./event_framer.ts";
 export * from "./fingerprint.ts";
