Keep units for the small calls of large workspaces

Cause: a request counted as small up to 0.005 of the burst, 2,162 units here, so that most generations were small and nothing was kept for calls. Now a request above four times the units of a call is large, too; smaller workspaces keep their bound. The test failed before.

--- a/packages/gateway/src/workspace_rates.ts
+++ b/packages/gateway/src/workspace_rates.ts
@@ -105,16 +105,23 @@
       if (ratePerSecond <= 0) continue;
       names.add(name);
       const requestUnits = workspace.countsTokens ? workspace.defaultTokens : 1;
+      // Where requests are counted, none is smaller than another.
+      const smallUnits = workspace.countsTokens ? requestUnits : Infinity;
       const limit = { perSecond: ratePerSecond, burst };
       const entry = this.#entries.get(name);
       if (entry !== undefined) {
-        entry.rate.setLimit(limit);
+        entry.rate.setLimit(limit, smallUnits);
         entry.requestUnits = requestUnits;
         continue;
       }
       // Performance time starts with the process.
       const hasEarlierUse = now < windowMs;
-      const rate = new TokenRate(limit, { now, windowMs, hasEarlierUse });
+      const rate = new TokenRate(limit, {
+        now,
+        windowMs,
+        hasEarlierUse,
+        smallUnits,
+      });
       const counts = noLoans();
       this.#entries.set(name, {
         name,
--- a/packages/serving/src/token_rate.ts
+++ b/packages/serving/src/token_rate.ts
@@ -40,6 +40,10 @@
 /** Fraction of the burst above which a request is large. */
 const LARGE_REQUEST_FRACTION = 0.005;
 
+/** A request is large above this many times the units of a small call, too: the
+ * burst of a large workspace says nothing about its calls. */
+const LARGE_REQUEST_FACTOR = 4;
+
 /** A workspace's limits, in units. */
 export interface RateLimit {
   readonly perSecond: number;
@@ -71,22 +75,26 @@
   readonly #windowMs: number;
   readonly #window: UseWindow;
   readonly #hasEarlierUse: boolean;
+  #smallUnits: number;
   #share = 0;
   #isShared = false;
   #admitsLarge = true;
   #removeAssumedUse: () => void = () => undefined;
 
   /** `hasEarlierUse` is whether an earlier process of this instance may have
-   * used the limit within the last window. */
+   * used the limit within the last window; `smallUnits` are the units of a small
+   * call, if they are known. */
   constructor(
     limit: RateLimit,
     options: {
       readonly now: number;
       readonly windowMs: number;
       readonly hasEarlierUse: boolean;
+      readonly smallUnits?: number;
     },
   ) {
     this.#limit = limit;
+    this.#smallUnits = options.smallUnits ?? Infinity;
     this.#windowMs = options.windowMs;
     this.#hasEarlierUse = options.hasEarlierUse;
     this.#window = new UseWindow(options.now, {
@@ -110,9 +118,10 @@
     return this.#share * unitsInWindow(this.#limit, this.#windowMs);
   }
 
-  /** Replaces the limit. */
-  setLimit(limit: RateLimit): void {
+  /** Replaces the limit, and the units of a small call. */
+  setLimit(limit: RateLimit, smallUnits = Infinity): void {
     this.#limit = limit;
+    this.#smallUnits = smallUnits;
   }
 
   /** Replaces the share at `now`. `admitsLarge` is whether this instance, as one
@@ -227,7 +236,11 @@
   /** Units of the share that a request of `units` must leave to smaller ones. */
   #reservedUnits(units: number): number {
     const { burst } = this.#limit;
-    return units > burst * LARGE_REQUEST_FRACTION
+    const smallMax = Math.min(
+      burst * LARGE_REQUEST_FRACTION,
+      this.#smallUnits * LARGE_REQUEST_FACTOR,
+    );
+    return units > smallMax
       ? burst * SMALL_REQUEST_RESERVE_FRACTION * this.#share
       : 0;
   }
--- a/packages/serving/src/token_rate_test.ts
+++ b/packages/serving/src/token_rate_test.ts
@@ -264,3 +264,23 @@
   fresh.restoreUse([1000], { at: 5000, now: 6000 });
   expect(fresh.levelAt(6000)).toBe(allowed(LIMIT) - 2000);
 });
+
+// A workspace with a burst of 432,561 units: its generations of 1,400 units
+// counted as small, and a spike of them left nothing for its calls.
+test("a spike of generations in a large workspace leaves units for its small calls", () => {
+  const limit = { perSecond: 432_561, burst: 432_561 };
+  const rate = new TokenRate(limit, {
+    now: 0,
+    windowMs: WINDOW_MS,
+    hasEarlierUse: false,
+    smallUnits: 200,
+  });
+  rate.setShare(1, 0);
+  const generated = admitAll(rate, 1400);
+  expect(generated).toBeGreaterThan(allowed(limit) * 0.98);
+  expect(admits(rate, 1400)).toBe(false);
+  for (let call = 0; call < 200; call += 1) {
+    expect(admits(rate, 200)).toBe(true);
+  }
+  expect(admits(rate, 1400)).toBe(false);
+});
