Compute the share in a warm-up only when it expires

A cold engine's share, which ranks all instances, was computed for each engine with each request, since one callback told both whether an engine is cold and the share.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -282,7 +282,10 @@
     this.#engineLimits = new EngineLimits(
       this.#self.name,
       () => this.#members.servingInstances(performance.now()),
-      (key, now) => this.#warmUpShareOf(key, now),
+      {
+        isCold: (key, now) => this.#warmUps.leftMs(key, now) > 0,
+        shareOf: (key, now) => this.#warmUpShareOf(key, now),
+      },
     );
     const chooser = new EngineChooser(this.#engineTable, new LoadForecast());
     const use = new AdapterUsageCounts();
@@ -626,15 +629,13 @@
     this.#warmUps.recordReturn(engines, performance.now());
   }
 
-  /** This instance's share in the warm-up of an engine, in requests a second;
-   * undefined if the engine is warm. */
-  #warmUpShareOf(key: string, now: number): number | undefined {
-    if (this.#warmUps.leftMs(key, now) === 0) return undefined;
+  /** This instance's share in the warm-up of an engine, in requests a second. */
+  #warmUpShareOf(key: string, now: number): number {
     const engine = this.#engineTable.get(key)?.engine;
     const terms = engine === undefined
       ? undefined
       : this.#storeView.routeTable?.findService(engine.service)?.warmUp;
-    if (engine === undefined || terms === undefined) return undefined;
+    if (engine === undefined || terms === undefined) return 0;
     // Until it has heard of the others, its share would be too large.
     if (this.#members.isStarting(now)) return 0;
     const { zone } = engine;
--- a/packages/serving/src/engine_limits.ts
+++ b/packages/serving/src/engine_limits.ts
@@ -69,19 +69,22 @@
   readonly allowance: RequestAllowance;
 }
 
-/** The share of this instance in the warm-up of an engine, in requests a second;
- * undefined if the engine is warm. */
-export type WarmUpShareOf = (
-  engineKey: string,
-  now: number,
-) => number | undefined;
+/** What the limits need to know of engines that are cold. */
+export interface ColdEngines {
+  /** Whether an engine is cold. Asked for each engine with each request. */
+  readonly isCold: (engineKey: string, now: number) => boolean;
+  /** The requests a second that this instance may send to a cold engine. */
+  readonly shareOf: (engineKey: string, now: number) => number;
+}
+
+const NONE_COLD: ColdEngines = { isCold: () => false, shareOf: () => 0 };
 
 /** The limits of engines, and the share that this instance has of each. */
 export class EngineLimits {
   readonly #self: string;
   readonly #instances: () => ServingInstances;
   readonly #limits = new Map<string, Limit>();
-  readonly #warmUpShareOf: WarmUpShareOf;
+  readonly #coldEngines: ColdEngines;
   /** The allowances for engines that are cold. */
   readonly #warmUps = new Map<string, RequestAllowance>();
   /** Until when engines asked this instance to pause. */
@@ -91,11 +94,11 @@
   constructor(
     self: string,
     instances: () => ServingInstances,
-    warmUpShareOf: WarmUpShareOf = () => undefined,
+    coldEngines = NONE_COLD,
   ) {
     this.#self = self;
     this.#instances = instances;
-    this.#warmUpShareOf = warmUpShareOf;
+    this.#coldEngines = coldEngines;
   }
 
   /** Number of engines that name a limit. */
@@ -241,14 +244,14 @@
 
   /** The allowance for an engine that is cold. */
   #warmUpOf(engineKey: string, now: number): RequestAllowance | undefined {
-    if (this.#warmUpShareOf(engineKey, now) === undefined) {
+    if (!this.#coldEngines.isCold(engineKey, now)) {
       this.#warmUps.delete(engineKey);
       return undefined;
     }
     let allowance = this.#warmUps.get(engineKey);
     if (allowance === undefined) {
       allowance = new RequestAllowance(
-        (at) => this.#warmUpShareOf(engineKey, at) ?? 0,
+        (at) => this.#coldEngines.shareOf(engineKey, at),
         now,
       );
       this.#warmUps.set(engineKey, allowance);
--- a/packages/serving/src/warm_up/warm_up_share_test.ts
+++ b/packages/serving/src/warm_up/warm_up_share_test.ts
@@ -33,7 +33,7 @@
     return new EngineLimits(
       self.name,
       () => ({ names: [self.name], isCutOff: false }),
-      () => share,
+      { isCold: () => true, shareOf: () => share },
     );
   });
   const arrivals: number[] = [];
