--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,8 +23,6 @@
   type Route,
   type SelectionContext,
   SystemClocks,
-  WarmUps,
-  warmUpShare,
 } from "@banyanlb/serving";
 import {
   EngineControlClient,
@@ -38,6 +36,7 @@
 import { CallerServer } from "./caller_server.ts";
 import { DigestExchange } from "./digest_exchange.ts";
 import { EngineConnections } from "./engine_connections.ts";
+import { EngineWarmUp } from "./engine_warm_up.ts";
 import { EvacuationProgress } from "./evacuation_progress.ts";
 import { EventLoopWatch } from "./event_loop_watch.ts";
 import * as events from "./events.ts";
@@ -116,7 +115,7 @@
   readonly #readerRoles: ReaderRoles;
   readonly #promptProtection: PromptProtection;
   readonly #engineLimits: EngineLimits;
-  readonly #warmUps: WarmUps;
+  readonly #warmUp: EngineWarmUp;
   readonly #evacuationProgress: EvacuationProgress;
   readonly #rates: WorkspaceRates;
   readonly #rateLog: RateLog;
@@ -227,12 +226,7 @@
       membership: this.#membership,
       members: this.#members,
       links: this.#links,
-      onColdTime: (engine, leftMs) =>
-        this.#warmUps.recordTold(
-          engine,
-          { leftMs, at: performance.now(), source: "engine" },
-          performance.now(),
-        ),
+      onColdTime: (engine, leftMs) => this.#warmUp.recordTold(engine, leftMs),
       log,
       metrics: this.#metrics,
     });
@@ -266,26 +260,23 @@
       log,
       metrics: this.#metrics,
     });
-    const termsOf = (service: string) =>
-      this.#storeView.routeTable?.findService(service)?.warmUp;
-    this.#warmUps = new WarmUps({
-      termsOf,
-      onWarmUp: (warmUp) =>
-        log.write(events.ENGINE_WARM_UP, {
-          ...warmUp,
-          share: this.#engineLimits.warmUpShareOf(
-            warmUp.engine,
-            performance.now(),
-          ),
-        }),
+    this.#warmUp = new EngineWarmUp({
+      self: this.#self,
+      engineTable: this.#engineTable,
+      members: this.#members,
+      termsOf: (service) =>
+        this.#storeView.routeTable?.findService(service)?.warmUp,
+      regionOf: (zone) => settings.regions.get(zone),
+      bounds: {
+        ratio: settings.bounds.coldRatio,
+        fixed: settings.bounds.coldFixed,
+      },
+      log,
     });
     this.#engineLimits = new EngineLimits(
       this.#self.name,
       () => this.#members.servingInstances(performance.now()),
-      {
-        isCold: (key, now) => this.#warmUps.leftMs(key, now) > 0,
-        shareOf: (key, now) => this.#warmUpShareOf(key, now),
-      },
+      this.#warmUp,
     );
     const chooser = new EngineChooser(this.#engineTable, new LoadForecast());
     const use = new AdapterUsageCounts();
@@ -300,7 +291,7 @@
       use,
       quarantine: this.#promptProtection.quarantine,
       limits: this.#engineLimits,
-      warmUps: this.#warmUps,
+      warmUps: this.#warmUp.warmUps,
       roles: this.#readerRoles,
       reachesStore: () => this.#reachesStore,
       pathDelays: this.#pathDelays,
@@ -338,7 +329,7 @@
       use,
       limits: new LimitKeeper({
         limits: this.#engineLimits,
-        warmUps: this.#warmUps,
+        warmUp: this.#warmUp,
         log,
       }),
       bodyRoom: new BodyRoom(settings.memoryBytes * BODY_ROOM_SHARE),
@@ -392,7 +383,7 @@
       );
       this.#metrics.set(
         "cold_engines",
-        this.#warmUps.count(performance.now()),
+        this.#warmUp.warmUps.count(performance.now()),
       );
       this.#metrics.set("evacuated_zones", this.#storeView.evacuations.size);
       this.#metrics.set(
@@ -408,7 +399,7 @@
     });
     this.#storeView.onChange = () => this.#onStoreViewChange();
     this.#storeView.onEvacuationChange = (change) => {
-      if (change.state === "ended") this.#returnZone(change.zone);
+      if (change.state === "ended") this.#warmUp.recordReturn(change.zone);
     };
     this.#storeView.onRecordsApplied = () => this.#announceChanges();
   }
@@ -594,10 +585,7 @@
     this.#membership.checkNow();
     const keys = new Set([...this.#engineTable.all()].map((v) => v.engine.key));
     this.#promptProtection.recordEngineList((key) => keys.has(key));
-    this.#warmUps.recordEntries(
-      [...this.#engineTable.all()].map((v) => v.engine),
-      performance.now(),
-    );
+    this.#warmUp.recordList();
     this.#engineLimits.keepOnly((key) => keys.has(key));
     for (const key of this.#connections.engineKeys()) {
       if (!keys.has(key)) this.#connections.retire(key);
@@ -622,31 +610,6 @@
     return retryBudget;
   }
 
-  /** Takes the engines of a zone for cold that was evacuated until now. */
-  #returnZone(zone: string): void {
-    const engines = [...this.#engineTable.all()].map(({ engine }) => engine)
-      .filter((engine) => engine.zone === zone);
-    this.#warmUps.recordReturn(engines, performance.now());
-  }
-
-  /** This instance's share in the warm-up of an engine, in requests a second. */
-  #warmUpShareOf(key: string, now: number): number {
-    const engine = this.#engineTable.get(key)?.engine;
-    const terms = engine === undefined
-      ? undefined
-      : this.#storeView.routeTable?.findService(engine.service)?.warmUp;
-    if (engine === undefined || terms === undefined) return 0;
-    // Until it has heard of the others, its share would be too large.
-    if (this.#members.isStarting(now)) return 0;
-    const { zone } = engine;
-    const { bounds, regions } = this.#settings;
-    const place = { zone, region: regions.get(zone) };
-    return warmUpShare(this.#self.name, { key, place, terms }, {
-      sharers: [this.#self, ...this.#members.possiblyServing()],
-      bounds: { ratio: bounds.coldRatio, fixed: bounds.coldFixed },
-    });
-  }
-
   #selectionContextAt(now: number): SelectionContext {
     const { zone, regions } = this.#settings;
     const delayByRegion = new Map<string, number>();
@@ -656,7 +619,7 @@
       canOrder: (key) => this.#loader.canOrder(key),
       isEvacuated: (engineZone) =>
         this.#storeView.evacuations.isEvacuated(engineZone),
-      isWarming: (key) => this.#warmUps.leftMs(key, now) > 0,
+      isWarming: (key) => this.#warmUp.isCold(key, now),
       roomOf: (key) => this.#engineLimits.roomOf(key, now),
       linkMs: (engineZone) => {
         const region = regions.get(engineZone) ?? "";
--- a/packages/gateway/src/limit_keeper.ts
+++ b/packages/gateway/src/limit_keeper.ts
@@ -3,7 +3,8 @@
  * @module
  */
 import type { EventLog } from "@banyanlb/core";
-import type { EngineLimits, WarmUps } from "@banyanlb/serving";
+import type { EngineLimits } from "@banyanlb/serving";
+import type { EngineWarmUp } from "./engine_warm_up.ts";
 import { retryAfterSeconds } from "./error_response.ts";
 import * as events from "./events.ts";
 
@@ -17,7 +18,7 @@
 /** Parts of the gateway that the keeper uses. */
 export interface LimitKeeperOptions {
   readonly limits: EngineLimits;
-  readonly warmUps?: Pick<WarmUps, "recordTold" | "leftMs">;
+  readonly warmUp?: EngineWarmUp;
   readonly log: EventLog;
 }
 
@@ -72,9 +73,7 @@
 
   /** Records that an engine said in a response for how long it stays cold. */
   recordColdTime(engineKey: string, leftMs: number): void {
-    const now = performance.now();
-    const told = { leftMs, at: now, source: "engine" as const };
-    this.#options.warmUps?.recordTold(engineKey, told, now);
+    this.#options.warmUp?.recordTold(engineKey, leftMs);
   }
 
   /** When a caller should retry that was refused because the limits of these
@@ -83,14 +82,15 @@
     engineKeys: readonly string[],
     requestId: string | undefined,
   ): number {
-    const { limits, warmUps, log } = this.#options;
+    const { limits, warmUp, log } = this.#options;
     const now = performance.now();
     log.write(events.ENGINE_LIMITS_REACHED, {
       id: requestId,
       engines: engineKeys.slice(0, LOGGED_ENGINES_MAX).map((engine) => ({
         engine,
         pauseMs: Math.round(limits.pauseLeftMs(engine, now)) || undefined,
-        coldMs: Math.round(warmUps?.leftMs(engine, now) ?? 0) || undefined,
+        coldMs: Math.round(warmUp?.warmUps.leftMs(engine, now) ?? 0) ||
+          undefined,
         ...limits.stateOf(engine, now),
       })),
     });
--- a/packages/serving/src/balance/many_choosers_test.ts
+++ b/packages/serving/src/balance/many_choosers_test.ts
@@ -26,6 +26,16 @@
   readonly targetMs: number;
 }
 
+/** The engines and requests of the deployments: streams of models, and calls of a
+ * service without models. */
+const STREAMS = {
+  slots: 16,
+  serviceMs: 1000,
+  utilization: 0.7,
+  targetMs: 600,
+};
+const CALLS = { slots: 6, serviceMs: 60, utilization: 0.5, targetMs: 245 };
+
 /** One instance: its view of the engines, which learns of others by reports. */
 interface Chooser {
   readonly table: EngineTable;
@@ -190,51 +200,11 @@
 // engines were overrun in turns while others idled.
 describe("many instances choose at the same moment, from reports that are a little old", () => {
   test.each<Load>([
-    {
-      choosers: 9,
-      engines: 8,
-      slots: 16,
-      serviceMs: 1000,
-      utilization: 0.7,
-      lateMs: 0,
-      targetMs: 600,
-    },
-    {
-      choosers: 60,
-      engines: 20,
-      slots: 16,
-      serviceMs: 1000,
-      utilization: 0.7,
-      lateMs: 0,
-      targetMs: 600,
-    },
-    {
-      choosers: 60,
-      engines: 20,
-      slots: 16,
-      serviceMs: 1000,
-      utilization: 0.7,
-      lateMs: 1200,
-      targetMs: 600,
-    },
-    {
-      choosers: 300,
-      engines: 40,
-      slots: 16,
-      serviceMs: 1000,
-      utilization: 0.7,
-      lateMs: 400,
-      targetMs: 600,
-    },
-    {
-      choosers: 60,
-      engines: 6,
-      slots: 6,
-      serviceMs: 60,
-      utilization: 0.5,
-      lateMs: 400,
-      targetMs: 245,
-    },
+    { ...STREAMS, choosers: 9, engines: 8, lateMs: 0 },
+    { ...STREAMS, choosers: 60, engines: 20, lateMs: 0 },
+    { ...STREAMS, choosers: 60, engines: 20, lateMs: 1200 },
+    { ...STREAMS, choosers: 300, engines: 40, lateMs: 400 },
+    { ...CALLS, choosers: 60, engines: 6, lateMs: 400 },
   ])(
     "$choosers choosers, $engines engines, requests of $serviceMs ms, reports $lateMs ms late",
     (load) => {
