Classify the adapters of engines in one place

choose, the leaving holder and explain each decided by themselves what an engine has of an adapter; explain called an older version that is being fetched "fetching", and took engines without the model for usable. presenceOf and servingAtOnce serve all three. The engines of an adapter are ranked for a warm-up only while an engine is cold: the ranking was made for every adapter sent, also in deployments without cold engines.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,6 @@
   IDLE_TICKS,
   isAcceptedWhileDraining,
   isLargeFleet,
-  LoadForecast,
   type Member,
   MemberTable,
   PathDelays,
@@ -278,7 +277,6 @@
       () => this.#members.servingInstances(performance.now()),
       this.#warmUp,
     );
-    const chooser = new EngineChooser(this.#engineTable, new LoadForecast());
     const use = new AdapterUsageCounts();
     this.#digestExchange = new DigestExchange({
       self: this.#self,
@@ -316,7 +314,7 @@
       routeTable: () => this.#storeView.routeTable,
       configurationAgeMs: (now) =>
         this.#storeView.follower("configuration").ageMs(now),
-      chooser,
+      chooser: new EngineChooser(this.#engineTable),
       loader: this.#loader,
       connections: this.#connections,
       members: this.#members,
@@ -619,7 +617,7 @@
       canOrder: (key) => this.#loader.canOrder(key),
       isEvacuated: (engineZone) =>
         this.#storeView.evacuations.isEvacuated(engineZone),
-      isWarming: (key) => this.#warmUp.isCold(key, now),
+      isCold: (key) => this.#warmUp.isCold(key, now),
       roomOf: (key) => this.#engineLimits.roomOf(key, now),
       linkMs: (engineZone) => {
         const region = regions.get(engineZone) ?? "";
--- a/packages/serving/src/choose_engine.ts
+++ b/packages/serving/src/choose_engine.ts
@@ -98,9 +98,13 @@
   /** Whether an instance that can send orders to this engine is reachable. */
   readonly canOrder: (engineKey: string) => boolean;
   /** Whether the engine is cold. */
-  readonly isWarming?: (engineKey: string) => boolean;
+  readonly isCold?: (engineKey: string) => boolean;
 }
 
+/** What an engine has of the requested adapter. `older`: a version that may still
+ * serve. */
+export type AdapterPresence = "held" | "older" | "fetching" | "missing";
+
 /** The decision on a request: send it, load its adapter first, or refuse it. */
 export type EngineChoice =
   /** Send the request to `view`; `spreadTo` should load the adapter as well. */
@@ -240,28 +244,25 @@
     let olderView: EngineView | undefined;
     let olderCost = Infinity;
     for (const view of usable) {
-      const held = view.adapters.get(adapter);
-      if (held === undefined) continue;
-      if (held.version < requirements.version) {
-        const cost = costOf(view, context);
-        if (
-          held.version >= requirements.oldestVersion && held.readyAt <= now &&
-          cost < olderCost
-        ) {
-          olderView = view;
-          olderCost = cost;
+      const presence = presenceOf(view, requirements, now);
+      if (presence === "missing") continue;
+      if (presence === "fetching") {
+        const readyAt = view.adapters.get(adapter)?.readyAt ?? Infinity;
+        if (readyAt < fetchReadyAt) {
+          fetchReadyAt = readyAt;
+          fetchingView = view;
         }
         continue;
       }
-      if (held.readyAt > now) {
-        if (held.readyAt < fetchReadyAt) {
-          fetchReadyAt = held.readyAt;
-          fetchingView = view;
+      const cost = costOf(view, context);
+      if (presence === "older") {
+        if (cost < olderCost) {
+          olderView = view;
+          olderCost = cost;
         }
         continue;
       }
       holders.push(view);
-      const cost = costOf(view, context);
       if (cost < bestCost) {
         bestCost = cost;
         best = view;
@@ -338,10 +339,8 @@
     requirements: EngineRequirements,
     context: SelectionContext,
   ): EngineChoice {
-    const { model, service } = requirements;
-    const views = model === undefined
-      ? usable
-      : usable.filter((view) => view.holdsModel(model));
+    const { service } = requirements;
+    const views = servingAtOnce(usable, requirements, context.now);
     const view = this.#pick(views, { service, adapter: undefined }, context);
     if (view === undefined) return { kind: "none", reason: "no_engine" };
     if (loadRatio(view, context.now) > FULL_LOAD_RATIO) {
@@ -357,8 +356,12 @@
     context: SelectionContext,
   ): EngineView | undefined {
     const { service, model = "", adapter = "" } = requirements;
-    const isWarming = context.isWarming;
-    if (isWarming === undefined) return undefined;
+    const { isCold } = context;
+    // Most of the time no engine is cold, and ranking them takes long.
+    const views = this.#engines.ofService(service);
+    if (isCold === undefined || !views.some((v) => isCold(v.engine.key))) {
+      return undefined;
+    }
     const first = this.rank(service, adapter).find((view) =>
       !view.engine.leaving && isPermitted(view, requirements, context)
     );
@@ -366,7 +369,7 @@
     const { key } = first.engine;
     const isMissing = first.adapters.get(adapter) === undefined &&
       first.holdsModel(model);
-    return isMissing && isWarming(key) && context.canOrder(key)
+    return isMissing && isCold(key) && context.canOrder(key)
       ? first
       : undefined;
   }
@@ -409,6 +412,42 @@
   }
 }
 
+/** What an engine has of the requested adapter.
+ *
+ * @example
+ * ```ts
+ * if (presenceOf(view, requirements, now) === "held") send(view);
+ * ```
+ */
+export function presenceOf(
+  view: EngineView,
+  { adapter = "", version, oldestVersion }: EngineRequirements,
+  now: number,
+): AdapterPresence {
+  const held = view.adapters.get(adapter);
+  if (held === undefined) return "missing";
+  if (held.version >= version) {
+    return held.readyAt > now ? "fetching" : "held";
+  }
+  return held.version >= oldestVersion && held.readyAt <= now
+    ? "older"
+    : "missing";
+}
+
+/** The engines that can serve a request at once, with what it asks for. */
+export function servingAtOnce(
+  views: readonly EngineView[],
+  requirements: EngineRequirements,
+  now: number,
+): readonly EngineView[] {
+  const { model, adapter } = requirements;
+  if (model === undefined) return views;
+  if (adapter === undefined) {
+    return views.filter((view) => view.holdsModel(model));
+  }
+  return views.filter((view) => presenceOf(view, requirements, now) === "held");
+}
+
 /** Whether a leaving engine holds the adapter and still has time for one more
  * request, while the adapter is loaded on another engine. */
 function isLeavingHolder(
@@ -416,12 +455,11 @@
   requirements: EngineRequirements,
   now: number,
 ): boolean {
-  const { engine, leavingSince, adapters } = view;
+  const { engine, leavingSince } = view;
   if (!engine.leaving || leavingSince === undefined || view.down) return false;
   if (engine.remainingMs !== undefined) return false;
-  const held = adapters.get(requirements.adapter ?? "");
-  return now - leavingSince < LEAVING_ENGINE_USE_MS && held !== undefined &&
-    held.version >= requirements.version && held.readyAt <= now;
+  return now - leavingSince < LEAVING_ENGINE_USE_MS &&
+    presenceOf(view, requirements, now) === "held";
 }
 
 function fetchCount(view: EngineView, now: number): number {
--- a/packages/serving/src/explain/explain_choice.ts
+++ b/packages/serving/src/explain/explain_choice.ts
@@ -6,17 +6,17 @@
  * @module
  */
 import { fillParts } from "../balance/load_level.ts";
-import type {
-  EngineChooser,
-  EngineRequirements,
-  SelectionContext,
+import {
+  type AdapterPresence,
+  type EngineChooser,
+  type EngineRequirements,
+  presenceOf,
+  type SelectionContext,
+  servingAtOnce,
 } from "../choose_engine.ts";
 import type { EngineView } from "../engine_table.ts";
 import { type Exclusion, screenEngines } from "../screening/screen_engines.ts";
 
-/** What the engine has of the requested adapter. */
-export type AdapterPresence = "held" | "older" | "fetching" | "missing";
-
 /** One engine of the service. */
 export interface EngineExplanation {
   readonly engine: string;
@@ -78,10 +78,7 @@
   const choice = chooser.choose(requirements, context);
   const ready = screening.kind === "none"
     ? []
-    : screening.views.filter((view) =>
-      adapter === undefined ||
-      presenceOf(view, requirements, context.now) === "held"
-    );
+    : servingAtOnce(screening.views, requirements, context.now);
   const { entries, arrivals } = chooser.weigh(ready, requirements, context);
   const parts = fillParts(entries, arrivals);
   const isPicked = choice.kind === "send" && ready.includes(choice.view);
@@ -118,17 +115,6 @@
   };
 }
 
-function presenceOf(
-  view: EngineView,
-  { adapter = "", version, oldestVersion }: EngineRequirements,
-  now: number,
-): AdapterPresence {
-  const held = view.adapters.get(adapter);
-  if (held === undefined || held.version < oldestVersion) return "missing";
-  if (held.readyAt > now) return "fetching";
-  return held.version < version ? "older" : "held";
-}
-
 /** Writes an explanation as lines of text, engines that are likelier to be chosen
  * first. */
 export function formatExplanation(explanation: ChoiceExplanation): string {
