--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -30,6 +30,7 @@
   BufferedResponse,
 } from "./attempt_outcome.ts";
 import { withContentLength, withoutContentLength } from "./content_length.ts";
+import { requirementsOf } from "./engine_requirements.ts";
 import { type EngineRequest, reasonOf } from "./engine_connections.ts";
 import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
 import * as events from "./events.ts";
@@ -174,9 +175,6 @@
       if (typeof view === "string") {
         if (this.#runCount > 0) return this.#giveUp(view);
         this.#rateCharge.refund();
-        if (view !== "full") {
-          this.#deps.metrics.add("exclusions_total", `reason="${view}"`);
-        }
         const waitSeconds = view === "limited"
           ? this.#deps.limits.waitSeconds(
             this.#deps.chooser.keysOf(this.#input.service),
@@ -192,9 +190,12 @@
         await setTimeoutPromise(decision.ms);
         continue;
       }
-      if (!this.#isInTime(view)) return this.#giveUp("too_late");
+      const context = this.#deps.selectionContextAt(performance.now());
+      if (earliestResponseMs(view, context) >= this.#deadline - context.now) {
+        return this.#giveUp("too_late");
+      }
       // Homes and evacuations may have changed meanwhile.
-      if (!this.#isPermitted(view)) continue;
+      if (!isPermitted(view, { homes: this.#homes }, context)) continue;
       // The limit may have been reached while the adapter was loaded.
       if (!this.#deps.limits.tryTake(view.engine.key)) continue;
       this.#guard.start(decision);
@@ -222,30 +223,27 @@
   /** The newest announced version of the requested adapter; 0 if none was
    * announced. */
   #newestVersion(): number {
-    return this.#lookUpVersion(this.#deps.versionOf);
-  }
-
-  /** Looks up a version of the requested adapter; 0 if none was requested. */
-  #lookUpVersion(lookUp: (model: string, adapter: string) => number): number {
     const { model, adapter } = this.#input.caller;
     return model !== undefined && adapter !== undefined
-      ? lookUp(model, adapter)
+      ? this.#deps.versionOf(model, adapter)
       : 0;
   }
 
   #chooseEngine(now: number, excluded: ReadonlySet<string>): EngineChoice {
     const { caller, service } = this.#input;
     const { model, adapter } = caller;
-    return this.#deps.chooser.choose({
+    const requirements = requirementsOf(this.#deps, {
       service,
       model,
       adapter,
-      version: this.#newestVersion(),
-      oldestVersion: this.#lookUpVersion(this.#deps.oldestVersionOf),
       excludedEngines: excluded,
       homes: this.#homes,
       timeLeftMs: this.#deadline - now,
-    }, this.#deps.selectionContextAt(now));
+    });
+    return this.#deps.chooser.choose(
+      requirements,
+      this.#deps.selectionContextAt(now),
+    );
   }
 
   /** Selects the engine for the next attempt and waits for an adapter load if
@@ -297,19 +295,6 @@
     return this.#deps.routeTable()?.homeRegionsOf(route, workspace);
   }
 
-  #isPermitted(view: EngineView): boolean {
-    const context = this.#deps.selectionContextAt(performance.now());
-    return isPermitted(view, { homes: this.#homes }, context);
-  }
-
-  /** Whether a response of the engine can arrive before the deadline, by the time
-   * that its path takes at present. */
-  #isInTime(view: EngineView): boolean {
-    const now = performance.now();
-    const context = this.#deps.selectionContextAt(now);
-    return earliestResponseMs(view, context) < this.#deadline - now;
-  }
-
   #recordFailure(view: EngineView, outcome: AttemptOutcome, now: number): void {
     const { caller } = this.#input;
     const reason = "reason" in outcome ? outcome.reason : "engine_error";
--- a/packages/gateway/src/explain_endpoint.ts
+++ b/packages/gateway/src/explain_endpoint.ts
@@ -9,6 +9,7 @@
   formatExplanation,
   type WeightedService,
 } from "@banyanlb/serving";
+import { requirementsOf } from "./engine_requirements.ts";
 import type { RelayDependencies } from "./relay_dependencies.ts";
 
 /** Path of the question, beside the metrics. */
@@ -87,11 +88,9 @@
       remedy: "name a workspace of the configuration in force, not a key",
     };
   }
-  const now = performance.now();
+  const context = deps.selectionContextAt(performance.now());
   const model = query.get("model") ?? undefined;
   const adapter = query.get("adapter") ?? undefined;
-  const versionBy = (lookUp: (model: string, adapter: string) => number) =>
-    model === undefined || adapter === undefined ? 0 : lookUp(model, adapter);
   const homes = table.homeRegionsOf(route, workspace);
   const timeLeftMs = Math.min(
     Number(query.get("deadline_ms")) || USUAL_DEADLINE_MS,
@@ -105,16 +104,18 @@
     services: route.services.map(({ service, weight }) => ({
       service,
       weight,
-      choice: explainChoice(deps.chooser, {
-        service,
-        model,
-        adapter,
-        version: versionBy(deps.versionOf),
-        oldestVersion: versionBy(deps.oldestVersionOf),
-        excludedEngines: new Set(),
-        homes,
-        timeLeftMs,
-      }, deps.selectionContextAt(now)),
+      choice: explainChoice(
+        deps.chooser,
+        requirementsOf(deps, {
+          service,
+          model,
+          adapter,
+          excludedEngines: new Set(),
+          homes,
+          timeLeftMs,
+        }),
+        context,
+      ),
     })),
   };
 }
--- a/packages/serving/src/engine_limits.ts
+++ b/packages/serving/src/engine_limits.ts
@@ -236,12 +236,6 @@
     }
   }
 
-  /** The requests a second that this instance may send to an engine that is cold;
-   * undefined if it is warm. */
-  warmUpShareOf(engineKey: string, now: number): number | undefined {
-    return this.#warmUpOf(engineKey, now)?.shareAt(now);
-  }
-
   /** The allowance for an engine that is cold. */
   #warmUpOf(engineKey: string, now: number): RequestAllowance | undefined {
     if (!this.#coldEngines.isCold(engineKey, now)) {
--- a/packages/serving/src/screening/screen_engines.ts
+++ b/packages/serving/src/screening/screen_engines.ts
@@ -72,6 +72,19 @@
   ) => boolean;
 }
 
+/** Whether operators allow an engine by one rule. */
+type PermissionRule = (
+  view: EngineView,
+  requirements: Pick<ScreeningRequirements, "homes">,
+  context: Pick<ScreeningContext, "regionOf" | "isEvacuated">,
+) => boolean;
+
+const isInHomes: PermissionRule = ({ engine }, { homes }, { regionOf }) =>
+  allowsRegion(homes, regionOf(engine.zone));
+
+const isInUse: PermissionRule = ({ engine }, _, { isEvacuated }) =>
+  isEvacuated?.(engine.zone) !== true;
+
 const STAGES: readonly Stage[] = [
   {
     exclusion: "tried",
@@ -87,14 +100,12 @@
   {
     exclusion: "residency",
     reason: "residency",
-    admits: ({ engine }, { homes }, { regionOf }) =>
-      homes === undefined || allowsRegion(homes, regionOf(engine.zone)),
+    admits: isInHomes,
   },
   {
     exclusion: "evacuated",
     reason: "evacuated",
-    admits: ({ engine }, _, { isEvacuated }) =>
-      isEvacuated?.(engine.zone) !== true,
+    admits: isInUse,
   },
   {
     // If every engine is reported unresponsive, the reports are more likely wrong
@@ -167,15 +178,12 @@
 /** Whether operators allow a request to be sent to an engine at all: its region is
  * a home, and its zone is not evacuated. */
 export function isPermitted(
-  { engine }: EngineView,
-  { homes }: Pick<ScreeningRequirements, "homes">,
-  { regionOf, isEvacuated }: Pick<
-    ScreeningContext,
-    "regionOf" | "isEvacuated"
-  >,
+  view: EngineView,
+  requirements: Pick<ScreeningRequirements, "homes">,
+  context: Pick<ScreeningContext, "regionOf" | "isEvacuated">,
 ): boolean {
-  return (homes === undefined || allowsRegion(homes, regionOf(engine.zone))) &&
-    isEvacuated?.(engine.zone) !== true;
+  return isInHomes(view, requirements, context) &&
+    isInUse(view, requirements, context);
 }
 
 /** Time until an engine's response begins at the earliest, in milliseconds.
