--- a/packages/gateway/src/evacuation_progress.ts
+++ b/packages/gateway/src/evacuation_progress.ts
@@ -13,17 +13,11 @@
   readonly log: EventLog;
 }
 
-interface SeenZone {
-  /** When its evacuation was first seen. */
-  readonly at: number;
-  /** Whether the last request there has ended. */
-  readonly isComplete: boolean;
-}
-
 /** The requests of this instance in evacuated zones. */
 export class EvacuationProgress {
   readonly #options: EvacuationProgressOptions;
-  readonly #seen = new Map<string, SeenZone>();
+  /** Evacuated zones in which the last request has ended. */
+  readonly #complete = new Set<string>();
   #runningCount = 0;
 
   constructor(options: EvacuationProgressOptions) {
@@ -40,28 +34,21 @@
   check(now: number): void {
     const { engineTable, evacuations, log } = this.#options;
     this.#runningCount = 0;
-    if (evacuations.size === 0 && this.#seen.size === 0) return;
-    const running = new Map<string, number>();
+    for (const zone of this.#complete) {
+      if (!evacuations.isEvacuated(zone)) this.#complete.delete(zone);
+    }
+    if (evacuations.size === 0) return;
+    const busy = new Set<string>();
     for (const { engine, inFlight } of engineTable.all()) {
-      if (!evacuations.isEvacuated(engine.zone)) continue;
-      running.set(engine.zone, (running.get(engine.zone) ?? 0) + inFlight);
+      if (inFlight === 0 || !evacuations.isEvacuated(engine.zone)) continue;
+      busy.add(engine.zone);
       this.#runningCount += inFlight;
     }
-    for (const zone of this.#seen.keys()) {
-      if (evacuations.isEvacuated(zone)) continue;
-      this.#seen.delete(zone);
-    }
     for (const zone of evacuations.zones) {
-      const seen = this.#seen.get(zone) ?? { at: now, isComplete: false };
-      const isComplete = (running.get(zone) ?? 0) === 0;
-      if (isComplete && !seen.isComplete) {
-        const ms = Math.round(now - seen.at);
-        log.write(events.EVACUATION_COMPLETE, { zone, ms });
-      }
-      this.#seen.set(zone, {
-        at: seen.at,
-        isComplete: seen.isComplete || isComplete,
-      });
+      if (busy.has(zone) || this.#complete.has(zone)) continue;
+      this.#complete.add(zone);
+      const ms = Math.round(now - (evacuations.sinceOf(zone) ?? now));
+      log.write(events.EVACUATION_COMPLETE, { zone, ms });
     }
   }
 }
--- a/packages/serving/src/evacuation/evacuations.ts
+++ b/packages/serving/src/evacuation/evacuations.ts
@@ -16,8 +16,13 @@
   #since: ReadonlyMap<string, number> = new Map();
 
   /** The evacuated zones. */
-  get zones(): ReadonlySet<string> {
-    return new Set(this.#since.keys());
+  get zones(): Iterable<string> {
+    return this.#since.keys();
+  }
+
+  /** When the evacuation of a zone became known; undefined if it is in use. */
+  sinceOf(zone: string): number | undefined {
+    return this.#since.get(zone);
   }
 
   /** Number of evacuated zones. */
--- a/packages/trials/src/soak/checks.ts
+++ b/packages/trials/src/soak/checks.ts
@@ -15,6 +15,7 @@
   isOverLimit,
   type WorkspaceLimits,
 } from "./limit_checks.ts";
+import { mostWithin } from "./most_within.ts";
 import {
   checkColdEngines,
   checkEvacuations,
@@ -221,12 +222,7 @@
     );
     const allowed = LIMIT_FACTOR * perSecond * LIMIT_WINDOW_MS / 1000 +
       LIMIT_SLACK;
-    const most = Math.max(
-      0,
-      ...runs.map((start) =>
-        runs.filter((t) => t >= start && t < start + LIMIT_WINDOW_MS).length
-      ),
-    );
+    const most = mostWithin(runs, LIMIT_WINDOW_MS);
     return most <= allowed ? [] : [
       `${engine} named a limit of ${perSecond} and ran ${most} requests in ` +
       `${LIMIT_WINDOW_MS} ms`,
--- a/packages/trials/src/soak/place_checks.ts
+++ b/packages/trials/src/soak/place_checks.ts
@@ -8,6 +8,7 @@
   TRIAL_EVACUATED_WITHIN_MS,
 } from "@banyanlb/platform/stand_in";
 import type { SoakObservations } from "./checks.ts";
+import { mostWithin } from "./most_within.ts";
 
 /** An evacuation. Times are as in `Date.now`, in milliseconds. */
 export interface EvacuationSpan {
@@ -51,12 +52,7 @@
     const runs = runsOf(records, cold.engine).filter((at) =>
       at >= cold.at && at < cold.at + cold.ms
     );
-    const most = Math.max(
-      0,
-      ...runs.map((start) =>
-        runs.filter((at) => at >= start && at < start + COLD_WINDOW_MS).length
-      ),
-    );
+    const most = mostWithin(runs, COLD_WINDOW_MS);
     return most <= allowed ? [] : [
       `${cold.engine} ran ${most} requests in a second while it was cold`,
     ];
