Keep an answer at its silent engine until another engine has it

Cause: after 1.4 s without a byte (1.3 times the target latency before the first) the attempt was aborted and only then another engine was asked. If that one was out of reach (700 ms), refused or failed, nothing was left and the caller was cut. Class: a right that is held is given up on the strength of silence, before the next one is sure.

Change: handover/. The first engine keeps the request until the other one has begun an answer, and goes on if that does not happen. The same holds for requests that wait for their first byte, whose callers got 502.

Ruled out: keeping both engines until one answers (both work on the request for as long as the second one's queue takes, TWICE); connecting first only (a refusal still loses the answer).

--- a/packages/gateway/src/attempt_outcome.ts
+++ b/packages/gateway/src/attempt_outcome.ts
@@ -3,6 +3,14 @@
  * @module
  */
 
+import type { EngineView } from "@banyanlb/serving";
+
+/** An attempt that goes on with the request of another one. */
+export interface Successor {
+  readonly view: EngineView;
+  readonly outcome: Promise<AttemptOutcome>;
+}
+
 /** How one attempt ended. */
 export type AttemptOutcome =
   /** The whole response was forwarded, or the caller disconnected. */
@@ -17,9 +25,12 @@
   /** The stream broke off after the response headers had been sent to the
    * caller. */
   | { readonly kind: "broken"; readonly reason: string }
-  /** The gateway aborted the attempt, since the engine was unresponsive and
-   * another engine can serve the request at once. */
-  | { readonly kind: "moved"; readonly reason: string }
+  /** The engine was unresponsive, and another one goes on with the request. */
+  | {
+    readonly kind: "moved";
+    readonly reason: string;
+    readonly successor: Successor;
+  }
   /** The request's deadline has expired. */
   | { readonly kind: "timed_out" };
 
@@ -38,3 +49,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
 }
+
+/** Why an attempt failed. */
+export function failureReason(outcome: AttemptOutcome): string {
+  return "reason" in outcome ? outcome.reason : "engine_error";
+}
--- a/packages/gateway/src/engine_connections.ts
+++ b/packages/gateway/src/engine_connections.ts
@@ -161,6 +161,9 @@
   readonly req: ClientRequest;
   /** Whether bytes of the request may have reached the engine. */
   isSent(): boolean;
+  /** Calls `listener` when the request is written to a connection, which has been
+   * established by then. */
+  onSent(listener: () => void): void;
   /** Time from the start of the request until it was written to a connection,
    * in milliseconds; undefined if it was not. */
   connectionMs(): number | undefined;
@@ -216,9 +219,11 @@
     });
     let isSent = false;
     let connectionMs: number | undefined;
+    let notifySent: () => void = () => undefined;
     const markSent = () => {
       isSent = true;
       connectionMs = Math.round(performance.now() - startedAt);
+      notifySent();
     };
     req.on("socket", (socket: Socket) => {
       limitFraming(req, socket);
@@ -241,6 +246,7 @@
     return {
       req,
       isSent: () => isSent,
+      onSent: (listener) => (notifySent = listener),
       connectionMs: () => connectionMs,
     };
   }
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -270,8 +270,8 @@
   text: "request failed",
 };
 
-/** One attempt at an engine failed or was abandoned. Another attempt may
- * follow. */
+/** One attempt at an engine failed, or another engine goes on with the request of
+ * one that sent nothing; `next` is that engine. Another attempt may follow. */
 export const ATTEMPT_FAILED: LogEvent = {
   id: 843,
   severity: "warn",
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -24,16 +24,23 @@
   urgencyOf,
   type Workspace,
 } from "@banyanlb/serving";
-import type {
-  AttemptOutcome,
-  AttemptSettler,
-  BufferedResponse,
+import {
+  type AttemptOutcome,
+  type AttemptSettler,
+  type BufferedResponse,
+  failureReason,
+  type Successor,
 } from "./attempt_outcome.ts";
 import { withContentLength, withoutContentLength } from "./content_length.ts";
 import { requirementsOf } from "./engine_requirements.ts";
 import { type EngineRequest, reasonOf } from "./engine_connections.ts";
 import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
 import * as events from "./events.ts";
+import {
+  Handover,
+  type SilentAttempt,
+  type StartedAttempt,
+} from "./handover/handover.ts";
 import { ExchangeLog } from "./exchange_log.ts";
 import type { PromptGuard } from "./prompt_guard.ts";
 import { RateCharge } from "./rate_charge.ts";
@@ -53,15 +60,16 @@
 const DEADLINE_MARGIN_MS = 150;
 
 /** Multiple of the route's target latency after which an engine that has sent
- * no response counts as unresponsive, if the request may be repeated. */
+ * no response counts as unresponsive, and another one is asked to go on, if the
+ * request may be repeated. */
 const FIRST_BYTE_TIMEOUT_RATIO = 1.3;
 
 /** Lower bound of that timeout, for services without models, whose target
  * latencies are short. */
 const FIRST_BYTE_TIMEOUT_MIN_MS = 400;
 
-/** Time without a byte after which a running stream is continued at another
- * engine, if the request may be repeated. */
+/** Time without a byte after which another engine is asked to go on with a
+ * running stream, if the request may be repeated. */
 const STALL_TIMEOUT_MS = 1400;
 
 /** Maximum number of adapter loads that one request waits for. */
@@ -103,6 +111,18 @@
   ) => void;
 }
 
+/** An attempt that is in progress. */
+interface RunningAttempt {
+  readonly view: EngineView;
+  readonly request: EngineRequest;
+  readonly startedAt: number;
+  readonly settle: AttemptSettler;
+  /** The hand-over of the request to another engine that is in progress. */
+  handover: Handover | undefined;
+  /** Called when the engine has begun an answer that can be forwarded. */
+  onAccepted: () => void;
+}
+
 /** Sends one request to engines until a response has been forwarded or no
  * further attempt is allowed. */
 export class Exchange {
@@ -121,13 +141,13 @@
    * an adapter that it does not hold. */
   readonly #deniedBy = new Set<string>();
   #notRunCount = 0;
-  #attemptStartedAt = 0;
   #loadCount = 0;
   #lastEventId: string | undefined;
   #errorResponse: BufferedResponse | undefined;
   #hasCallerDisconnected = false;
   #hasSentHeaders = false;
-  #engineRequest: EngineRequest | undefined;
+  /** Requests to engines that are in progress; two during a hand-over. */
+  readonly #engineRequests = new Set<EngineRequest>();
 
   constructor(deps: RelayDependencies, input: ExchangeInput) {
     this.#deps = deps;
@@ -158,7 +178,7 @@
       if (res.writableFinished) return;
       this.#hasCallerDisconnected = true;
       this.#log.callerLeft(this.#deadline);
-      this.#engineRequest?.req.destroy();
+      for (const { req } of this.#engineRequests) req.destroy();
     });
     let reason = "no_engine";
     for (;;) {
@@ -199,17 +219,18 @@
       // The limit may have been reached while the adapter was loaded.
       if (!this.#deps.limits.tryTake(view.engine.key)) continue;
       this.#guard.start(decision);
-      const outcome = await this.#runAttempt(view);
+      const { view: lastView, outcome } = await this.#followAttempts(
+        this.#startAttempt(view),
+      );
       const now = performance.now();
       if (outcome.kind === "finished") return;
       if (outcome.kind === "timed_out") return this.#giveUp("timed_out");
-      this.#recordFailure(view, outcome, now);
+      this.#recordFailure(lastView, outcome, now);
       if (outcome.kind === "error_answer") this.#errorResponse = outcome.answer;
-      reason = "reason" in outcome ? outcome.reason : "engine_error";
-      const shouldContinue = outcome.kind === "moved" ||
-        (outcome.kind === "not_run"
-          ? this.#canResend(now)
-          : this.#guard.mayRepeat(view) && this.#canRepeat(now));
+      reason = failureReason(outcome);
+      const shouldContinue = outcome.kind === "not_run"
+        ? this.#canResend(now)
+        : this.#guard.mayRepeat(lastView) && this.#canRepeat(now);
       if (!shouldContinue) {
         if (outcome.kind === "not_run" && this.#runCount === 0) {
           this.#rateCharge.refund();
@@ -297,14 +318,14 @@
 
   #recordFailure(view: EngineView, outcome: AttemptOutcome, now: number): void {
     const { caller } = this.#input;
-    const reason = "reason" in outcome ? outcome.reason : "engine_error";
+    const reason = failureReason(outcome);
     const isUnresponsive = reason === "silent" || reason === "unreachable" ||
       reason === "stalled";
     if (reason === "connection_lost") this.#guard.recordCut(view);
     if (outcome.kind !== "not_run" || isUnresponsive) {
       view.health.recordResult(isUnresponsive ? "silent" : "failed", now);
     }
-    this.#log.attemptFailed(outcome, reason, now);
+    this.#log.attemptFailed(view, outcome, now);
     const hasDeniedBefore = this.#deniedBy.has(view.engine.key);
     this.#deniedBy.add(view.engine.key);
     if (
@@ -338,7 +359,7 @@
 
   /** Records what the engine says of itself beside its answer. */
   #recordNotices(
-    view: EngineView,
+    { view, startedAt }: RunningAttempt,
     { isLeaving, pauseMs, coldMs }: ResponseHead,
     wasTurnedAway: boolean,
   ): void {
@@ -351,7 +372,7 @@
     }
     if (coldMs !== undefined) limits.recordColdTime(engine, coldMs);
     const now = performance.now();
-    if (!view.recordLeaving(isLeaving, this.#attemptStartedAt, now)) return;
+    if (!view.recordLeaving(isLeaving, startedAt, now)) return;
     metrics.add("engine_leaving_notices_total", `leaving="${isLeaving}"`);
     log.write(events.ENGINE_LEAVING_SAID, { id, engine, leaving: isLeaving });
   }
@@ -379,20 +400,53 @@
       .tryRetry(now, this.#deps.members.sharingCount(now));
   }
 
-  /** Whether a request may move away from an engine that sends no bytes.
-   * This requires that the current engine has free slots and that another
-   * can serve the request at once: an unresponsive engine alone is no
-   * reason to abandon a response that may still arrive. If so, uses one retry
-   * of the service's retry budget. */
-  #canMove(from: EngineView): boolean {
+  /** The engine that can go on at once with a request whose engine sends nothing,
+   * if there is one and the current engine is not merely busy. If so, uses one
+   * retry of the service's retry budget. */
+  #successorOf(from: EngineView): EngineView | undefined {
     const now = performance.now();
-    if (from.load(now) >= from.engine.slots) return false;
-    if (this.#runCount + 1 >= this.#input.route.maxAttempts) return false;
+    if (from.load(now) >= from.engine.slots) return undefined;
+    if (this.#runCount + 1 >= this.#input.route.maxAttempts) return undefined;
+    if (this.#guard.decide().kind !== "send") return undefined;
     const choice = this.#chooseEngine(
       now,
       new Set([...this.#excludedEngines, from.engine.key]),
     );
-    return choice.kind === "send" && this.#canRepeat(now);
+    if (choice.kind !== "send" || !this.#canRepeat(now)) return undefined;
+    return this.#deps.limits.tryTake(choice.view.engine.key)
+      ? choice.view
+      : undefined;
+  }
+
+  /** Asks another engine to go on with a request whose engine sends nothing.
+   * Returns undefined if none can. */
+  #handOver(current: SilentAttempt): Handover | undefined {
+    const view = this.#successorOf(current.view);
+    if (view === undefined) return undefined;
+    return new Handover(current, this.#startAttempt(view), (outcome) => {
+      this.#recordFailure(view, outcome, performance.now());
+      this.#log.resumeAttempt(current.view);
+    });
+  }
+
+  /** Follows a request from engine to engine, until an attempt ends that has no
+   * successor. */
+  async #followAttempts(
+    first: Successor,
+  ): Promise<
+    {
+      readonly view: EngineView;
+      readonly outcome: Exclude<AttemptOutcome, { readonly kind: "moved" }>;
+    }
+  > {
+    let attempt = first;
+    for (;;) {
+      const { view } = attempt;
+      const outcome = await attempt.outcome;
+      if (outcome.kind !== "moved") return { view, outcome };
+      this.#recordFailure(view, outcome, performance.now());
+      attempt = outcome.successor;
+    }
   }
 
   /** Ends the request after the last attempt: aborts a response that has begun,
@@ -437,11 +491,10 @@
   }
 
   /** Sends the request to one engine and forwards its response. */
-  #runAttempt(view: EngineView): Promise<AttemptOutcome> {
+  #startAttempt(view: EngineView): StartedAttempt {
     const { req, route, workspace, caller, body } = this.#input;
     const { protocol, connections, members, use: usage } = this.#deps;
     const now = performance.now();
-    this.#attemptStartedAt = now;
     const heldAdapter = caller.adapter === undefined
       ? undefined
       : view.adapters.get(caller.adapter);
@@ -473,7 +526,7 @@
       maxConnections: this.#input.maxConnections,
       instances: members.sharingCount(now),
     });
-    this.#engineRequest = request;
+    this.#engineRequests.add(request);
     this.#log.startAttempt(view, request, now);
     const probe = view.path.start(now);
     request.req.once(
@@ -485,39 +538,63 @@
     const { service } = this.#input;
     forecast.recordSend({ service, adapter: caller.adapter }, now);
     usage.start(view.engine.key, caller.adapter);
-    return new Promise<AttemptOutcome>((resolve) => {
-      this.#trackAttempt(view, request, resolve);
-    }).then((outcome) => {
-      if (outcome.kind === "finished") {
-        forecast.recordEnd(service, performance.now() - now);
-      }
-      return outcome;
-    }).finally(() => {
-      this.#log.endAttempt();
-      view.path.end(probe, performance.now());
-      view.inFlight -= 1;
-      usage.end(view.engine.key, caller.adapter);
-    });
+    let end: (outcome: AttemptOutcome) => void = () => undefined;
+    const outcome = new Promise<AttemptOutcome>((resolve) => (end = resolve));
+    const attempt = this.#trackAttempt({ view, request, startedAt: now }, end);
+    return {
+      view,
+      outcome: outcome.then((ended) => {
+        if (ended.kind === "finished") {
+          forecast.recordEnd(service, performance.now() - now);
+        }
+        return ended;
+      }).finally(() => {
+        this.#engineRequests.delete(request);
+        this.#log.endAttempt(view);
+        view.path.end(probe, performance.now());
+        view.inFlight -= 1;
+        usage.end(view.engine.key, caller.adapter);
+      }),
+      onSent: (listener) => request.onSent(listener),
+      onAccepted: (listener) => (attempt.onAccepted = listener),
+      abandon: () =>
+        attempt.settle({
+          kind: request.isSent() ? "failed" : "not_run",
+          reason: "not_needed",
+        }),
+    };
   }
 
   #trackAttempt(
-    view: EngineView,
-    request: EngineRequest,
-    resolve: (outcome: AttemptOutcome) => void,
-  ): void {
+    started: Pick<RunningAttempt, "view" | "request" | "startedAt">,
+    end: (outcome: AttemptOutcome) => void,
+  ): RunningAttempt {
+    const { view, request } = started;
     const { route } = this.#input;
     let isSettled = false;
     const settle: AttemptSettler = Object.assign((outcome: AttemptOutcome) => {
       if (isSettled) return;
+      // The other engine has the request already.
+      if (attempt.handover?.isHolding && isFailure(outcome)) {
+        attempt.handover.complete();
+        return;
+      }
       isSettled = true;
       clearTimeout(deadlineTimer);
       clearTimeout(firstByteTimer);
+      attempt.handover?.cancel();
       if (outcome.kind !== "finished") request.req.destroy();
       // A request that was written to a connection may have run, unless the
       // engine reported that it did not.
       if (outcome.kind !== "not_run" && request.isSent()) this.#runCount += 1;
-      resolve(outcome);
+      end(outcome);
     }, { ended: () => isSettled });
+    const attempt: RunningAttempt = {
+      ...started,
+      settle,
+      handover: undefined,
+      onAccepted: () => undefined,
+    };
     const deadlineTimer = setTimeout(
       () => settle({ kind: "timed_out" }),
       Math.max(0, this.#deadline - performance.now()) + DEADLINE_MARGIN_MS,
@@ -526,10 +603,29 @@
       FIRST_BYTE_TIMEOUT_MIN_MS,
       route.targetLatencyMs * FIRST_BYTE_TIMEOUT_RATIO,
     );
-    const firstByteTimer = setTimeout(() => {
-      if (!request.isSent()) settle({ kind: "not_run", reason: "unreachable" });
-      else if (this.#canMove(view)) settle({ kind: "moved", reason: "silent" });
-    }, firstByteTimeoutMs);
+    let firstByteTimer: NodeJS.Timeout | undefined;
+    let isHeld = false;
+    let heldResponse: IncomingMessage | undefined;
+    const waitForFirstByte = () => {
+      firstByteTimer = setTimeout(() => {
+        if (!request.isSent()) {
+          settle({ kind: "not_run", reason: "unreachable" });
+          return;
+        }
+        attempt.handover = this.#handOver({
+          view,
+          hold: () => (isHeld = true),
+          resume: () => {
+            isHeld = false;
+            if (heldResponse === undefined) waitForFirstByte();
+            else this.#handleResponse(attempt, heldResponse);
+          },
+          yieldTo: (successor) =>
+            settle({ kind: "moved", reason: "silent", successor }),
+        });
+      }, firstByteTimeoutMs);
+    };
+    waitForFirstByte();
     request.req.on("error", (err) => {
       if (this.#hasCallerDisconnected) return settle({ kind: "finished" });
       if (!request.isSent()) {
@@ -539,16 +635,17 @@
     });
     request.req.on("response", (response) => {
       clearTimeout(firstByteTimer);
-      this.#handleResponse(view, response, settle);
+      // Without listeners it is not read.
+      if (isHeld) heldResponse = response;
+      else this.#handleResponse(attempt, response);
     });
+    return attempt;
   }
 
-  #handleResponse(
-    view: EngineView,
-    response: IncomingMessage,
-    settle: AttemptSettler,
-  ): void {
+  #handleResponse(attempt: RunningAttempt, response: IncomingMessage): void {
+    const { view, request, settle } = attempt;
     const { caller, res } = this.#input;
+    attempt.handover?.cancel();
     const status = response.statusCode ?? 0;
     const responseHead = this.#deps.protocol.readResponse(
       status,
@@ -558,7 +655,7 @@
       id: caller.id,
       isRepeatable: this.#isRepeatable,
       hasAdapter: caller.adapter !== undefined,
-      isConnectionReused: this.#engineRequest?.req.reusedSocket === true,
+      isConnectionReused: request.req.reusedSocket,
     });
     if (verdict.kind === "foreign") {
       return settle(this.#failedOutcome(verdict.reason));
@@ -568,7 +665,7 @@
       responseHead.requestLimit,
       caller.id,
     );
-    this.#recordNotices(view, responseHead, verdict.kind === "not_run");
+    this.#recordNotices(attempt, responseHead, verdict.kind === "not_run");
     if (verdict.kind === "unusable") {
       return settle(this.#failedOutcome(verdict.reason));
     }
@@ -577,17 +674,16 @@
       return skipBody(response, () => settle({ kind: "not_run", reason }));
     }
     if (verdict.kind === "error") {
-      return this.#handleErrorResponse(view, response, settle);
+      return this.#handleErrorResponse(attempt, response);
     }
     if (
       this.#input.route.kind === "stream" &&
       !this.#continuation.accepts(response)
     ) return settle(this.#failedOutcome("no_continuation"));
+    attempt.onAccepted();
     view.health.recordResult("answered", performance.now());
     this.#guard.recordHead();
-    if (this.#hasSentHeaders) {
-      return this.#forwardStream(view, response, settle);
-    }
+    if (this.#hasSentHeaders) return this.#forwardStream(attempt, response);
     this.#log.recordFirstByte();
     if (this.#input.route.kind === "stream") {
       const headers = this.#input.route.resumable
@@ -598,9 +694,9 @@
       res.writeHead(status, headers as string[]);
       res.flushHeaders();
       this.#hasSentHeaders = true;
-      return this.#forwardStream(view, response, settle);
+      return this.#forwardStream(attempt, response);
     }
-    this.#forwardBufferedBody(view, response, settle);
+    this.#forwardBufferedBody(attempt, response);
   }
 
   #failedOutcome(reason: string): AttemptOutcome {
@@ -612,10 +708,10 @@
   /** Reads an error response. One with a status below 500 is forwarded at once;
    * any other is stored and forwarded if no retry succeeds. */
   #handleErrorResponse(
-    view: EngineView,
+    attempt: RunningAttempt,
     response: IncomingMessage,
-    settle: AttemptSettler,
   ): void {
+    const { view, settle } = attempt;
     const status = response.statusCode ?? 0;
     this.#bufferBody(response, settle, (body) => {
       if (this.#hasSentHeaders) {
@@ -628,6 +724,7 @@
         body,
       };
       if (status < 500) {
+        attempt.onAccepted();
         view.health.recordResult("answered", performance.now());
         this.#forwardErrorResponse(errorResponse);
         settle({ kind: "finished" });
@@ -641,9 +738,8 @@
    * buffered first, so that a retry can replace an incomplete response before
    * the caller has received any of it. */
   #forwardBufferedBody(
-    view: EngineView,
+    { view, settle }: RunningAttempt,
     response: IncomingMessage,
-    settle: AttemptSettler,
   ): void {
     const { res } = this.#input;
     const status = response.statusCode ?? 200;
@@ -686,11 +782,8 @@
 
   /** Forwards a stream's bytes. A resumable stream is forwarded in whole events
    * only, so that another engine can continue it after the last one. */
-  #forwardStream(
-    view: EngineView,
-    response: IncomingMessage,
-    settle: AttemptSettler,
-  ): void {
+  #forwardStream(attempt: RunningAttempt, response: IncomingMessage): void {
+    const { view, settle } = attempt;
     const { res, route } = this.#input;
     this.#framer.reset();
     const boundary = new EventBoundary();
@@ -701,13 +794,23 @@
       clearTimeout(stallTimer);
       if (!this.#isRepeatable) return;
       stallTimer = setTimeout(() => {
-        if (this.#canMove(view)) settle({ kind: "moved", reason: "stalled" });
-        else restartStallTimer();
+        attempt.handover = this.#handOver({
+          view,
+          hold: () => response.pause(),
+          resume: () => {
+            response.resume();
+            restartStallTimer();
+          },
+          yieldTo: (successor) =>
+            settle({ kind: "moved", reason: "stalled", successor }),
+        });
+        if (attempt.handover === undefined) restartStallTimer();
       }, STALL_TIMEOUT_MS);
     };
     restartStallTimer();
     response.on("data", (chunk: Buffer) => {
       if (settle.ended()) return;
+      attempt.handover?.cancel();
       this.#log.recordChunk();
       this.#guard.recordBytes();
       restartStallTimer();
@@ -762,3 +865,9 @@
     response.on("close", () => clearTimeout(stallTimer));
   }
 }
+
+/** Whether an attempt ended without the request's end. */
+function isFailure({ kind }: AttemptOutcome): boolean {
+  return kind === "not_run" || kind === "failed" || kind === "error_answer" ||
+    kind === "broken";
+}
--- a/packages/gateway/src/exchange_log.ts
+++ b/packages/gateway/src/exchange_log.ts
@@ -8,7 +8,7 @@
   Route,
   Workspace,
 } from "@banyanlb/serving";
-import type { AttemptOutcome } from "./attempt_outcome.ts";
+import { type AttemptOutcome, failureReason } from "./attempt_outcome.ts";
 import type { EngineRequest } from "./engine_connections.ts";
 import * as events from "./events.ts";
 import type {
@@ -35,7 +35,9 @@
 export class ExchangeLog {
   readonly #deps: Pick<RelayDependencies, "log" | "metrics">;
   readonly #request: LoggedRequest;
-  /** The attempt that is in progress, or was last. */
+  /** The last attempt at each engine. */
+  readonly #attempts = new Map<EngineView, Attempt>();
+  /** The attempt that is in progress, or was last; the later one of two. */
   #attempt: Attempt | undefined;
   #firstByteAt: number | undefined;
   /** The longest pause between two chunks of a stream, in milliseconds. */
@@ -54,12 +56,19 @@
   startAttempt(view: EngineView, request: EngineRequest, now: number): void {
     const startMs = Math.round(now - this.#request.arrivedAt);
     this.#attempt = { view, request, startMs };
+    this.#attempts.set(view, this.#attempt);
     this.#deps.metrics.time("attempt_start_ms", "", startMs);
   }
 
-  /** Records that the last attempt has ended. */
-  endAttempt(): void {
-    const request = this.#attempt?.request;
+  /** Records that the attempt at this engine goes on, since a later one did
+   * not. */
+  resumeAttempt(view: EngineView): void {
+    this.#attempt = this.#attempts.get(view);
+  }
+
+  /** Records that the attempt at this engine has ended. */
+  endAttempt(view: EngineView): void {
+    const request = this.#attempts.get(view)?.request;
     const connectionMs = request?.connectionMs();
     if (request === undefined || connectionMs === undefined) return;
     const tags = `new="${!request.req.reusedSocket}"`;
@@ -91,14 +100,16 @@
     if (this.#attempt === undefined) return;
     this.#deps.log.write(events.CALLER_LEFT_ATTEMPT, {
       id: this.#request.caller.id,
-      ...this.#attemptFields(),
+      ...attemptFields(this.#attempt),
       leftMs: Math.round(deadline - performance.now()),
     });
   }
 
-  /** The last attempt failed or was abandoned. */
-  attemptFailed(outcome: AttemptOutcome, reason: string, now: number): void {
+  /** The attempt at this engine failed, or another one goes on with the
+   * request. */
+  attemptFailed(view: EngineView, outcome: AttemptOutcome, now: number): void {
     const { caller, arrivedAt } = this.#request;
+    const reason = failureReason(outcome);
     this.#deps.metrics.add("attempt_failures_total", `reason="${reason}"`);
     this.#deps.log.write(events.ATTEMPT_FAILED, {
       id: caller.id,
@@ -107,14 +118,17 @@
       status: outcome.kind === "error_answer"
         ? outcome.answer.status
         : undefined,
-      load: Math.round(this.#attempt?.view.load(now) ?? 0),
+      load: Math.round(view.load(now)),
       parts: caller.sharedParts.slice(0, events.LOGGED_PARTS_MAX),
       partCount: caller.sharedParts.length,
       // Time since the first byte of a response, of this or an earlier attempt.
       answeredMs: this.#firstByteAt === undefined
         ? undefined
         : Math.round(now - this.#firstByteAt),
-      ...this.#attemptFields(),
+      ...attemptFields(this.#attempts.get(view)),
+      next: outcome.kind === "moved"
+        ? outcome.successor.view.engine.key
+        : undefined,
       ms: Math.round(now - arrivedAt),
     });
   }
@@ -154,7 +168,7 @@
       workspace: workspace?.name,
       model: caller.model,
       adapter: caller.adapter,
-      ...this.#attemptFields(),
+      ...attemptFields(this.#attempt),
       engine: view?.engine.key,
       status,
       ...counts,
@@ -164,15 +178,15 @@
       ...this.#request.configuration,
     });
   }
+}
 
-  /** Where the last attempt was sent, and what it waited for before it was
-   * written to a connection. */
-  #attemptFields() {
-    return {
-      engine: this.#attempt?.view.engine.key,
-      engineZone: this.#attempt?.view.engine.zone,
-      startMs: this.#attempt?.startMs,
-      connectionMs: this.#attempt?.request.connectionMs(),
-    };
-  }
+/** Where an attempt was sent, and what it waited for before it was written to a
+ * connection. */
+function attemptFields(attempt: Attempt | undefined) {
+  return {
+    engine: attempt?.view.engine.key,
+    engineZone: attempt?.view.engine.zone,
+    startMs: attempt?.startMs,
+    connectionMs: attempt?.request.connectionMs(),
+  };
 }
--- a/packages/gateway/src/stream_continuation.ts
+++ b/packages/gateway/src/stream_continuation.ts
@@ -18,9 +18,10 @@
   /** Whether the response may follow what the caller has received so far. */
   accepts(response: IncomingMessage): boolean {
     const form = formOf(response);
+    if (this.#form !== undefined && form !== this.#form) return false;
     this.#hasEvent = this.#form === undefined;
-    this.#form ??= form;
-    return form === this.#form;
+    this.#form = form;
+    return true;
   }
 
   /** Whether the current response has brought an event, or is the first. One
