Leave one engine, whatever ends a hand-over

Cause: two attempts shared what was written for one. Change: an attempt is contested until its hand-over is complete. It asks nobody, and anything but the beginning of an answer ends it at once. What the first engine sends meanwhile is read and kept back rather than left in the connection, so its end is seen: a whole answer is taken, a broken one leaves the request to the other engine with its own reason. Timers of an ended attempt do nothing.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -37,9 +37,9 @@
 import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
 import * as events from "./events.ts";
 import {
+  type ContestedAttempt,
   Handover,
   type SilentAttempt,
-  type StartedAttempt,
 } from "./handover/handover.ts";
 import { ExchangeLog } from "./exchange_log.ts";
 import type { PromptGuard } from "./prompt_guard.ts";
@@ -117,8 +117,15 @@
   readonly request: EngineRequest;
   readonly startedAt: number;
   readonly settle: AttemptSettler;
-  /** The hand-over of the request to another engine that is in progress. */
+  /** The last hand-over of the request to another engine. */
   handover: Handover | undefined;
+  /** Whether the engine's bytes are kept back, since another engine has the
+   * request as well. */
+  isHeld: boolean;
+  /** Goes on after a hand-over that has failed. */
+  onResume: () => void;
+  /** Whether another engine may keep the request. */
+  isContested: boolean;
   /** Called when the engine has begun an answer that can be forwarded. */
   onAccepted: () => void;
 }
@@ -146,6 +153,8 @@
   #errorResponse: BufferedResponse | undefined;
   #hasCallerDisconnected = false;
   #hasSentHeaders = false;
+  /** Whether no further engine may be asked: the request may crash engines. */
+  #mustNotRepeat = false;
   /** Requests to engines that are in progress; two during a hand-over. */
   readonly #engineRequests = new Set<EngineRequest>();
 
@@ -390,7 +399,7 @@
    * uses one retry of the service's retry budget. */
   #canRepeat(now: number): boolean {
     if (
-      !this.#isRepeatable ||
+      !this.#isRepeatable || !isHeaderValue(this.#lastEventId) ||
       this.#runCount >= this.#input.route.maxAttempts
     ) {
       return false;
@@ -404,9 +413,12 @@
    * if there is one and the current engine is not merely busy. If so, uses one
    * retry of the service's retry budget. */
   #successorOf(from: EngineView): EngineView | undefined {
+    const { res, route } = this.#input;
     const now = performance.now();
+    if (!this.#isRepeatable || this.#mustNotRepeat) return undefined;
+    if (this.#hasCallerDisconnected || res.writableEnded) return undefined;
     if (from.load(now) >= from.engine.slots) return undefined;
-    if (this.#runCount + 1 >= this.#input.route.maxAttempts) return undefined;
+    if (this.#runCount + 1 >= route.maxAttempts) return undefined;
     if (this.#guard.decide().kind !== "send") return undefined;
     const choice = this.#chooseEngine(
       now,
@@ -418,15 +430,31 @@
       : undefined;
   }
 
-  /** Asks another engine to go on with a request whose engine sends nothing.
-   * Returns undefined if none can. */
-  #handOver(current: SilentAttempt): Handover | undefined {
-    const view = this.#successorOf(current.view);
-    if (view === undefined) return undefined;
-    return new Handover(current, this.#startAttempt(view), (outcome) => {
-      this.#recordFailure(view, outcome, performance.now());
-      this.#log.resumeAttempt(current.view);
+  /** Asks another engine to go on with the request of an attempt whose engine
+   * sends nothing. Returns whether there is one. */
+  #handOver(attempt: RunningAttempt, reason: "silent" | "stalled"): boolean {
+    const { view } = attempt;
+    if (attempt.isContested || attempt.settle.ended()) return false;
+    const next = this.#successorOf(view);
+    if (next === undefined) return false;
+    const current: SilentAttempt = {
+      view,
+      hold: () => (attempt.isHeld = true),
+      resume: () => {
+        attempt.isHeld = false;
+        attempt.onResume();
+      },
+      yieldTo: (successor, failure = reason) =>
+        attempt.settle({ kind: "moved", reason: failure, successor }),
+    };
+    const started = this.#startAttempt(next, { isContested: true });
+    attempt.handover = new Handover(current, started, (outcome) => {
+      this.#log.resumeAttempt(view);
+      if (outcome === undefined || !isFailure(outcome)) return;
+      this.#recordFailure(next, outcome, performance.now());
+      this.#mustNotRepeat = !this.#guard.mayRepeat(next);
     });
+    return true;
   }
 
   /** Follows a request from engine to engine, until an attempt ends that has no
@@ -491,7 +519,10 @@
   }
 
   /** Sends the request to one engine and forwards its response. */
-  #startAttempt(view: EngineView): StartedAttempt {
+  #startAttempt(
+    view: EngineView,
+    { isContested = false } = {},
+  ): ContestedAttempt {
     const { req, route, workspace, caller, body } = this.#input;
     const { protocol, connections, members, use: usage } = this.#deps;
     const now = performance.now();
@@ -540,7 +571,10 @@
     usage.start(view.engine.key, caller.adapter);
     let end: (outcome: AttemptOutcome) => void = () => undefined;
     const outcome = new Promise<AttemptOutcome>((resolve) => (end = resolve));
-    const attempt = this.#trackAttempt({ view, request, startedAt: now }, end);
+    const attempt = this.#trackAttempt(
+      { view, request, startedAt: now, isContested },
+      end,
+    );
     return {
       view,
       outcome: outcome.then((ended) => {
@@ -557,6 +591,7 @@
       }),
       onSent: (listener) => request.onSent(listener),
       onAccepted: (listener) => (attempt.onAccepted = listener),
+      adopt: () => (attempt.isContested = false),
       abandon: () =>
         attempt.settle({
           kind: request.isSent() ? "failed" : "not_run",
@@ -566,17 +601,20 @@
   }
 
   #trackAttempt(
-    started: Pick<RunningAttempt, "view" | "request" | "startedAt">,
+    started: Pick<
+      RunningAttempt,
+      "view" | "request" | "startedAt" | "isContested"
+    >,
     end: (outcome: AttemptOutcome) => void,
   ): RunningAttempt {
-    const { view, request } = started;
+    const { request } = started;
     const { route } = this.#input;
     let isSettled = false;
     const settle: AttemptSettler = Object.assign((outcome: AttemptOutcome) => {
       if (isSettled) return;
       // The other engine has the request already.
       if (attempt.handover?.isHolding && isFailure(outcome)) {
-        attempt.handover.complete();
+        attempt.handover.complete(failureReason(outcome));
         return;
       }
       isSettled = true;
@@ -593,6 +631,8 @@
       ...started,
       settle,
       handover: undefined,
+      isHeld: false,
+      onResume: () => waitForFirstByte(),
       onAccepted: () => undefined,
     };
     const deadlineTimer = setTimeout(
@@ -604,25 +644,13 @@
       route.targetLatencyMs * FIRST_BYTE_TIMEOUT_RATIO,
     );
     let firstByteTimer: NodeJS.Timeout | undefined;
-    let isHeld = false;
-    let heldResponse: IncomingMessage | undefined;
     const waitForFirstByte = () => {
+      if (isSettled) return;
       firstByteTimer = setTimeout(() => {
         if (!request.isSent()) {
           settle({ kind: "not_run", reason: "unreachable" });
-          return;
-        }
-        attempt.handover = this.#handOver({
-          view,
-          hold: () => (isHeld = true),
-          resume: () => {
-            isHeld = false;
-            if (heldResponse === undefined) waitForFirstByte();
-            else this.#handleResponse(attempt, heldResponse);
-          },
-          yieldTo: (successor) =>
-            settle({ kind: "moved", reason: "silent", successor }),
-        });
+        } else if (attempt.isContested) waitForFirstByte();
+        else this.#handOver(attempt, "silent");
       }, firstByteTimeoutMs);
     };
     waitForFirstByte();
@@ -635,9 +663,9 @@
     });
     request.req.on("response", (response) => {
       clearTimeout(firstByteTimer);
-      // Without listeners it is not read.
-      if (isHeld) heldResponse = response;
-      else this.#handleResponse(attempt, response);
+      attempt.onResume = () => undefined;
+      if (!attempt.isHeld) attempt.handover?.cancel();
+      this.#handleResponse(attempt, response);
     });
     return attempt;
   }
@@ -645,7 +673,6 @@
   #handleResponse(attempt: RunningAttempt, response: IncomingMessage): void {
     const { view, request, settle } = attempt;
     const { caller, res } = this.#input;
-    attempt.handover?.cancel();
     const status = response.statusCode ?? 0;
     const responseHead = this.#deps.protocol.readResponse(
       status,
@@ -669,6 +696,14 @@
     if (verdict.kind === "unusable") {
       return settle(this.#failedOutcome(verdict.reason));
     }
+    // The other engine goes on at once, whatever follows here.
+    if (attempt.isContested && verdict.kind !== "success") {
+      const reason = "reason" in verdict ? verdict.reason : "engine_error";
+      return settle({
+        kind: verdict.kind === "not_run" ? "not_run" : "failed",
+        reason,
+      });
+    }
     if (verdict.kind === "not_run") {
       const { reason } = verdict;
       return skipBody(response, () => settle({ kind: "not_run", reason }));
@@ -724,7 +759,6 @@
         body,
       };
       if (status < 500) {
-        attempt.onAccepted();
         view.health.recordResult("answered", performance.now());
         this.#forwardErrorResponse(errorResponse);
         settle({ kind: "finished" });
@@ -790,27 +824,30 @@
     const isComplete = trackCompletion(response);
     let receivedBytes = 0;
     let stallTimer: NodeJS.Timeout | undefined;
+    const heldChunks: Buffer[] = [];
     const restartStallTimer = () => {
       clearTimeout(stallTimer);
-      if (!this.#isRepeatable) return;
+      if (!this.#isRepeatable || settle.ended()) return;
       stallTimer = setTimeout(() => {
-        attempt.handover = this.#handOver({
-          view,
-          hold: () => response.pause(),
-          resume: () => {
-            response.resume();
-            restartStallTimer();
-          },
-          yieldTo: (successor) =>
-            settle({ kind: "moved", reason: "stalled", successor }),
-        });
-        if (attempt.handover === undefined) restartStallTimer();
+        if (!this.#handOver(attempt, "stalled")) restartStallTimer();
       }, STALL_TIMEOUT_MS);
     };
     restartStallTimer();
+    attempt.onResume = () => {
+      for (const chunk of heldChunks.splice(0)) receive(chunk);
+      restartStallTimer();
+    };
     response.on("data", (chunk: Buffer) => {
       if (settle.ended()) return;
+      if (attempt.isHeld) {
+        heldChunks.push(chunk);
+        return;
+      }
       attempt.handover?.cancel();
+      receive(chunk);
+    });
+    const receive = (chunk: Buffer) => {
+      if (settle.ended()) return;
       this.#log.recordChunk();
       this.#guard.recordBytes();
       restartStallTimer();
@@ -839,7 +876,7 @@
           restartStallTimer();
         });
       }
-    });
+    };
     response.on("error", () => {
       clearTimeout(stallTimer);
       settle(
@@ -851,6 +888,8 @@
     response.on("end", () => {
       clearTimeout(stallTimer);
       if (settle.ended()) return;
+      // An engine that has sent its whole answer does not work on it any more.
+      if (attempt.isHeld && isComplete()) attempt.handover?.cancel();
       const isWhole = isComplete() && boundary.isReached;
       if (!isWhole || !this.#continuation.hasEvent) {
         const reason = isWhole ? "no_continuation" : "connection_lost";
@@ -866,6 +905,11 @@
   }
 }
 
+/** Whether a header can carry the id of an event. */
+function isHeaderValue(text = ""): boolean {
+  return /^[\t\x20-\x7e\x80-\xff]*$/.test(text);
+}
+
 /** Whether an attempt ended without the request's end. */
 function isFailure({ kind }: AttemptOutcome): boolean {
   return kind === "not_run" || kind === "failed" || kind === "error_answer" ||
--- a/packages/gateway/src/handover/handover.ts
+++ b/packages/gateway/src/handover/handover.ts
@@ -1,10 +1,10 @@
 /** Moves a request from an engine that sends nothing to another engine.
  *
  * Silence shows nothing: the engine may be gone, or bytes may be under way. So
- * the first engine keeps the request until the other one has accepted it, and
- * goes on with it if the other one does not. Since two engines must not work on
- * one request, the first loses it soon after it was written to the other one,
- * accepted or not.
+ * the first engine keeps the request until the other one has begun an answer, and
+ * goes on with it if the other one does not take it. Two engines must not work on
+ * one request, so the first one loses it soon after it was written to the other
+ * one, unless its answer is whole by then.
  *
  * @module
  */
@@ -19,22 +19,26 @@
 /** The attempt at the engine that sends nothing. */
 export interface SilentAttempt {
   readonly view: EngineView;
-  /** Stops reading from the engine. */
+  /** Keeps back what the engine sends from now on. */
   hold(): void;
-  /** Reads from the engine again, and waits for it. */
+  /** Goes on with the engine. */
   resume(): void;
-  /** Ends the attempt in favour of another one. */
-  yieldTo(successor: Successor): void;
+  /** Ends the attempt in favour of another one. `failure` is why its engine
+   * cannot go on; undefined if it was merely silent. */
+  yieldTo(successor: Successor, failure: string | undefined): void;
 }
 
-/** The attempt at the other engine. */
-export interface StartedAttempt extends Successor {
+/** The attempt at the other engine. Until it is adopted, its engine's refusals
+ * and failures end it and are forwarded to nobody. */
+export interface ContestedAttempt extends Successor {
   /** Calls `listener` when the request is written to a connection to the
    * engine. */
   onSent(listener: () => void): void;
   /** Calls `listener` when the engine has begun an answer that can be
    * forwarded. */
   onAccepted(listener: () => void): void;
+  /** The attempt is the only one from now on. */
+  adopt(): void;
   /** Ends the attempt. */
   abandon(): void;
 }
@@ -42,24 +46,24 @@
 /** One hand-over, from the start of the other attempt until one is left. */
 export class Handover {
   readonly #current: SilentAttempt;
-  readonly #next: StartedAttempt;
-  readonly #onFailure: (outcome: AttemptOutcome) => void;
+  readonly #next: ContestedAttempt;
+  readonly #onKept: (outcome: AttemptOutcome | undefined) => void;
   #isOver = false;
   #keepTimer: NodeJS.Timeout | undefined;
 
-  /** `onFailure` is called if the other engine did not accept the request; the
-   * first one goes on with it. */
+  /** `onKept` is called if the first engine keeps the request, with the outcome
+   * of the other attempt if that came first. */
   constructor(
     current: SilentAttempt,
-    next: StartedAttempt,
-    onFailure: (outcome: AttemptOutcome) => void,
+    next: ContestedAttempt,
+    onKept: (outcome: AttemptOutcome | undefined) => void,
   ) {
     this.#current = current;
     this.#next = next;
-    this.#onFailure = onFailure;
+    this.#onKept = onKept;
     next.onSent(() => this.#hold());
     next.onAccepted(() => this.complete());
-    void next.outcome.then((outcome) => this.#fail(outcome));
+    void next.outcome.then((outcome) => this.#keep(outcome));
   }
 
   /** Whether the request was written to the other engine, which has not accepted
@@ -69,14 +73,18 @@
   }
 
   /** Leaves the request to the other engine. */
-  complete(): void {
-    if (this.#end()) this.#current.yieldTo(this.#next);
+  complete(failure?: string): void {
+    if (!this.#end()) return;
+    this.#next.adopt();
+    this.#current.yieldTo(this.#next, failure);
   }
 
   /** Leaves the request to the first engine, or ends it at both if that has
    * ended. */
   cancel(): void {
-    if (this.#end()) this.#next.abandon();
+    if (this.#isOver) return;
+    this.#keep(undefined);
+    this.#next.abandon();
   }
 
   #hold(): void {
@@ -85,9 +93,9 @@
     this.#keepTimer = setTimeout(() => this.complete(), KEPT_MS);
   }
 
-  #fail(outcome: AttemptOutcome): void {
+  #keep(outcome: AttemptOutcome | undefined): void {
     if (!this.#end()) return;
-    this.#onFailure(outcome);
+    this.#onKept(outcome);
     this.#current.resume();
   }
 
