Count only what was read as an engine's silence

Callers would see: an answer is cut although its engine sends steadily, after the instance's process stood still.

Cause: after a pause of the process expired timers fire before its connections are read, so what waits in them counts as 1.4 s of silence, and a connection that stands as one that cannot be made. Class: a state that is old is taken for the present.

Change: these timeouts take effect after connections were read once more (ReadTimeout). Relay, hand-over and connection tests: 194 pass.

--- a/packages/gateway/src/engine_connections.ts
+++ b/packages/gateway/src/engine_connections.ts
@@ -12,6 +12,7 @@
 import type { Duplex } from "node:stream";
 import { limitFraming, ResponseTooLargeError } from "@banyanlb/platform";
 import { type Engine, IdleLimit } from "@banyanlb/serving";
+import { ReadTimeout } from "./read_timeout.ts";
 
 /** Timeout of a new connection, in milliseconds. Engines accept connections
  * within a few milliseconds; a machine without power never replies. */
@@ -232,15 +233,15 @@
         markSent();
         return;
       }
-      const timer = setTimeout(
+      const timeout = new ReadTimeout(
         () => socket.destroy(new Error("connection timed out")),
         CONNECT_TIMEOUT_MS,
       );
       socket.once("connect", () => {
         markSent();
-        clearTimeout(timer);
+        timeout.clear();
       });
-      socket.once("close", () => clearTimeout(timer));
+      socket.once("close", () => timeout.clear());
     });
     req.end(outgoing.body);
     return {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -43,6 +43,7 @@
 } from "./handover/handover.ts";
 import { ExchangeLog } from "./exchange_log.ts";
 import type { PromptGuard } from "./prompt_guard.ts";
+import { ReadTimeout } from "./read_timeout.ts";
 import { RateCharge } from "./rate_charge.ts";
 import type {
   ConfigurationInUse,
@@ -619,7 +620,7 @@
       }
       isSettled = true;
       clearTimeout(deadlineTimer);
-      clearTimeout(firstByteTimer);
+      firstByteTimeout?.clear();
       attempt.handover?.cancel();
       if (outcome.kind !== "finished") request.req.destroy();
       // A request that was written to a connection may have run, unless the
@@ -643,10 +644,10 @@
       FIRST_BYTE_TIMEOUT_MIN_MS,
       route.targetLatencyMs * FIRST_BYTE_TIMEOUT_RATIO,
     );
-    let firstByteTimer: NodeJS.Timeout | undefined;
+    let firstByteTimeout: ReadTimeout | undefined;
     const waitForFirstByte = () => {
       if (isSettled) return;
-      firstByteTimer = setTimeout(() => {
+      firstByteTimeout = new ReadTimeout(() => {
         if (!request.isSent()) {
           settle({ kind: "not_run", reason: "unreachable" });
         } else if (attempt.isContested) waitForFirstByte();
@@ -662,7 +663,7 @@
       settle(this.#failedOutcome(reasonOf(err)));
     });
     request.req.on("response", (response) => {
-      clearTimeout(firstByteTimer);
+      firstByteTimeout?.clear();
       attempt.onResume = () => undefined;
       if (!attempt.isHeld) attempt.handover?.cancel();
       this.#handleResponse(attempt, response);
@@ -823,19 +824,19 @@
     const boundary = new EventBoundary();
     const isComplete = trackCompletion(response);
     let receivedBytes = 0;
-    let stallTimer: NodeJS.Timeout | undefined;
+    let stallTimeout: ReadTimeout | undefined;
     const heldChunks: Buffer[] = [];
-    const restartStallTimer = () => {
-      clearTimeout(stallTimer);
+    const restartStallTimeout = () => {
+      stallTimeout?.clear();
       if (!this.#isRepeatable || settle.ended()) return;
-      stallTimer = setTimeout(() => {
-        if (!this.#handOver(attempt, "stalled")) restartStallTimer();
+      stallTimeout = new ReadTimeout(() => {
+        if (!this.#handOver(attempt, "stalled")) restartStallTimeout();
       }, STALL_TIMEOUT_MS);
     };
-    restartStallTimer();
+    restartStallTimeout();
     attempt.onResume = () => {
       for (const chunk of heldChunks.splice(0)) receive(chunk);
-      restartStallTimer();
+      restartStallTimeout();
     };
     response.on("data", (chunk: Buffer) => {
       if (settle.ended()) return;
@@ -850,7 +851,7 @@
       if (settle.ended()) return;
       this.#log.recordChunk();
       this.#guard.recordBytes();
-      restartStallTimer();
+      restartStallTimeout();
       let bytes = chunk;
       if (route.resumable) {
         const framed = this.#framer.push(chunk);
@@ -863,22 +864,22 @@
         receivedBytes > RESPONSE_MAX_BYTES ||
         this.#framer.pendingBytes > EVENT_MAX_BYTES
       ) {
-        clearTimeout(stallTimer);
+        stallTimeout?.clear();
         settle({ kind: "broken", reason: "response_too_large" });
         return;
       }
       if (bytes.length === 0 || res.destroyed || settle.ended()) return;
       if (!res.write(bytes)) {
         response.pause();
-        clearTimeout(stallTimer);
+        stallTimeout?.clear();
         res.once("drain", () => {
           response.resume();
-          restartStallTimer();
+          restartStallTimeout();
         });
       }
     };
     response.on("error", () => {
-      clearTimeout(stallTimer);
+      stallTimeout?.clear();
       settle(
         this.#hasCallerDisconnected
           ? { kind: "finished" }
@@ -886,7 +887,7 @@
       );
     });
     response.on("end", () => {
-      clearTimeout(stallTimer);
+      stallTimeout?.clear();
       if (settle.ended()) return;
       // An engine that has sent its whole answer does not work on it any more.
       if (attempt.isHeld && isComplete()) attempt.handover?.cancel();
@@ -901,7 +902,7 @@
       this.#recordServed(response.statusCode ?? 200, view);
       settle({ kind: "finished" });
     });
-    response.on("close", () => clearTimeout(stallTimer));
+    response.on("close", () => stallTimeout?.clear());
   }
 }
 
