Order revisions over restores of the store

Cause: a store that is restored from a copy goes back and gives its revisions out again. Lists below what was known were refused as outdated, records were compared by number, and so were peers. Class: an order that is assumed to hold for good is taken from a source that can go back.

Change: a revision contains the store's era, which the client takes from each answer of any status, and the number, which goes back into calls. In the first era it is the number, so nothing changes on the wire before a restore. What is known counts against an older copy: by progress for configurations, versions and engines, for 5 s where a record is missing or back after its removal. Events 871 and 872 tell of a restore and of a list that was refused.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -484,3 +484,18 @@
   severity: "warn",
   text: "cold time of an engine ignored",
 };
+
+/** The store has come back from an older copy: it is in its era `era`, and has
+ * lost the changes after the copy. */
+export const STORE_ERA_CHANGED: LogEvent = {
+  id: 871,
+  severity: "warn",
+  text: "store restored from an older copy",
+};
+
+/** A list of the store is older than what is known, `known`, and was not used. */
+export const LIST_REFUSED: LogEvent = {
+  id: 872,
+  severity: "warn",
+  text: "outdated list of the store refused",
+};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -159,6 +159,9 @@
       settings.store,
       (transfer) => traffic.recordStoreTransfer(transfer),
     );
+    this.#store.onEraChange((era) =>
+      log.write(events.STORE_ERA_CHANGED, { era })
+    );
     this.#eventLoopWatch = new EventLoopWatch({ log, metrics: this.#metrics });
     this.#members = new MemberTable(settings.name, performance.now());
     this.#readerRoles = new ReaderRoles({
--- a/packages/gateway/src/record_follower.ts
+++ b/packages/gateway/src/record_follower.ts
@@ -15,6 +15,7 @@
   type RecordKind,
   type RecordList,
   RecordSet,
+  type RecordSetOptions,
   type RecordStore,
   StoreCallError,
   type StoredRecord,
@@ -58,6 +59,9 @@
    * receives a copy of every change, and all of them at the same moment. */
   readonly mayWatch?: (() => boolean) | undefined;
   readonly confirmationTimes: ConfirmationTimes;
+  /** How records are kept that a restored store has lost; they are not, if
+   * omitted. */
+  readonly lostRecords?: RecordSetOptions;
   /** Called with all records of the kind after the first list and after each
    * change. */
   readonly onRecords: (
@@ -84,7 +88,7 @@
 export class RecordFollower {
   readonly #store: RecordStore;
   readonly #options: RecordFollowerOptions;
-  readonly #set = new RecordSet();
+  readonly #set: RecordSet;
   readonly #confirmation: Confirmation;
   /** The store's revision from which the next watch starts. */
   #revision = 0;
@@ -102,6 +106,7 @@
   constructor(store: RecordStore, options: RecordFollowerOptions) {
     this.#store = store;
     this.#options = options;
+    this.#set = new RecordSet(options.lostRecords);
     this.#confirmation = new Confirmation(options.confirmationTimes);
   }
 
@@ -110,9 +115,9 @@
     return this.#hasState;
   }
 
-  /** The highest revision among the records. */
+  /** The highest revision among the records, as peers are told. */
   get newestRevision(): number {
-    return this.#set.newestRevision;
+    return this.#set.reportedRevision;
   }
 
   /** The store's revision up to which changes were received. */
@@ -298,6 +303,11 @@
     const { kind } = this.#options;
     const list = await this.#store.list(kind, options);
     if (list.revision < knownRevision) {
+      this.#options.log.write(events.LIST_REFUSED, {
+        kind,
+        revision: list.revision,
+        known: knownRevision,
+      });
       throw new StoreCallError(
         "rejected",
         `list of revision ${list.revision} is older than ${knownRevision}`,
--- a/packages/gateway/src/store_view.ts
+++ b/packages/gateway/src/store_view.ts
@@ -25,6 +25,7 @@
   decodeEngine,
   decodeVersion,
   hasOddColdTime,
+  progressOf,
 } from "@banyanlb/platform";
 import * as events from "./events.ts";
 import type { RecordSummary } from "./shared_records.ts";
@@ -54,6 +55,11 @@
  * announced in groups. */
 const VERSIONS_WATCH_PAUSE_MS = 100;
 
+/** How long records are kept that a restored store lacks, and stay removed that it
+ * holds again, in milliseconds. Operators and engines write again what it has
+ * lost; the entry of an engine that is gone expires. */
+const LOST_RECORD_MS = 5000;
+
 /** Share of the time within which an evacuation must be known that is left for it
  * to become known: a request that was sent before may be under way for the
  * rest. */
@@ -82,6 +88,7 @@
   /** Revision up to which changes were received when a zone was last evacuated, or
    * put in use again: a removed record leaves no revision of its own. */
   #evacuationRevision = 0;
+  readonly #stopHearingOfEras: () => void;
   readonly #unreachableKinds = new Set<string>();
   #reachabilityChangedAt = -Infinity;
   readonly #ignoredEntries = new Set<string>();
@@ -115,6 +122,7 @@
     this.#regions = options.regions;
     this.#engineTable = options.engineTable;
     this.#log = options.log;
+    this.#stopHearingOfEras = store.onEraChange(() => this.#onRestore());
     const createFollower = (
       kind: FollowedKind | OptionalKind,
       watchPauseMs: () => number,
@@ -131,6 +139,12 @@
         watchPauseMs,
         mayWatch: options.isStoreReader,
         confirmationTimes: confirmationTimes(changeKnownMs),
+        lostRecords: {
+          progressOf: (record) => progressOf(kind, record),
+          // Engines that vanish are kept until their entries must be back.
+          keptMs: kind === "engines" ? 0 : LOST_RECORD_MS,
+          hiddenMs: LOST_RECORD_MS,
+        },
         onRecords: (records, source) => {
           onRecords(records, source);
           this.onRecordsApplied();
@@ -265,6 +279,7 @@
 
   /** Stops following the store. */
   close(): void {
+    this.#stopHearingOfEras();
     for (const follower of this.#allFollowers) follower.close();
   }
 
@@ -281,6 +296,13 @@
     if (isChanged) this.#updateEngineTable();
   }
 
+  /** Engines write their entries again once the store is back. */
+  #onRestore(): void {
+    this.#reachabilityChangedAt = performance.now();
+    this.reconnect();
+    this.readNow();
+  }
+
   #onReachabilityChange(
     kind: string,
     reachable: boolean,
--- a/packages/gateway/src/testing/fake_instance.ts
+++ b/packages/gateway/src/testing/fake_instance.ts
@@ -33,6 +33,7 @@
 /** An instance whose peers and store can fail. */
 export class FakeInstance {
   readonly member: Member;
+  readonly engineTable = new EngineTable();
   readonly view: StoreView;
   readonly records: SharedRecords;
   /** The instances that this one asks, the lead first. */
@@ -57,7 +58,7 @@
       write: (line: string) => void this.logged.push(JSON.parse(line)),
     }));
     this.view = new StoreView(store, {
-      engineTable: new EngineTable(),
+      engineTable: this.engineTable,
       log,
       isStoreReader: () => true,
       changeKnownMs: APPLY_WITHIN_MS,
--- a/packages/gateway/src/testing/fake_record_store.ts
+++ b/packages/gateway/src/testing/fake_record_store.ts
@@ -3,12 +3,16 @@
  * @module
  */
 import {
+  eraOf,
+  FIRST_ERA,
+  numberOf,
   type RecordChange,
   type RecordKind,
   type RecordList,
   RecordStore,
   StoreCallError,
   type StoredRecord,
+  storeRevision,
 } from "@banyanlb/serving";
 
 interface Watch {
@@ -25,6 +29,15 @@
   readonly revision: number;
 }
 
+/** What a copy of the store holds. */
+interface StoreCopy {
+  readonly number: number;
+  readonly records: ReadonlyMap<
+    RecordKind,
+    ReadonlyMap<string, StoredRecord>
+  >;
+}
+
 /** How calls other than watches are answered. */
 export type ReadMode = "serve" | "silent" | "reject" | "stale";
 
@@ -49,13 +62,53 @@
   readonly #records = new Map<RecordKind, Map<string, StoredRecord>>();
   readonly #stale = new Map<RecordKind, RecordList>();
   readonly #watches = new Set<Watch>();
+  readonly #copies = new Map<string, StoreCopy>();
   #history: LoggedChange[] = [];
-  #revision = 100;
+  #currentEra = FIRST_ERA;
+  #number = 100;
   #oldestRevision = 100;
 
   /** The revision of the newest change. */
   get revision(): number {
-    return this.#revision;
+    return storeRevision(this.#currentEra, this.#number);
+  }
+
+  /** Takes a copy of all records, from which the store can be restored. */
+  copy(name = "copy"): void {
+    this.#copies.set(name, {
+      number: this.#number,
+      records: new Map(
+        [...this.#records].map(([kind, records]) => [kind, new Map(records)]),
+      ),
+    });
+  }
+
+  /** Comes back from a copy, in a new era. Watches that wait are cut off. */
+  restore(name = "copy"): void {
+    const copy = this.#copies.get(name);
+    if (copy === undefined) throw new Error(`no copy ${name}`);
+    this.#currentEra += 1;
+    this.#number = copy.number;
+    this.#records.clear();
+    for (const [kind, records] of copy.records) {
+      this.#records.set(
+        kind,
+        new Map(
+          [...records.values()].map((record) => [record.name, {
+            ...record,
+            revision: storeRevision(
+              this.#currentEra,
+              numberOf(record.revision),
+            ),
+          }]),
+        ),
+      );
+    }
+    this.#history = [];
+    this.#oldestRevision = this.revision;
+    for (const watch of this.#watches) {
+      watch.fail(new StoreCallError("unknown", "read ECONNRESET"));
+    }
   }
 
   /** Number of watches that wait for a reply. */
@@ -65,18 +118,18 @@
 
   /** Writes a record without a condition; returns its revision. */
   write(kind: RecordKind, name: string, value: unknown): number {
-    this.#revision += 1;
-    const record = { name, revision: this.#revision, value };
+    this.#number += 1;
+    const record = { name, revision: this.revision, value };
     this.#recordsOf(kind).set(name, record);
     this.#logChange(kind, { removed: false, record });
-    return this.#revision;
+    return record.revision;
   }
 
   /** Removes a record. The change carries the record's last revision. */
   erase(kind: RecordKind, name: string): void {
     const record = this.#recordsOf(kind).get(name);
     if (record === undefined) return;
-    this.#revision += 1;
+    this.#number += 1;
     this.#recordsOf(kind).delete(name);
     this.#logChange(kind, { removed: true, record });
   }
@@ -92,7 +145,7 @@
    * Watches that are waiting are not told. */
   compact(): void {
     this.#history = [];
-    this.#oldestRevision = this.#revision;
+    this.#oldestRevision = this.revision;
   }
 
   /** Resets the connections on which watches are waiting, one after another:
@@ -116,9 +169,15 @@
     switch (this.readMode) {
       case "serve": {
         const list = this.#currentList(kind);
-        return this.listDelayMs === 0
-          ? Promise.resolve(list)
-          : delay(this.listDelayMs).then(() => list);
+        const era = this.#currentEra;
+        if (this.listDelayMs === 0) {
+          this.recordEra(era);
+          return Promise.resolve(list);
+        }
+        return delay(this.listDelayMs).then(() => {
+          this.#hear(era);
+          return list;
+        });
       }
       case "stale":
         return Promise.resolve(
@@ -138,6 +197,7 @@
     name: string,
   ): Promise<StoredRecord | undefined> {
     this.calls.get += 1;
+    this.recordEra(this.#currentEra);
     return Promise.resolve(this.#recordsOf(kind).get(name));
   }
 
@@ -154,6 +214,10 @@
     this.calls.watch += 1;
     const { revision: from, waitMs, signal } = options;
     const isDeaf = this.areWatchesDeaf;
+    if (eraOf(from) < this.#currentEra) {
+      this.recordEra(this.#currentEra);
+      return Promise.reject(new StoreCallError("history_gone", "status 410"));
+    }
     if (!isDeaf && from < this.#oldestRevision) {
       return Promise.reject(new StoreCallError("history_gone", "status 410"));
     }
@@ -172,7 +236,7 @@
             const changes = isDeaf && this.skipsMissedChanges
               ? []
               : this.#changesSince(kind, from);
-            resolve({ changes, revision: this.#revision });
+            resolve({ changes, revision: this.revision });
           }),
         fail: (err) => settle(() => reject(err)),
       };
@@ -197,8 +261,12 @@
     if (this.putDelayMs > 0) {
       await new Promise((resolve) => setTimeout(resolve, this.putDelayMs));
     }
+    this.recordEra(this.#currentEra);
     const { name, value } = record;
     const current = this.#recordsOf(kind).get(name);
+    if (current === undefined && record.revision !== undefined) {
+      throw new StoreCallError("not_found", "status 404");
+    }
     if (current?.revision !== record.revision) {
       throw new StoreCallError("conflict", "status 409");
     }
@@ -215,6 +283,14 @@
     }
   }
 
+  /** An answer that was given in `era` arrives. */
+  #hear(era: number): void {
+    if (era < (this.era ?? FIRST_ERA)) {
+      throw new StoreCallError("unknown", `response of era ${era}`);
+    }
+    this.recordEra(era);
+  }
+
   #recordsOf(kind: RecordKind): Map<string, StoredRecord> {
     let records = this.#records.get(kind);
     if (records === undefined) {
@@ -227,12 +303,12 @@
   #currentList(kind: RecordKind): RecordList {
     return {
       records: [...this.#recordsOf(kind).values()],
-      revision: this.#revision,
+      revision: this.revision,
     };
   }
 
   #logChange(kind: RecordKind, change: RecordChange): void {
-    this.#history.push({ ...change, kind, revision: this.#revision });
+    this.#history.push({ ...change, kind, revision: this.revision });
     if (this.areWatchesDeaf) return;
     for (const watch of this.#watches) {
       if (watch.kind === kind && !watch.isDeaf) watch.reply();
--- a/packages/gateway/src/testing/remote_record_store.ts
+++ b/packages/gateway/src/testing/remote_record_store.ts
@@ -48,6 +48,8 @@
 
   constructor(store: FakeRecordStore, link: RegionLink) {
     super();
+    if (store.era !== undefined) this.recordEra(store.era);
+    store.onEraChange((era) => this.recordEra(era));
     this.#store = store;
     this.#link = link;
   }
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -5,11 +5,15 @@
  */
 import type { EngineReport } from "./types.ts";
 
-/** One stored object. */
+/** One stored object. Revisions also order the changes of a store that was
+ * restored from a copy, see `storeRevision`. */
 export interface StoredRecord {
   readonly name: string;
   readonly revision: number;
   readonly value: unknown;
+  /** The store has lost this record, and holds an older one: the record counts
+   * as of `revision` until it is written again. */
+  readonly isLost?: true;
 }
 
 /** A record that was removed, and the revision of its removal. */
@@ -62,8 +66,43 @@
   | "holds"
   | "evacuations";
 
-/** The deployment's store of records. Calls reject with `StoreCallError`. */
+/** The deployment's store of records. Calls reject with `StoreCallError`.
+ *
+ * The store may come back from an older copy, and then is in a new era. A call
+ * with a revision of a former era fails: a watch with `history_gone`, a write
+ * with `conflict`. */
 export abstract class RecordStore {
+  readonly #eraListeners = new Set<(era: number) => void>();
+  #era: number | undefined;
+
+  /** The newest era of which an answer has arrived; undefined before the
+   * first. */
+  get era(): number | undefined {
+    return this.#era;
+  }
+
+  /** Calls `listener` whenever the store is found to be in a new era. Returns the
+   * function that ends this.
+   *
+   * @example
+   * ```ts
+   * const stop = store.onEraChange(() => follower.reconnect());
+   * ```
+   */
+  onEraChange(listener: (era: number) => void): () => void {
+    this.#eraListeners.add(listener);
+    return () => void this.#eraListeners.delete(listener);
+  }
+
+  /** Records the era of an answer. The first one is no change. */
+  protected recordEra(era: number): void {
+    const former = this.#era;
+    if (former !== undefined && era <= former) return;
+    this.#era = era;
+    if (former === undefined) return;
+    for (const listener of this.#eraListeners) listener(era);
+  }
+
   /** All records of a kind, by a linearizable read. `timeoutMs`, if given, is
    * the timeout of each call that the list takes. */
   abstract list(
--- a/packages/serving/src/record_set.ts
+++ b/packages/serving/src/record_set.ts
@@ -7,6 +7,8 @@
  *    return without a newer revision.
  * 2. Everything that the store held at `completeRevision` is in the set, or was
  *    changed or removed since.
+ * 3. A store that comes back from an older copy undoes no change, until it is
+ *    clear that the change is not written again.
  *
  * @module
  */
@@ -17,18 +19,45 @@
   RecordRemoval,
   StoredRecord,
 } from "./ports.ts";
+import { LostChanges } from "./store_era/lost_changes.ts";
+import { eraOf } from "./store_era/store_revision.ts";
+
+/** What is known of the records of a kind beyond their revisions. */
+export interface RecordSetOptions {
+  /** How far the writer of a record had come, as numbers of which the first that
+   * differs decides; undefined if the record does not tell. An older copy of the
+   * record, which a restored store holds, does not replace it. */
+  readonly progressOf?: (
+    record: StoredRecord,
+  ) => readonly number[] | undefined;
+  /** How long a record is kept that a restored store lacks, in milliseconds. */
+  readonly keptMs?: number;
+  /** How long a record stays removed that a restored store holds again, in
+   * milliseconds. */
+  readonly hiddenMs?: number;
+}
 
 /** The newest known records of one kind. */
 export class RecordSet {
+  readonly #progressOf: NonNullable<RecordSetOptions["progressOf"]>;
+  readonly #lost: LostChanges;
   #records: ReadonlyMap<string, StoredRecord> = new Map();
   /** Revisions at which records were removed since `completeRevision`. */
   readonly #removals = new Map<string, number>();
   #completeRevision = 0;
   #newestRevision = 0;
   #fingerprint = 0;
+  /** Whether the store holds older copies of some records. */
+  #hasLostRecords = false;
   /** Number of times that records were changed or removed. */
   #changes = 0;
 
+  constructor(options: RecordSetOptions = {}) {
+    const { progressOf, keptMs = 0, hiddenMs = 0 } = options;
+    this.#progressOf = progressOf ?? (() => undefined);
+    this.#lost = new LostChanges({ keptMs, hiddenMs });
+  }
+
   /** The records by name. */
   get records(): ReadonlyMap<string, StoredRecord> {
     return this.#records;
@@ -44,6 +73,12 @@
     return this.#newestRevision;
   }
 
+  /** The revision that is reported to peers. It is higher than that of a set of
+   * the same age which lacks what the store has lost. */
+  get reportedRevision(): number {
+    return this.#newestRevision + (this.#hasLostRecords ? 1 : 0);
+  }
+
   /** Equal for two sets with the same records in the same revisions. */
   get fingerprint(): number {
     return this.#fingerprint;
@@ -80,23 +115,37 @@
    * set.mergeList(await store.list("engines"));
    * ```
    */
-  mergeList(list: RecordList): boolean {
+  mergeList(list: RecordList, now = performance.now()): boolean {
+    if (this.#beginsEra(list)) this.#lost.beginEra(list, this.#records, now);
     const next = new Map(this.#records);
     const listedNames = new Set<string>();
     let isChanged = false;
     for (const record of list.records) {
-      listedNames.add(record.name);
-      if (!this.#isNewer(record)) continue;
-      next.set(record.name, record);
-      isChanged = true;
+      const { name } = record;
+      listedNames.add(name);
+      const state = this.#lost.stateOf(record, now);
+      if (state === "hidden") continue;
+      this.#lost.forget(name);
+      const current = this.#records.get(name);
+      if (this.#isNewer(record) || (state === "released" && !current)) {
+        next.set(name, record);
+        isChanged = true;
+      } else if (current !== undefined && current.revision < record.revision) {
+        // The store holds an older copy. What is known counts as of this list.
+        const revision = Math.max(list.revision, record.revision);
+        next.set(name, { ...current, revision, isLost: true });
+        isChanged = true;
+      }
     }
     for (const { name, revision } of this.#records.values()) {
       if (listedNames.has(name) || revision > list.revision) continue;
+      if (this.#lost.keeps(name, now)) continue;
       next.delete(name);
+      this.#lost.recordRemoval(name, list.revision, now);
       isChanged = true;
     }
     for (const removal of list.removals ?? []) {
-      if (this.#remove(next, removal)) isChanged = true;
+      if (this.#remove(next, removal, now)) isChanged = true;
     }
     if (list.revision > this.#completeRevision) {
       this.#completeRevision = list.revision;
@@ -111,14 +160,18 @@
 
   /** Merges changes that a watch reported; returns whether the records have
    * changed. */
-  mergeChanges(changes: readonly RecordChange[]): boolean {
+  mergeChanges(
+    changes: readonly RecordChange[],
+    now = performance.now(),
+  ): boolean {
     const next = new Map(this.#records);
     let isChanged = false;
     for (const { removed, record } of changes) {
       const { name, revision } = record;
       if (removed) {
-        if (this.#remove(next, { name, revision })) isChanged = true;
+        if (this.#remove(next, { name, revision }, now)) isChanged = true;
       } else if (this.#isNewer(record, next)) {
+        this.#lost.forget(name);
         next.set(name, record);
         isChanged = true;
       }
@@ -127,26 +180,52 @@
     return isChanged;
   }
 
+  /** Whether a list is the first of a new era of the store. */
+  #beginsEra(list: RecordList): boolean {
+    const known = Math.max(this.#completeRevision, this.#newestRevision);
+    return known > 0 && eraOf(list.revision) > eraOf(known);
+  }
+
   #isNewer(
-    { name, revision }: StoredRecord,
+    record: StoredRecord,
     records: ReadonlyMap<string, StoredRecord> = this.#records,
   ): boolean {
+    const { name, revision } = record;
     const current = records.get(name);
-    if (current !== undefined) return revision > current.revision;
-    return revision > this.removalRevisionOf(name);
+    if (current === undefined) return revision > this.removalRevisionOf(name);
+    if (revision < current.revision) return false;
+    if (revision === current.revision) return this.#isAhead(record, current);
+    return eraOf(revision) === eraOf(current.revision) ||
+      !this.#isAhead(current, record);
+  }
+
+  /** Whether the writer of `a` had come farther than that of `b`. */
+  #isAhead(a: StoredRecord, b: StoredRecord): boolean {
+    const progressOfA = this.#progressOf(a);
+    const progressOfB = this.#progressOf(b);
+    if (progressOfA === undefined || progressOfB === undefined) return false;
+    for (const [i, value] of progressOfA.entries()) {
+      const difference = value - (progressOfB[i] ?? 0);
+      if (difference !== 0) return difference > 0;
+    }
+    return false;
   }
 
   /** Removes a record, unless it is newer than the removal. */
   #remove(
     records: Map<string, StoredRecord>,
     { name, revision }: RecordRemoval,
+    now: number,
   ): boolean {
     const current = records.get(name);
     if (current !== undefined && current.revision > revision) return false;
     if (revision > this.removalRevisionOf(name)) {
       this.#removals.set(name, revision);
     }
-    return records.delete(name);
+    this.#lost.forget(name);
+    if (!records.delete(name)) return false;
+    this.#lost.recordRemoval(name, revision, now);
+    return true;
   }
 
   /** Puts records in force. Their newest revision and fingerprint are computed
@@ -156,12 +235,14 @@
     this.#changes += 1;
     this.#newestRevision = 0;
     this.#fingerprint = 0;
-    for (const { revision } of records.values()) {
+    this.#hasLostRecords = false;
+    for (const { revision, isLost } of records.values()) {
       this.#newestRevision = Math.max(this.#newestRevision, revision);
       this.#fingerprint = addFingerprints(
         this.#fingerprint,
-        fingerprintOf(revision),
+        fingerprintOf(isLost ? -revision : revision),
       );
+      if (isLost) this.#hasLostRecords = true;
     }
   }
 }
