Write members' entries and the assignment again after a restore

Cause: what an instance had written was taken to stay. An assignment that is gone was replaced under its old revision for ever, an entry that is gone counted as removed by others, an older assignment was obeyed at once.

Change: entries are written again at once, under the same tenure if the lease was held without a gap, else under a new one; the assignment is written as it was; an engine that an older assignment gives back waits for the lease of the owner between and the order gap; owners that the copy does not list keep their engines for a lease.

Of the six tests of restored_membership_test.ts five fail without the change; all pass with it, and the other tests of the membership.

--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -12,10 +12,12 @@
   type ConfirmationTimes,
   confirmationTimes,
   type EngineTable,
+  eraOf,
   ExpiryDetector,
   isLargeFleet,
   type Member,
   type MemberTable,
+  ORDER_LEASE_MS,
   OrderLease,
   OwnerMemory,
   planAssignment,
@@ -71,6 +73,10 @@
 /** Time between checks of whether the members are known, in milliseconds. */
 const MEMBERS_POLL_MS = 10;
 
+/** Time within which the instances of a large fleet write their entries again
+ * after the store was restored, in milliseconds. */
+const REWRITE_WITHIN_MS = 1000;
+
 /** Longest wait of one watch, in milliseconds. */
 const WATCH_WAIT_MS = 25_000;
 
@@ -142,6 +148,8 @@
   #owners: ReadonlyMap<string, string> = new Map();
   /** Whether the record in the store is malformed. */
   #isAssignmentDamaged = false;
+  /** The revision of the assignment in the store; undefined if it has none. */
+  #storedRevision: number | undefined;
   #fencingToken = 0;
   #entry: StoredRecord | undefined;
   #tenure: string | undefined;
@@ -156,6 +164,11 @@
   /** Durations of the latest renewals that the store answered, in
    * milliseconds. */
   readonly #renewalMs: number[] = [];
+  /** The era in which the store last accepted a renewal. */
+  #renewedEra = Infinity;
+  /** When the store was found to be restored from a copy. */
+  #restoredAt = -Infinity;
+  readonly #stopHearingOfEras: () => void;
   #isFollowingMembers = false;
   #isRenewalFailing = false;
   /** When the entries of members that are not heard of are read next. */
@@ -169,6 +182,7 @@
     this.#options = options;
     this.#lease = new OrderLease(options.clocks);
     this.#expiryDetector = new ExpiryDetector(options.clocks);
+    this.#stopHearingOfEras = store.onEraChange(() => this.#onRestore());
     this.#memberFollower = new RecordFollower(store, {
       kind: "members",
       waitMs: WATCH_WAIT_MS,
@@ -301,6 +315,7 @@
   /** Stops the followers, the renewals and the checks. */
   close(): void {
     this.#isClosed = true;
+    this.#stopHearingOfEras();
     this.#memberFollower.close();
     this.#assignmentFollower.close();
   }
@@ -338,7 +353,20 @@
     }
   }
 
-  async #renew(): Promise<void> {
+  /** Writes again what the restored store has lost of this instance. */
+  #onRestore(): void {
+    this.#restoredAt = performance.now();
+    this.reconnect();
+    const isLarge = isLargeFleet(this.#options.members.list().length);
+    setTimeout(
+      () => this.#startRenewal?.(),
+      isLarge ? Math.random() * REWRITE_WITHIN_MS : 0,
+    ).unref();
+  }
+
+  /** Renews the entry. A restored store holds none or an older one: it is then
+   * renewed `again`, once. */
+  async #renew(again = true): Promise<void> {
     const { self, clocks, rates, log } = this.#options;
     const sentAt = clocks.read();
     this.#renewedAt = sentAt.monotonic;
@@ -358,6 +386,7 @@
         value,
         revision: this.#entry?.revision,
       });
+      this.#renewedEra = eraOf(this.#entry.revision);
       this.#setTenure(tenure);
       this.#lease.recordRenewal(sentAt);
       this.#isRenewalFailing = false;
@@ -369,21 +398,28 @@
       if (!(err instanceof StoreCallError)) throw err;
       this.#isRenewalFailing = err.failure === "unknown" ||
         err.failure === "rejected";
-      if (err.failure === "not_found") this.#lease.revoke();
       const hadEntry = this.#entry !== undefined;
       if (hadEntry || err.failure !== "conflict") {
         log.write(events.RENEWAL_FAILED, { failure: err.failure });
         if (err.failure === "unknown") this.#options.onStoreFailure();
       }
-      // A write without a reply may have taken effect, and an earlier process
-      // may have left an entry. In both cases the tenure of the stored entry is
-      // kept.
       this.#followMembers();
       this.#entry = await this.#store.get("members", self.name);
       const existing = this.#entry && decodeStoredMember(this.#entry);
+      if (this.#renewedEra < (this.#store.era ?? 0)) {
+        // No one removes the entry while the lease is held. Later, others may
+        // have taken the engines in the time that the store has lost.
+        if (!this.#lease.isHeld()) this.#setTenure(undefined);
+        if (again) await this.#renew(false);
+        return;
+      }
+      if (err.failure === "not_found") this.#lease.revoke();
+      // A write without a reply may have taken effect, and an earlier process
+      // may have left an entry. In both cases the tenure of the stored entry is
+      // kept.
       this.#setTenure(existing?.tenure);
       if (!hadEntry && existing !== undefined) this.#adoptUse(existing);
-      if (!hadEntry && existing !== undefined) await this.#renew();
+      if (!hadEntry && existing !== undefined) await this.#renew(again);
     }
   }
 
@@ -447,6 +483,7 @@
 
   #setAssignment(records: ReadonlyMap<string, StoredRecord>): void {
     const record = records.get(ASSIGNMENT_RECORD_NAME);
+    this.#storedRevision = record?.revision;
     if (record === undefined || record.revision <= this.#fencingToken) return;
     const previous = this.#assignment;
     const decoded = decodeAssignment(record.value, previous);
@@ -466,15 +503,21 @@
         owner.split("#")[0] ?? owner,
       ]),
     );
+    const isRestored = this.#fencingToken > 0 &&
+      eraOf(record.revision) > eraOf(this.#fencingToken);
     this.#fencingToken = record.revision;
-    this.#updateOwnedEngines(previous);
+    this.#updateOwnedEngines(previous, { isRestored });
     this.#options.onAssignmentChange();
   }
 
   /** Updates which engines this instance owns under the assignment. Orders to a
    * newly owned engine wait until the order gap after its previous owner's
-   * orders has passed. */
-  #updateOwnedEngines(previous: StoredAssignment): void {
+   * orders has passed. An assignment of a restored store may go back behind a
+   * move, whose new owner orders until it hears of that or its lease ends. */
+  #updateOwnedEngines(
+    previous: StoredAssignment,
+    { isRestored = false } = {},
+  ): void {
     const { self, log, orderGapMs } = this.#options;
     const selfOwner = `${self.name}#${this.#tenure}`;
     for (const [key, { owner, movedAt }] of Object.entries(this.#assignment)) {
@@ -487,7 +530,9 @@
       if (this.#orderAllowedAt.has(key)) continue;
       // If this process did not observe the move, only the wall-clock time in
       // the assignment shows when it took place.
-      const delayMs = movedAt === 0
+      const delayMs = isRestored
+        ? ORDER_LEASE_MS + orderGapMs
+        : movedAt === 0
         ? 0
         : previous[key] === undefined
         ? movedAt + orderGapMs + WALL_CLOCK_SKEW_MS - Date.now()
@@ -591,7 +636,9 @@
         `${name}#${name === self.name ? this.#tenure : tenureOf(name)}`
       ),
     );
-    // An unresponsive owner keeps its engines until its entry is removed.
+    // An unresponsive owner keeps its engines until its entry is removed, and
+    // for the term of its lease if a restored store has lost the entry.
+    const mayBeLost = performance.now() - this.#restoredAt < ORDER_LEASE_MS;
     const kept: Record<string, string> = {};
     const owners = Object.fromEntries(
       Object.entries(current).map(([key, { owner }]) => [key, owner]),
@@ -602,7 +649,7 @@
       performance.now(),
     );
     for (const [key, owner] of Object.entries(formerOwners)) {
-      if (listedOwners.has(owner)) kept[key] = owner;
+      if (mayBeLost || listedOwners.has(owner)) kept[key] = owner;
     }
     const alivePeers = members.list().filter((m) => alive.includes(m.name));
     const added = planAssignment(
@@ -619,7 +666,8 @@
     const keys = Object.keys(planned);
     const isUnchanged = keys.length === Object.keys(current).length &&
       keys.every((key) => planned[key] === current[key]?.owner);
-    if (isUnchanged && !this.#isAssignmentDamaged) return;
+    const isStored = this.#storedRevision !== undefined || keys.length === 0;
+    if (isUnchanged && !this.#isAssignmentDamaged && isStored) return;
     const value: Record<string, StoredOwner> = {};
     for (const key of keys) {
       const owner = planned[key] ?? "";
@@ -635,7 +683,7 @@
     const record = await this.#store.put("assignment", {
       name: ASSIGNMENT_RECORD_NAME,
       value,
-      revision: this.#fencingToken === 0 ? undefined : this.#fencingToken,
+      revision: this.#storedRevision,
     });
     this.#assignmentFollower.readNow();
     log.write(events.ASSIGNMENT_WRITTEN, {
--- /dev/null
+++ b/packages/gateway/src/restored_store/restored_membership_test.ts
@@ -0,0 +1,215 @@
+import {
+  EngineTable,
+  type Member,
+  MemberTable,
+  ORDER_LEASE_MS,
+} from "@banyanlb/serving";
+import { memberOf } from "@banyanlb/serving/testing";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { Membership } from "../membership.ts";
+import { FakeRecordStore } from "../testing/fake_record_store.ts";
+import { membershipOptions } from "../testing/membership_options.ts";
+
+const ENGINE = "e1@1";
+
+/** Time after which an instance has settled and owns the engine, in
+ * milliseconds. */
+const SETTLED_MS = 6000;
+
+/** Minimum time between the orders of two owners, in milliseconds. */
+const ORDER_GAP_MS = 1000;
+
+const STEP_MS = 50;
+
+const cleanups: (() => void)[] = [];
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+
+afterEach(() => {
+  for (const cleanup of cleanups.splice(0)) cleanup();
+  vi.useRealTimers();
+});
+
+function member(name: string, port: number): Member {
+  const address = `127.0.0.1:${port}`;
+  return memberOf(name, { peerAddress: address, callerAddress: address });
+}
+
+function createStore(): FakeRecordStore {
+  const store = new FakeRecordStore();
+  store.isWritable = true;
+  cleanups.push(() => store.close());
+  return store;
+}
+
+/** Writes that give out more numbers than a copy has. */
+function writeMuch(store: FakeRecordStore): void {
+  for (let i = 0; i < 50; i += 1) store.write("holds", "other", i);
+}
+
+function startMembership(store: FakeRecordStore): Membership {
+  const engineTable = new EngineTable();
+  engineTable.setEngines([{
+    key: ENGINE,
+    id: "e1",
+    service: "svc",
+    host: "127.0.0.1",
+    port: 1,
+    zone: "z",
+    slots: 1,
+    leaving: false,
+    remainingMs: undefined,
+    models: [],
+  }]);
+  const members = new MemberTable("a", performance.now());
+  const membership = new Membership(store, {
+    ...membershipOptions(member("a", 1), members),
+    engineTable,
+    orderGapMs: ORDER_GAP_MS,
+  });
+  membership.start();
+  membership.startAssignment();
+  cleanups.push(() => membership.close());
+  return membership;
+}
+
+/** Whether the membership may order at each moment of `ms`. */
+async function ordersFor(
+  membership: Membership,
+  ms: number,
+): Promise<readonly boolean[]> {
+  const may: boolean[] = [];
+  for (let passedMs = 0; passedMs < ms; passedMs += STEP_MS) {
+    await vi.advanceTimersByTimeAsync(STEP_MS);
+    may.push(membership.mayOrder(ENGINE));
+  }
+  return may;
+}
+
+async function storedOwner(
+  store: FakeRecordStore,
+): Promise<string | undefined> {
+  const record = await store.get("assignment", "engines");
+  const value = record?.value as Record<string, { owner: string }> | undefined;
+  return value?.[ENGINE]?.owner;
+}
+
+// Guards against engines whose owner may not order for seconds, or that have no
+// owner any more: its entry and the assignment are older, or gone.
+test.each([["with", true], ["without", false]])(
+  "an owner goes on after a restore to a copy %s its entry and assignment",
+  async (_, isCopied) => {
+    const store = createStore();
+    if (!isCopied) store.copy();
+    const membership = startMembership(store);
+    await vi.advanceTimersByTimeAsync(SETTLED_MS);
+    if (isCopied) store.copy();
+    writeMuch(store);
+    await vi.advanceTimersByTimeAsync(SETTLED_MS);
+    expect(membership.mayOrder(ENGINE)).toBe(true);
+    const { fence, tenure } = membership;
+    store.restore();
+    expect(await ordersFor(membership, 3 * ORDER_LEASE_MS))
+      .not.toContain(false);
+    expect(membership.tenure).toBe(tenure);
+    expect(membership.fence).toBeGreaterThan(fence);
+    expect(await store.get("members", "a")).toMatchObject({
+      value: { tenure },
+    });
+    expect(await storedOwner(store)).toBe(`a#${tenure}`);
+  },
+);
+
+// Guards against two instances that order at one engine: the assignment names the
+// owner of before a move again, and the one that had the engine since may not
+// have heard of it.
+test("an owner whose engine comes back waits for the lease of the one between", async () => {
+  const store = createStore();
+  const entry = { ...member("b", 2), tenure: "1", renewals: 1 };
+  store.write("members", "b", entry);
+  const membership = startMembership(store);
+  await vi.advanceTimersByTimeAsync(SETTLED_MS);
+  expect(membership.mayOrder(ENGINE)).toBe(true);
+  store.copy();
+  store.write("assignment", "engines", {
+    [ENGINE]: { owner: "b#1", movedAt: Date.now() },
+  });
+  writeMuch(store);
+  await vi.advanceTimersByTimeAsync(1000);
+  expect(membership.ownerOf(ENGINE)).toBe("b");
+  store.restore();
+  const may = await ordersFor(membership, ORDER_LEASE_MS + ORDER_GAP_MS);
+  expect(membership.ownerOf(ENGINE)).toBe("a");
+  expect(may).not.toContain(true);
+  expect(await ordersFor(membership, 2000)).toContain(true);
+});
+
+// Guards against an owner that was cut off for longer than its lease, lost its
+// engines in the time that the store has lost, and is named by the copy.
+test("an owner without its lease owns nothing after a restore", async () => {
+  const store = createStore();
+  const membership = startMembership(store);
+  await vi.advanceTimersByTimeAsync(SETTLED_MS);
+  const { tenure } = membership;
+  store.copy();
+  writeMuch(store);
+  store.isWritable = false;
+  await vi.advanceTimersByTimeAsync(ORDER_LEASE_MS);
+  expect(membership.holdsLease).toBe(false);
+  store.restore();
+  store.isWritable = true;
+  const may = await ordersFor(membership, ORDER_GAP_MS);
+  expect(may).not.toContain(true);
+  expect(membership.tenure).not.toBe(tenure);
+});
+
+// Guards against engines that are taken from an owner whose entry the store has
+// lost, while it still holds its lease.
+test("an owner that a restored store does not list keeps its engines for a lease", async () => {
+  const store = createStore();
+  const assign = () =>
+    store.write("assignment", "engines", {
+      [ENGINE]: { owner: "b#1", movedAt: 0 },
+    });
+  assign();
+  store.copy();
+  store.write("members", "b", {
+    ...member("b", 2),
+    tenure: "1",
+    renewals: 1,
+  });
+  writeMuch(store);
+  const membership = startMembership(store);
+  await vi.advanceTimersByTimeAsync(SETTLED_MS);
+  expect(membership.ownerOf(ENGINE)).toBe("b");
+  store.restore();
+  await vi.advanceTimersByTimeAsync(ORDER_LEASE_MS - 500);
+  expect(await storedOwner(store)).toBe("b#1");
+  await vi.advanceTimersByTimeAsync(2000);
+  expect(await storedOwner(store)).toBe(`a#${membership.tenure}`);
+});
+
+// Guards against a store that rejects the first writing after the restore: the
+// copy's entry must not give its older tenure back.
+test("a renewal that fails again keeps the tenure of this instance", async () => {
+  const store = createStore();
+  const membership = startMembership(store);
+  await vi.advanceTimersByTimeAsync(SETTLED_MS);
+  const { tenure } = membership;
+  store.write("members", "a", {
+    ...member("a", 1),
+    tenure: "older",
+    renewals: 1,
+  });
+  store.copy();
+  writeMuch(store);
+  store.restore();
+  store.isWritable = false;
+  await vi.advanceTimersByTimeAsync(2500);
+  store.isWritable = true;
+  await vi.advanceTimersByTimeAsync(2500);
+  expect(membership.tenure).toBe(tenure);
+  expect(await store.get("members", "a")).toMatchObject({ value: { tenure } });
+});
