Write held prompt parts again after a restore

A store that is restored from a copy holds an older record of the held parts, or none. Nobody noticed, so after the loss of all instances a part that crashes engines would be sent again. The record is read after each restore, merged, and written if it has other parts. Without the change the two new tests of hold_keeper_test.ts end without the parts.

--- a/packages/gateway/src/hold_keeper.ts
+++ b/packages/gateway/src/hold_keeper.ts
@@ -35,6 +35,9 @@
   readonly parts: Readonly<Record<string, HoldRecord>>;
 }
 
+/** The calls of the store that the keeper uses. */
+export type HoldStore = Pick<RecordStore, "get" | "put" | "onEraChange">;
+
 /** Parts of the gateway that the keeper uses. */
 export interface HoldKeeperOptions {
   readonly quarantine: PartQuarantine;
@@ -45,9 +48,10 @@
 
 /** Reads the held parts at the start, and writes them when they change. */
 export class HoldKeeper {
-  readonly #store: Pick<RecordStore, "get" | "put">;
+  readonly #store: HoldStore;
   readonly #options: HoldKeeperOptions;
   readonly #startedAt = performance.now();
+  readonly #stopHearingOfEras: () => void;
   #timer: NodeJS.Timeout | undefined;
   #hasRead = false;
   #isBusy = false;
@@ -57,11 +61,13 @@
   #storedState = "";
 
   constructor(
-    store: Pick<RecordStore, "get" | "put">,
+    store: HoldStore,
     options: HoldKeeperOptions,
   ) {
     this.#store = store;
     this.#options = options;
+    // A restored store may hold an older record, or none.
+    this.#stopHearingOfEras = store.onEraChange(() => (this.#hasRead = false));
   }
 
   /** Whether the record was read, or has taken too long to wait for. */
@@ -78,6 +84,7 @@
   /** Stops the checks. */
   close(): void {
     clearInterval(this.#timer);
+    this.#stopHearingOfEras();
   }
 
   /** Reads the record if that has not succeeded yet; writes it if this instance
@@ -111,7 +118,10 @@
     this.#hasRead = true;
     this.#revision = record?.revision;
     const stored = decodeHolds(record?.value);
-    if (stored === undefined) return;
+    if (stored === undefined) {
+      this.#storedState = "";
+      return;
+    }
     const ageMs = Math.max(0, Date.now() - stored.savedAtMs);
     const records = Object.entries(stored.parts).map((
       [part, hold],
--- a/packages/gateway/src/hold_keeper_test.ts
+++ b/packages/gateway/src/hold_keeper_test.ts
@@ -13,6 +13,18 @@
   record: StoredRecord | undefined;
   writes = 0;
   isDown = false;
+  readonly #eraListeners: ((era: number) => void)[] = [];
+
+  onEraChange(listener: (era: number) => void): () => void {
+    this.#eraListeners.push(listener);
+    return () => undefined;
+  }
+
+  /** Comes back from a copy that holds `record`. */
+  restore(record: StoredRecord | undefined): void {
+    this.record = record;
+    for (const listener of this.#eraListeners) listener(2);
+  }
 
   get(): Promise<StoredRecord | undefined> {
     if (this.isDown) return Promise.reject(new StoreCallError("unknown", ""));
@@ -183,4 +195,23 @@
     expect(keeper.isReady).toBe(true);
     expect(quarantine.size).toBe(0);
   });
+
+  // The restored store holds the record of before, or none: a part that crashes
+  // engines would be forgotten with the instances.
+  test.each([["an older record", true], ["no record", false]])(
+    "are written again when the store comes back with %s",
+    async (_, hasOlder) => {
+      const store = new FakeStore();
+      const { quarantine, keeper } = startKeeper(store);
+      holdPart(quarantine, "p");
+      await keeper.check();
+      const older = structuredClone(store.record);
+      holdPart(quarantine, "q");
+      await keeper.check();
+      store.restore(hasOlder ? older : undefined);
+      await keeper.check();
+      await keeper.check();
+      expect(store.record?.value).toMatchObject({ parts: { p: {}, q: {} } });
+    },
+  );
 });
