Let the store come back from older copies in the soak (--restores)

The operator writes again what it sent last: the newest configuration, under a condition and only where the store's is older, and the state of each zone that it evacuated.

The checks are unchanged: those that excuse faults do so until the calm part, which begins after the operator's writes are confirmed, and the others hold during restores as during outages.

--- a/packages/trials/src/soak/faults.ts
+++ b/packages/trials/src/soak/faults.ts
@@ -158,6 +158,28 @@
   },
 };
 
+/** Ages of the copies from which the store comes back, and for how long it is
+ * away, in milliseconds. */
+const COPY_AGES_MS: readonly number[] = [300, 1000, 2000, 4000, 6000];
+const AWAY_MS: readonly number[] = [0, 200, 700, 1500];
+
+/** The faults of a soak with restores. */
+const faultsWithRestores: Readonly<Record<string, Fault>> = {
+  ...faults,
+  store_restored: (world, pick) => {
+    const ageMs = pick(COPY_AGES_MS);
+    const isBack = world.restoreStore({ ageMs, awayMs: pick(AWAY_MS) });
+    return () => isBack;
+  },
+};
+
+const GATEWAY_RESTARTS: readonly string[] = [
+  "gateway_killed",
+  "gateway_stopped",
+  "all_gateways_killed",
+  "gateways_restarted_in_series",
+];
+
 /** Time between the signals to gateways that are restarted in series, in
  * milliseconds. A gateway that is stopped takes longer to exit. */
 const SERIES_STEP_MS = 300;
@@ -172,9 +194,14 @@
  * milliseconds. */
 export async function runFaults(
   world: SoakWorld,
-  options: { readonly random: () => number; readonly durationMs: number },
+  options: {
+    readonly random: () => number;
+    readonly durationMs: number;
+    /** Whether the store comes back from older copies, at least twice. */
+    readonly restoresStore: boolean;
+  },
 ): Promise<readonly string[]> {
-  const { random, durationMs } = options;
+  const { random, durationMs, restoresStore } = options;
   const pick: PickOne = (items) => {
     const item = items[Math.floor(random() * items.length)];
     if (item === undefined) throw new Error("nothing to pick from");
@@ -183,8 +210,24 @@
   const startMs = performance.now();
   const injected: string[] = [];
   const lifts: Promise<unknown>[] = [];
-  while (performance.now() - startMs < durationMs) {
-    const [name, fault] = pick(Object.entries(faults));
+  const pool = Object.entries(restoresStore ? faultsWithRestores : faults);
+  // The names of the first faults; any fault where there is none.
+  const planned = restoresStore
+    ? [
+      undefined,
+      "store_restored",
+      pick(GATEWAY_RESTARTS),
+      undefined,
+      "store_restored",
+    ]
+    : [];
+  while (performance.now() - startMs < durationMs || planned.length > 0) {
+    const plannedName = planned.shift();
+    const [name, fault] = pick(
+      plannedName === undefined
+        ? pool
+        : pool.filter(([other]) => other === plannedName),
+    );
     const faultMs = MIN_FAULT_MS + random() * FAULT_JITTER_MS;
     injected.push(
       `${Math.round(performance.now() - startMs)} ${name} ${
--- a/packages/trials/src/soak/main.ts
+++ b/packages/trials/src/soak/main.ts
@@ -17,6 +17,7 @@
   readonly gateways: number;
   readonly engines: number;
   readonly fill: boolean;
+  readonly restores?: boolean;
 }
 
 const PLAIN_SERVICES = 2;
@@ -30,6 +31,7 @@
   .option("--gateways", "Number of gateways", 5)
   .option("--engines", "Number of engines with adapters", 4)
   .option("--no-fill", "Fill no links while callers leave in the calm part")
+  .option("--restores", "Let the store come back from older copies")
   .action(async (flags: Flags) => {
     const first = Number(flags.seed ?? Math.floor(Math.random() * FRESH_SEEDS));
     let failed = 0;
@@ -38,6 +40,7 @@
         seed: first + i,
         faultPhaseMs: Number(flags.seconds) * 1000,
         fillsLinks: flags.fill !== false,
+        restoresStore: flags.restores === true,
         size: {
           gateways: Number(flags.gateways),
           engines: Number(flags.engines),
--- a/packages/trials/src/soak/soak.ts
+++ b/packages/trials/src/soak/soak.ts
@@ -106,9 +106,12 @@
     /** Whether callers leave while the links to the engines of a zone are full,
      * in the calm part. */
     readonly fillsLinks: boolean;
+    /** Whether the store comes back from older copies in the fault phase. */
+    readonly restoresStore?: boolean;
   },
 ): Promise<SoakResult> {
-  const { seed, faultPhaseMs, size, fillsLinks } = options;
+  const { seed, faultPhaseMs, size, fillsLinks, restoresStore = false } =
+    options;
   const random = createRandom(seed);
   const world = new SoakWorld(seed);
   let withdrawnAtMs = Infinity;
@@ -157,7 +160,11 @@
     });
     await pause(WARM_UP_MS);
     const callerTasks = callers.map((caller) => caller.run());
-    const faults = await runFaults(world, { random, durationMs: faultPhaseMs });
+    const faults = await runFaults(world, {
+      random,
+      durationMs: faultPhaseMs,
+      restoresStore,
+    });
     world.sendsCrashingPart = true;
     await pause(STABLE_MS);
     const calmFromMs = Date.now();
--- a/packages/trials/src/soak/world.ts
+++ b/packages/trials/src/soak/world.ts
@@ -13,11 +13,13 @@
   encodeSettings,
   type EngineRecord,
   type EngineStandInOptions,
+  publishAgain,
   publishConfiguration,
   setEvacuated,
   STAND_IN_PROGRAM,
   TRIAL_COLD,
   TRIAL_RATE_WINDOW_MS,
+  type TrialConfiguration,
   type TrialLimit,
 } from "@banyanlb/platform/stand_in";
 import type { LimitChange, WorkspaceLimits } from "./limit_checks.ts";
@@ -49,6 +51,15 @@
  * milliseconds. */
 const EVACUATION_RETRY_MS = 300;
 
+/** Time between two looks whether the store is back, and until what it lost is
+ * sent to it again, in milliseconds. */
+const RESTORE_POLL_MS = 10;
+const WRITE_AGAIN_RETRY_MS = 100;
+
+/** Least age of the first configuration in a copy from which the store comes
+ * back, in milliseconds. */
+const CONFIGURATION_AGE_MS = 500;
+
 /** Time after which an engine that crashed is started again, in milliseconds. */
 const CRASH_RESTART_MS = 1000;
 
@@ -115,7 +126,18 @@
   };
   readonly #limitChanges: LimitChange[] = [];
   #limit = LIMITS.usual;
+  /** What the operator published last, and its place in the limit changes. */
+  #published: {
+    readonly spec: TrialConfiguration;
+    readonly changeIndex: number;
+  } | undefined;
+  /** Whether a zone is evacuated, by what the operator sent last. */
+  readonly #evacuated = new Map<string, boolean>();
   #store: SoakProcess;
+  #startedAt = Infinity;
+  /** Number of restores that were started, and after which the store is back. */
+  #restoresStarted = 0;
+  #restoresEnded = 0;
   #version = 1;
   #isClosed = false;
 
@@ -125,7 +147,11 @@
     this.#store = this.#startProcess("store", STAND_IN_PROGRAM, [
       "store",
       JSON.stringify(this.#storeAddress),
-    ]);
+    ], {
+      onLine: (line) => {
+        if (line.includes('"restored"')) this.#restoresEnded += 1;
+      },
+    });
   }
 
   /** Process of the store. */
@@ -159,6 +185,7 @@
       if (performance.now() > until) throw new Error("the store did not start");
       await pause(100);
     }
+    this.#startedAt = performance.now();
     for (let i = 0; i < size.engines + size.plain; i++) {
       const proxy = new LinkProxy({
         host: this.#addressOf(20 + i),
@@ -202,28 +229,68 @@
   ): Promise<boolean> {
     this.#version += 1;
     this.#limit = limit;
-    const change: LimitChange = { limit, sentAt: Date.now() };
-    const index = this.#limitChanges.push(change) - 1;
-    const isAccepted = await publishConfiguration(
-      this.#storeAddress,
-      buildTrialConfiguration({
-        version: this.#version,
-        model: MODEL,
-        adapterSlots: ADAPTER_SLOTS,
-        slots: REQUEST_SLOTS,
-        keys: this.#keys,
-        limits: { [LIMITED_WORKSPACE]: limit },
-      }),
-    );
-    if (isAccepted) {
-      this.#limitChanges[index] = { ...change, acceptedAt: Date.now() };
-    }
+    const changeIndex = this.#limitChanges.push({ limit, sentAt: Date.now() }) -
+      1;
+    const spec = buildTrialConfiguration({
+      version: this.#version,
+      model: MODEL,
+      adapterSlots: ADAPTER_SLOTS,
+      slots: REQUEST_SLOTS,
+      keys: this.#keys,
+      limits: { [LIMITED_WORKSPACE]: limit },
+    });
+    this.#published = { spec, changeIndex };
+    const isAccepted = await publishConfiguration(this.#storeAddress, spec);
+    if (isAccepted) this.#recordAccepted(changeIndex);
     return isAccepted;
   }
 
+  /** Lets the store come back from a copy of the given age after `awayMs`, and
+   * writes again what it lost. Resolves when the store confirmed all of it. */
+  async restoreStore(
+    { ageMs, awayMs }: { readonly ageMs: number; readonly awayMs: number },
+  ): Promise<void> {
+    this.#restoresStarted += 1;
+    const restores = this.#restoresStarted;
+    const longestMs = performance.now() - this.#startedAt -
+      CONFIGURATION_AGE_MS;
+    const copyAgeMs = Math.round(Math.max(0, Math.min(ageMs, longestMs)));
+    this.#store.write(`restore ${copyAgeMs} ${awayMs}`);
+    while (!this.#isClosed && this.#restoresEnded < restores) {
+      await pause(RESTORE_POLL_MS);
+    }
+    while (!this.#isClosed && !await this.#writeAgain()) {
+      await pause(WRITE_AGAIN_RETRY_MS);
+    }
+  }
+
+  /** Writes again what the operator wrote. Returns whether the store confirmed
+   * it and the operator has sent nothing else about a zone meanwhile. */
+  async #writeAgain(): Promise<boolean> {
+    if (this.#published !== undefined) {
+      const { spec, changeIndex } = this.#published;
+      if (!await publishAgain(this.#storeAddress, spec)) return false;
+      this.#recordAccepted(changeIndex);
+    }
+    for (const [zone, isEvacuated] of this.#evacuated) {
+      if (!await setEvacuated(this.#storeAddress, zone, isEvacuated)) {
+        return false;
+      }
+      if (this.#evacuated.get(zone) !== isEvacuated) return false;
+    }
+    return true;
+  }
+
+  #recordAccepted(changeIndex: number): void {
+    const change = this.#limitChanges[changeIndex];
+    if (change === undefined || change.acceptedAt !== undefined) return;
+    this.#limitChanges[changeIndex] = { ...change, acceptedAt: Date.now() };
+  }
+
   /** Evacuates a zone. Returns the function that ends the evacuation, after which
    * its engines are cold. */
   evacuate(zone: string): () => Promise<void> {
+    this.#evacuated.set(zone, true);
     const evacuated = setEvacuated(this.#storeAddress, zone, true)
       .then((isAccepted) => isAccepted ? Date.now() : undefined);
     return async () => {
@@ -232,6 +299,7 @@
         if (engine.zone === zone && !engine.plain) this.coolDown(engine);
       }
       const endedAt = Date.now();
+      this.#evacuated.set(zone, false);
       while (
         !this.#isClosed && !await setEvacuated(this.#storeAddress, zone, false)
       ) await pause(EVACUATION_RETRY_MS);
@@ -303,9 +371,14 @@
       );
   }
 
-  /** Output lines of all gateways, each prefixed with the gateway's name. */
+  /** Output lines of the store and all gateways, each prefixed with the name of
+   * the process. */
   logs(): readonly string[] {
-    const all = [...this.ended, ...this.gateways.map((g) => g.process)];
+    const all = [
+      this.#store,
+      ...this.ended,
+      ...this.gateways.map((g) => g.process),
+    ];
     return all.flatMap((p) => p.lines.map((line) => `${p.name} ${line}`));
   }
 
