--- a/packages/trials/src/soak/world.ts
+++ b/packages/trials/src/soak/world.ts
@@ -146,7 +146,7 @@
     this.#prefix = `127.${20 + Math.floor(n / 250)}.${n % 250}`;
     this.#store = this.#startProcess("store", STAND_IN_PROGRAM, [
       "store",
-      JSON.stringify(this.#storeAddress),
+      JSON.stringify(this.storeAddress),
     ], {
       onLine: (line) => {
         if (line.includes('"restored"')) this.#restoresEnded += 1;
@@ -159,6 +159,11 @@
     return this.#store;
   }
 
+  /** Address of the store. */
+  get storeAddress() {
+    return { host: this.#addressOf(1), port: STORE_PORT };
+  }
+
   /** Valid keys by workspace. */
   get keys(): Readonly<Record<string, readonly string[]>> {
     return this.#keys;
@@ -205,7 +210,7 @@
       this.#restartAfterCrash(engine);
     }
     for (let i = 0; i < size.gateways; i++) {
-      const storeLink = new LinkProxy(this.#storeAddress);
+      const storeLink = new LinkProxy(this.storeAddress);
       await storeLink.listen({
         host: this.#addressOf(140 + i),
         port: STORE_PORT,
@@ -240,7 +245,7 @@
       limits: { [LIMITED_WORKSPACE]: limit },
     });
     this.#published = { spec, changeIndex };
-    const isAccepted = await publishConfiguration(this.#storeAddress, spec);
+    const isAccepted = await publishConfiguration(this.storeAddress, spec);
     if (isAccepted) this.#recordAccepted(changeIndex);
     return isAccepted;
   }
@@ -269,11 +274,11 @@
   async #writeAgain(): Promise<boolean> {
     if (this.#published !== undefined) {
       const { spec, changeIndex } = this.#published;
-      if (!await publishAgain(this.#storeAddress, spec)) return false;
+      if (!await publishAgain(this.storeAddress, spec)) return false;
       this.#recordAccepted(changeIndex);
     }
     for (const [zone, isEvacuated] of this.#evacuated) {
-      if (!await setEvacuated(this.#storeAddress, zone, isEvacuated)) {
+      if (!await setEvacuated(this.storeAddress, zone, isEvacuated)) {
         return false;
       }
       if (this.#evacuated.get(zone) !== isEvacuated) return false;
@@ -291,7 +296,7 @@
    * its engines are cold. */
   evacuate(zone: string): () => Promise<void> {
     this.#evacuated.set(zone, true);
-    const evacuated = setEvacuated(this.#storeAddress, zone, true)
+    const evacuated = setEvacuated(this.storeAddress, zone, true)
       .then((isAccepted) => isAccepted ? Date.now() : undefined);
     return async () => {
       const acceptedAt = await evacuated;
@@ -301,7 +306,7 @@
       const endedAt = Date.now();
       this.#evacuated.set(zone, false);
       while (
-        !this.#isClosed && !await setEvacuated(this.#storeAddress, zone, false)
+        !this.#isClosed && !await setEvacuated(this.storeAddress, zone, false)
       ) await pause(EVACUATION_RETRY_MS);
       if (acceptedAt !== undefined) {
         this.evacuations.push({ zone, acceptedAt, endedAt });
@@ -396,10 +401,6 @@
     rmSync(this.#directory, { recursive: true, force: true });
   }
 
-  get #storeAddress() {
-    return { host: this.#addressOf(1), port: STORE_PORT };
-  }
-
   #addressOf(hostNumber: number): string {
     return `${this.#prefix}.${hostNumber}`;
   }
@@ -433,7 +434,7 @@
       host: this.#addressOf(20 + index),
       port: ENGINE_PORT,
       advertisedAddress: `${this.#addressOf(60 + index)}:${ENGINE_PORT}`,
-      store: this.#storeAddress,
+      store: this.storeAddress,
       slots: REQUEST_SLOTS,
       adapterSlots: plain ? 0 : ADAPTER_SLOTS,
       model: MODEL,
