Wait for owners between, and let instances agree on what is lost

Cause: the wait was tied to the one assignment that crosses the restore, and what is lost was stamped by each instance with its own list. Change: the wait (RestoreWait) belongs to the era and to engines that were not owned over it; members' entries tell when a restore was noticed. Records are hidden by their last own number, lost ones compared by name and progress, engines' older entries count after 5 s.

--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -14,14 +14,15 @@
   type EngineTable,
   eraOf,
   ExpiryDetector,
+  FIRST_ERA,
   isLargeFleet,
   type Member,
   type MemberTable,
-  ORDER_LEASE_MS,
   OrderLease,
   OwnerMemory,
   planAssignment,
   type RecordStore,
+  RestoreWait,
   StoreCallError,
   type StoredRecord,
 } from "@banyanlb/serving";
@@ -166,8 +167,10 @@
   readonly #renewalMs: number[] = [];
   /** The era in which the store last accepted a renewal. */
   #renewedEra = Infinity;
-  /** When the store was found to be restored from a copy. */
-  #restoredAt = -Infinity;
+  readonly #restoreWait: RestoreWait;
+  /** The engines that this instance has owned since before the last restore of
+   * the store. */
+  #heldOver: ReadonlySet<string> = new Set();
   readonly #stopHearingOfEras: () => void;
   #isFollowingMembers = false;
   #isRenewalFailing = false;
@@ -182,7 +185,8 @@
     this.#options = options;
     this.#lease = new OrderLease(options.clocks);
     this.#expiryDetector = new ExpiryDetector(options.clocks);
-    this.#stopHearingOfEras = store.onEraChange(() => this.#onRestore());
+    this.#restoreWait = new RestoreWait(options.clocks);
+    this.#stopHearingOfEras = store.onEraChange((era) => this.#onRestore(era));
     this.#memberFollower = new RecordFollower(store, {
       kind: "members",
       waitMs: WATCH_WAIT_MS,
@@ -232,8 +236,23 @@
    * turn. */
   mayOrder(engineKey: string): boolean {
     const allowedAt = this.#orderAllowedAt.get(engineKey);
-    return allowedAt !== undefined && performance.now() >= allowedAt &&
-      this.#lease.isHeld();
+    if (allowedAt === undefined || performance.now() < allowedAt) return false;
+    if (!this.#lease.isHeld()) return false;
+    const isHeldOver = this.#heldOver.has(engineKey);
+    if (!isHeldOver && !this.#isRestoreOver) return false;
+    // The restored store may name another owner.
+    const isOfEra = eraOf(this.#fencingToken) >= this.#era;
+    return isOfEra || this.#lease.isFormerHeld();
+  }
+
+  /** The era of the store. */
+  get #era(): number {
+    return this.#store.era ?? FIRST_ERA;
+  }
+
+  /** Whether the owners of before the last restore of the store have ended. */
+  get #isRestoreOver(): boolean {
+    return this.#restoreWait.isOver(this.#era, this.#options.orderGapMs);
   }
 
   /** Whether the store has confirmed this instance's entry within the term after
@@ -354,9 +373,19 @@
   }
 
   /** Writes again what the restored store has lost of this instance. */
-  #onRestore(): void {
-    this.#restoredAt = performance.now();
+  #onRestore(era: number): void {
+    const isFormerOver = this.#restoreWait.isOver(
+      era - 1,
+      this.#options.orderGapMs,
+    );
+    this.#heldOver = new Set(
+      isFormerOver ? this.#orderAllowedAt.keys() : this.#heldOver,
+    );
+    this.#restoreWait.recordRestore(era);
+    this.#lease.recordRestore();
     this.reconnect();
+    this.#memberFollower.readNow();
+    this.#assignmentFollower.readNow();
     const isLarge = isLargeFleet(this.#options.members.list().length);
     setTimeout(
       () => this.#startRenewal?.(),
@@ -378,6 +407,7 @@
       renewals: this.#renewals,
       use: rates.useAt(performance.now()),
       useAt: sentAt.wall,
+      restore: this.#restoreWait.noticeOf(this.#era),
     };
     const isFirst = this.#entry === undefined;
     try {
@@ -406,7 +436,7 @@
       this.#followMembers();
       this.#entry = await this.#store.get("members", self.name);
       const existing = this.#entry && decodeStoredMember(this.#entry);
-      if (this.#renewedEra < (this.#store.era ?? 0)) {
+      if (this.#renewedEra < this.#era) {
         // No one removes the entry while the lease is held. Later, others may
         // have taken the engines in the time that the store has lost.
         if (!this.#lease.isHeld()) this.#setTenure(undefined);
@@ -462,6 +492,7 @@
     if (this.#tenure === tenure) return;
     this.#tenure = tenure;
     this.#orderAllowedAt.clear();
+    this.#heldOver = new Set();
     this.#updateOwnedEngines({});
   }
 
@@ -471,6 +502,13 @@
       if (entry === undefined) this.#logIgnoredMember(record.name);
       return entry ?? [];
     });
+    const { name: self, incarnation: own } = this.#options.self;
+    for (const { name, restore, incarnation } of entries) {
+      if (restore === undefined || (name === self && incarnation === own)) {
+        continue;
+      }
+      this.#restoreWait.learn(restore, this.#era);
+    }
     this.#tenureByMember = new Map(entries.map((e) => [e.name, e.tenure]));
     this.#options.members.setMembers(entries, performance.now());
   }
@@ -503,25 +541,20 @@
         owner.split("#")[0] ?? owner,
       ]),
     );
-    const isRestored = this.#fencingToken > 0 &&
-      eraOf(record.revision) > eraOf(this.#fencingToken);
     this.#fencingToken = record.revision;
-    this.#updateOwnedEngines(previous, { isRestored });
+    this.#updateOwnedEngines(previous);
     this.#options.onAssignmentChange();
   }
 
   /** Updates which engines this instance owns under the assignment. Orders to a
    * newly owned engine wait until the order gap after its previous owner's
-   * orders has passed. An assignment of a restored store may go back behind a
-   * move, whose new owner orders until it hears of that or its lease ends. */
-  #updateOwnedEngines(
-    previous: StoredAssignment,
-    { isRestored = false } = {},
-  ): void {
+   * orders has passed. */
+  #updateOwnedEngines(previous: StoredAssignment): void {
     const { self, log, orderGapMs } = this.#options;
     const selfOwner = `${self.name}#${this.#tenure}`;
     for (const [key, { owner, movedAt }] of Object.entries(this.#assignment)) {
       if (owner !== selfOwner) {
+        this.#loseHeldOver(key);
         if (this.#orderAllowedAt.delete(key)) {
           log.write(events.OWNERSHIP_CHANGED, { engine: key, owner });
         }
@@ -530,9 +563,7 @@
       if (this.#orderAllowedAt.has(key)) continue;
       // If this process did not observe the move, only the wall-clock time in
       // the assignment shows when it took place.
-      const delayMs = isRestored
-        ? ORDER_LEASE_MS + orderGapMs
-        : movedAt === 0
+      const delayMs = movedAt === 0
         ? 0
         : previous[key] === undefined
         ? movedAt + orderGapMs + WALL_CLOCK_SKEW_MS - Date.now()
@@ -546,10 +577,17 @@
       });
     }
     for (const key of this.#orderAllowedAt.keys()) {
-      if (this.#assignment[key] === undefined) this.#orderAllowedAt.delete(key);
+      if (this.#assignment[key] !== undefined) continue;
+      this.#orderAllowedAt.delete(key);
+      this.#loseHeldOver(key);
     }
   }
 
+  #loseHeldOver(key: string): void {
+    if (!this.#heldOver.has(key)) return;
+    this.#heldOver = new Set([...this.#heldOver].filter((k) => k !== key));
+  }
+
   /** The names of the other members that are alive. */
   #aliveNames(): readonly string[] {
     const { members } = this.#options;
@@ -638,7 +676,7 @@
     );
     // An unresponsive owner keeps its engines until its entry is removed, and
     // for the term of its lease if a restored store has lost the entry.
-    const mayBeLost = performance.now() - this.#restoredAt < ORDER_LEASE_MS;
+    const mayBeLost = !this.#isRestoreOver;
     const kept: Record<string, string> = {};
     const owners = Object.fromEntries(
       Object.entries(current).map(([key, { owner }]) => [key, owner]),
--- a/packages/gateway/src/membership_entries.ts
+++ b/packages/gateway/src/membership_entries.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { parseAddress } from "@banyanlb/platform";
-import type { Member, StoredRecord } from "@banyanlb/serving";
+import type { Member, RestoreNotice, StoredRecord } from "@banyanlb/serving";
 import type { UseByWorkspace } from "./former_use.ts";
 
 /** Largest processor power that a member may state, in cores. */
@@ -21,6 +21,8 @@
    * milliseconds of Unix time by the clock of the instance. */
   readonly use: UseByWorkspace;
   readonly useAt: number;
+  /** When the store was found to be in its era; undefined in the first. */
+  readonly restore?: RestoreNotice | undefined;
 }
 
 /** One engine's owner in the stored assignment. */
@@ -67,6 +69,7 @@
     ...member as StoredMember,
     use: isUseValid ? member.use as UseByWorkspace : {},
     useAt: isUseValid ? Number(member.useAt) : 0,
+    restore: isRestoreNotice(member.restore) ? member.restore : undefined,
   };
 }
 
@@ -96,6 +99,12 @@
   return { assignment, isDamaged };
 }
 
+function isRestoreNotice(value: unknown): value is RestoreNotice {
+  if (typeof value !== "object" || value === null) return false;
+  const { era, at } = value as Partial<RestoreNotice>;
+  return Number.isSafeInteger(era) && Number.isSafeInteger(at);
+}
+
 function isUse(value: unknown): value is UseByWorkspace {
   return typeof value === "object" && value !== null &&
     Object.values(value).every((slices) =>
--- a/packages/gateway/src/record_follower.ts
+++ b/packages/gateway/src/record_follower.ts
@@ -12,6 +12,7 @@
   type ConfirmationRole,
   type ConfirmationStep,
   type ConfirmationTimes,
+  eraOf,
   type RecordKind,
   type RecordList,
   RecordSet,
@@ -68,6 +69,9 @@
     records: ReadonlyMap<string, StoredRecord>,
     source: RecordSource,
   ) => void;
+  /** Called before records are passed on that are the first of a new era of the
+   * store. */
+  readonly onNewEra?: () => void;
   /** Called when calls begin to fail, and when one succeeds after that. */
   readonly onReachabilityChange: (reachable: boolean, reason: string) => void;
   readonly log: EventLog;
@@ -367,6 +371,9 @@
   #mergeList(list: RecordList, source: RecordSource): boolean {
     const isFirst = !this.#hasState;
     this.#hasState = true;
+    if (!isFirst && eraOf(list.revision) > eraOf(this.#revision)) {
+      this.#options.onNewEra?.();
+    }
     this.#revision = Math.max(this.#revision, list.revision);
     const isChanged = this.#set.mergeList(list);
     if (isChanged) this.#suspectWatch = this.#pendingWatch;
--- a/packages/gateway/src/restored_store/restored_membership_test.ts
+++ b/packages/gateway/src/restored_store/restored_membership_test.ts
@@ -96,6 +96,23 @@
   return value?.[ENGINE]?.owner;
 }
 
+const MEMBER_B = { ...member("b", 2), tenure: "1", renewals: 1 };
+
+function assign(
+  store: FakeRecordStore,
+  owners: Readonly<Record<string, string>>,
+): void {
+  store.write(
+    "assignment",
+    "engines",
+    Object.fromEntries(
+      Object.entries(owners).map((
+        [key, owner],
+      ) => [key, { owner, movedAt: 0 }]),
+    ),
+  );
+}
+
 // Guards against engines whose owner may not order for seconds, or that have no
 // owner any more: its entry and the assignment are older, or gone.
 test.each([["with", true], ["without", false]])(
@@ -127,8 +144,7 @@
 // have heard of it.
 test("an owner whose engine comes back waits for the lease of the one between", async () => {
   const store = createStore();
-  const entry = { ...member("b", 2), tenure: "1", renewals: 1 };
-  store.write("members", "b", entry);
+  store.write("members", "b", MEMBER_B);
   const membership = startMembership(store);
   await vi.advanceTimersByTimeAsync(SETTLED_MS);
   expect(membership.mayOrder(ENGINE)).toBe(true);
@@ -169,17 +185,9 @@
 // lost, while it still holds its lease.
 test("an owner that a restored store does not list keeps its engines for a lease", async () => {
   const store = createStore();
-  const assign = () =>
-    store.write("assignment", "engines", {
-      [ENGINE]: { owner: "b#1", movedAt: 0 },
-    });
-  assign();
+  assign(store, { [ENGINE]: "b#1" });
   store.copy();
-  store.write("members", "b", {
-    ...member("b", 2),
-    tenure: "1",
-    renewals: 1,
-  });
+  store.write("members", "b", MEMBER_B);
   writeMuch(store);
   const membership = startMembership(store);
   await vi.advanceTimersByTimeAsync(SETTLED_MS);
@@ -213,3 +221,101 @@
   expect(membership.tenure).toBe(tenure);
   expect(await store.get("members", "a")).toMatchObject({ value: { tenure } });
 });
+
+// Guards against two instances that order at one engine: the copy is from before
+// the engine was assigned, or started again, so it seems to have had no owner.
+test.each([["lacks", "e0@1", "b#1"], ["holds a former start of", "e1@0", "a"]])(
+  "an engine is not ordered to at once if the copy %s it",
+  async (_, key, owner) => {
+    const store = createStore();
+    store.write("members", "b", MEMBER_B);
+    const membership = startMembership(store);
+    await vi.advanceTimersByTimeAsync(SETTLED_MS);
+    const copied = owner === "a" ? `a#${membership.tenure}` : owner;
+    assign(store, { [key]: copied });
+    store.copy();
+    assign(store, { [key]: copied, [ENGINE]: "b#1" });
+    writeMuch(store);
+    await vi.advanceTimersByTimeAsync(1000);
+    expect(membership.ownerOf(ENGINE)).toBe("b");
+    store.restore();
+    const may = await ordersFor(membership, ORDER_LEASE_MS + ORDER_GAP_MS);
+    expect(may).not.toContain(true);
+    expect(await ordersFor(membership, SETTLED_MS)).toContain(true);
+  },
+);
+
+// Guards against an owner that renews its lease in the new era, but does not hear
+// that the restored store names another owner.
+test("an owner that cannot read the assignment stops with its former lease", async () => {
+  const store = createStore();
+  let renewals = 1;
+  const renew = () =>
+    store.write("members", "0", {
+      ...member("0", 2),
+      tenure: "1",
+      renewals: renewals++,
+    });
+  renew();
+  const timer = setInterval(renew, 2000);
+  cleanups.push(() => clearInterval(timer));
+  const membership = startMembership(store);
+  await vi.advanceTimersByTimeAsync(SETTLED_MS);
+  assign(store, { [ENGINE]: "0#1" });
+  store.copy();
+  assign(store, { [ENGINE]: `a#${membership.tenure}` });
+  writeMuch(store);
+  await vi.advanceTimersByTimeAsync(8000);
+  expect(membership.mayOrder(ENGINE)).toBe(true);
+  store.readMode = "reject";
+  store.restore();
+  await vi.advanceTimersByTimeAsync(ORDER_LEASE_MS);
+  expect(membership.holdsLease).toBe(true);
+  expect(await ordersFor(membership, 5000)).not.toContain(true);
+});
+
+// Guards against a process that starts after the restore, is named by the copy,
+// and orders while the owner between still does.
+test("a process that starts after a restore waits for the owner between", async () => {
+  const store = createStore();
+  store.write("members", "a", {
+    ...member("a", 1),
+    tenure: "1",
+    renewals: 1,
+  });
+  store.write("members", "b", MEMBER_B);
+  assign(store, { [ENGINE]: "a#1" });
+  store.copy();
+  assign(store, { [ENGINE]: "b#1" });
+  writeMuch(store);
+  store.restore();
+  const membership = startMembership(store);
+  const waitMs = ORDER_LEASE_MS + ORDER_GAP_MS;
+  const may = await ordersFor(membership, waitMs - STEP_MS);
+  expect(may).not.toContain(true);
+  expect(await ordersFor(membership, 1000)).toContain(true);
+});
+
+// Guards against a wait at each start, once the store has been restored: the other
+// members' entries tell how long ago that was.
+test("a process that starts long after a restore orders at once", async () => {
+  const store = createStore();
+  store.copy();
+  store.restore();
+  store.write("members", "a", {
+    ...member("a", 1),
+    tenure: "1",
+    renewals: 1,
+  });
+  store.write("members", "b", {
+    ...MEMBER_B,
+    restore: { era: 2, at: Date.now() - 60_000 },
+  });
+  assign(store, { [ENGINE]: "a#1" });
+  const membership = startMembership(store);
+  expect(await ordersFor(membership, 1000)).toContain(true);
+  await vi.advanceTimersByTimeAsync(2000);
+  expect(await store.get("members", "a")).toMatchObject({
+    value: { restore: { era: 2 } },
+  });
+});
--- a/packages/gateway/src/restored_store/restored_records_test.ts
+++ b/packages/gateway/src/restored_store/restored_records_test.ts
@@ -1,7 +1,11 @@
 import { storeRevision } from "@banyanlb/serving";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import * as events from "../events.ts";
-import { APPLY_WITHIN_MS, FakeInstance } from "../testing/fake_instance.ts";
+import {
+  APPLY_WITHIN_MS,
+  EVACUATED_WITHIN_MS,
+  FakeInstance,
+} from "../testing/fake_instance.ts";
 import { FakeRecordStore } from "../testing/fake_record_store.ts";
 
 /** Time within which the entry of an engine that is alive is back after a
@@ -261,3 +265,136 @@
   expect(instance.version).toBe(19);
   expect(enginesOf(instance)).toEqual(["e1 leaving", "e2"]);
 });
+
+// Guards against requests to an engine that leaves, by an instance that has read
+// only the copy.
+test("an instance that starts after a restore learns that an engine leaves", async () => {
+  const [near, far] = [new FakeRecordStore(), new FakeRecordStore()];
+  for (const store of [near, far]) {
+    writeConfiguration(store, 12);
+    writeEngine(store, "e1");
+    store.copy();
+    writeEngine(store, "e1", { state: "draining", seq: 4 });
+    writeMuch(store);
+  }
+  const lead = start("a", near);
+  await vi.advanceTimersByTimeAsync(1500);
+  near.restore();
+  far.restore();
+  await vi.advanceTimersByTimeAsync(500);
+  const fresh = start("c", far);
+  fresh.leads = [lead];
+  await vi.advanceTimersByTimeAsync(APPLY_WITHIN_MS);
+  expect(enginesOf(fresh)).toEqual(["e1 leaving"]);
+});
+
+// Guards against engines that are dropped at once where the era is heard of from a
+// peer: the store's return went unnoticed.
+test("an engine that the copy lacks is kept where a peer tells of the era", async () => {
+  const [near, far] = [new FakeRecordStore(), new FakeRecordStore()];
+  for (const store of [near, far]) {
+    writeConfiguration(store, 12);
+    writeEngine(store, "e1");
+    store.copy();
+    writeEngine(store, "e2");
+    writeMuch(store);
+  }
+  const peer = start("b", far);
+  peer.leads = [start("a", near)];
+  await vi.advanceTimersByTimeAsync(3000);
+  far.readMode = "silent";
+  far.areWatchesDeaf = true;
+  near.restore();
+  for (let passedMs = 0; passedMs < 1500; passedMs += 50) {
+    await vi.advanceTimersByTimeAsync(50);
+    peer.view.dropMissingEngines(performance.now());
+    const used = [...peer.engineTable.all()].map(({ engine }) => engine.id);
+    expect(used.toSorted()).toEqual(["e1", "e2"]);
+  }
+});
+
+// Guards against an evacuation that is not heeded in time: it begins again before
+// the first list, under a number of before its end.
+test("an evacuation that begins again after a restore is known in time", async () => {
+  const store = new FakeRecordStore();
+  writeConfiguration(store, 12);
+  writeEngine(store, "e1");
+  const instance = new FakeInstance("a", store, {
+    evacuationKnownMs: EVACUATED_WITHIN_MS,
+  });
+  instance.start();
+  cleanups.push(() => {
+    instance.close();
+    store.close();
+  });
+  await vi.advanceTimersByTimeAsync(1500);
+  store.copy();
+  writeMuch(store);
+  store.write("evacuations", "z", {});
+  await vi.advanceTimersByTimeAsync(1500);
+  store.erase("evacuations", "z");
+  await vi.advanceTimersByTimeAsync(1500);
+  expect(instance.view.evacuations.isEvacuated("z")).toBe(false);
+  store.restore();
+  store.write("evacuations", "z", {});
+  await vi.advanceTimersByTimeAsync(EVACUATED_WITHIN_MS);
+  expect(instance.view.evacuations.isEvacuated("z")).toBe(true);
+});
+
+// Guards against an engine that is used after its end: the removal carries the
+// number of the store's older entry.
+test("an engine whose lost entry expires is gone", async () => {
+  const { store, instance } = await startInstance();
+  store.copy();
+  writeEngine(store, "e1", { seq: 9 });
+  writeMuch(store);
+  await vi.advanceTimersByTimeAsync(1500);
+  store.restore();
+  await vi.advanceTimersByTimeAsync(3000);
+  store.readMode = "silent";
+  store.erase("engines", "e1");
+  await vi.advanceTimersByTimeAsync(ENTRY_BACK_MS);
+  expect(enginesOf(instance)).toEqual(["e2"]);
+});
+
+// Guards against a former start of an engine that is used for good, because the
+// clock of the new one is behind.
+test("an engine that starts again with an earlier clock is known in time", async () => {
+  const store = new FakeRecordStore();
+  writeConfiguration(store, 12);
+  writeEngine(store, "e1", { born: 5 });
+  const instance = start("a", store);
+  await vi.advanceTimersByTimeAsync(1500);
+  store.copy();
+  writeMuch(store);
+  await vi.advanceTimersByTimeAsync(1500);
+  store.restore();
+  writeEngine(store, "e1", { born: 4, seq: 0 });
+  await vi.advanceTimersByTimeAsync(10_000);
+  expect([...instance.view.engines].map(({ key }) => key)).toEqual(["e1@4"]);
+});
+
+// Guards against instances that never confirm each other: each counted what was
+// lost as of another list.
+test("instances that know the same lost version agree", async () => {
+  const store = new FakeRecordStore();
+  writeConfiguration(store, 12);
+  const announce = (adapter: string, version: number) =>
+    store.write("versions", adapter, { model: "m", adapter, version });
+  announce("a", 1);
+  store.copy();
+  announce("a", 2);
+  writeMuch(store);
+  const lead = start("a", store);
+  const peer = start("b", store);
+  peer.leads = [lead];
+  await vi.advanceTimersByTimeAsync(3000);
+  const busy = setInterval(() => store.write("holds", "other", 0), 7);
+  cleanups.push(() => clearInterval(busy));
+  store.restore();
+  await vi.advanceTimersByTimeAsync(1000);
+  announce("b", 1);
+  await vi.advanceTimersByTimeAsync(5000);
+  expect(peer.records.summary("versions"))
+    .toEqual(lead.records.summary("versions"));
+});
--- a/packages/gateway/src/store_view.ts
+++ b/packages/gateway/src/store_view.ts
@@ -60,6 +60,10 @@
  * lost; the entry of an engine that is gone expires. */
 const LOST_RECORD_MS = 5000;
 
+/** The same for an evacuation that has ended: one that begins again must be known
+ * within a few seconds. */
+const ENDED_EVACUATION_MS = 2000;
+
 /** Share of the time within which an evacuation must be known that is left for it
  * to become known: a request that was sent before may be under way for the
  * rest. */
@@ -143,8 +147,13 @@
           progressOf: (record) => progressOf(kind, record),
           // Engines that vanish are kept until their entries must be back.
           keptMs: kind === "engines" ? 0 : LOST_RECORD_MS,
-          hiddenMs: LOST_RECORD_MS,
+          hiddenMs: kind === "evacuations"
+            ? ENDED_EVACUATION_MS
+            : LOST_RECORD_MS,
+          // Engines write their entries regularly.
+          aheadMs: kind === "engines" ? LOST_RECORD_MS : Infinity,
         },
+        onNewEra: () => (this.#reachabilityChangedAt = performance.now()),
         onRecords: (records, source) => {
           onRecords(records, source);
           this.onRecordsApplied();
@@ -415,7 +424,11 @@
           this.#log.write(events.COLD_TIME_IGNORED, { engine: engine.key });
         }
         const old = this.#engines.get(engine.key);
-        if (old?.leaving !== engine.leaving) this.#noteChange(record.revision);
+        // One that has only read the store's older copy must learn of it.
+        if (record.isLost) this.#noteChange(record.revision + 1);
+        else if (old?.leaving !== engine.leaving) {
+          this.#noteChange(record.revision);
+        }
       } else if (!this.#ignoredEntries.has(record.name)) {
         this.#ignoredEntries.add(record.name);
         this.#log.write(events.ENGINE_ENTRY_IGNORED, { name: record.name });
--- a/packages/serving/src/fingerprint.ts
+++ b/packages/serving/src/fingerprint.ts
@@ -14,7 +14,8 @@
  * ```
  */
 export function fingerprintOf(value: number): number {
-  let hash = value ^ Math.trunc(value / 2 ** 32);
+  // Revisions of different eras differ in the high word.
+  let hash = value ^ Math.imul(Math.trunc(value / 2 ** 32), 0x9e3779b1);
   hash = Math.imul(hash ^ (hash >>> 16), 0x45d9f3b);
   hash = Math.imul(hash ^ (hash >>> 16), 0x45d9f3b);
   return (hash ^ (hash >>> 16)) >>> 0;
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -48,6 +48,7 @@
 export * from "./select_parts.ts";
 export * from "./route_table.ts";
 export * from "./steering.ts";
+export * from "./store_era/restore_wait.ts";
 export * from "./store_era/store_revision.ts";
 export * from "./rate_lenders.ts";
 export * from "./rate_sharers.ts";
--- a/packages/serving/src/order_lease.ts
+++ b/packages/serving/src/order_lease.ts
@@ -20,6 +20,8 @@
 export class OrderLease {
   readonly #clocks: ClockPair;
   #renewalSentAt: Moment | undefined;
+  /** The last renewal before the store was restored. */
+  #formerSentAt: Moment | undefined;
 
   constructor(clocks: ClockPair) {
     this.#clocks = clocks;
@@ -35,11 +37,26 @@
     this.#renewalSentAt = undefined;
   }
 
+  /** Records that the store was restored, and may have lost what this instance
+   * owns. */
+  recordRestore(): void {
+    this.#formerSentAt = this.#renewalSentAt;
+  }
+
   /** Whether an order may be written in this event-loop turn. */
   isHeld(): boolean {
-    return this.#renewalSentAt !== undefined &&
-      this.#clocks.elapsedMs(this.#renewalSentAt) <
-        ORDER_LEASE_MS - ORDER_LEASE_MARGIN_MS;
+    return this.#isWithinTerm(this.#renewalSentAt);
+  }
+
+  /** Whether the lease of before the last restore is still held: what was owned
+   * then is owned until its end. */
+  isFormerHeld(): boolean {
+    return this.#isWithinTerm(this.#formerSentAt);
+  }
+
+  #isWithinTerm(sentAt: Moment | undefined): boolean {
+    return sentAt !== undefined &&
+      this.#clocks.elapsedMs(sentAt) < ORDER_LEASE_MS - ORDER_LEASE_MARGIN_MS;
   }
 }
 
--- a/packages/serving/src/record_set.ts
+++ b/packages/serving/src/record_set.ts
@@ -12,7 +12,11 @@
  *
  * @module
  */
-import { addFingerprints, fingerprintOf } from "./fingerprint.ts";
+import {
+  addFingerprints,
+  fingerprintOf,
+  fingerprintOfText,
+} from "./fingerprint.ts";
 import type {
   RecordChange,
   RecordList,
@@ -35,6 +39,9 @@
   /** How long a record stays removed that a restored store holds again, in
    * milliseconds. */
   readonly hiddenMs?: number;
+  /** How long a record counts of which a restored store holds an older copy, in
+   * milliseconds; without end if omitted. */
+  readonly aheadMs?: number;
 }
 
 /** The newest known records of one kind. */
@@ -53,9 +60,10 @@
   #changes = 0;
 
   constructor(options: RecordSetOptions = {}) {
-    const { progressOf, keptMs = 0, hiddenMs = 0 } = options;
+    const { progressOf, keptMs = 0, hiddenMs = 0, aheadMs = Infinity } =
+      options;
     this.#progressOf = progressOf ?? (() => undefined);
-    this.#lost = new LostChanges({ keptMs, hiddenMs });
+    this.#lost = new LostChanges({ keptMs, hiddenMs, aheadMs });
   }
 
   /** The records by name. */
@@ -125,9 +133,15 @@
       listedNames.add(name);
       const state = this.#lost.stateOf(record, now);
       if (state === "hidden") continue;
-      this.#lost.forget(name);
+      const isOfEra = eraOf(record.revision) === eraOf(list.revision);
+      if (isOfEra) this.#lost.forget(name);
       const current = this.#records.get(name);
-      if (this.#isNewer(record) || (state === "released" && !current)) {
+      const isOverdue = isOfEra && current?.isLost === true &&
+        record.isLost !== true && !this.#lost.isAhead(now);
+      if (
+        this.#isNewer(record) || isOverdue ||
+        (state === "released" && current === undefined)
+      ) {
         next.set(name, record);
         isChanged = true;
       } else if (current !== undefined && current.revision < record.revision) {
@@ -137,11 +151,12 @@
         isChanged = true;
       }
     }
-    for (const { name, revision } of this.#records.values()) {
+    for (const record of this.#records.values()) {
+      const { name, revision } = record;
       if (listedNames.has(name) || revision > list.revision) continue;
       if (this.#lost.keeps(name, now)) continue;
       next.delete(name);
-      this.#lost.recordRemoval(name, list.revision, now);
+      this.#lost.recordRemoval(record, now);
       isChanged = true;
     }
     for (const removal of list.removals ?? []) {
@@ -218,13 +233,19 @@
     now: number,
   ): boolean {
     const current = records.get(name);
-    if (current !== undefined && current.revision > revision) return false;
+    // The store's older copy of a lost record is removed with its own revision.
+    const isOfCopy = current?.isLost === true &&
+      eraOf(revision) === eraOf(current.revision);
+    if (current !== undefined && current.revision > revision && !isOfCopy) {
+      return false;
+    }
     if (revision > this.removalRevisionOf(name)) {
       this.#removals.set(name, revision);
     }
     this.#lost.forget(name);
-    if (!records.delete(name)) return false;
-    this.#lost.recordRemoval(name, revision, now);
+    if (current === undefined) return false;
+    records.delete(name);
+    this.#lost.recordRemoval(current, now);
     return true;
   }
 
@@ -236,13 +257,20 @@
     this.#newestRevision = 0;
     this.#fingerprint = 0;
     this.#hasLostRecords = false;
-    for (const { revision, isLost } of records.values()) {
+    for (const record of records.values()) {
+      const { revision, isLost } = record;
       this.#newestRevision = Math.max(this.#newestRevision, revision);
       this.#fingerprint = addFingerprints(
         this.#fingerprint,
-        fingerprintOf(isLost ? -revision : revision),
+        isLost ? this.#fingerprintOfLost(record) : fingerprintOf(revision),
       );
       if (isLost) this.#hasLostRecords = true;
     }
   }
+
+  /** Equal on instances that know the same change: each counts it as of another
+   * list. */
+  #fingerprintOfLost(record: StoredRecord): number {
+    return fingerprintOfText(`${record.name} ${this.#progressOf(record)}`);
+  }
 }
--- a/packages/serving/src/store_era/lost_changes.ts
+++ b/packages/serving/src/store_era/lost_changes.ts
@@ -8,7 +8,7 @@
  * @module
  */
 import type { RecordList, StoredRecord } from "../ports.ts";
-import { numberOf } from "./store_revision.ts";
+import { eraOf, numberOf } from "./store_revision.ts";
 
 /** How long removals are remembered, in milliseconds: the store comes back from
  * a copy that is some seconds old. */
@@ -31,19 +31,34 @@
 export class LostChanges {
   readonly #keptMs: number;
   readonly #hiddenMs: number;
+  readonly #aheadMs: number;
   readonly #removals = new Map<string, Removal>();
   readonly #keptUntil = new Map<string, number>();
   readonly #hidden = new Map<string, HiddenRecord>();
 
-  /** A record that a new era lacks is kept for `keptMs`, and one that it holds
-   * again after its removal stays hidden for `hiddenMs`. */
-  constructor(options: { readonly keptMs: number; readonly hiddenMs: number }) {
+  #aheadUntil = Infinity;
+
+  /** A record that a new era lacks is kept for `keptMs`, one that it holds again
+   * after its removal stays hidden for `hiddenMs`, and one of which it holds an
+   * older copy counts for `aheadMs`. */
+  constructor(
+    options: {
+      readonly keptMs: number;
+      readonly hiddenMs: number;
+      readonly aheadMs: number;
+    },
+  ) {
     this.#keptMs = options.keptMs;
     this.#hiddenMs = options.hiddenMs;
+    this.#aheadMs = options.aheadMs;
   }
 
-  /** Records that a record was removed, at `revision` or later. */
-  recordRemoval(name: string, revision: number, now: number): void {
+  /** Records that a record was removed, whose last known revision was
+   * `revision`. */
+  recordRemoval(
+    { name, revision }: Pick<StoredRecord, "name" | "revision">,
+    now: number,
+  ): void {
     if (this.#hiddenMs === 0) return;
     this.#removals.delete(name);
     this.#removals.set(name, { revision, at: now });
@@ -60,7 +75,13 @@
     known: ReadonlyMap<string, StoredRecord>,
     now: number,
   ): void {
-    const listedNames = new Set(list.records.map(({ name }) => name));
+    this.#aheadUntil = now + this.#aheadMs;
+    // A list of a peer may hold records of the former era that it merely keeps.
+    const listedNames = new Set(
+      list.records.filter(({ revision }) =>
+        eraOf(revision) === eraOf(list.revision)
+      ).map(({ name }) => name),
+    );
     for (const name of known.keys()) {
       if (listedNames.has(name)) this.#keptUntil.delete(name);
       else if (this.#keptMs > 0) {
@@ -94,12 +115,18 @@
   ): "hidden" | "released" | "seen" {
     const hidden = this.#hidden.get(name);
     if (hidden === undefined) return "seen";
-    // A record that was written again has another revision.
-    if (hidden.revision === revision && now < hidden.until) return "hidden";
+    // A record that was written again has a higher revision.
+    if (revision < hidden.revision) return "seen";
+    if (revision === hidden.revision && now < hidden.until) return "hidden";
     this.#hidden.delete(name);
     return "released";
   }
 
+  /** Whether records still count of which the store holds older copies. */
+  isAhead(now: number): boolean {
+    return now < this.#aheadUntil;
+  }
+
   /** Records that a record was written or removed in this era. */
   forget(name: string): void {
     this.#keptUntil.delete(name);
--- a/packages/serving/src/store_era/restored_records_test.ts
+++ b/packages/serving/src/store_era/restored_records_test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from "vitest";
+import { fingerprintOf } from "../fingerprint.ts";
 import type { RecordList, StoredRecord } from "../ports.ts";
 import { RecordSet } from "../record_set.ts";
 import { storeRevision } from "./store_revision.ts";
@@ -158,6 +159,41 @@
   expect(valuesOf(set)).toEqual({ a: 15 });
 });
 
+// Guards against a kept record that is dropped since a peer's list, which merely
+// keeps it as well, seems to show it written again.
+test("a record that a peer keeps as well is kept", () => {
+  const set = createSet();
+  const peer = createSet();
+  const known = list([1, 241], record("z", [1, 240]));
+  for (const each of [set, peer]) each.mergeList(known, 0);
+  peer.mergeList(list([2, 181]), 0);
+  // The new era is first heard of from the peer.
+  set.mergeList(peer.snapshot(), 40);
+  set.mergeList(list([2, 185]), 100);
+  set.mergeList(peer.snapshot(), 200);
+  set.mergeList(list([2, 195]), 900);
+  expect(valuesOf(set)).toEqual({ z: 1 });
+});
+
+// Guards against a removed record that a peer of the former era brings back.
+test("a hidden record does not return from a list of the former era", () => {
+  const set = createSet();
+  const former = list([1, 151], record("a", [1, 150]));
+  set.mergeList(former, 0);
+  set.mergeList(list([1, 200]), 1000);
+  set.mergeList(list([2, 160], record("a", [2, 150])), 2000);
+  set.mergeList(former, 2100);
+  expect(valuesOf(set)).toEqual({});
+});
+
+// Guards against instances of two eras that confirm each other.
+test("fingerprints of two eras differ", () => {
+  for (let number = 1; number < 2000; number += 1) {
+    expect(fingerprintOf(storeRevision(2, number)))
+      .not.toBe(fingerprintOf(storeRevision(1, number ^ 256)));
+  }
+});
+
 // Records without progress are the system's own: what the store holds counts.
 test("without progress and times the store's list counts as it is", () => {
   const set = new RecordSet();
