Adopt no use of rates from an entry of a copy

The store came back from a copy of before the requests, and all gateways were killed 0.6 s later; the new processes adopted the use in their copied entries, none. Class: an absence in a copy was taken for what happened.

An entry that was not written in the era of the store (its restore notice tells) is not adopted: use is assumed as without an entry. The new test fails without the change: the copied use is adopted.

--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -482,9 +482,12 @@
   }
 
   /** Adopts the use in the entry of an earlier process of this instance. */
-  #adoptUse({ incarnation, use, useAt }: StoredMember): void {
+  #adoptUse({ incarnation, use, useAt, restore }: StoredMember): void {
     const { self, clocks, rates } = this.#options;
     if (incarnation === self.incarnation) return;
+    // An entry that was not written in the era of the store is from a copy, and
+    // lacks what was used later.
+    if (this.#era > FIRST_ERA && restore?.era !== this.#era) return;
     rates.adoptFormerUse(use, Math.max(0, clocks.read().wall - useAt));
   }
 
--- a/packages/gateway/src/restored_store/restored_membership_test.ts
+++ b/packages/gateway/src/restored_store/restored_membership_test.ts
@@ -6,7 +6,7 @@
 } from "@banyanlb/serving";
 import { memberOf } from "@banyanlb/serving/testing";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import { Membership } from "../membership.ts";
+import { Membership, type MembershipOptions } from "../membership.ts";
 import { FakeRecordStore } from "../testing/fake_record_store.ts";
 import { membershipOptions } from "../testing/membership_options.ts";
 
@@ -49,7 +49,10 @@
   for (let i = 0; i < 50; i += 1) store.write("holds", "other", i);
 }
 
-function startMembership(store: FakeRecordStore): Membership {
+function startMembership(
+  store: FakeRecordStore,
+  changes: Partial<MembershipOptions> = {},
+): Membership {
   const engineTable = new EngineTable();
   engineTable.setEngines([{
     key: ENGINE,
@@ -68,6 +71,7 @@
     ...membershipOptions(member("a", 1), members),
     engineTable,
     orderGapMs: ORDER_GAP_MS,
+    ...changes,
   });
   membership.start();
   membership.startAssignment();
@@ -319,3 +323,37 @@
     value: { restore: { era: 2 } },
   });
 });
+
+// Guards against a workspace that gets more than its limit: all instances were
+// lost after a restore, and adopted the use in entries that were older.
+test("use that an entry of a copy tells is not taken for all that was used", async () => {
+  const store = createStore();
+  const entry = {
+    ...member("a", 1),
+    incarnation: "former",
+    tenure: "1",
+    renewals: 1,
+    use: { w: [5, 5] },
+    useAt: Date.now(),
+  };
+  store.write("members", "a", entry);
+  store.copy();
+  store.restore();
+  const adopted: unknown[] = [];
+  const rates = {
+    useAt: () => ({}),
+    isNearlyUsed: () => false,
+    adoptFormerUse: (use: unknown) => adopted.push(use),
+  };
+  startMembership(store, { rates }).close();
+  await vi.advanceTimersByTimeAsync(1000);
+  expect(adopted).toEqual([]);
+  // Written in the era of the store.
+  store.write("members", "a", {
+    ...entry,
+    restore: { era: 2, at: Date.now() },
+  });
+  startMembership(store, { rates });
+  await vi.advanceTimersByTimeAsync(1000);
+  expect(adopted).toEqual([entry.use]);
+});
