Simplify what the changes for restores and hand-overs wrote twice

The allowed difference of wall clocks stood in two files with one value; the engines that are held over were copied to remove one; the store's return was recorded by the era and again by the list that follows; a hand-over was given a view that it does not use; the members' restore called past the method that reads at once.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -439,7 +439,6 @@
     const next = this.#successorOf(view);
     if (next === undefined) return false;
     const current: SilentAttempt = {
-      view,
       hold: () => (attempt.isHeld = true),
       resume: () => {
         attempt.isHeld = false;
--- a/packages/gateway/src/handover/handover.ts
+++ b/packages/gateway/src/handover/handover.ts
@@ -8,7 +8,6 @@
  *
  * @module
  */
-import type { EngineView } from "@banyanlb/serving";
 import type { AttemptOutcome, Successor } from "../attempt_outcome.ts";
 
 /** How long the first engine may keep a request that was written to the other
@@ -18,7 +17,6 @@
 
 /** The attempt at the engine that sends nothing. */
 export interface SilentAttempt {
-  readonly view: EngineView;
   /** Keeps back what the engine sends from now on. */
   hold(): void;
   /** Goes on with the engine. */
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -25,6 +25,7 @@
   RestoreWait,
   StoreCallError,
   type StoredRecord,
+  WALL_CLOCK_SKEW_MS,
 } from "@banyanlb/serving";
 import * as events from "./events.ts";
 import type { WorkspaceRates } from "./workspace_rates.ts";
@@ -63,10 +64,6 @@
  * milliseconds: all instances of a new deployment should be listed by then. */
 const SETTLE_MS = 2500;
 
-/** Maximum assumed difference between the wall clocks of two machines, in
- * milliseconds. */
-const WALL_CLOCK_SKEW_MS = 2000;
-
 /** Number of coordinators: the live members whose names sort first. All of them
  * remove the entries of expired members; the first also assigns engines. */
 const COORDINATOR_COUNT = 2;
@@ -170,7 +167,7 @@
   readonly #restoreWait: RestoreWait;
   /** The engines that this instance has owned since before the last restore of
    * the store. */
-  #heldOver: ReadonlySet<string> = new Set();
+  #heldOver = new Set<string>();
   readonly #stopHearingOfEras: () => void;
   #isFollowingMembers = false;
   #isRenewalFailing = false;
@@ -378,14 +375,13 @@
       era - 1,
       this.#options.orderGapMs,
     );
-    this.#heldOver = new Set(
-      isFormerOver ? this.#orderAllowedAt.keys() : this.#heldOver,
-    );
+    // Otherwise only those of before the former restore.
+    if (isFormerOver) this.#heldOver = new Set(this.#orderAllowedAt.keys());
     this.#restoreWait.recordRestore(era);
     this.#lease.recordRestore();
     this.reconnect();
     this.#memberFollower.readNow();
-    this.#assignmentFollower.readNow();
+    this.readNow();
     const isLarge = isLargeFleet(this.#options.members.list().length);
     setTimeout(
       () => this.#startRenewal?.(),
@@ -495,7 +491,7 @@
     if (this.#tenure === tenure) return;
     this.#tenure = tenure;
     this.#orderAllowedAt.clear();
-    this.#heldOver = new Set();
+    this.#heldOver.clear();
     this.#updateOwnedEngines({});
   }
 
@@ -557,7 +553,7 @@
     const selfOwner = `${self.name}#${this.#tenure}`;
     for (const [key, { owner, movedAt }] of Object.entries(this.#assignment)) {
       if (owner !== selfOwner) {
-        this.#loseHeldOver(key);
+        this.#heldOver.delete(key);
         if (this.#orderAllowedAt.delete(key)) {
           log.write(events.OWNERSHIP_CHANGED, { engine: key, owner });
         }
@@ -582,15 +578,10 @@
     for (const key of this.#orderAllowedAt.keys()) {
       if (this.#assignment[key] !== undefined) continue;
       this.#orderAllowedAt.delete(key);
-      this.#loseHeldOver(key);
+      this.#heldOver.delete(key);
     }
   }
 
-  #loseHeldOver(key: string): void {
-    if (!this.#heldOver.has(key)) return;
-    this.#heldOver = new Set([...this.#heldOver].filter((k) => k !== key));
-  }
-
   /** The names of the other members that are alive. */
   #aliveNames(): readonly string[] {
     const { members } = this.#options;
--- a/packages/gateway/src/store_view.ts
+++ b/packages/gateway/src/store_view.ts
@@ -126,7 +126,10 @@
     this.#regions = options.regions;
     this.#engineTable = options.engineTable;
     this.#log = options.log;
-    this.#stopHearingOfEras = store.onEraChange(() => this.#onRestore());
+    this.#stopHearingOfEras = store.onEraChange(() => {
+      this.reconnect();
+      this.readNow();
+    });
     const createFollower = (
       kind: FollowedKind | OptionalKind,
       watchPauseMs: () => number,
@@ -153,6 +156,7 @@
           // Engines write their entries regularly.
           aheadMs: kind === "engines" ? LOST_RECORD_MS : Infinity,
         },
+        // Engines write their entries again once the store is back.
         onNewEra: () => (this.#reachabilityChangedAt = performance.now()),
         onRecords: (records, source) => {
           onRecords(records, source);
@@ -305,13 +309,6 @@
     if (isChanged) this.#updateEngineTable();
   }
 
-  /** Engines write their entries again once the store is back. */
-  #onRestore(): void {
-    this.#reachabilityChangedAt = performance.now();
-    this.reconnect();
-    this.readNow();
-  }
-
   #onReachabilityChange(
     kind: string,
     reachable: boolean,
--- a/packages/serving/src/clock_pair.ts
+++ b/packages/serving/src/clock_pair.ts
@@ -3,6 +3,10 @@
  * @module
  */
 
+/** Maximum assumed difference between the wall clocks of two machines, in
+ * milliseconds. */
+export const WALL_CLOCK_SKEW_MS = 2000;
+
 /** A moment on both clocks, in milliseconds. */
 export interface Moment {
   readonly monotonic: number;
--- a/packages/serving/src/store_era/restore_wait.ts
+++ b/packages/serving/src/store_era/restore_wait.ts
@@ -8,14 +8,10 @@
  *
  * @module
  */
-import type { ClockPair } from "../clock_pair.ts";
+import { type ClockPair, WALL_CLOCK_SKEW_MS } from "../clock_pair.ts";
 import { ORDER_LEASE_MS } from "../order_lease.ts";
 import { FIRST_ERA } from "./store_revision.ts";
 
-/** Maximum assumed difference between the wall clocks of two machines, in
- * milliseconds. */
-const WALL_CLOCK_SKEW_MS = 2000;
-
 /** When the store was found to be in an era, as members' entries tell it. */
 export interface RestoreNotice {
   readonly era: number;
