Share the records and members that tests of restores write

The tests of restored records and memberships had their own copies of how a configuration, an engine's entry and a member on a port are written; three older test files had the same. Entries of store_view_test.ts get a count of orders, which nothing there reads.

--- a/packages/gateway/src/digest_exchange_test.ts
+++ b/packages/gateway/src/digest_exchange_test.ts
@@ -12,6 +12,7 @@
 import { digestOptions } from "./testing/digest_options.ts";
 import { FakeInstance } from "./testing/fake_instance.ts";
 import { FakeRecordStore } from "./testing/fake_record_store.ts";
+import { writeConfiguration } from "./testing/write_records.ts";
 
 /** Kind, name and value. */
 type Row = readonly [RowField[1], string, unknown];
@@ -108,10 +109,6 @@
   };
 }
 
-function writeConfiguration(store: FakeRecordStore, version: number): void {
-  store.write("configuration", "main", { version, routes: [], services: [] });
-}
-
 async function deliverDigestsFor(
   ms: number,
   { deliverDigest, exchange }: Awaited<ReturnType<typeof startPair>>,
--- a/packages/gateway/src/membership_test.ts
+++ b/packages/gateway/src/membership_test.ts
@@ -1,12 +1,14 @@
 import { EventLog } from "@banyanlb/core";
-import { EngineTable, type Member, MemberTable } from "@banyanlb/serving";
-import { memberOf } from "@banyanlb/serving/testing";
+import { EngineTable, MemberTable } from "@banyanlb/serving";
 import pino from "pino";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import * as events from "./events.ts";
 import { Membership } from "./membership.ts";
 import { FakeRecordStore } from "./testing/fake_record_store.ts";
-import { membershipOptions } from "./testing/membership_options.ts";
+import {
+  memberOnPort,
+  membershipOptions,
+} from "./testing/membership_options.ts";
 
 /** Time after which an instance has settled and written the assignment, in
  * milliseconds. */
@@ -29,11 +31,6 @@
   return store;
 }
 
-function member(name: string, port: number): Member {
-  const address = `127.0.0.1:${port}`;
-  return memberOf(name, { peerAddress: address, callerAddress: address });
-}
-
 function startMembership(store: FakeRecordStore, name = "a") {
   const logged: Readonly<Record<string, unknown>>[] = [];
   const engineTable = new EngineTable();
@@ -51,7 +48,7 @@
   })));
   const members = new MemberTable(name, performance.now());
   const membership = new Membership(store, {
-    ...membershipOptions(member(name, 1), members),
+    ...membershipOptions(memberOnPort(name, 1), members),
     engineTable,
     log: new EventLog(pino({}, {
       write: (line: string) => void logged.push(JSON.parse(line)),
@@ -66,7 +63,7 @@
   return { membership, members, logged };
 }
 
-const MEMBER = { ...member("odd", 2), tenure: "t", renewals: 1 };
+const MEMBER = { ...memberOnPort("odd", 2), tenure: "t", renewals: 1 };
 
 // One odd entry of another writer stopped the list of members from being read,
 // or ended each round of messages to peers.
@@ -88,7 +85,7 @@
     const store = createStore();
     const write = (name: string) =>
       store.write("members", name, {
-        ...member(name, 3),
+        ...memberOnPort(name, 3),
         tenure: "t",
         renewals: 1,
       });
--- a/packages/gateway/src/restored_store/restored_membership_test.ts
+++ b/packages/gateway/src/restored_store/restored_membership_test.ts
@@ -1,14 +1,11 @@
-import {
-  EngineTable,
-  type Member,
-  MemberTable,
-  ORDER_LEASE_MS,
-} from "@banyanlb/serving";
-import { memberOf } from "@banyanlb/serving/testing";
+import { EngineTable, MemberTable, ORDER_LEASE_MS } from "@banyanlb/serving";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { Membership, type MembershipOptions } from "../membership.ts";
 import { FakeRecordStore } from "../testing/fake_record_store.ts";
-import { membershipOptions } from "../testing/membership_options.ts";
+import {
+  memberOnPort,
+  membershipOptions,
+} from "../testing/membership_options.ts";
 
 const ENGINE = "e1@1";
 
@@ -32,11 +29,6 @@
   vi.useRealTimers();
 });
 
-function member(name: string, port: number): Member {
-  const address = `127.0.0.1:${port}`;
-  return memberOf(name, { peerAddress: address, callerAddress: address });
-}
-
 function createStore(): FakeRecordStore {
   const store = new FakeRecordStore();
   store.isWritable = true;
@@ -68,7 +60,7 @@
   }]);
   const members = new MemberTable("a", performance.now());
   const membership = new Membership(store, {
-    ...membershipOptions(member("a", 1), members),
+    ...membershipOptions(memberOnPort("a", 1), members),
     engineTable,
     orderGapMs: ORDER_GAP_MS,
     ...changes,
@@ -100,7 +92,7 @@
   return value?.[ENGINE]?.owner;
 }
 
-const MEMBER_B = { ...member("b", 2), tenure: "1", renewals: 1 };
+const MEMBER_B = { ...memberOnPort("b", 2), tenure: "1", renewals: 1 };
 
 function assign(
   store: FakeRecordStore,
@@ -211,7 +203,7 @@
   await vi.advanceTimersByTimeAsync(SETTLED_MS);
   const { tenure } = membership;
   store.write("members", "a", {
-    ...member("a", 1),
+    ...memberOnPort("a", 1),
     tenure: "older",
     renewals: 1,
   });
@@ -256,7 +248,7 @@
   let renewals = 1;
   const renew = () =>
     store.write("members", "0", {
-      ...member("0", 2),
+      ...memberOnPort("0", 2),
       tenure: "1",
       renewals: renewals++,
     });
@@ -283,7 +275,7 @@
 test("a process that starts after a restore waits for the owner between", async () => {
   const store = createStore();
   store.write("members", "a", {
-    ...member("a", 1),
+    ...memberOnPort("a", 1),
     tenure: "1",
     renewals: 1,
   });
@@ -307,7 +299,7 @@
   store.copy();
   store.restore();
   store.write("members", "a", {
-    ...member("a", 1),
+    ...memberOnPort("a", 1),
     tenure: "1",
     renewals: 1,
   });
@@ -329,7 +321,7 @@
 test("use that an entry of a copy tells is not taken for all that was used", async () => {
   const store = createStore();
   const entry = {
-    ...member("a", 1),
+    ...memberOnPort("a", 1),
     incarnation: "former",
     tenure: "1",
     renewals: 1,
--- a/packages/gateway/src/restored_store/restored_records_test.ts
+++ b/packages/gateway/src/restored_store/restored_records_test.ts
@@ -7,6 +7,7 @@
   FakeInstance,
 } from "../testing/fake_instance.ts";
 import { FakeRecordStore } from "../testing/fake_record_store.ts";
+import { writeConfiguration, writeEngine } from "../testing/write_records.ts";
 
 /** Time within which the entry of an engine that is alive is back after a
  * restore, in milliseconds. */
@@ -23,27 +24,6 @@
   vi.useRealTimers();
 });
 
-function writeConfiguration(store: FakeRecordStore, version: number): void {
-  store.write("configuration", "main", { version, routes: [], services: [] });
-}
-
-function writeEngine(
-  store: FakeRecordStore,
-  name: string,
-  changes: Readonly<Record<string, unknown>> = {},
-): void {
-  store.write("engines", name, {
-    service: "svc",
-    address: "127.0.0.1:1",
-    zone: "z",
-    slots: 4,
-    state: "ready",
-    born: 1,
-    seq: 3,
-    ...changes,
-  });
-}
-
 /** Writes that give out more numbers than a copy has. */
 function writeMuch(store: FakeRecordStore): void {
   for (let i = 0; i < 50; i += 1) store.write("holds", "other", i);
--- a/packages/gateway/src/store_view_test.ts
+++ b/packages/gateway/src/store_view_test.ts
@@ -2,6 +2,7 @@
 import * as events from "./events.ts";
 import { APPLY_WITHIN_MS, FakeInstance } from "./testing/fake_instance.ts";
 import { FakeRecordStore } from "./testing/fake_record_store.ts";
+import { writeConfiguration, writeEngine } from "./testing/write_records.ts";
 
 const cleanups: (() => void)[] = [];
 
@@ -14,25 +15,6 @@
   vi.useRealTimers();
 });
 
-function writeConfiguration(store: FakeRecordStore, version: number): void {
-  store.write("configuration", "main", { version, routes: [], services: [] });
-}
-
-function writeEngine(
-  store: FakeRecordStore,
-  name: string,
-  state = "ready",
-): void {
-  store.write("engines", name, {
-    service: "svc",
-    address: "127.0.0.1:1",
-    zone: "z",
-    slots: 4,
-    state,
-    born: 1,
-  });
-}
-
 function startInstance(store: FakeRecordStore): FakeInstance {
   const instance = new FakeInstance("a", store);
   instance.start();
@@ -152,7 +134,7 @@
   const instance = await startAtVersion(store, 1);
   await loseHistory(store, () => {
     store.erase("engines", "gone");
-    writeEngine(store, "drained", "draining");
+    writeEngine(store, "drained", { state: "draining" });
   });
   await vi.advanceTimersByTimeAsync(APPLY_WITHIN_MS);
   expect(enginesOf(instance).toSorted()).toEqual(["drained leaving", "stays"]);
--- a/packages/gateway/src/testing/membership_options.ts
+++ b/packages/gateway/src/testing/membership_options.ts
@@ -5,9 +5,16 @@
   type MemberTable,
   SystemClocks,
 } from "@banyanlb/serving";
+import { memberOf } from "@banyanlb/serving/testing";
 import pino from "pino";
 import type { MembershipOptions } from "../membership.ts";
 
+/** A member whose addresses are a port of 127.0.0.1. */
+export function memberOnPort(name: string, port: number): Member {
+  const address = `127.0.0.1:${port}`;
+  return memberOf(name, { peerAddress: address, callerAddress: address });
+}
+
 /** Options of a membership in which nothing else happens: no engines, no use of
  * limits. Tests override what matters to them. */
 export function membershipOptions(
