--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -19,8 +19,8 @@
   type Member,
   type MemberTable,
   type Moment,
-  type PartQuarantine,
   type PathDelays,
+  type Quarantine,
   type WarmUps,
 } from "@banyanlb/serving";
 import type { AdapterLoader } from "./adapter_loader.ts";
@@ -80,7 +80,7 @@
   readonly records: SharedRecords;
   readonly rates: WorkspaceRates;
   readonly use: AdapterUsageCounts;
-  readonly quarantine: PartQuarantine;
+  readonly quarantine: Quarantine;
   readonly limits: EngineLimits;
   readonly warmUps: Pick<WarmUps, "report" | "recordTold">;
   readonly roles: Pick<ReaderRoles, "expectsRecordsBefore" | "isStoreReader">;
--- a/packages/gateway/src/digest_rows.ts
+++ b/packages/gateway/src/digest_rows.ts
@@ -18,8 +18,8 @@
   type HoldRecord,
   type LimitRecord,
   type Member,
-  type PartQuarantine,
   type PathDelays,
+  type Quarantine,
   type ReportRow,
   type RowKind,
   SLOW_PATH_MS,
@@ -27,7 +27,7 @@
 } from "@banyanlb/serving";
 import type { AdapterLoader } from "./adapter_loader.ts";
 import * as events from "./events.ts";
-import { isHold } from "./hold_keeper.ts";
+import { isHold } from "./quarantine/hold_keeper.ts";
 import type { Membership } from "./membership.ts";
 import type { HeldRow } from "./peer_messages.ts";
 import type { ReaderRoles } from "./reader_roles.ts";
@@ -52,7 +52,7 @@
   readonly engineTable: EngineTable;
   readonly loader: AdapterLoader;
   readonly rates: WorkspaceRates;
-  readonly quarantine: PartQuarantine;
+  readonly quarantine: Quarantine;
   readonly limits: EngineLimits;
   readonly warmUps: Pick<WarmUps, "report" | "recordTold">;
   readonly roles: Pick<ReaderRoles, "isStoreReader">;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -42,7 +42,7 @@
   type SilentAttempt,
 } from "./handover/handover.ts";
 import { ExchangeLog } from "./exchange_log.ts";
-import type { PromptGuard } from "./prompt_guard.ts";
+import type { RequestGuard } from "./quarantine/request_guard.ts";
 import { ReadTimeout } from "./read_timeout.ts";
 import { RateCharge } from "./rate_charge.ts";
 import type {
@@ -141,7 +141,7 @@
   readonly #framer = new EventFramer();
   readonly #continuation = new StreamContinuation();
   readonly #rateCharge: RateCharge;
-  readonly #guard: PromptGuard;
+  readonly #guard: RequestGuard;
   readonly #log: ExchangeLog;
   /** Attempts in which the engine may have run the request. */
   #runCount = 0;
@@ -165,7 +165,7 @@
     const { caller, route, arrivedAt } = input;
     this.#log = new ExchangeLog(deps, input);
     this.#rateCharge = new RateCharge(deps, input.workspace, caller);
-    this.#guard = deps.guardPrompt(caller);
+    this.#guard = deps.guardRequest(caller);
     this.#lastEventId = caller.lastEventId;
     this.#deadline = arrivedAt +
       Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -50,7 +50,7 @@
 import { RateLog } from "./rate_log.ts";
 import { ReaderRoles } from "./reader_roles.ts";
 import { RecordConfirmer } from "./record_confirmer.ts";
-import { PromptProtection } from "./prompt_protection.ts";
+import { CrashProtection } from "./quarantine/crash_protection.ts";
 import { Relay } from "./relay.ts";
 import type { RelayDependencies } from "./relay_dependencies.ts";
 import { SharedRecords } from "./shared_records.ts";
@@ -112,7 +112,7 @@
   readonly #ownLoad = new OwnLoad();
   readonly #pathDelays = new PathDelays();
   readonly #readerRoles: ReaderRoles;
-  readonly #promptProtection: PromptProtection;
+  readonly #crashProtection: CrashProtection;
   readonly #engineLimits: EngineLimits;
   readonly #warmUp: EngineWarmUp;
   readonly #evacuationProgress: EvacuationProgress;
@@ -253,7 +253,7 @@
       role: () => this.#readerRoles.role,
       links: () => this.#links,
     });
-    this.#promptProtection = new PromptProtection({
+    this.#crashProtection = new CrashProtection({
       self: this.#self,
       members: this.#members,
       store: this.#store,
@@ -290,7 +290,7 @@
       records: this.#records,
       rates: this.#rates,
       use,
-      quarantine: this.#promptProtection.quarantine,
+      quarantine: this.#crashProtection.quarantine,
       limits: this.#engineLimits,
       warmUps: this.#warmUp.warmUps,
       roles: this.#readerRoles,
@@ -334,7 +334,7 @@
         log,
       }),
       bodyRoom: new BodyRoom(settings.memoryBytes * BODY_ROOM_SHARE),
-      guardPrompt: (caller) => this.#promptProtection.guard(caller),
+      guardRequest: (caller) => this.#crashProtection.guard(caller),
       hasTimeFor: (route) => this.#hasTimeFor(route),
       log,
       metrics: this.#metrics,
@@ -410,7 +410,7 @@
   async start(): Promise<void> {
     this.#membership.start();
     void this.#startStoreView();
-    this.#promptProtection.start();
+    this.#crashProtection.start();
     const { peers, callers, readiness, steering, metrics } = this.#settings;
     // Callers are served without the metrics page.
     this.#open(this.#metricsServer, metrics).catch((err: unknown) =>
@@ -507,7 +507,7 @@
     for (const timer of this.#timers) clearInterval(timer);
     clearTimeout(this.#loaderTimer);
     this.#eventLoopWatch.close();
-    this.#promptProtection.close();
+    this.#crashProtection.close();
     this.#storeView.close();
     this.#membership.close();
     this.#digestExchange.close();
@@ -527,7 +527,7 @@
 
   get #isReady(): boolean {
     return this.#isListening && this.#storeView.ready &&
-      this.#promptProtection.isReady && !this.#isDraining;
+      this.#crashProtection.isReady && !this.#isDraining;
   }
 
   /** Announces changed records to all peers at once if this instance is a store
@@ -585,7 +585,7 @@
     this.#loader.tick();
     this.#membership.checkNow();
     const keys = new Set([...this.#engineTable.all()].map((v) => v.engine.key));
-    this.#promptProtection.recordEngineList((key) => keys.has(key));
+    this.#crashProtection.recordEngineList((key) => keys.has(key));
     this.#warmUp.recordList();
     this.#engineLimits.keepOnly((key) => keys.has(key));
     for (const key of this.#connections.engineKeys()) {
--- a/packages/gateway/src/prompt_protection.ts
+++ b/packages/gateway/src/quarantine/crash_protection.ts
@@ -10,14 +10,15 @@
   isLargeFleet,
   type Member,
   type MemberTable,
-  PartQuarantine,
+  Quarantine,
   type RecordStore,
 } from "@banyanlb/serving";
+import { heldFields } from "./crash_log.ts";
 import { CrashWatch } from "./crash_watch.ts";
-import * as events from "./events.ts";
+import * as events from "../events.ts";
 import { HoldKeeper } from "./hold_keeper.ts";
-import type { GatewayMetrics } from "./metrics.ts";
-import { PromptGuard } from "./prompt_guard.ts";
+import type { GatewayMetrics } from "../metrics.ts";
+import { RequestGuard } from "./request_guard.ts";
 
 /** Time after which all instances have reported their suspects in a crash, in
  * milliseconds: two of the longest intervals between the digests of instances
@@ -26,7 +27,7 @@
 const SETTLE_LARGE_FLEET_MS = 1000;
 
 /** Parts of the gateway that the protection uses. */
-export interface PromptProtectionOptions {
+export interface CrashProtectionOptions {
   readonly self: Member;
   readonly members: MemberTable;
   readonly store: RecordStore;
@@ -38,18 +39,18 @@
 }
 
 /** The quarantine of this instance and what feeds it. */
-export class PromptProtection {
-  readonly quarantine: PartQuarantine;
-  readonly #options: PromptProtectionOptions;
+export class CrashProtection {
+  readonly quarantine: Quarantine;
+  readonly #options: CrashProtectionOptions;
   readonly #crashWatch: CrashWatch;
   readonly #holdKeeper: HoldKeeper;
 
-  constructor(options: PromptProtectionOptions) {
+  constructor(options: CrashProtectionOptions) {
     const { self, members, store, control, log, metrics } = options;
     this.#options = options;
-    this.quarantine = new PartQuarantine(self.name, {
+    this.quarantine = new Quarantine(self.name, {
       onHold: (_, held) => {
-        log.write(events.PART_HELD, { ...held });
+        log.write(events.PART_HELD, heldFields(held));
         this.#countHeld();
       },
       onRelease: (part, reason) => {
@@ -97,9 +98,9 @@
   }
 
   /** Creates the guard of a request. */
-  guard(caller: CallerRequest): PromptGuard {
+  guard(caller: CallerRequest): RequestGuard {
     const { members, log, metrics } = this.#options;
-    return new PromptGuard({
+    return new RequestGuard({
       quarantine: this.quarantine,
       crashWatch: this.#crashWatch,
       instances: () => members.servingInstances(performance.now()),
--- a/packages/gateway/src/crash_watch.ts
+++ b/packages/gateway/src/quarantine/crash_watch.ts
@@ -6,12 +6,12 @@
 import {
   type EngineControl,
   type EngineView,
-  type PartQuarantine,
-  selectParts,
-  type SharedParts,
+  type Quarantine,
+  selectSuspects,
+  type Suspects,
 } from "@banyanlb/serving";
-import * as events from "./events.ts";
-import type { GatewayMetrics } from "./metrics.ts";
+import * as events from "../events.ts";
+import type { GatewayMetrics } from "../metrics.ts";
 
 /** How long requests that break off are counted as those of one crash, in
  * milliseconds. */
@@ -31,14 +31,14 @@
 /** A request that an engine broke off. */
 export interface CutRequest {
   readonly id: string | undefined;
-  readonly parts: SharedParts;
+  readonly parts: Suspects;
   /** Whether its answer had not got past its beginning. */
   readonly isSuspect: boolean;
 }
 
 /** Parts of the gateway that the watch uses. */
 export interface CrashWatchOptions {
-  readonly quarantine: PartQuarantine;
+  readonly quarantine: Quarantine;
   readonly control: Pick<EngineControl, "probe">;
   readonly log: EventLog;
   readonly metrics: GatewayMetrics;
@@ -142,7 +142,7 @@
       suspects: logged.map(({ id, parts }) => ({
         id,
         partCount: parts.length,
-        parts: selectParts(parts, {
+        parts: selectSuspects(parts, {
           count: events.LOGGED_PARTS_MAX,
           rank: (part) => -crashesOf(part),
         }).map((part) => `${part} ${describeBelief(beliefs.get(part))}`),
@@ -154,7 +154,7 @@
 }
 
 function describeBelief(
-  belief: ReturnType<PartQuarantine["beliefOn"]> | undefined,
+  belief: ReturnType<Quarantine["beliefOn"]> | undefined,
 ): string {
   if (belief === undefined) return "";
   const { crashes, answers, isHeld } = belief;
--- a/packages/gateway/src/crash_watch_test.ts
+++ b/packages/gateway/src/quarantine/crash_watch_test.ts
@@ -3,12 +3,12 @@
   type Engine,
   type EngineProbe,
   EngineView,
-  PartQuarantine,
+  Quarantine,
 } from "@banyanlb/serving";
 import pino from "pino";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { CrashWatch } from "./crash_watch.ts";
-import { GatewayMetrics } from "./metrics.ts";
+import { GatewayMetrics } from "../metrics.ts";
 
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
@@ -34,7 +34,7 @@
   const log = new EventLog(pino({}, {
     write: (line: string) => void lines.push(JSON.parse(line)),
   }));
-  const quarantine = new PartQuarantine("i1", {
+  const quarantine = new Quarantine("i1", {
     onHold: () => undefined,
     onRelease: () => undefined,
     settleMs: () => 0,
--- a/packages/gateway/src/hold_keeper.ts
+++ b/packages/gateway/src/quarantine/hold_keeper.ts
@@ -7,12 +7,12 @@
 import {
   agedHold,
   type HoldRecord,
-  type PartQuarantine,
+  type Quarantine,
   type RecordStore,
   type ReportRow,
   StoreCallError,
 } from "@banyanlb/serving";
-import * as events from "./events.ts";
+import * as events from "../events.ts";
 
 /** Time between checks of whether the record must be read or written, in
  * milliseconds. */
@@ -40,7 +40,7 @@
 
 /** Parts of the gateway that the keeper uses. */
 export interface HoldKeeperOptions {
-  readonly quarantine: PartQuarantine;
+  readonly quarantine: Quarantine;
   /** Whether this instance writes the record on behalf of all. */
   readonly isWriter: () => boolean;
   readonly log: EventLog;
--- a/packages/gateway/src/hold_keeper_test.ts
+++ b/packages/gateway/src/quarantine/hold_keeper_test.ts
@@ -1,6 +1,6 @@
 import { EventLog } from "@banyanlb/core";
 import {
-  PartQuarantine,
+  Quarantine,
   StoreCallError,
   type StoredRecord,
 } from "@banyanlb/serving";
@@ -47,7 +47,7 @@
 }
 
 function startKeeper(store: FakeStore, isWriter = true) {
-  const quarantine = new PartQuarantine("i1", {
+  const quarantine = new Quarantine("i1", {
     onHold: () => undefined,
     onRelease: () => undefined,
     settleMs: () => 0,
@@ -60,7 +60,7 @@
   return { quarantine, keeper };
 }
 
-function holdPart(quarantine: PartQuarantine, part: string): void {
+function holdPart(quarantine: Quarantine, part: string): void {
   const now = performance.now() - 1;
   quarantine.recordCrash(`${part}1@1`, [[part]], now);
   quarantine.recordCrash(`${part}2@1`, [[part]], now);
--- a/packages/gateway/src/relay_crashing_part_test.ts
+++ b/packages/gateway/src/quarantine/relay_crashing_part_test.ts
@@ -7,7 +7,7 @@
   SEALED_HEADERS,
   sendRequest,
   startRelay,
-} from "./testing/start_relay.ts";
+} from "../testing/start_relay.ts";
 
 afterEach(cleanUp);
 
--- a/packages/gateway/src/prompt_guard.ts
+++ b/packages/gateway/src/quarantine/request_guard.ts
@@ -7,21 +7,22 @@
 import type {
   CallerRequest,
   EngineView,
-  PartQuarantine,
-  PromptDecision,
+  Quarantine,
+  SendDecision,
   ServingInstances,
 } from "@banyanlb/serving";
 import type { CrashWatch } from "./crash_watch.ts";
-import * as events from "./events.ts";
-import type { GatewayMetrics } from "./metrics.ts";
+import { heldFields } from "./crash_log.ts";
+import * as events from "../events.ts";
+import type { GatewayMetrics } from "../metrics.ts";
 
 /** Time from the head of an answer after which further bytes show that the
  * engine got past its beginning, in milliseconds. */
 const BEGINNING_MS = 400;
 
 /** Parts of the gateway that the guard uses. */
-export interface PromptGuardDependencies {
-  readonly quarantine: PartQuarantine;
+export interface RequestGuardDependencies {
+  readonly quarantine: Quarantine;
   readonly crashWatch: CrashWatch;
   readonly instances: () => ServingInstances;
   readonly log: EventLog;
@@ -29,21 +30,21 @@
 }
 
 /** The guard of one request. */
-export class PromptGuard {
-  readonly #deps: PromptGuardDependencies;
+export class RequestGuard {
+  readonly #deps: RequestGuardDependencies;
   readonly #caller: CallerRequest;
   #answerBeganAt: number | undefined;
   /** Whether an answer got past its beginning, at this or an earlier engine. */
   #isCleared = false;
   #trial: string | undefined;
 
-  constructor(deps: PromptGuardDependencies, caller: CallerRequest) {
+  constructor(deps: RequestGuardDependencies, caller: CallerRequest) {
     this.#deps = deps;
     this.#caller = caller;
   }
 
   /** Decides whether the request may be sent; logs the evidence if not. */
-  decide(): PromptDecision {
+  decide(): SendDecision {
     const decision = this.#deps.quarantine.decide(
       this.#caller.sharedParts,
       this.#deps.instances,
@@ -52,23 +53,23 @@
     if (decision.kind === "refuse") {
       this.#deps.log.write(events.PART_REFUSED, {
         id: this.#caller.id,
-        ...decision.held,
+        ...heldFields(decision.held),
       });
     }
     return decision;
   }
 
   /** Records that the request is about to be sent, as `decide` allowed. */
-  start(decision: PromptDecision): void {
+  start(decision: SendDecision): void {
     this.#answerBeganAt = undefined;
     if (decision.kind !== "trial") return;
-    this.#trial = decision.part;
-    this.#deps.quarantine.startTrial(decision.part, performance.now());
+    this.#trial = decision.suspect;
+    this.#deps.quarantine.startTrial(decision.suspect, performance.now());
     this.#deps.metrics.add("part_trials_total", "");
     this.#deps.log.write(events.PART_TRIED, {
       id: this.#caller.id,
-      part: decision.part,
-      ...this.#deps.quarantine.beliefOn(decision.part),
+      part: decision.suspect,
+      ...this.#deps.quarantine.beliefOn(decision.suspect),
     });
   }
 
--- a/packages/gateway/src/testing/digest_options.ts
+++ b/packages/gateway/src/testing/digest_options.ts
@@ -2,8 +2,8 @@
 import {
   EngineLimits,
   EngineTable,
-  PartQuarantine,
   PathDelays,
+  Quarantine,
   SystemClocks,
   WarmUps,
 } from "@banyanlb/serving";
@@ -47,7 +47,7 @@
       links: () => links,
     }),
     use: new AdapterUsageCounts(),
-    quarantine: new PartQuarantine(self.name, {
+    quarantine: new Quarantine(self.name, {
       onHold: () => undefined,
       onRelease: () => undefined,
       settleMs: () => 0,
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -23,7 +23,7 @@
   EngineTable,
   LoadForecast,
   MemberTable,
-  PartQuarantine,
+  Quarantine,
   RetryBudget,
   type Route,
   RouteTable,
@@ -32,10 +32,10 @@
 import type { AdapterLoader } from "../adapter_loader.ts";
 import { AdapterUsageCounts } from "../adapter_usage.ts";
 import { EngineConnections } from "../engine_connections.ts";
-import { CrashWatch } from "../crash_watch.ts";
+import { CrashWatch } from "../quarantine/crash_watch.ts";
 import { GatewayMetrics } from "../metrics.ts";
 import { LimitKeeper } from "../limit_keeper.ts";
-import { PromptGuard } from "../prompt_guard.ts";
+import { RequestGuard } from "../quarantine/request_guard.ts";
 import { Relay } from "../relay.ts";
 
 /** The headers of an engine's response to the request of `sendRequest`. */
@@ -202,7 +202,7 @@
   const limits = options.limits ??
     new EngineLimits("self", () => SINGLE_INSTANCE);
   const control = { probe: probeByConnecting };
-  const quarantine = new PartQuarantine("self", {
+  const quarantine = new Quarantine("self", {
     onHold: () => undefined,
     onRelease: () => undefined,
     settleMs: () => SETTLE_MS,
@@ -244,7 +244,7 @@
     use: new AdapterUsageCounts(),
     limits: new LimitKeeper({ limits, log }),
     bodyRoom: options.bodyRoom ?? new BodyRoom(BODY_ROOM_BYTES),
-    guardPrompt: (caller) => new PromptGuard(guardDependencies, caller),
+    guardRequest: (caller) => new RequestGuard(guardDependencies, caller),
     hasTimeFor: () => true,
     log,
     metrics,
--- a/packages/serving/src/crash_evidence_test.ts
+++ b/packages/serving/src/quarantine/crash_evidence_test.ts
@@ -1,44 +1,44 @@
 import { describe, expect, test } from "vitest";
 import { CrashEvidence, EVIDENCE_MS } from "./crash_evidence.ts";
-import type { SharedParts } from "./select_parts.ts";
+import type { Suspects } from "./select_suspects.ts";
 
-const BAD: SharedParts = ["first", "middle", "bad"];
+const BAD: Suspects = ["first", "middle", "bad"];
 
 function recordCrashes(
   evidence: CrashEvidence,
-  crashes: readonly (readonly SharedParts[])[],
+  crashes: readonly (readonly Suspects[])[],
   reporter = "i1",
 ): void {
-  crashes.forEach((suspects, i) =>
-    evidence.recordCrash(`e${i}@1`, { reporter, suspects, at: i })
+  crashes.forEach((requests, i) =>
+    evidence.recordCrash(`e${i}@1`, { reporter, requests, at: i })
   );
 }
 
-function answer(evidence: CrashEvidence, parts: SharedParts, times: number) {
-  for (let i = 0; i < times; i += 1) evidence.recordAnswer(parts, i);
+function answer(evidence: CrashEvidence, suspects: Suspects, times: number) {
+  for (let i = 0; i < times; i += 1) evidence.recordAnswer(suspects, i);
 }
 
 /** Parts that no other request has. */
-function uniqueParts(name: string, count: number): SharedParts {
+function uniqueParts(name: string, count: number): Suspects {
   return Array.from({ length: count }, (_, i) => `${name}.${i}`);
 }
 
 function causesOf(evidence: CrashEvidence): readonly string[] {
-  return evidence.explain(100, 100).map(({ part }) => part);
+  return evidence.explain(100, 100).map(({ suspect }) => suspect);
 }
 
 describe("the cause of crashes", () => {
-  test("is a part that two crashes have in common", () => {
+  test("is a suspect that two crashes have in common", () => {
     const evidence = new CrashEvidence("i1");
     recordCrashes(evidence, [[BAD, ["first", "x"]]]);
     expect(causesOf(evidence)).toEqual([]);
     recordCrashes(evidence, [[BAD, ["first", "x"]], [["first", "y"], BAD]]);
     expect(evidence.explain(100, 100)).toEqual([
-      { part: "bad", engines: ["e0@1", "e1@1"] },
+      { suspect: "bad", engines: ["e0@1", "e1@1"] },
     ]);
   });
 
-  test("is not a part on which answers get past their beginning", () => {
+  test("is not a suspect on which answers get past their beginning", () => {
     const evidence = new CrashEvidence("i1");
     recordCrashes(evidence, [[["first", "x"]], [["first", "y"]]]);
     answer(evidence, ["first", "z"], 2);
@@ -54,14 +54,14 @@
     expect(causesOf(evidence)).toEqual([]);
   });
 
-  test("is found although the part was answered well before", () => {
+  test("is found although the suspect was answered well before", () => {
     const evidence = new CrashEvidence("i1");
     answer(evidence, BAD, 50);
     recordCrashes(evidence, Array.from({ length: 6 }, () => [BAD]));
     expect(causesOf(evidence)).toEqual(["bad"]);
   });
 
-  test("is the first part if it crashes engines with any second one", () => {
+  test("is the first suspect if it crashes engines with any second one", () => {
     const evidence = new CrashEvidence("i1");
     recordCrashes(evidence, [[["bad", "x"]], [["bad", "x"]]]);
     expect(causesOf(evidence)).toEqual(["x"]);
@@ -75,7 +75,7 @@
 
   test("stays open while a neighbour was in the same crashes", () => {
     const evidence = new CrashEvidence("i1");
-    const neighbour: SharedParts = ["first", "x"];
+    const neighbour: Suspects = ["first", "x"];
     answer(evidence, ["first"], 9);
     recordCrashes(evidence, [[BAD, neighbour], [BAD, neighbour]]);
     expect(causesOf(evidence)).toEqual([]);
@@ -83,31 +83,31 @@
     expect(causesOf(evidence)).toEqual(["bad"]);
   });
 
-  test("is one of two parts that are always together after four crashes", () => {
+  test("is one of two suspects that are always together after four crashes", () => {
     const evidence = new CrashEvidence("i1");
-    const crash: readonly SharedParts[] = [["a", "bad"], ["b", "c"]];
+    const crash: readonly Suspects[] = [["a", "bad"], ["b", "c"]];
     recordCrashes(evidence, [crash, crash, crash]);
     expect(causesOf(evidence)).toEqual([]);
     recordCrashes(evidence, [crash, crash, crash, crash]);
     expect(causesOf(evidence).length).toBe(1);
   });
 
-  test("may be two parts, each of its own crashes", () => {
+  test("may be two suspects, each of its own crashes", () => {
     const evidence = new CrashEvidence("i1");
     answer(evidence, ["first"], 9);
-    const other: SharedParts = ["first", "worse"];
+    const other: Suspects = ["first", "worse"];
     recordCrashes(evidence, [[BAD], [other], [BAD], [other]]);
     expect([...causesOf(evidence)].sort()).toEqual(["bad", "worse"]);
   });
 
-  test("is not a part that shared its crashes with the cause", () => {
+  test("is not a suspect that shared its crashes with the cause", () => {
     const evidence = new CrashEvidence("i1");
-    const neighbour: SharedParts = ["first", "x"];
+    const neighbour: Suspects = ["first", "x"];
     recordCrashes(evidence, [[BAD, neighbour], [BAD, neighbour], [BAD]]);
     expect(causesOf(evidence)).toEqual(["bad"]);
   });
 
-  test("is joined from the suspects of several instances", () => {
+  test("is joined from the requests of several instances", () => {
     const evidence = new CrashEvidence("i1");
     recordCrashes(evidence, [[["first", "x"]], [["first", "y"]]], "i1");
     recordCrashes(evidence, [[BAD], [BAD]], "i2");
@@ -118,21 +118,21 @@
   test("is not sought for an engine that is cut off again and again", () => {
     const evidence = new CrashEvidence("i1");
     for (let i = 0; i < 9; i += 1) {
-      evidence.recordCrash("e1@1", { reporter: "i1", suspects: [BAD], at: i });
+      evidence.recordCrash("e1@1", { reporter: "i1", requests: [BAD], at: i });
     }
     expect(causesOf(evidence)).toEqual([]);
   });
 
-  test("is not sought while other suspects may be reported", () => {
+  test("is not sought while other requests may be reported", () => {
     const evidence = new CrashEvidence("i1");
     recordCrashes(evidence, [[BAD], [BAD]]);
     expect(evidence.explain(100, 0)).toEqual([]);
-    expect(evidence.explain(100, 1)).toMatchObject([{ part: "bad" }]);
+    expect(evidence.explain(100, 1)).toMatchObject([{ suspect: "bad" }]);
   });
 
-  // BUDGET: a part with eight or more shared parts behind it was no suspect of
+  // BUDGET: a suspect with eight or more shared suspects behind it was no suspect of
   // any crash, so its requests crashed engines without end.
-  test.each([1, 12, 300])("is found with %i parts behind it", (behind) => {
+  test.each([1, 12, 300])("is found with %i suspects behind it", (behind) => {
     const evidence = new CrashEvidence("i1");
     answer(evidence, ["first"], 9);
     recordCrashes(
@@ -145,7 +145,7 @@
     expect(causesOf(evidence)).toEqual(["bad"]);
   });
 
-  test("is found among more parts than an instance reports", () => {
+  test("is found among more suspects than an instance reports", () => {
     const evidence = new CrashEvidence("i1");
     answer(evidence, ["first", ...uniqueParts("known", 200)], 9);
     recordCrashes(
@@ -155,21 +155,21 @@
           "first",
           ...uniqueParts(`sound${crash}.${i}`, 100),
         ]),
-        // The parts before it are known from answers.
+        // The suspects before it are known from answers.
         ["first", ...uniqueParts("known", 200), "bad", `own${crash}`],
       ]),
     );
     expect(causesOf(evidence)).toEqual(["bad"]);
   });
 
-  test("is found although crashes without it have more parts than are kept", () => {
+  test("is found although crashes without it have more suspects than are kept", () => {
     const evidence = new CrashEvidence("i1");
     answer(evidence, ["first"], 9);
     for (let crash = 0; crash < 40; crash += 1) {
       const isBad = crash % 8 === 0;
       evidence.recordCrash(`e${crash}@1`, {
         reporter: "i1",
-        suspects: Array.from({ length: 10 }, (_, i) => [
+        requests: Array.from({ length: 10 }, (_, i) => [
           "first",
           ...(isBad && i === 0 ? ["bad"] : []),
           ...uniqueParts(`${crash}.${i}`, 300),
@@ -202,7 +202,7 @@
   const evidence = new CrashEvidence("i0");
   for (let crash = 0; crash < 300; crash += 1) {
     for (let instance = 0; instance < 60; instance += 1) {
-      const suspects = Array.from({ length: 4 }, (_, i) => [
+      const requests = Array.from({ length: 4 }, (_, i) => [
         "first",
         ...Array.from(
           { length: 30 },
@@ -211,7 +211,7 @@
       ]);
       evidence.recordCrash(`e${crash}@1`, {
         reporter: `i${instance}`,
-        suspects,
+        requests,
         at: crash,
       });
       evidence.recordAnswer([`p${crash}.${instance}`], crash);
--- a/packages/serving/src/part_quarantine.ts
+++ b/packages/serving/src/quarantine/quarantine.ts
@@ -1,8 +1,8 @@
-/** Keeps prompt parts that crash engines away from the engines.
+/** Keeps what crashes engines away from the engines.
  *
  * Every instance draws its conclusions from the same evidence, its own and that
- * of its peers, and holds the parts that peers hold. A held part is tried again
- * by one request of one instance at a time, a few times at most, and is
+ * of its peers, and holds the suspects that peers hold. A held suspect is tried
+ * again by one request of one instance at a time, a few times at most, and is
  * released when that request is answered, when the evidence no longer speaks
  * against it, or when nobody has asked for it for long.
  *
@@ -13,29 +13,29 @@
   CONVICTION_BALANCE,
   CrashEvidence,
   type Explanation,
-  type PartEvidence,
+  type SuspectEvidence,
 } from "./crash_evidence.ts";
-import type { ServingInstances } from "./member_table.ts";
-import type { ReportRow } from "./report_row.ts";
-import type { SharedParts } from "./select_parts.ts";
+import type { ServingInstances } from "../member_table.ts";
+import type { ReportRow } from "../report_row.ts";
+import type { Suspects } from "./select_suspects.ts";
 import { hasTrialTurn, nextTrialAt } from "./trial_turn.ts";
 
-/** A held part that nobody has asked for is released after this time, in
+/** A held suspect that nobody has asked for is released after this time, in
  * milliseconds. A released one is remembered as long, so that a peer that has
  * not heard of the release does not bring the hold back. */
 export const IDLE_RELEASE_MS = 600_000;
 
-/** Maximum number of parts that are held or were released. */
-const PARTS_MAX = 256;
+/** Maximum number of suspects that are held or were released. */
+const HOLDS_MAX = 256;
 
 /** Time for which a crash is reported to peers, in milliseconds: several
  * digests, since single ones may be lost. */
 const REPORT_CRASHES_MS = 6000;
 
-/** Number of answers on a part up to which each one is reported to peers. */
+/** Number of answers on a suspect up to which each one is reported to peers. */
 const REPORTED_SINGLY_MAX = 8;
 
-/** Why a part was held or released. */
+/** Why a suspect was held or released. */
 export type HoldReason = "evidence" | "peer" | "store";
 export type ReleaseReason = "evidence" | "trial" | "idle" | "peer";
 
@@ -46,7 +46,7 @@
   readonly isHeld: boolean;
   readonly crashes: number;
   readonly trials: number;
-  /** Time since the part was held or released, in milliseconds. */
+  /** Time since the suspect was held or released, in milliseconds. */
   readonly ageMs: number;
   /** Time until the next trial, in milliseconds; null if there is none. */
   readonly trialInMs: number | null;
@@ -65,7 +65,7 @@
 /** The suspects of one instance in one crash. */
 export interface CrashReport {
   readonly ageMs: number;
-  readonly suspects: readonly SharedParts[];
+  readonly suspects: readonly Suspects[];
 }
 
 /** The values that a peer has reported, by name. */
@@ -75,34 +75,34 @@
   readonly holds?: Readonly<Record<string, HoldRecord>>;
 }
 
-/** Why a request is refused: a part of its prompt is held. */
-export interface HeldPart extends PartEvidence {
-  readonly part: string;
+/** Why a request is refused: one of its suspects is held. */
+export interface HeldSuspect extends SuspectEvidence {
+  readonly suspect: string;
   readonly trials: number;
   readonly heldMs: number;
   readonly reason: HoldReason;
 }
 
-/** The decision on a prompt. */
-export type PromptDecision =
+/** The decision on a request. */
+export type SendDecision =
   | { readonly kind: "send" }
-  /** Decide again after this time: crashes speak against a part, and the peers
+  /** Decide again after this time: crashes speak against a suspect, and the peers
    * have yet to report which other requests were cut off. */
   | { readonly kind: "wait"; readonly ms: number }
-  /** Send it as the trial of this part, after `startTrial`. */
-  | { readonly kind: "trial"; readonly part: string }
-  | { readonly kind: "refuse"; readonly held: HeldPart };
+  /** Send it as the trial of this suspect, after `startTrial`. */
+  | { readonly kind: "trial"; readonly suspect: string }
+  | { readonly kind: "refuse"; readonly held: HeldSuspect };
 
-/** Called when parts are held or released, for the log. */
+/** Called when suspects are held or released, for the log. */
 export interface QuarantineListener {
-  readonly onHold: (part: string, hold: HeldPart) => void;
-  readonly onRelease: (part: string, reason: ReleaseReason) => void;
+  readonly onHold: (suspect: string, hold: HeldSuspect) => void;
+  readonly onRelease: (suspect: string, reason: ReleaseReason) => void;
 }
 
 interface Hold {
   revision: number;
   isHeld: boolean;
-  /** Number of crashes that the part explained when it was held. */
+  /** Number of crashes that the suspect explained when it was held. */
   crashes: number;
   trials: number;
   changedAt: number;
@@ -111,15 +111,15 @@
   reason: HoldReason;
 }
 
-/** The parts that are held at this instance. */
-export class PartQuarantine {
+/** The suspects that are held at this instance. */
+export class Quarantine {
   readonly #self: string;
   readonly #listener: QuarantineListener;
   readonly #settleMs: () => number;
   readonly #evidence: CrashEvidence;
   readonly #holds = new Map<string, Hold>();
-  /** The parts that explain the crashes of the last minute, and the keys of the
-   * engines that crashed because of them, as far as no other part may be the
+  /** The suspects that explain the crashes of the last minute, and the keys of the
+   * engines that crashed because of them, as far as no other suspect may be the
    * cause. */
   #causes: ReadonlySet<string> = new Set();
   #explainedEngines: ReadonlySet<string> = new Set();
@@ -138,14 +138,14 @@
     this.#evidence = new CrashEvidence(self);
   }
 
-  /** Number of parts that are held. */
+  /** Number of suspects that are held. */
   get size(): number {
     let count = 0;
     for (const { isHeld } of this.#holds.values()) if (isHeld) count += 1;
     return count;
   }
 
-  /** Decides whether a request with these parts may be sent.
+  /** Decides whether a request with these suspects may be sent.
    *
    * @example
    * ```ts
@@ -154,18 +154,18 @@
    * ```
    */
   decide(
-    parts: SharedParts,
+    suspects: Suspects,
     instances: () => ServingInstances,
     now: number,
-  ): PromptDecision {
+  ): SendDecision {
     if (now >= this.#concludeAt) this.#conclude(now);
     let trial: string | undefined;
     let waitMs = 0;
-    for (const part of parts) {
-      const hold = this.#holds.get(part);
+    for (const suspect of suspects) {
+      const hold = this.#holds.get(suspect);
       if (hold === undefined || !hold.isHeld) {
-        if (now < this.#concludeAt && this.#isSuspected(part)) {
-          const settledAt = (this.#evidence.lastCrashAt(part) ?? 0) +
+        if (now < this.#concludeAt && this.#isSuspected(suspect)) {
+          const settledAt = (this.#evidence.lastCrashAt(suspect) ?? 0) +
             this.#settleMs();
           waitMs = Math.max(waitMs, settledAt - now);
         }
@@ -178,21 +178,23 @@
       hold.expiresAt = now + IDLE_RELEASE_MS;
       const mayTry = trial === undefined && now >= hold.nextTrialAt &&
         hasTrialTurn(this.#self, instances(), {
-          part,
+          suspect,
           dueMs: now - hold.nextTrialAt,
         });
-      if (!mayTry) return { kind: "refuse", held: this.#heldPart(part, now) };
-      trial = part;
+      if (!mayTry) {
+        return { kind: "refuse", held: this.#heldSuspect(suspect, now) };
+      }
+      trial = suspect;
     }
     if (waitMs > 0) return { kind: "wait", ms: waitMs };
     return trial === undefined
       ? { kind: "send" }
-      : { kind: "trial", part: trial };
+      : { kind: "trial", suspect: trial };
   }
 
-  /** Records that the trial of a held part is about to be sent. */
-  startTrial(part: string, now: number): void {
-    const hold = this.#holds.get(part);
+  /** Records that the trial of a held suspect is about to be sent. */
+  startTrial(suspect: string, now: number): void {
+    const hold = this.#holds.get(suspect);
     if (hold === undefined) return;
     hold.revision += 1;
     hold.trials += 1;
@@ -201,23 +203,23 @@
 
   /** Whether a request may be sent again after this engine cut it off before its
    * answer got past its beginning. The crash of the engine counts although it
-   * is not confirmed yet: a request whose part is the cause is repeated once. */
-  mayRepeat(parts: SharedParts, engineKey: string): boolean {
+   * is not confirmed yet: a request whose suspect is the cause is repeated once. */
+  mayRepeat(suspects: Suspects, engineKey: string): boolean {
     const leftOut = new Set([...this.#explainedEngines, engineKey]);
-    return parts.every((part) => {
-      const { crashes, answers } = this.#evidence.evidenceOn(part, leftOut);
+    return suspects.every((suspect) => {
+      const { crashes, answers } = this.#evidence.evidenceOn(suspect, leftOut);
       return crashes + 1 - answers < CONVICTION_BALANCE;
     });
   }
 
-  /** Records that an answer got past its beginning. `trial` is the part that the
+  /** Records that an answer got past its beginning. `trial` is the suspect that the
    * request tried, if any. */
   recordAnswer(
-    parts: SharedParts,
+    suspects: Suspects,
     options: { readonly trial: string | undefined; readonly now: number },
   ): void {
     const { trial, now } = options;
-    if (this.#evidence.recordAnswer(parts, now)) this.#conclude(now);
+    if (this.#evidence.recordAnswer(suspects, now)) this.#conclude(now);
     const hold = trial === undefined ? undefined : this.#holds.get(trial);
     if (trial === undefined || hold?.isHeld !== true) return;
     // One answer does not outweigh several recent crashes.
@@ -228,36 +230,36 @@
   /** Records the suspects of this instance on an engine that has crashed. */
   recordCrash(
     engineKey: string,
-    suspects: readonly SharedParts[],
+    requests: readonly Suspects[],
     now: number,
   ): void {
     this.#evidence.recordCrash(engineKey, {
       reporter: this.#self,
-      suspects,
+      requests,
       at: now,
     });
     this.#conclude(now);
   }
 
-  /** What speaks for and against a part, and whether it is held. */
-  beliefOn(part: string): PartEvidence & { readonly isHeld: boolean } {
-    const isHeld = this.#holds.get(part)?.isHeld === true;
-    return { ...this.#evidence.evidenceOn(part), isHeld };
+  /** What speaks for and against a suspect, and whether it is held. */
+  beliefOn(suspect: string): SuspectEvidence & { readonly isHeld: boolean } {
+    const isHeld = this.#holds.get(suspect)?.isHeld === true;
+    return { ...this.#evidence.evidenceOn(suspect), isHeld };
   }
 
   /** What peers are told. */
   report(now: number): QuarantineReport {
     if (now >= this.#concludeAt) this.#conclude(now);
     const crashes = [...this.#evidence.ownCrashes(now - REPORT_CRASHES_MS)].map(
-      ([key, { at, suspects }]): ReportRow<CrashReport> => [
+      ([key, { at, requests }]): ReportRow<CrashReport> => [
         key,
-        suspects.length,
-        { ageMs: Math.round(now - at), suspects },
+        requests.length,
+        { ageMs: Math.round(now - at), suspects: requests },
       ],
     );
     const answers = [...this.#evidence.ownAnswers()].map(
-      ([part, counts]): ReportRow<AnswerCounts> => [
-        part,
+      ([suspect, counts]): ReportRow<AnswerCounts> => [
+        suspect,
         reportState(counts),
         counts,
       ],
@@ -270,23 +272,27 @@
     const { crashes = {}, answers = {}, holds = {} } = report;
     for (const [key, { ageMs, suspects }] of Object.entries(crashes)) {
       const at = now - ageMs;
-      this.#evidence.recordCrash(key, { reporter: peer, suspects, at });
+      this.#evidence.recordCrash(key, {
+        reporter: peer,
+        requests: suspects,
+        at,
+      });
     }
-    for (const [part, counts] of Object.entries(answers)) {
-      this.#evidence.recordPeerAnswers(peer, part, counts);
+    for (const [suspect, counts] of Object.entries(answers)) {
+      this.#evidence.recordPeerAnswers(peer, suspect, counts);
     }
     const isChanged = this.adopt(holds, "peer", now);
-    // The peer may have held or released a part on older evidence.
+    // The peer may have held or released a suspect on older evidence.
     if (
       isChanged || report.crashes !== undefined || report.answers !== undefined
     ) this.#conclude(now);
   }
 
-  /** The held and released parts, as peers and the store exchange them, in the
+  /** The held and released suspects, as peers and the store exchange them, in the
    * order in which they are kept if there is no room for all. */
   holdRecords(now: number): readonly ReportRow<HoldRecord>[] {
-    return this.#holdsToKeep().map(([part, hold]): ReportRow<HoldRecord> => [
-      part,
+    return this.#holdsToKeep().map(([suspect, hold]): ReportRow<HoldRecord> => [
+      suspect,
       hold.revision,
       {
         revision: hold.revision,
@@ -310,9 +316,9 @@
     now: number,
   ): boolean {
     let isChanged = false;
-    for (const [part, record] of Object.entries(records)) {
-      const current = this.#holds.get(part);
-      // Whoever was asked for the part last decides when it expires.
+    for (const [suspect, record] of Object.entries(records)) {
+      const current = this.#holds.get(suspect);
+      // Whoever was asked for the suspect last decides when it expires.
       if (current?.revision === record.revision) {
         current.expiresAt = Math.max(
           current.expiresAt,
@@ -326,7 +332,7 @@
       if (!isNewer || record.expiresInMs <= 0) continue;
       isChanged = true;
       const wasHeld = current?.isHeld === true;
-      this.#holds.set(part, {
+      this.#holds.set(suspect, {
         revision: record.revision,
         isHeld: record.isHeld,
         crashes: record.crashes,
@@ -339,53 +345,53 @@
         reason: source,
       });
       if (record.isHeld && !wasHeld) {
-        this.#listener.onHold(part, this.#heldPart(part, now));
+        this.#listener.onHold(suspect, this.#heldSuspect(suspect, now));
       } else if (!record.isHeld && wasHeld) {
-        this.#listener.onRelease(part, "peer");
+        this.#listener.onRelease(suspect, "peer");
       }
     }
     this.#dropSurplus(now);
     return isChanged;
   }
 
-  /** Holds the parts that explain the crashes, and releases those that the same
+  /** Holds the suspects that explain the crashes, and releases those that the same
    * evidence, now complete, no longer speaks against. */
   #conclude(now: number): void {
     const settleMs = this.#settleMs();
     const explanations = this.#evidence.explain(now, now - settleMs);
     this.#concludeAt = this.#evidence.firstCrashAfter(now - settleMs) +
       settleMs;
-    this.#causes = new Set(explanations.map(({ part }) => part));
+    this.#causes = new Set(explanations.map(({ suspect }) => suspect));
     this.#explainedEngines = new Set(
       explanations.filter((e) => this.#evidence.isDistinct(e))
         .flatMap(({ engines }) => engines),
     );
-    for (const [part, hold] of this.#holds) {
-      if (!hold.isHeld || this.#causes.has(part)) continue;
-      if (this.#isSuspected(part)) continue;
+    for (const [suspect, hold] of this.#holds) {
+      if (!hold.isHeld || this.#causes.has(suspect)) continue;
+      if (this.#isSuspected(suspect)) continue;
       // Without all the evidence of the hold there is nothing to conclude.
-      const { crashes } = this.#evidence.evidenceOn(part);
+      const { crashes } = this.#evidence.evidenceOn(suspect);
       if (crashes < hold.crashes) continue;
-      this.#release(part, hold, { reason: "evidence", now });
+      this.#release(suspect, hold, { reason: "evidence", now });
     }
     for (const explanation of explanations) this.#hold(explanation, now);
   }
 
-  /** Whether crashes that no other part explains speak against this one. */
-  #isSuspected(part: string): boolean {
+  /** Whether crashes that no other suspect explains speak against this one. */
+  #isSuspected(suspect: string): boolean {
     const { crashes, answers } = this.#evidence.evidenceOn(
-      part,
+      suspect,
       this.#explainedEngines,
     );
     return crashes - answers >= CONVICTION_BALANCE;
   }
 
-  #hold({ part, engines }: Explanation, now: number): void {
-    const current = this.#holds.get(part);
+  #hold({ suspect, engines }: Explanation, now: number): void {
+    const current = this.#holds.get(suspect);
     if (current?.isHeld === true) return;
-    // A part that is held again has used up the trials of before.
+    // A suspect that is held again has used up the trials of before.
     const trials = current?.trials ?? 0;
-    this.#holds.set(part, {
+    this.#holds.set(suspect, {
       revision: (current?.revision ?? 0) + 1,
       isHeld: true,
       crashes: engines.length,
@@ -395,12 +401,12 @@
       expiresAt: now + IDLE_RELEASE_MS,
       reason: "evidence",
     });
-    this.#listener.onHold(part, this.#heldPart(part, now));
+    this.#listener.onHold(suspect, this.#heldSuspect(suspect, now));
     this.#dropSurplus(now);
   }
 
   #release(
-    part: string,
+    suspect: string,
     hold: Hold,
     options: { readonly reason: ReleaseReason; readonly now: number },
   ): void {
@@ -408,14 +414,14 @@
     hold.revision += 1;
     hold.changedAt = options.now;
     hold.expiresAt = options.now + IDLE_RELEASE_MS;
-    this.#listener.onRelease(part, options.reason);
+    this.#listener.onRelease(suspect, options.reason);
   }
 
-  #heldPart(part: string, now: number): HeldPart {
-    const hold = this.#holds.get(part);
-    const { crashes, answers } = this.#evidence.evidenceOn(part);
+  #heldSuspect(suspect: string, now: number): HeldSuspect {
+    const hold = this.#holds.get(suspect);
+    const { crashes, answers } = this.#evidence.evidenceOn(suspect);
     return {
-      part,
+      suspect,
       crashes: Math.max(crashes, hold?.crashes ?? 0),
       answers,
       trials: hold?.trials ?? 0,
@@ -425,26 +431,26 @@
   }
 
   /** Drops records that have expired, and if there are too many those of released
-   * parts and then those that expire first. */
+   * suspects and then those that expire first. */
   #dropSurplus(now: number): void {
-    for (const [part, hold] of this.#holds) {
-      if (now >= hold.expiresAt) this.#drop(part, hold);
+    for (const [suspect, hold] of this.#holds) {
+      if (now >= hold.expiresAt) this.#drop(suspect, hold);
     }
-    for (const [part, hold] of this.#holdsToKeep().slice(PARTS_MAX)) {
-      this.#drop(part, hold);
+    for (const [suspect, hold] of this.#holdsToKeep().slice(HOLDS_MAX)) {
+      this.#drop(suspect, hold);
     }
   }
 
-  /** All records: those of held parts first, then those that expire last. */
-  #holdsToKeep(): readonly (readonly [part: string, hold: Hold])[] {
+  /** All records: those of held suspects first, then those that expire last. */
+  #holdsToKeep(): readonly (readonly [suspect: string, hold: Hold])[] {
     return [...this.#holds].sort(([, a], [, b]) =>
       Number(b.isHeld) - Number(a.isHeld) || b.expiresAt - a.expiresAt
     );
   }
 
-  #drop(part: string, hold: Hold): void {
-    if (hold.isHeld) this.#listener.onRelease(part, "idle");
-    this.#holds.delete(part);
+  #drop(suspect: string, hold: Hold): void {
+    if (hold.isHeld) this.#listener.onRelease(suspect, "idle");
+    this.#holds.delete(suspect);
   }
 }
 
@@ -452,7 +458,7 @@
  *
  * @example
  * ```ts
- * quarantine.adopt({ part: agedHold(record, 300) }, "peer", now);
+ * quarantine.adopt({ suspect: agedHold(record, 300) }, "peer", now);
  * ```
  */
 export function agedHold(hold: HoldRecord, ageMs: number): HoldRecord {
@@ -466,7 +472,7 @@
 }
 
 /** Changes with each of the first answers, then less and less often, so that the
- * answers on a popular part are not reported in each digest. */
+ * answers on a popular suspect are not reported in each digest. */
 function reportState([before, since]: AnswerCounts): number {
   const total = before + since;
   return total < REPORTED_SINGLY_MAX
--- a/packages/serving/src/part_quarantine_test.ts
+++ b/packages/serving/src/quarantine/quarantine_test.ts
@@ -1,14 +1,10 @@
 import { describe, expect, test } from "vitest";
-import {
-  IDLE_RELEASE_MS,
-  PartQuarantine,
-  type PeerReport,
-} from "./part_quarantine.ts";
-import type { ReportRow } from "./report_row.ts";
-import type { SharedParts } from "./select_parts.ts";
+import { IDLE_RELEASE_MS, type PeerReport, Quarantine } from "./quarantine.ts";
+import type { ReportRow } from "../report_row.ts";
+import type { Suspects } from "./select_suspects.ts";
 import { FIRST_TRIAL_MS, TRIALS_MAX } from "./trial_turn.ts";
 
-const BAD: SharedParts = ["first", "bad"];
+const BAD: Suspects = ["first", "bad"];
 const DIGEST_MS = 200;
 const SETTLE_MS = 450;
 
@@ -17,19 +13,19 @@
 const REFRESH_EVERY_DIGESTS = 10;
 
 /** Instances that exchange reports, and engines that end when a request with a
- * bad part begins there. */
+ * bad suspect begins there. */
 class Fleet {
   now = 0;
-  readonly instances = new Map<string, PartQuarantine>();
+  readonly instances = new Map<string, Quarantine>();
   readonly cutOff = new Set<string>();
   /** Requests that wait for a decision. */
   #waiting: {
     readonly name: string;
-    readonly parts: SharedParts;
-    readonly isBad: (parts: SharedParts) => boolean;
+    readonly suspects: Suspects;
+    readonly isBad: (suspects: Suspects) => boolean;
     readonly resendAt: number;
   }[] = [];
-  /** When requests with a bad part were sent. */
+  /** When requests with a bad suspect were sent. */
   readonly sentAt: number[] = [];
   /** Sound requests that were refused. */
   refusedSound = 0;
@@ -48,7 +44,7 @@
     const ignore = () => undefined;
     this.instances.set(
       name,
-      new PartQuarantine(name, {
+      new Quarantine(name, {
         onHold: ignore,
         onRelease: ignore,
         settleMs: () => SETTLE_MS,
@@ -60,41 +56,43 @@
   /** Sends requests to one engine at once. A bad one ends the engine before any
    * of them gets past its beginning. */
   send(
-    requests: readonly (readonly [instance: string, parts: SharedParts])[],
-    isBad: (parts: SharedParts) => boolean,
+    requests: readonly (readonly [instance: string, suspects: Suspects])[],
+    isBad: (suspects: Suspects) => boolean,
   ): void {
-    const sent = requests.flatMap(([name, parts]) => {
-      const decision = this.#decide(name, parts);
+    const sent = requests.flatMap(([name, suspects]) => {
+      const decision = this.#decide(name, suspects);
       if (decision.kind === "wait") {
         const resendAt = this.now + decision.ms;
-        this.#waiting.push({ name, parts, isBad, resendAt });
+        this.#waiting.push({ name, suspects, isBad, resendAt });
         return [];
       }
       if (decision.kind !== "refuse") {
-        const trial = decision.kind === "trial" ? decision.part : undefined;
+        const trial = decision.kind === "trial" ? decision.suspect : undefined;
         if (trial !== undefined) this.#get(name).startTrial(trial, this.now);
-        if (isBad(parts)) this.sentAt.push(this.now);
-        return [{ name, parts, trial }];
+        if (isBad(suspects)) this.sentAt.push(this.now);
+        return [{ name, suspects, trial }];
       }
-      if (!isBad(parts)) this.refusedSound += 1;
+      if (!isBad(suspects)) this.refusedSound += 1;
       return [];
     });
-    if (sent.some(({ parts }) => isBad(parts))) {
-      this.crash(sent.map(({ name, parts }) => [name, parts]));
+    if (sent.some(({ suspects }) => isBad(suspects))) {
+      this.crash(sent.map(({ name, suspects }) => [name, suspects]));
       return;
     }
-    for (const { name, parts, trial } of sent) {
-      this.#get(name).recordAnswer(parts, { trial, now: this.now });
+    for (const { name, suspects, trial } of sent) {
+      this.#get(name).recordAnswer(suspects, { trial, now: this.now });
     }
   }
 
   /** An engine ends that runs these requests. */
-  crash(suspects: readonly (readonly [string, SharedParts])[]): void {
+  crash(suspects: readonly (readonly [string, Suspects])[]): void {
     this.#crashCount += 1;
     for (const name of new Set(suspects.map(([name]) => name))) {
       this.#get(name).recordCrash(
         `e${this.#crashCount}@1`,
-        suspects.filter(([other]) => other === name).map(([, parts]) => parts),
+        suspects.filter(([other]) => other === name).map(([, suspects]) =>
+          suspects
+        ),
         this.now,
       );
     }
@@ -116,22 +114,26 @@
   #resend(): void {
     const due = this.#waiting.filter(({ resendAt }) => resendAt <= this.now);
     this.#waiting = this.#waiting.filter((w) => !due.includes(w));
-    for (const { name, parts, isBad } of due) this.send([[name, parts]], isBad);
+    for (const { name, suspects, isBad } of due) {
+      this.send([[name, suspects]], isBad);
+    }
   }
 
-  isHeldEverywhere(part: string): boolean {
-    return [...this.instances.values()].every((q) => q.beliefOn(part).isHeld);
+  isHeldEverywhere(suspect: string): boolean {
+    return [...this.instances.values()].every((q) =>
+      q.beliefOn(suspect).isHeld
+    );
   }
 
-  #decide(name: string, parts: SharedParts) {
+  #decide(name: string, suspects: Suspects) {
     const instances = {
       names: [...this.instances.keys()],
       isCutOff: this.cutOff.has(name),
     };
-    return this.#get(name).decide(parts, () => instances, this.now);
+    return this.#get(name).decide(suspects, () => instances, this.now);
   }
 
-  #get(name: string): PartQuarantine {
+  #get(name: string): Quarantine {
     const instance = this.instances.get(name);
     if (instance === undefined) throw new Error(`no instance ${name}`);
     return instance;
@@ -157,13 +159,13 @@
   }
 }
 
-function statesOf(sender: PartQuarantine, now: number): string {
+function statesOf(sender: Quarantine, now: number): string {
   return Object.values(sender.report(now)).flat().map(([name, state]) =>
     `${name}=${state}`
   ).join(" ");
 }
 
-function toPeerReport(sender: PartQuarantine, now: number): PeerReport {
+function toPeerReport(sender: Quarantine, now: number): PeerReport {
   const byName = <T>(rows: readonly ReportRow<T>[]) =>
     Object.fromEntries(rows.map(([name, , value]) => [name, value]));
   const { crashes, answers, holds } = sender.report(now);
@@ -174,10 +176,10 @@
   })) as PeerReport;
 }
 
-const isBad = (parts: SharedParts) => parts.includes("bad");
+const isBad = (suspects: Suspects) => suspects.includes("bad");
 
 /** Sends requests for a while: at each step one bad request and neighbours with
- * the same first part, all at different instances and on a new engine. */
+ * the same first suspect, all at different instances and on a new engine. */
 function sendMixed(
   fleet: Fleet,
   options: {
@@ -201,7 +203,7 @@
   }
 }
 
-describe("a part that crashes engines", () => {
+describe("a suspect that crashes engines", () => {
   test.each([8, 60])(
     "is held at all of %i instances after two crashes",
     (n) => {
@@ -224,7 +226,7 @@
     expect(fleet.refusedSound).toBe(0);
   });
 
-  test("is held behind many first parts", () => {
+  test("is held behind many first suspects", () => {
     const fleet = new Fleet(8);
     for (let i = 0; i < 20; i += 1) {
       fleet.send([[`i${i % 8}`, [`f${i}`, "bad"]], ["i1", [`f${i}`]]], isBad);
@@ -237,11 +239,14 @@
 
   test("is found beside another one, before and after it", () => {
     const fleet = new Fleet(8);
-    const isEither = (parts: SharedParts) =>
-      isBad(parts) || parts.includes("worse");
+    const isEither = (suspects: Suspects) =>
+      isBad(suspects) || suspects.includes("worse");
     for (let i = 0; i < 40; i += 1) {
-      const part = i % 3 === 0 ? "worse" : "bad";
-      fleet.send([[`i${i % 8}`, ["first", part]], ["i1", ["first"]]], isEither);
+      const suspect = i % 3 === 0 ? "worse" : "bad";
+      fleet.send(
+        [[`i${i % 8}`, ["first", suspect]], ["i1", ["first"]]],
+        isEither,
+      );
       fleet.send([["i2", ["first", "x"]]], isEither);
       fleet.pass(250);
     }
@@ -317,7 +322,7 @@
   });
 });
 
-describe("a held part", () => {
+describe("a held suspect", () => {
   // Each instance that tried it anew would send one more request than the bound
   // of three in all allows.
   test.each([8, 60])("is tried at most twice by %i instances together", (n) => {
@@ -389,7 +394,9 @@
     const records = fleet.instances.get("i0")?.holdRecords(fleet.now) ?? [];
     fleet.start("i0");
     fleet.instances.get("i0")?.adopt(
-      Object.fromEntries(records.map(([part, , record]) => [part, record])),
+      Object.fromEntries(
+        records.map(([suspect, , record]) => [suspect, record]),
+      ),
       "store",
       fleet.now,
     );
@@ -409,7 +416,7 @@
   });
 });
 
-test("records of released parts are dropped before those of held ones", () => {
+test("records of released suspects are dropped before those of held ones", () => {
   const quarantine = new Fleet(1).instances.get("i0");
   const record = {
     revision: 1,
@@ -433,7 +440,7 @@
 });
 
 describe("a request that was cut off at its beginning", () => {
-  test("is repeated once, unless its parts are known to be sound", () => {
+  test("is repeated once, unless its suspects are known to be sound", () => {
     const fleet = new Fleet(1);
     const quarantine = fleet.instances.get("i0");
     expect(quarantine?.mayRepeat(BAD, "e1@1")).toBe(true);
--- a/packages/serving/src/trial_turn.ts
+++ b/packages/serving/src/quarantine/trial_turn.ts
@@ -1,9 +1,9 @@
-/** When a held prompt part is tried again, and by which instance.
+/** When a held suspect is tried again, and by which instance.
  *
  * @module
  */
-import { fingerprintOfText } from "./fingerprint.ts";
-import type { ServingInstances } from "./member_table.ts";
+import { fingerprintOfText } from "../fingerprint.ts";
+import type { ServingInstances } from "../member_table.ts";
 
 /** Time from the beginning of a hold to the first trial, in milliseconds. */
 export const FIRST_TRIAL_MS = 20_000;
@@ -20,30 +20,30 @@
 const TURN_MS = 5000;
 const GUARD_MS = 1500;
 
-/** When a part is tried next after so many trials; Infinity if no more. */
+/** When a suspect is tried next after so many trials; Infinity if no more. */
 export function nextTrialAt(trials: number, now: number): number {
   return trials >= TRIALS_MAX
     ? Infinity
     : now + FIRST_TRIAL_MS * TRIAL_BACKOFF ** trials;
 }
 
-/** Whether an instance may start the trial of a part that has been due for
+/** Whether an instance may start the trial of a suspect that has been due for
  * `dueMs`. The instances take turns, so that the trial does not depend on one of
- * them being asked for the part. One that may be cut off has none.
+ * them being asked for the suspect. One that may be cut off has none.
  *
  * @example
  * ```ts
  * const instances = { names: ["i1", "i2"], isCutOff: false };
- * hasTrialTurn("i1", instances, { part: "5c1e", dueMs: 300 });
+ * hasTrialTurn("i1", instances, { suspect: "5c1e", dueMs: 300 });
  * ```
  */
 export function hasTrialTurn(
   self: string,
   { names, isCutOff }: ServingInstances,
-  trial: { readonly part: string; readonly dueMs: number },
+  trial: { readonly suspect: string; readonly dueMs: number },
 ): boolean {
-  const { part, dueMs } = trial;
+  const { suspect, dueMs } = trial;
   if (isCutOff || dueMs % TURN_MS > TURN_MS - GUARD_MS) return false;
-  const position = fingerprintOfText(part) + Math.floor(dueMs / TURN_MS);
+  const position = fingerprintOfText(suspect) + Math.floor(dueMs / TURN_MS);
   return [...names].sort()[position % names.length] === self;
 }
--- a/packages/serving/src/trial_turn_test.ts
+++ b/packages/serving/src/quarantine/trial_turn_test.ts
@@ -6,7 +6,7 @@
 
 function holdersAt(dueMs: number): readonly string[] {
   return names.filter((name) =>
-    hasTrialTurn(name, instances, { part: "bad", dueMs })
+    hasTrialTurn(name, instances, { suspect: "bad", dueMs })
   );
 }
 
@@ -32,7 +32,7 @@
   for (const name of names) {
     expect(
       hasTrialTurn(name, { names, isCutOff: true }, {
-        part: "bad",
+        suspect: "bad",
         dueMs: 0,
       }),
     ).toBe(false);
