Judge whole requests that crash engines, in the same table as prompt parts

What callers saw: a read that crashes each engine that begins to run it came again at any instance, and each time ended one engine, or two by its repeat.

Cause: only the parts of a prompt that requests share were suspects. A request without any was dropped from the evidence (its events 846 have partCount 0), so it was never held, and mayRepeat, which asks whether every part is harmless, was true of no parts.

Change: a request has one suspect more, its key: a hash of method, host, path with query, workspace, model, adapter, prompt and body. It is computed when something is suspected or an answer is counted. Instances of older builds treat a key as a part that none of their requests has. Callers of a held request get 503 held_request without Retry-After; events 846 to 850 name it as request.

Ruled out: the 32-bit fingerprint (two requests could share it); the id, the deadline and the position in a stream (they differ at each repeat); leaving out the prompt (requests without a body would be one request for all prompts).

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -296,54 +296,56 @@
 };
 
 /** An engine ended while it ran requests. `suspects` are the requests of this
- * instance whose answers had not got past their beginning, each part of their
- * prompts with the crashes and the answers that are known of it; `others` had
- * got past it. */
+ * instance whose answers had not got past their beginning. Each has the parts of
+ * its prompt and, as `request`, the key of the whole request, with the crashes and
+ * the answers that are known of them; `others` had got past it. */
 export const ENGINE_CRASHED: LogEvent = {
   id: 846,
   severity: "warn",
   text: "engine crashed",
 };
 
-/** Requests with a part of a prompt are refused from now on, because the part
- * explains crashes of engines. `reason` tells whether this instance concluded
- * so from the evidence, or adopted it from a peer or from the store. */
-export const PART_HELD: LogEvent = {
+/** Requests with a part of a prompt, or one whole request, are refused from now
+ * on, because the `part` or the `request` explains crashes of engines. `reason`
+ * tells whether this instance concluded so from the evidence, or adopted it from
+ * a peer or from the store. */
+export const SUSPECT_HELD: LogEvent = {
   id: 847,
   severity: "warn",
-  text: "prompt part held: it crashes engines",
+  text: "prompt part or request held: it crashes engines",
 };
 
-/** Requests with a part of a prompt are sent again: the evidence no longer
- * speaks against it, its trial was answered, nobody asked for it for long, or a
- * peer released it. */
-export const PART_RELEASED: LogEvent = {
+/** Requests with a part of a prompt, or one whole request, are sent again: the
+ * evidence no longer speaks against the `part` or the `request`, its trial was
+ * answered, nobody asked for it for long, or a peer released it. */
+export const SUSPECT_RELEASED: LogEvent = {
   id: 848,
   severity: "info",
-  text: "prompt part released",
+  text: "prompt part or request released",
 };
 
-/** A request was refused because a part of its prompt is held. The fields are
- * the evidence: crashes that the part explains, answers on it, trials, and how
- * long it has been held. */
-export const PART_REFUSED: LogEvent = {
+/** A request was refused because a `part` of its prompt is held, or the `request`
+ * itself. The fields are the evidence: crashes that this explains, answers on it,
+ * trials, and how long it has been held. */
+export const SUSPECT_REFUSED: LogEvent = {
   id: 849,
   severity: "info",
-  text: "request with a held prompt part refused",
+  text: "held request or request with a held prompt part refused",
 };
 
-/** A request is sent to try whether a held part still crashes engines. */
-export const PART_TRIED: LogEvent = {
+/** A request is sent to try whether the held `part` or `request` still crashes
+ * engines. */
+export const SUSPECT_TRIED: LogEvent = {
   id: 850,
   severity: "info",
-  text: "held prompt part tried",
+  text: "held prompt part or request tried",
 };
 
 /** The held prompt parts could not be read from the store or written to it. */
 export const HOLDS_NOT_STORED: LogEvent = {
   id: 851,
   severity: "warn",
-  text: "held prompt parts not read or written",
+  text: "holds not read or written",
 };
 
 /** An engine names a limit on the requests a second from all instances, has
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -42,7 +42,8 @@
   type SilentAttempt,
 } from "./handover/handover.ts";
 import { ExchangeLog } from "./exchange_log.ts";
-import type { RequestGuard } from "./quarantine/request_guard.ts";
+import { guardedRequest } from "./quarantine/guarded_request.ts";
+import type { RefusalTerms, RequestGuard } from "./quarantine/request_guard.ts";
 import { ReadTimeout } from "./read_timeout.ts";
 import { RateCharge } from "./rate_charge.ts";
 import type {
@@ -88,9 +89,6 @@
 /** Maximum size of one event of a resumable stream, in bytes. */
 const EVENT_MAX_BYTES = 256 * 1024;
 
-/** The reason of a refusal because of a held part of the prompt. */
-const HELD_PART = "held_part";
-
 /** A request whose route, workspace, service and body have been determined. */
 export interface ExchangeInput {
   readonly req: IncomingMessage;
@@ -165,7 +163,7 @@
     const { caller, route, arrivedAt } = input;
     this.#log = new ExchangeLog(deps, input);
     this.#rateCharge = new RateCharge(deps, input.workspace, caller);
-    this.#guard = deps.guardRequest(caller);
+    this.#guard = deps.guardRequest(guardedRequest(input));
     this.#lastEventId = caller.lastEventId;
     this.#deadline = arrivedAt +
       Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
@@ -179,7 +177,8 @@
 
   async run(): Promise<void> {
     const { res, refuse } = this.#input;
-    if (this.#guard.decide().kind === "refuse") return refuse(503, HELD_PART);
+    const first = this.#guard.decide();
+    if (first.kind === "refuse") return this.#giveUp(first.reason, first);
     const rateWaitSeconds = await this.#rateCharge.take(this.#deadline);
     if (rateWaitSeconds !== undefined) {
       return refuse(429, "over_rate", rateWaitSeconds);
@@ -213,9 +212,11 @@
           : retryAfterSeconds();
         return refuse(503, `${view}:${reason}`, waitSeconds);
       }
-      // The part may have been held while the adapter was loaded.
+      // A suspect may have been held while the adapter was loaded.
       const decision = this.#guard.decide();
-      if (decision.kind === "refuse") return this.#giveUp(HELD_PART);
+      if (decision.kind === "refuse") {
+        return this.#giveUp(decision.reason, decision);
+      }
       if (decision.kind === "wait") {
         await setTimeoutPromise(decision.ms);
         continue;
@@ -479,7 +480,10 @@
 
   /** Ends the request after the last attempt: aborts a response that has begun,
    * forwards the stored error response, or sends an error of the gateway. */
-  #giveUp(reason: string): void {
+  #giveUp(
+    reason: string,
+    { waitSeconds }: RefusalTerms = { waitSeconds: retryAfterSeconds() },
+  ): void {
     const { res, caller, refuse } = this.#input;
     if (this.#hasSentHeaders) {
       this.#log.requestFailed(reason, 0, this.#runCount);
@@ -492,10 +496,6 @@
     }
     if (this.#runCount === 0) {
       this.#rateCharge.refund();
-      // Nothing says when requests with a held part will be sent again.
-      const waitSeconds = reason === HELD_PART
-        ? undefined
-        : retryAfterSeconds();
       return refuse(503, reason, waitSeconds);
     }
     const status = reason === "timed_out" ? 504 : 502;
--- a/packages/gateway/src/quarantine/crash_log.ts
+++ b/packages/gateway/src/quarantine/crash_log.ts
@@ -2,11 +2,16 @@
  *
  * @module
  */
-import type { HeldSuspect } from "@banyanlb/serving";
+import { type HeldSuspect, isRequestKey } from "@banyanlb/serving";
+
+/** The name of a suspect, under the field of its kind. */
+export function nameField(suspect: string): Readonly<Record<string, string>> {
+  return isRequestKey(suspect) ? { request: suspect } : { part: suspect };
+}
 
 /** Why a suspect is held, as fields of a log line. */
 export function heldFields(
   { suspect, ...evidence }: HeldSuspect,
 ): Readonly<Record<string, unknown>> {
-  return { part: suspect, ...evidence };
+  return { ...nameField(suspect), ...evidence };
 }
--- a/packages/gateway/src/quarantine/crash_protection.ts
+++ b/packages/gateway/src/quarantine/crash_protection.ts
@@ -1,11 +1,10 @@
-/** Protects engines from prompt parts that crash them: wires the quarantine to
- * the log, to the store, and to the requests.
+/** Protects engines from what crashes them: wires the quarantine to the log, to
+ * the store, and to the requests.
  *
  * @module
  */
 import type { EventLog } from "@banyanlb/core";
 import {
-  type CallerRequest,
   type EngineControl,
   isLargeFleet,
   type Member,
@@ -13,12 +12,12 @@
   Quarantine,
   type RecordStore,
 } from "@banyanlb/serving";
-import { heldFields } from "./crash_log.ts";
+import { heldFields, nameField } from "./crash_log.ts";
 import { CrashWatch } from "./crash_watch.ts";
 import * as events from "../events.ts";
 import { HoldKeeper } from "./hold_keeper.ts";
 import type { GatewayMetrics } from "../metrics.ts";
-import { RequestGuard } from "./request_guard.ts";
+import { type GuardedRequest, RequestGuard } from "./request_guard.ts";
 
 /** Time after which all instances have reported their suspects in a crash, in
  * milliseconds: two of the longest intervals between the digests of instances
@@ -50,14 +49,14 @@
     this.#options = options;
     this.quarantine = new Quarantine(self.name, {
       onHold: (_, held) => {
-        log.write(events.PART_HELD, heldFields(held));
+        log.write(events.SUSPECT_HELD, heldFields(held));
         this.#countHeld();
       },
-      onRelease: (part, reason) => {
-        log.write(events.PART_RELEASED, {
-          part,
+      onRelease: (suspect, reason) => {
+        log.write(events.SUSPECT_RELEASED, {
+          ...nameField(suspect),
           reason,
-          ...this.quarantine.beliefOn(part),
+          ...this.quarantine.beliefOn(suspect),
         });
         this.#countHeld();
       },
@@ -76,18 +75,18 @@
     });
   }
 
-  /** Whether the parts that were held before this process started are known, as
+  /** Whether the suspects that were held before this process started are known, as
    * far as they can be. */
   get isReady(): boolean {
     return this.#holdKeeper.isReady;
   }
 
-  /** Reads the held parts, and starts to keep them in the store. */
+  /** Reads the holds, and starts to keep them in the store. */
   start(): void {
     this.#holdKeeper.start();
   }
 
-  /** Stops to keep the held parts in the store. */
+  /** Stops to keep the holds in the store. */
   close(): void {
     this.#holdKeeper.close();
   }
@@ -98,7 +97,7 @@
   }
 
   /** Creates the guard of a request. */
-  guard(caller: CallerRequest): RequestGuard {
+  guard(request: GuardedRequest): RequestGuard {
     const { members, log, metrics } = this.#options;
     return new RequestGuard({
       quarantine: this.quarantine,
@@ -106,7 +105,7 @@
       instances: () => members.servingInstances(performance.now()),
       log,
       metrics,
-    }, caller);
+    }, request);
   }
 
   #countHeld(): void {
--- a/packages/gateway/src/quarantine/crash_watch.ts
+++ b/packages/gateway/src/quarantine/crash_watch.ts
@@ -6,6 +6,7 @@
 import {
   type EngineControl,
   type EngineView,
+  isRequestKey,
   type Quarantine,
   selectSuspects,
   type Suspects,
@@ -31,7 +32,7 @@
 /** A request that an engine broke off. */
 export interface CutRequest {
   readonly id: string | undefined;
-  readonly parts: Suspects;
+  readonly suspects: Suspects;
   /** Whether its answer had not got past its beginning. */
   readonly isSuspect: boolean;
 }
@@ -117,36 +118,36 @@
     const suspects = crash.requests.filter(({ isSuspect }) => isSuspect);
     this.#options.quarantine.recordCrash(
       key,
-      suspects.map(({ parts }) => parts),
+      suspects.map((request) => request.suspects),
       crash.startedAt,
     );
   }
 
-  /** The requests that ran on the engine, and what was believed of the parts of
-   * the suspects: crashes, answers, and whether the part was held. */
+  /** The requests that ran on the engine, and what was believed of the
+   * suspects: crashes, answers, and whether they were held. */
   #fields(
     key: string,
     { requests }: PossibleCrash,
   ): Readonly<Record<string, unknown>> {
-    const suspects = requests.filter(({ isSuspect }) => isSuspect);
-    const logged = suspects.slice(0, LOGGED_REQUESTS_MAX);
-    const beliefs = new Map(
-      logged.flatMap(({ parts }) => parts).map((part) =>
-        [part, this.#options.quarantine.beliefOn(part)] as const
-      ),
-    );
-    const crashesOf = (part: string) => beliefs.get(part)?.crashes ?? 0;
+    const { quarantine } = this.#options;
+    const believe = (suspect: string) =>
+      `${suspect} ${describeBelief(quarantine.beliefOn(suspect))}`;
     return {
       engine: key,
       cut: requests.length,
-      suspects: logged.map(({ id, parts }) => ({
-        id,
-        partCount: parts.length,
-        parts: selectSuspects(parts, {
-          count: events.LOGGED_PARTS_MAX,
-          rank: (part) => -crashesOf(part),
-        }).map((part) => `${part} ${describeBelief(beliefs.get(part))}`),
-      })),
+      suspects: requests.filter(({ isSuspect }) => isSuspect)
+        .slice(0, LOGGED_REQUESTS_MAX).map(({ id, suspects }) => {
+          const parts = suspects.filter((suspect) => !isRequestKey(suspect));
+          return {
+            id,
+            partCount: parts.length,
+            parts: selectSuspects(parts, {
+              count: events.LOGGED_PARTS_MAX,
+              rank: (part) => -quarantine.beliefOn(part).crashes,
+            }).map(believe),
+            request: suspects.filter(isRequestKey).map(believe).at(0),
+          };
+        }),
       others: requests.filter(({ isSuspect }) => !isSuspect)
         .slice(0, LOGGED_REQUESTS_MAX).map(({ id }) => id),
     };
@@ -154,9 +155,7 @@
 }
 
 function describeBelief(
-  belief: ReturnType<Quarantine["beliefOn"]> | undefined,
+  { crashes, answers, isHeld }: ReturnType<Quarantine["beliefOn"]>,
 ): string {
-  if (belief === undefined) return "";
-  const { crashes, answers, isHeld } = belief;
   return `${crashes}/${answers}${isHeld ? " held" : ""}`;
 }
--- /dev/null
+++ b/packages/gateway/src/quarantine/relay_crashing_request_test.ts
@@ -0,0 +1,115 @@
+import type { RequestListener } from "node:http";
+import { afterEach, expect, test } from "vitest";
+import {
+  cleanUp,
+  listen,
+  portOf,
+  SEALED_HEADERS,
+  sendRequest,
+  startRelay,
+} from "../testing/start_relay.ts";
+
+afterEach(cleanUp);
+
+const ENGINE_COUNT = 12;
+
+/** Crashes that a request may cause before it is stopped. */
+const CRASHES_MAX = 3;
+
+interface Case {
+  readonly method: string;
+  readonly kind: "safe" | "unsafe" | "stream";
+  readonly headers?: Record<string, string>;
+  readonly body?: string;
+}
+
+const CASES: readonly (readonly [string, Case])[] = [
+  ["a read", { method: "GET", kind: "safe" }],
+  ["a call that must not run twice", {
+    method: "POST",
+    kind: "unsafe",
+    body: "strike",
+  }],
+  ["a stream", {
+    method: "POST",
+    kind: "stream",
+    headers: { "prompt-prefix": "f0:10,a1:5,77:9" },
+    body: "prompt",
+  }],
+  ["a stream that goes on", {
+    method: "POST",
+    kind: "stream",
+    headers: { "prompt-prefix": "f0:10,a1:5,77:9", "last-event-id": "3" },
+    body: "prompt",
+  }],
+];
+
+/** Starts engines that end when a request for `/bad` begins there. */
+async function startCrashingEngines(count: number) {
+  let crashCount = 0;
+  const ports: number[] = [];
+  for (let i = 0; i < count; i += 1) {
+    const handle: RequestListener = (req, res) => {
+      req.resume();
+      if (req.url !== "/bad") {
+        res.writeHead(200, SEALED_HEADERS);
+        res.end("id: 4\ndata: a\n\n");
+        return;
+      }
+      crashCount += 1;
+      setTimeout(() => {
+        server.close();
+        server.closeAllConnections();
+      }, 5);
+    };
+    const server = await listen(handle);
+    ports.push(portOf(server));
+  }
+  return { ports, crashCount: () => crashCount };
+}
+
+const pause = (ms: number) => new Promise((resolve) => setTimeout(resolve, ms));
+
+// Guards against a request without shared prompt parts that ends engine after
+// engine: nothing was learnt from its crashes.
+test.each(CASES)(
+  "%s that crashes engines stops reaching them",
+  async (_, { method, kind, headers, body }) => {
+    const engines = await startCrashingEngines(ENGINE_COUNT);
+    const port = await startRelay(engines.ports, {
+      route: { kind, resumable: kind === "stream", maxAttempts: 3 },
+    });
+    const send = (path: string) =>
+      sendRequest(port, headers, { method, path, body });
+    const statuses: number[] = [];
+    for (let i = 0; i < ENGINE_COUNT; i += 1) {
+      statuses.push((await send("/bad")).status);
+      expect(await send("/good")).toMatchObject({ status: 200 });
+    }
+    expect(engines.crashCount()).toBeLessThanOrEqual(CRASHES_MAX);
+    expect(statuses.slice(-6)).toEqual(Array(6).fill(503));
+  },
+);
+
+// Guards against callers who come back in vain, and against an operator who cannot
+// tell which request is meant.
+test("a held request is told that it has not run, and is named in the log", async () => {
+  const engines = await startCrashingEngines(4);
+  const lines: Readonly<Record<string, unknown>>[] = [];
+  const port = await startRelay(engines.ports, {
+    route: { maxAttempts: 3 },
+    onLog: (fields) => lines.push(fields),
+  });
+  await sendRequest(port, {}, { path: "/bad" });
+  await pause(100);
+  const response = await sendRequest(port, {}, { path: "/bad" });
+  expect(response).toMatchObject({ status: 503, retryAfter: undefined });
+  expect(JSON.parse(response.body)).toEqual({
+    error: { type: "held_request", not_run: true },
+  });
+  const name = expect.stringMatching(/^req-[0-9a-f]{32}$/);
+  expect(lines).toContainEqual(
+    expect.objectContaining({ event: 849, request: name, crashes: 2 }),
+  );
+  expect(engines.crashCount()).toBe(2);
+});
--- a/packages/gateway/src/quarantine/request_guard.ts
+++ b/packages/gateway/src/quarantine/request_guard.ts
@@ -1,18 +1,21 @@
-/** Follows one request for the quarantine of prompt parts: whether it may be
- * sent, and whether its answer got past its beginning.
+/** Follows one request for the quarantine: whether it may be sent, and whether
+ * its answer got past its beginning.
  *
  * @module
  */
 import type { EventLog } from "@banyanlb/core";
-import type {
-  CallerRequest,
-  EngineView,
-  Quarantine,
-  SendDecision,
-  ServingInstances,
+import {
+  type EngineView,
+  isRequestKey,
+  type Quarantine,
+  type RequestIdentity,
+  requestKeyOf,
+  type SendDecision,
+  type ServingInstances,
+  type Suspects,
 } from "@banyanlb/serving";
 import type { CrashWatch } from "./crash_watch.ts";
-import { heldFields } from "./crash_log.ts";
+import { heldFields, nameField } from "./crash_log.ts";
 import * as events from "../events.ts";
 import type { GatewayMetrics } from "../metrics.ts";
 
@@ -20,6 +23,28 @@
  * engine got past its beginning, in milliseconds. */
 const BEGINNING_MS = 400;
 
+/** Why a request is refused, as its caller is told. */
+const HELD_PART = "held_part";
+const HELD_REQUEST = "held_request";
+
+/** The request that a guard follows. */
+export interface GuardedRequest {
+  readonly id: string | undefined;
+  readonly sharedParts: readonly string[];
+  readonly identity: RequestIdentity;
+}
+
+/** When the caller of a refused request may come back; undefined if nothing says
+ * so. */
+export interface RefusalTerms {
+  readonly waitSeconds: number | undefined;
+}
+
+/** Whether a request may be sent. */
+export type GuardDecision =
+  | Exclude<SendDecision, { readonly kind: "refuse" }>
+  | RefusalTerms & { readonly kind: "refuse"; readonly reason: string };
+
 /** Parts of the gateway that the guard uses. */
 export interface RequestGuardDependencies {
   readonly quarantine: Quarantine;
@@ -32,43 +57,56 @@
 /** The guard of one request. */
 export class RequestGuard {
   readonly #deps: RequestGuardDependencies;
-  readonly #caller: CallerRequest;
+  readonly #request: GuardedRequest;
+  #suspects: Suspects | undefined;
   #answerBeganAt: number | undefined;
   /** Whether an answer got past its beginning, at this or an earlier engine. */
   #isCleared = false;
   #trial: string | undefined;
 
-  constructor(deps: RequestGuardDependencies, caller: CallerRequest) {
+  constructor(deps: RequestGuardDependencies, request: GuardedRequest) {
     this.#deps = deps;
-    this.#caller = caller;
+    this.#request = request;
+  }
+
+  /** What of this request may crash engines: the shared parts of its prompt, and
+   * the request as a whole. */
+  get suspects(): Suspects {
+    const { sharedParts, identity } = this.#request;
+    this.#suspects ??= [...sharedParts, requestKeyOf(identity)];
+    return this.#suspects;
   }
 
   /** Decides whether the request may be sent; logs the evidence if not. */
-  decide(): SendDecision {
-    const decision = this.#deps.quarantine.decide(
-      this.#caller.sharedParts,
-      this.#deps.instances,
+  decide(): GuardDecision {
+    const { quarantine, instances, log } = this.#deps;
+    if (quarantine.isEmpty) return { kind: "send" };
+    const decision = quarantine.decide(
+      this.suspects,
+      instances,
       performance.now(),
     );
-    if (decision.kind === "refuse") {
-      this.#deps.log.write(events.PART_REFUSED, {
-        id: this.#caller.id,
-        ...heldFields(decision.held),
-      });
-    }
-    return decision;
+    if (decision.kind !== "refuse") return decision;
+    const { held } = decision;
+    const { id } = this.#request;
+    log.write(events.SUSPECT_REFUSED, { id, ...heldFields(held) });
+    return {
+      kind: "refuse",
+      reason: isRequestKey(held.suspect) ? HELD_REQUEST : HELD_PART,
+      waitSeconds: undefined,
+    };
   }
 
   /** Records that the request is about to be sent, as `decide` allowed. */
-  start(decision: SendDecision): void {
+  start(decision: GuardDecision): void {
     this.#answerBeganAt = undefined;
     if (decision.kind !== "trial") return;
     this.#trial = decision.suspect;
     this.#deps.quarantine.startTrial(decision.suspect, performance.now());
     this.#deps.metrics.add("part_trials_total", "");
-    this.#deps.log.write(events.PART_TRIED, {
-      id: this.#caller.id,
-      part: decision.suspect,
+    this.#deps.log.write(events.SUSPECT_TRIED, {
+      id: this.#request.id,
+      ...nameField(decision.suspect),
       ...this.#deps.quarantine.beliefOn(decision.suspect),
     });
   }
@@ -89,7 +127,7 @@
   recordAnswer(): void {
     if (this.#isCleared) return;
     this.#isCleared = true;
-    this.#deps.quarantine.recordAnswer(this.#caller.sharedParts, {
+    this.#deps.quarantine.recordAnswer(this.suspects, {
       trial: this.#trial,
       now: performance.now(),
     });
@@ -98,8 +136,8 @@
   /** Records that the engine broke the request off. */
   recordCut(view: EngineView): void {
     this.#deps.crashWatch.recordCut(view, {
-      id: this.#caller.id,
-      parts: this.#caller.sharedParts,
+      id: this.#request.id,
+      suspects: this.suspects,
       isSuspect: !this.#isCleared,
     });
   }
@@ -107,7 +145,7 @@
   /** Whether the request may be sent again after this engine broke it off. */
   mayRepeat(view: EngineView): boolean {
     return this.#isCleared || this.#deps.quarantine.mayRepeat(
-      this.#caller.sharedParts,
+      this.suspects,
       view.engine.key,
     );
   }
--- a/packages/gateway/src/relay_dependencies.ts
+++ b/packages/gateway/src/relay_dependencies.ts
@@ -6,7 +6,6 @@
 import type {
   BodyRoom,
   CallerProtocol,
-  CallerRequest,
   EngineChooser,
   MemberTable,
   RetryBudget,
@@ -19,7 +18,10 @@
 import type { EngineConnections } from "./engine_connections.ts";
 import type { GatewayMetrics } from "./metrics.ts";
 import type { LimitKeeper } from "./limit_keeper.ts";
-import type { RequestGuard } from "./quarantine/request_guard.ts";
+import type {
+  GuardedRequest,
+  RequestGuard,
+} from "./quarantine/request_guard.ts";
 import type { WorkspaceRates } from "./workspace_rates.ts";
 
 /** The configuration that applied to a request, as log lines report it. */
@@ -51,7 +53,7 @@
   readonly limits: LimitKeeper;
   /** Room for the bodies of requests. */
   readonly bodyRoom: BodyRoom;
-  readonly guardRequest: (caller: CallerRequest) => RequestGuard;
+  readonly guardRequest: (request: GuardedRequest) => RequestGuard;
   /** Whether a request on this route can end before this process exits. */
   readonly hasTimeFor: (route: Route) => boolean;
   readonly log: EventLog;
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -244,7 +244,7 @@
     use: new AdapterUsageCounts(),
     limits: new LimitKeeper({ limits, log }),
     bodyRoom: options.bodyRoom ?? new BodyRoom(BODY_ROOM_BYTES),
-    guardRequest: (caller) => new RequestGuard(guardDependencies, caller),
+    guardRequest: (request) => new RequestGuard(guardDependencies, request),
     hasTimeFor: () => true,
     log,
     metrics,
@@ -272,16 +272,25 @@
   readonly retryAfter: string | undefined;
 }
 
+/** What a request asks for, if it is no read of `/x`. */
+export interface TestRequest {
+  readonly method?: string;
+  readonly path?: string;
+  readonly body?: string | undefined;
+}
+
 /** Sends a request to a relay; rejects if no response arrives. */
 export function sendRequest(
   port: number,
   headers: Record<string, string> = {},
+  { method = "GET", path = "/x", body }: TestRequest = {},
 ): Promise<TestResponse> {
   return new Promise((resolve, reject) => {
     const req = request({
       host: "127.0.0.1",
       port,
-      path: "/x",
+      method,
+      path,
       agent: false,
       headers: { host: "h", "request-id": "r1", deadline: "2000", ...headers },
     });
@@ -296,6 +305,6 @@
       response.on("error", () => finish(false));
       response.on("end", () => finish(true));
     });
-    req.end();
+    req.end(body);
   });
 }
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -223,6 +223,9 @@
   /** Ids of the parts of the prompt that other requests may share, in their
    * order. The last part of a prompt is the request's own and not listed. */
   readonly sharedParts: readonly string[];
+  /** All parts of the prompt, as the caller listed them; empty if there are
+   * none. */
+  readonly prompt: string;
 }
 
 /** Fields that are added to a request when it is forwarded to an engine. */
--- a/packages/serving/src/quarantine/crash_evidence.ts
+++ b/packages/serving/src/quarantine/crash_evidence.ts
@@ -8,6 +8,7 @@
  * @module
  */
 
+import { isRequestKey } from "./request_key.ts";
 import { fitRequests, type Suspects } from "./select_suspects.ts";
 
 /** How many answers on a suspect got past their beginning at one instance: before
@@ -114,6 +115,11 @@
     this.#self = self;
   }
 
+  /** Whether no crash is known. */
+  get isEmpty(): boolean {
+    return this.#crashes.size === 0;
+  }
+
   /** Records that an answer of this instance got past its beginning. Returns
    * whether the evidence on a suspect has changed that may be the cause. */
   recordAnswer(suspects: Suspects, now: number): boolean {
@@ -372,10 +378,11 @@
     return Math.min(before, ANSWERS_BEFORE_MAX) + since;
   }
 
-  /** The lower, the more likely a suspect is the cause: requests of other crashes
-   * come first, then suspects on which this instance had no answers. */
+  /** The lower, the more likely a suspect is the cause: whole requests, which only
+   * their repeats share, and suspects of other crashes come first, then those on
+   * which this instance had no answers. */
   #rank(suspect: string): number {
-    if (this.#suspected.has(suspect)) return 0;
+    if (isRequestKey(suspect) || this.#suspected.has(suspect)) return 0;
     return this.#answered.has(suspect) ? 2 : 1;
   }
 
--- a/packages/serving/src/quarantine/quarantine.ts
+++ b/packages/serving/src/quarantine/quarantine.ts
@@ -145,11 +145,17 @@
     return count;
   }
 
+  /** Whether nothing is suspected and nothing was held lately, so that any
+   * request may be sent. */
+  get isEmpty(): boolean {
+    return this.#holds.size === 0 && this.#evidence.isEmpty;
+  }
+
   /** Decides whether a request with these suspects may be sent.
    *
    * @example
    * ```ts
-   * const decision = quarantine.decide(caller.sharedParts, () => instances, now);
+   * const decision = quarantine.decide(guard.suspects, () => instances, now);
    * if (decision.kind === "refuse") refuse(503);
    * ```
    */
--- a/packages/serving/src/quarantine/select_suspects.ts
+++ b/packages/serving/src/quarantine/select_suspects.ts
@@ -3,8 +3,9 @@
  * @module
  */
 
-/** What may crash engines of one request: the ids of the parts of its prompt that
- * other requests may share, in order. */
+/** What of one request may crash engines: the parts of its prompt that other
+ * requests may share, in order, and the request as a whole. The last one is the
+ * most specific. */
 export type Suspects = readonly string[];
 
 /** The `count` suspects with the lowest rank, in their order; of suspects with the same
