Wait until the engine has the last request in the test of the room for bodies

It answered 100 ms after sending the last request, whether or not the engine had it by then; nobody answered a request that came later. It waits until the engine has run five requests now, which asserts one thing more than before; the other bounds are as they were.

--- a/packages/gateway/src/relay_body_room_test.ts
+++ b/packages/gateway/src/relay_body_room_test.ts
@@ -1,6 +1,6 @@
 import { request } from "node:http";
 import { BodyRoom } from "@banyanlb/serving";
-import { afterEach, expect, test } from "vitest";
+import { afterEach, expect, test, vi } from "vitest";
 import {
   cleanUp,
   listen,
@@ -78,7 +78,7 @@
     // The room is free again.
     expect(room.has("", 4 * BODY_BYTES)).toBe(true);
     const next = post(port, { isChunked });
-    await new Promise((resolve) => setTimeout(resolve, 100));
+    await vi.waitFor(() => expect(runs).toBe(5));
     for (const answer of answers) answer();
     expect((await next).status).toBe(200);
   },
