Wait for the suspects of peers from when a crash is confirmed

The wait for the peers' suspects (450 ms) was counted from that first cut, so it was over when the crash was recorded: gateway-4 concluded within 10 ms, from its own request alone, that f0 explained two crashes.

Change: evidence keeps when a crash was first known besides when it began, waits from then, and reports both (knownMs; builds that do not know it go on without). An instance that has requests of such an engine takes a peer's report as the confirmation, so that its own suspects come within the wait.

Tests that failed before: 'the suspects of peers are waited for from when a crash is confirmed' (held first, before the peer's report) and 'a crash that a peer reports is confirmed before the engine leaves the list' (no such call).

--- a/packages/gateway/src/digest_rows.ts
+++ b/packages/gateway/src/digest_rows.ts
@@ -104,8 +104,13 @@
         rows,
         "crashes",
         (report, row) =>
-          isDuration(report.ageMs) && isListOfTexts(report.suspects)
-            ? { ...report, ageMs: report.ageMs + now - row.madeAt }
+          isDuration(report.ageMs) && isDuration(report.knownMs ?? 0) &&
+            isListOfTexts(report.suspects)
+            ? {
+              ...report,
+              ageMs: report.ageMs + now - row.madeAt,
+              knownMs: (report.knownMs ?? 0) + now - row.madeAt,
+            }
             : undefined,
       ),
       answers: valuesOf<AnswerCounts>(
--- a/packages/gateway/src/quarantine/crash_protection.ts
+++ b/packages/gateway/src/quarantine/crash_protection.ts
@@ -60,6 +60,7 @@
         });
         this.#countHeld();
       },
+      onPeerCrash: (engineKey) => this.#crashWatch.recordPeerCrash(engineKey),
       settleMs: () =>
         isLargeFleet(members.list().length) ? SETTLE_LARGE_FLEET_MS : SETTLE_MS,
     });
--- a/packages/gateway/src/quarantine/crash_watch.ts
+++ b/packages/gateway/src/quarantine/crash_watch.ts
@@ -97,6 +97,15 @@
     }
   }
 
+  /** Confirms the crash of an engine of which a peer has shown it: the peer waits
+   * for the suspects of all. */
+  recordPeerCrash(engineKey: string): void {
+    const crash = this.#crashes.get(engineKey);
+    if (crash !== undefined && !crash.isRuledOut) {
+      this.#confirm(engineKey, crash);
+    }
+  }
+
   async #probe(view: EngineView, crash: PossibleCrash): Promise<void> {
     const { control, metrics } = this.#options;
     const probe = await control.probe(view.engine);
@@ -119,7 +128,7 @@
     this.#options.quarantine.recordCrash(
       key,
       suspects.map((request) => request.suspects),
-      crash.startedAt,
+      { at: crash.startedAt, now: performance.now() },
     );
   }
 
--- a/packages/gateway/src/quarantine/crash_watch_test.ts
+++ b/packages/gateway/src/quarantine/crash_watch_test.ts
@@ -124,3 +124,15 @@
   expect(probes()).toBe(0);
   expect(quarantine.beliefOn("a").crashes).toBe(0);
 });
+
+// Guards against suspects that come too late for the peers who wait for them.
+test("a crash that a peer reports is confirmed before the engine leaves the list", async () => {
+  const { watch, quarantine } = createWatch("unknown");
+  const view = createView("e1@1");
+  watch.recordCut(view, cut("r1", ["a"]));
+  await vi.advanceTimersByTimeAsync(300);
+  expect(quarantine.beliefOn("a").crashes).toBe(0);
+  watch.recordPeerCrash("e1@1");
+  watch.recordPeerCrash("e2@1");
+  expect(quarantine.beliefOn("a").crashes).toBe(1);
+});
--- a/packages/gateway/src/quarantine/hold_keeper_test.ts
+++ b/packages/gateway/src/quarantine/hold_keeper_test.ts
@@ -62,8 +62,8 @@
 
 function holdPart(quarantine: Quarantine, part: string): void {
   const now = performance.now() - 1;
-  quarantine.recordCrash(`${part}1@1`, [[part]], now);
-  quarantine.recordCrash(`${part}2@1`, [[part]], now);
+  quarantine.recordCrash(`${part}1@1`, [[part]], { at: now, now });
+  quarantine.recordCrash(`${part}2@1`, [[part]], { at: now, now });
   quarantine.report(performance.now());
 }
 
--- a/packages/serving/src/quarantine/crash_evidence.ts
+++ b/packages/serving/src/quarantine/crash_evidence.ts
@@ -66,7 +66,10 @@
 const NO_ENGINES: ReadonlySet<string> = new Set();
 
 interface Crash {
+  /** When the engine began to break requests off. */
   readonly at: number;
+  /** When the first instance knew that the engine had crashed. */
+  knownAt: number;
   /** The requests by the instance that sent them. */
   readonly requests: Map<string, readonly Suspects[]>;
   /** The suspects of all requests. */
@@ -147,7 +150,12 @@
    *
    * @example
    * ```ts
-   * evidence.recordCrash("e1@7", { reporter: "i1", requests: [["a"]], at });
+   * evidence.recordCrash("e1@7", {
+   *   reporter: "i1",
+   *   requests: [["a"]],
+   *   at: now - 1500,
+   *   knownAt: now,
+   * });
    * ```
    */
   recordCrash(
@@ -155,10 +163,13 @@
     report: {
       readonly reporter: string;
       readonly requests: readonly Suspects[];
+      /** When the engine began to break requests off. */
       readonly at: number;
+      /** When the reporter knew that it had crashed, `at` if omitted. */
+      readonly knownAt?: number;
     },
   ): void {
-    const { reporter, at } = report;
+    const { reporter, at, knownAt = at } = report;
     const requests = fitRequests(
       report.requests.filter((suspects) => suspects.length > 0),
       {
@@ -169,10 +180,11 @@
     if (requests.length === 0) return;
     let crash = this.#crashes.get(engineKey);
     if (crash === undefined) {
-      crash = { at, requests: new Map(), suspects: new Set() };
+      crash = { at, knownAt, requests: new Map(), suspects: new Set() };
       this.#crashes.set(engineKey, crash);
       this.#dropOldCrashes(at);
     }
+    crash.knownAt = Math.min(crash.knownAt, knownAt);
     crash.requests.set(reporter, requests);
     const { suspects: known } = crash;
     const countBefore = known.size;
@@ -220,34 +232,40 @@
     }
   }
 
-  /** The requests of this instance in crashes after `since`, by engine. */
+  /** The requests of this instance in crashes that were not known at `since`, by
+   * engine. */
   *ownCrashes(since: number): Iterable<
     readonly [
       engineKey: string,
-      crash: { readonly at: number; readonly requests: readonly Suspects[] },
+      crash: Pick<Crash, "at" | "knownAt"> & {
+        readonly requests: readonly Suspects[];
+      },
     ]
   > {
-    for (const [key, { at, requests }] of this.#crashes) {
+    for (const [key, { at, knownAt, requests }] of this.#crashes) {
       const own = requests.get(this.#self);
-      if (at > since && own !== undefined) yield [key, { at, requests: own }];
+      if (knownAt > since && own !== undefined) {
+        yield [key, { at, knownAt, requests: own }];
+      }
     }
   }
 
-  /** When the first crash after `time` was seen; Infinity if there is none. */
-  firstCrashAfter(time: number): number {
+  /** When the first crash that was not known at `time` was; Infinity if there is
+   * none. */
+  firstKnownAfter(time: number): number {
     let firstAt = Infinity;
-    for (const { at } of this.#crashes.values()) {
-      if (at > time) firstAt = Math.min(firstAt, at);
+    for (const { knownAt } of this.#crashes.values()) {
+      if (knownAt > time) firstAt = Math.min(firstAt, knownAt);
     }
     return firstAt;
   }
 
-  /** When the suspect's last crash was seen; undefined if there is none. */
-  lastCrashAt(suspect: string): number | undefined {
+  /** When the suspect's last crash was known; undefined if there is none. */
+  lastKnownAt(suspect: string): number | undefined {
     let lastAt: number | undefined;
     for (const key of this.#suspected.get(suspect)?.engines ?? NO_ENGINES) {
-      const at = this.#crashes.get(key)?.at ?? -Infinity;
-      if (at > (lastAt ?? -Infinity)) lastAt = at;
+      const knownAt = this.#crashes.get(key)?.knownAt ?? -Infinity;
+      if (knownAt > (lastAt ?? -Infinity)) lastAt = knownAt;
     }
     return lastAt;
   }
@@ -276,13 +294,13 @@
    * Each answer cancels a crash, so a suspect that always crashes engines is taken
    * after its second crash, and one that is merely popular never is.
    *
-   * Crashes after `settledAt` are left out: other instances have yet to report
-   * their requests, and the cause may be one of those. */
+   * Crashes that were not known at `settledAt` are left out: other instances have
+   * yet to report their requests, and the cause may be one of those. */
   explain(now: number, settledAt: number): readonly Explanation[] {
     this.#dropOldCrashes(now);
     const leftOut = new Set<string>();
-    for (const [key, { at }] of this.#crashes) {
-      if (at > settledAt) leftOut.add(key);
+    for (const [key, { knownAt }] of this.#crashes) {
+      if (knownAt > settledAt) leftOut.add(key);
     }
     const explanations: Explanation[] = [];
     for (;;) {
--- a/packages/serving/src/quarantine/quarantine.ts
+++ b/packages/serving/src/quarantine/quarantine.ts
@@ -64,7 +64,11 @@
 
 /** The suspects of one instance in one crash. */
 export interface CrashReport {
+  /** Time since the engine began to break requests off, in milliseconds. */
   readonly ageMs: number;
+  /** Time since the reporter knew of the crash, in milliseconds; older builds do
+   * not say it. */
+  readonly knownMs?: number;
   readonly suspects: readonly Suspects[];
 }
 
@@ -93,10 +97,12 @@
   | { readonly kind: "trial"; readonly suspect: string }
   | { readonly kind: "refuse"; readonly held: HeldSuspect };
 
-/** Called when suspects are held or released, for the log. */
+/** Called when suspects are held or released, and when crashes are reported. */
 export interface QuarantineListener {
   readonly onHold: (suspect: string, hold: HeldSuspect) => void;
   readonly onRelease: (suspect: string, reason: ReleaseReason) => void;
+  /** Called when a peer reports that an engine has crashed. */
+  readonly onPeerCrash?: (engineKey: string) => void;
 }
 
 interface Hold {
@@ -171,7 +177,7 @@
       const hold = this.#holds.get(suspect);
       if (hold === undefined || !hold.isHeld) {
         if (now < this.#concludeAt && this.#isSuspected(suspect)) {
-          const settledAt = (this.#evidence.lastCrashAt(suspect) ?? 0) +
+          const settledAt = (this.#evidence.lastKnownAt(suspect) ?? 0) +
             this.#settleMs();
           waitMs = Math.max(waitMs, settledAt - now);
         }
@@ -233,16 +239,18 @@
     this.#release(trial, hold, { reason: "trial", now });
   }
 
-  /** Records the suspects of this instance on an engine that has crashed. */
+  /** Records the requests of this instance on an engine that has crashed. It may
+   * have begun to break them off before, at `at`. */
   recordCrash(
     engineKey: string,
     requests: readonly Suspects[],
-    now: number,
+    { at, now }: { readonly at: number; readonly now: number },
   ): void {
     this.#evidence.recordCrash(engineKey, {
       reporter: this.#self,
       requests,
-      at: now,
+      at,
+      knownAt: now,
     });
     this.#conclude(now);
   }
@@ -257,10 +265,14 @@
   report(now: number): QuarantineReport {
     if (now >= this.#concludeAt) this.#conclude(now);
     const crashes = [...this.#evidence.ownCrashes(now - REPORT_CRASHES_MS)].map(
-      ([key, { at, requests }]): ReportRow<CrashReport> => [
+      ([key, { at, knownAt, requests }]): ReportRow<CrashReport> => [
         key,
         requests.length,
-        { ageMs: Math.round(now - at), suspects: requests },
+        {
+          ageMs: Math.round(now - at),
+          knownMs: Math.round(now - knownAt),
+          suspects: requests,
+        },
       ],
     );
     const answers = [...this.#evidence.ownAnswers()].map(
@@ -276,13 +288,16 @@
   /** Applies what a peer reports. */
   receive(peer: string, report: PeerReport, now: number): void {
     const { crashes = {}, answers = {}, holds = {} } = report;
-    for (const [key, { ageMs, suspects }] of Object.entries(crashes)) {
+    for (const [key, crash] of Object.entries(crashes)) {
+      const { ageMs, knownMs = 0, suspects } = crash;
       const at = now - ageMs;
       this.#evidence.recordCrash(key, {
         reporter: peer,
         requests: suspects,
         at,
+        knownAt: now - knownMs,
       });
+      this.#listener.onPeerCrash?.(key);
     }
     for (const [suspect, counts] of Object.entries(answers)) {
       this.#evidence.recordPeerAnswers(peer, suspect, counts);
@@ -365,7 +380,7 @@
   #conclude(now: number): void {
     const settleMs = this.#settleMs();
     const explanations = this.#evidence.explain(now, now - settleMs);
-    this.#concludeAt = this.#evidence.firstCrashAfter(now - settleMs) +
+    this.#concludeAt = this.#evidence.firstKnownAfter(now - settleMs) +
       settleMs;
     this.#causes = new Set(explanations.map(({ suspect }) => suspect));
     this.#explainedEngines = new Set(
--- a/packages/serving/src/quarantine/quarantine_test.ts
+++ b/packages/serving/src/quarantine/quarantine_test.ts
@@ -3,8 +3,9 @@
   DIGEST_MS,
   QuarantineFleet,
   REFRESH_EVERY_DIGESTS,
+  SETTLE_MS,
 } from "../testing/quarantine_fleet.ts";
-import { IDLE_RELEASE_MS } from "./quarantine.ts";
+import { IDLE_RELEASE_MS, Quarantine } from "./quarantine.ts";
 import type { Suspects } from "./select_suspects.ts";
 import { FIRST_TRIAL_MS, TRIALS_MAX } from "./trial_turn.ts";
 
@@ -272,6 +273,38 @@
   expect(quarantine?.beliefOn("held").isHeld).toBe(true);
 });
 
+/** Suspects of another instance, in two crashes. */
+const PEER: Suspects = ["first", "bad", "adapter"];
+
+/** An instance that knows the first crash by its peer, and the second one, which
+ * its own request `["first"]` was in, 1.5 s after it began. */
+function knowLate() {
+  const held: string[] = [];
+  const quarantine = new Quarantine("i1", {
+    onHold: (suspect) => void held.push(suspect),
+    onRelease: (suspect) => void held.splice(held.indexOf(suspect), 1),
+    settleMs: () => SETTLE_MS,
+  });
+  quarantine.receive("i2", {
+    crashes: { "e1@1": { ageMs: 0, suspects: [PEER] } },
+  }, 1000);
+  quarantine.recordCrash("e2@1", [["first"]], { at: 2000, now: 3500 });
+  return { quarantine, held };
+}
+
+// Guards against a part of all requests that is held because an engine's end is
+// confirmed late: the peers' suspects were not waited for.
+test("the suspects of peers are waited for from when a crash is confirmed", () => {
+  const { quarantine, held } = knowLate();
+  quarantine.report(3500);
+  expect(held).toEqual([]);
+  quarantine.receive("i2", {
+    crashes: { "e2@1": { ageMs: 1600, suspects: [PEER] } },
+  }, 3600);
+  quarantine.report(3500 + SETTLE_MS);
+  expect(held).toEqual(["adapter"]);
+});
+
 describe("a request that was cut off at its beginning", () => {
   test("is repeated once, unless its suspects are known to be sound", () => {
     const fleet = new QuarantineFleet(1);
--- a/packages/serving/src/testing/quarantine_fleet.ts
+++ b/packages/serving/src/testing/quarantine_fleet.ts
@@ -10,7 +10,7 @@
 export const DIGEST_MS = 200;
 
 /** Time after which all have reported their suspects, in milliseconds. */
-const SETTLE_MS = 450;
+export const SETTLE_MS = 450;
 
 /** As in digests: values are sent when they change, and all of them each tenth
  * time. */
@@ -97,7 +97,7 @@
         suspects.filter(([other]) => other === name).map(([, suspects]) =>
           suspects
         ),
-        this.now,
+        { at: this.now, now: this.now },
       );
     }
   }
