Release what was held on part of the evidence when the cause is known

Cause: a held suspect was released only if the crashes that other causes explain *alone* left nothing against it. f0 and dead were in the same crashes, neither had answers, so dead did not explain them alone; and f0 gets no answers while it is held.

Change: for a release, all crashes count that the present causes explain. The stricter reading stays where it belongs, for repeats and for requests that wait. A suspect whose evidence is not all known here is still kept (crashes of the hold against those that are known).

Test that failed before: 'a hold on part of the evidence ends when the cause is known' (first, adapter and bad were held, expected bad only).

--- a/packages/serving/src/quarantine/quarantine.ts
+++ b/packages/serving/src/quarantine/quarantine.ts
@@ -176,7 +176,10 @@
     for (const suspect of suspects) {
       const hold = this.#holds.get(suspect);
       if (hold === undefined || !hold.isHeld) {
-        if (now < this.#concludeAt && this.#isSuspected(suspect)) {
+        if (
+          now < this.#concludeAt &&
+          this.#isSuspected(suspect, this.#explainedEngines)
+        ) {
           const settledAt = (this.#evidence.lastKnownAt(suspect) ?? 0) +
             this.#settleMs();
           waitMs = Math.max(waitMs, settledAt - now);
@@ -387,9 +390,10 @@
       explanations.filter((e) => this.#evidence.isDistinct(e))
         .flatMap(({ engines }) => engines),
     );
+    const explained = new Set(explanations.flatMap(({ engines }) => engines));
     for (const [suspect, hold] of this.#holds) {
       if (!hold.isHeld || this.#causes.has(suspect)) continue;
-      if (this.#isSuspected(suspect)) continue;
+      if (this.#isSuspected(suspect, explained)) continue;
       // Without all the evidence of the hold there is nothing to conclude.
       const { crashes } = this.#evidence.evidenceOn(suspect);
       if (crashes < hold.crashes) continue;
@@ -398,12 +402,10 @@
     for (const explanation of explanations) this.#hold(explanation, now);
   }
 
-  /** Whether crashes that no other suspect explains speak against this one. */
-  #isSuspected(suspect: string): boolean {
-    const { crashes, answers } = this.#evidence.evidenceOn(
-      suspect,
-      this.#explainedEngines,
-    );
+  /** Whether crashes of other engines than the `explained` ones speak against a
+   * suspect. */
+  #isSuspected(suspect: string, explained: ReadonlySet<string>): boolean {
+    const { crashes, answers } = this.#evidence.evidenceOn(suspect, explained);
     return crashes - answers >= CONVICTION_BALANCE;
   }
 
--- a/packages/serving/src/quarantine/quarantine_test.ts
+++ b/packages/serving/src/quarantine/quarantine_test.ts
@@ -305,6 +305,22 @@
   expect(held).toEqual(["adapter"]);
 });
 
+// Guards against a part of all requests that stays held: it has no answers while
+// it is held, and the cause was in the same crashes.
+test("a hold on part of the evidence ends when the cause is known", () => {
+  const { quarantine, held } = knowLate();
+  quarantine.report(3500 + SETTLE_MS);
+  expect(held).toEqual(["first"]);
+  quarantine.receive("i2", {
+    crashes: {
+      "e2@1": { ageMs: 3000, suspects: [PEER] },
+      "e3@1": { ageMs: 0, suspects: [["first", "bad", "other"]] },
+    },
+  }, 5000);
+  quarantine.report(6000);
+  expect(held).toEqual(["bad"]);
+});
+
 describe("a request that was cut off at its beginning", () => {
   test("is repeated once, unless its suspects are known to be sound", () => {
     const fleet = new QuarantineFleet(1);
