Hold no part of all prompts before any prompt is answered

Cause: two crashes without an answer convict what they have in common. At a start that is the beginning of all prompts, whatever ended the engines.

Change: as long as no prompt was answered within the time of the evidence, here or at a peer, a part that all cut prompts carry is no cause, unless one request was in two of the crashes, which then speaks for a cause within it.

Ruled out: waiting for any answer at all, since reads of other services are answered meanwhile and say nothing of prompts; leaving out first parts for good ('is the first suspect if it crashes engines with any second one' holds as it was).

Test that failed before: 'is no cause while no prompt was answered' (first was held).

--- a/packages/gateway/src/quarantine/relay_crashing_part_test.ts
+++ b/packages/gateway/src/quarantine/relay_crashing_part_test.ts
@@ -91,6 +91,7 @@
     route: { kind: "stream", resumable: true, maxAttempts: 1 },
     onLog: (fields) => lines.push(fields),
   });
+  await sendRequest(port, promptOf(FIRST_PART, "a1", "00"));
   for (const own of ["01", "02"]) {
     await sendRequest(port, promptOf(FIRST_PART, CRASHING_PART, own));
     await new Promise((resolve) => setTimeout(resolve, 100));
--- a/packages/serving/src/quarantine/crash_evidence.ts
+++ b/packages/serving/src/quarantine/crash_evidence.ts
@@ -64,6 +64,7 @@
 const REPORTED_ANSWERS_MAX = 1024;
 
 const NO_ENGINES: ReadonlySet<string> = new Set();
+const NO_SUSPECTS: ReadonlySet<string> = new Set();
 
 interface Crash {
   /** When the engine began to break requests off. */
@@ -112,6 +113,8 @@
   readonly #repeated = new Set<string>();
   /** Number of suspects of each crash, summed over the crashes. */
   #suspectCount = 0;
+  /** When the last prompt was answered. */
+  #promptAnsweredAt = -Infinity;
 
   /** `self` is the name of this instance. */
   constructor(self: string) {
@@ -127,6 +130,7 @@
    * whether the evidence on a suspect has changed that may be the cause. */
   recordAnswer(suspects: Suspects, now: number): boolean {
     let isChanged = false;
+    if (isPrompt(suspects)) this.#promptAnsweredAt = now;
     for (const suspect of suspects) {
       const count = (this.#answered.get(suspect)?.count ?? 0) + 1;
       this.#answered.delete(suspect);
@@ -302,9 +306,12 @@
     for (const [key, { knownAt }] of this.#crashes) {
       if (knownAt > settledAt) leftOut.add(key);
     }
+    const shared = this.#isAnyPromptAnswered(now)
+      ? NO_SUSPECTS
+      : this.#sharedByAll();
     const explanations: Explanation[] = [];
     for (;;) {
-      const best = this.#bestCandidate(leftOut);
+      const best = this.#bestCandidate(leftOut, shared);
       if (best === undefined) return explanations;
       const engines = [...best.engines];
       for (const key of engines) leftOut.add(key);
@@ -327,8 +334,12 @@
 
   /** The suspect that best explains the crashes; undefined if there is none, or
    * if the evidence does not tell it apart from a suspect of other requests. */
-  #bestCandidate(leftOut: ReadonlySet<string>): Candidate | undefined {
-    const candidates = this.#candidates(leftOut);
+  #bestCandidate(
+    leftOut: ReadonlySet<string>,
+    shared: ReadonlySet<string>,
+  ): Candidate | undefined {
+    const candidates = this.#candidates(leftOut)
+      .filter(({ suspect }) => !shared.has(suspect));
     return candidates.find((candidate) => {
       const carrying = this.#requestsWith(candidate);
       return candidates.every((other) =>
@@ -339,6 +350,33 @@
     }) ?? candidates.find(({ balance }) => balance >= UNDECIDED_BALANCE_MAX);
   }
 
+  /** Whether a prompt was answered lately, by this instance or a peer. */
+  #isAnyPromptAnswered(now: number): boolean {
+    return now - this.#promptAnsweredAt <= EVIDENCE_MS ||
+      [...this.#suspected.keys()].some((suspect) =>
+        !isRequestKey(suspect) && this.#answersOn(suspect) > 0
+      );
+  }
+
+  /** The parts of all prompts that were cut off, if none of those was in two
+   * crashes. As long as no prompt is answered, nothing tells such a part from
+   * engines that end by themselves. */
+  #sharedByAll(): ReadonlySet<string> {
+    const prompts = [...this.#crashes.values()]
+      .flatMap(({ requests }) => [...requests.values()]).flat()
+      .filter(isPrompt);
+    const isRepeated = prompts.some((suspects) =>
+      this.#repeated.has(suspects.at(-1) ?? "")
+    );
+    if (isRepeated) return NO_SUSPECTS;
+    const [first = []] = prompts;
+    return new Set(
+      first.filter((part) =>
+        prompts.every((suspects) => suspects.includes(part))
+      ),
+    );
+  }
+
   /** The suspects with enough evidence against them: by balance, then the most
    * specific first. */
   #candidates(leftOut: ReadonlySet<string>): readonly Candidate[] {
@@ -460,6 +498,11 @@
   }
 }
 
+/** Whether the suspects of a request include parts of a prompt. */
+function isPrompt(suspects: Suspects): boolean {
+  return suspects.some((suspect) => !isRequestKey(suspect));
+}
+
 function overlaps(a: ReadonlySet<string>, b: ReadonlySet<string>): boolean {
   for (const value of a) if (b.has(value)) return true;
   return false;
--- a/packages/serving/src/quarantine/crash_evidence_test.ts
+++ b/packages/serving/src/quarantine/crash_evidence_test.ts
@@ -27,6 +27,42 @@
   return evidence.explain(100, 100).map(({ suspect }) => suspect);
 }
 
+// Guards against all prompts that are held before any answer is known: engines that
+// end by themselves have nothing else in common.
+describe("a part that all prompts begin with", () => {
+  const crashes: readonly (readonly Suspects[])[] = [
+    [["first", "a", "req-1"], ["first", "b", "req-2"]],
+    [["first", "c", "req-3"], ["req-4"]],
+  ];
+
+  test("is no cause while no prompt was answered", () => {
+    const evidence = new CrashEvidence("i1");
+    answer(evidence, ["req-5"], 3);
+    recordCrashes(evidence, crashes);
+    expect(causesOf(evidence)).toEqual([]);
+  });
+
+  test("is one once a prompt without it was answered", () => {
+    const evidence = new CrashEvidence("i1");
+    recordCrashes(evidence, crashes);
+    answer(evidence, ["other", "req-5"], 1);
+    expect(causesOf(evidence)).toEqual(["first"]);
+  });
+
+  test("is one if a prompt without it was cut off as well", () => {
+    const evidence = new CrashEvidence("i1");
+    recordCrashes(evidence, [...crashes, [["other", "req-6"]]]);
+    expect(causesOf(evidence)).toEqual(["first"]);
+  });
+
+  test("does not hide the one request that was in all crashes", () => {
+    const evidence = new CrashEvidence("i1");
+    const request = ["first", "a", "req-1"];
+    recordCrashes(evidence, [[request], [request]]);
+    expect(causesOf(evidence)).toEqual(["req-1"]);
+  });
+});
+
 describe("the cause of crashes", () => {
   test("is a suspect that two crashes have in common", () => {
     const evidence = new CrashEvidence("i1");
--- a/packages/serving/src/quarantine/quarantine_test.ts
+++ b/packages/serving/src/quarantine/quarantine_test.ts
@@ -285,6 +285,7 @@
     onRelease: (suspect) => void held.splice(held.indexOf(suspect), 1),
     settleMs: () => SETTLE_MS,
   });
+  quarantine.recordAnswer(["other"], { trial: undefined, now: 900 });
   quarantine.receive("i2", {
     crashes: { "e1@1": { ageMs: 0, suspects: [PEER] } },
   }, 1000);
