Count the engines that cut one request before their crashes are confirmed

What callers saw: behind a proxy, where a crash is confirmed by the engine list 1.5 s later, one attempt of a caller ended as many engines as its route allows.

Cause: mayRepeat adds the last engine's crash to the confirmed ones. Of the two engines that had cut the same request within one attempt, only the last counted.

Change: the guard remembers the engines that cut its request off, and all of them count, but for those whose crash another cause explains.

Test that failed before: 'is not repeated after two engines, although no crash is confirmed' (there was no way to name more than one).

--- a/packages/gateway/src/quarantine/request_guard.ts
+++ b/packages/gateway/src/quarantine/request_guard.ts
@@ -62,6 +62,8 @@
   #answerBeganAt: number | undefined;
   /** Whether an answer got past its beginning, at this or an earlier engine. */
   #isCleared = false;
+  /** Keys of the engines that cut the request off before. */
+  readonly #cutBy = new Set<string>();
   #trial: string | undefined;
 
   constructor(deps: RequestGuardDependencies, request: GuardedRequest) {
@@ -135,6 +137,7 @@
 
   /** Records that the engine broke the request off. */
   recordCut(view: EngineView): void {
+    if (!this.#isCleared) this.#cutBy.add(view.engine.key);
     this.#deps.crashWatch.recordCut(view, {
       id: this.#request.id,
       suspects: this.suspects,
@@ -142,11 +145,11 @@
     });
   }
 
-  /** Whether the request may be sent again after this engine broke it off. */
+  /** Whether the request may be sent again after this engine failed it. */
   mayRepeat(view: EngineView): boolean {
-    return this.#isCleared || this.#deps.quarantine.mayRepeat(
-      this.suspects,
-      view.engine.key,
-    );
+    const { quarantine } = this.#deps;
+    const { key } = view.engine;
+    return this.#isCleared ||
+      quarantine.mayRepeat(this.suspects, [...this.#cutBy, key]);
   }
 }
--- a/packages/serving/src/quarantine/quarantine.ts
+++ b/packages/serving/src/quarantine/quarantine.ts
@@ -216,14 +216,20 @@
     hold.nextTrialAt = nextTrialAt(hold.trials, now);
   }
 
-  /** Whether a request may be sent again after this engine cut it off before its
-   * answer got past its beginning. The crash of the engine counts although it
-   * is not confirmed yet: a request whose suspect is the cause is repeated once. */
-  mayRepeat(suspects: Suspects, engineKey: string): boolean {
-    const leftOut = new Set([...this.#explainedEngines, engineKey]);
+  /** Whether a request may be sent again after these engines cut it off before its
+   * answer got past its beginning, the last one just now. Their crashes count
+   * although they are not confirmed yet: a request whose suspect is the cause is
+   * repeated once. */
+  mayRepeat(suspects: Suspects, cutBy: readonly string[]): boolean {
+    const unexplained = new Set(
+      cutBy.filter((key, i) =>
+        i === cutBy.length - 1 || !this.#explainedEngines.has(key)
+      ),
+    );
+    const leftOut = new Set([...this.#explainedEngines, ...cutBy]);
     return suspects.every((suspect) => {
       const { crashes, answers } = this.#evidence.evidenceOn(suspect, leftOut);
-      return crashes + 1 - answers < CONVICTION_BALANCE;
+      return crashes + unexplained.size - answers < CONVICTION_BALANCE;
     });
   }
 
--- a/packages/serving/src/quarantine/quarantine_test.ts
+++ b/packages/serving/src/quarantine/quarantine_test.ts
@@ -326,13 +326,21 @@
   test("is repeated once, unless its suspects are known to be sound", () => {
     const fleet = new QuarantineFleet(1);
     const quarantine = fleet.instances.get("i0");
-    expect(quarantine?.mayRepeat(BAD, "e1@1")).toBe(true);
+    expect(quarantine?.mayRepeat(BAD, ["e1@1"])).toBe(true);
     fleet.crash([["i0", BAD]]);
-    expect(quarantine?.mayRepeat(BAD, "e1@1")).toBe(true);
-    expect(quarantine?.mayRepeat(BAD, "e2@1")).toBe(false);
+    expect(quarantine?.mayRepeat(BAD, ["e1@1"])).toBe(true);
+    expect(quarantine?.mayRepeat(BAD, ["e2@1"])).toBe(false);
     for (let i = 0; i < 3; i += 1) {
       quarantine?.recordAnswer(["first", "bad"], { trial: undefined, now: 1 });
     }
-    expect(quarantine?.mayRepeat(BAD, "e2@1")).toBe(true);
+    expect(quarantine?.mayRepeat(BAD, ["e2@1"])).toBe(true);
+  });
+
+  // Guards against a third engine that one attempt of a caller ends: behind a proxy
+  // crashes are confirmed late.
+  test("is not repeated after two engines, although no crash is confirmed", () => {
+    const quarantine = new QuarantineFleet(1).instances.get("i0");
+    expect(quarantine?.mayRepeat(["req-1"], ["e1@1"])).toBe(true);
+    expect(quarantine?.mayRepeat(["req-1"], ["e1@1", "e2@1"])).toBe(false);
   });
 });
