Keep the last engine of a service from a request that may have ended others

What callers saw: with one engine of a service left, a request that had ended another one was sent to it at the caller's next try, and the whole service was away for seconds.

Cause: one crash is no conviction, and a request's next try is judged alone, not by what is left of the service.

Change: a request that was in a crash within the last 5 s, which neither another cause explains nor its answers outweigh, is refused with last_engine and a time to return as long as at most one engine of its service runs. Engines that are known to have crashed, by any instance, do not run.

Ruled out: the same for the repeat within one attempt. A request that two engines cut is not repeated anyway.

Test that failed before: 'a request that may have ended an engine is not sent to the last one' (two crashes of two engines, now one).

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -163,7 +163,7 @@
     const { caller, route, arrivedAt } = input;
     this.#log = new ExchangeLog(deps, input);
     this.#rateCharge = new RateCharge(deps, input.workspace, caller);
-    this.#guard = deps.guardRequest(guardedRequest(input));
+    this.#guard = deps.guardRequest(guardedRequest(input, deps.chooser));
     this.#lastEventId = caller.lastEventId;
     this.#deadline = arrivedAt +
       Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
--- a/packages/gateway/src/quarantine/relay_crashing_request_test.ts
+++ b/packages/gateway/src/quarantine/relay_crashing_request_test.ts
@@ -113,3 +113,18 @@
   );
   expect(engines.crashCount()).toBe(2);
 });
+
+// Guards against a service that is lost to one request and its repeats.
+test("a request that may have ended an engine is not sent to the last one", async () => {
+  const engines = await startCrashingEngines(2);
+  const port = await startRelay(engines.ports, { route: { kind: "unsafe" } });
+  const bad = { method: "POST", path: "/bad" };
+  expect(await sendRequest(port, {}, bad)).toMatchObject({ status: 502 });
+  await pause(100);
+  const response = await sendRequest(port, {}, bad);
+  expect(response.status).toBe(503);
+  expect(Number(response.retryAfter)).toBeGreaterThan(0);
+  expect(engines.crashCount()).toBe(1);
+  expect(await sendRequest(port, {}, { path: "/good" }))
+    .toMatchObject({ status: 200 });
+});
--- a/packages/gateway/src/quarantine/request_guard.ts
+++ b/packages/gateway/src/quarantine/request_guard.ts
@@ -26,12 +26,15 @@
 /** Why a request is refused, as its caller is told. */
 const HELD_PART = "held_part";
 const HELD_REQUEST = "held_request";
+const LAST_ENGINE = "last_engine";
 
 /** The request that a guard follows. */
 export interface GuardedRequest {
   readonly id: string | undefined;
   readonly sharedParts: readonly string[];
   readonly identity: RequestIdentity;
+  /** The engines of its service. */
+  readonly engines: () => readonly EngineView[];
 }
 
 /** When the caller of a refused request may come back; undefined if nothing says
@@ -88,7 +91,8 @@
       instances,
       performance.now(),
     );
-    if (decision.kind !== "refuse") return decision;
+    if (decision.kind === "wait") return decision;
+    if (decision.kind !== "refuse") return this.#spareLastEngine(decision);
     const { held } = decision;
     const { id } = this.#request;
     log.write(events.SUSPECT_REFUSED, { id, ...heldFields(held) });
@@ -152,4 +156,30 @@
     return this.#isCleared ||
       quarantine.mayRepeat(this.suspects, [...this.#cutBy, key]);
   }
+
+  /** Refuses to send to the last engine that runs a request which may have ended
+   * the others. */
+  #spareLastEngine(decision: GuardDecision): GuardDecision {
+    const waitMs = this.#deps.quarantine.lastEngineWaitMs(
+      this.suspects,
+      performance.now(),
+    );
+    // A repeat within one attempt is judged by `mayRepeat`.
+    const isRepeat = this.#cutBy.size > 0 || this.#isCleared;
+    if (waitMs === 0 || isRepeat || this.#runningEngineCount() > 1) {
+      return decision;
+    }
+    return {
+      kind: "refuse",
+      reason: LAST_ENGINE,
+      waitSeconds: Math.ceil(waitMs / 1000),
+    };
+  }
+
+  #runningEngineCount(): number {
+    return this.#request.engines().filter(({ engine, down }) =>
+      !engine.leaving && !down &&
+      !this.#deps.quarantine.hasCrashed(engine.key)
+    ).length;
+  }
 }
--- a/packages/serving/src/quarantine/crash_evidence.ts
+++ b/packages/serving/src/quarantine/crash_evidence.ts
@@ -126,6 +126,11 @@
     return this.#crashes.size === 0;
   }
 
+  /** Whether a crash of this engine is known. */
+  hasCrash(engineKey: string): boolean {
+    return this.#crashes.has(engineKey);
+  }
+
   /** Records that an answer of this instance got past its beginning. Returns
    * whether the evidence on a suspect has changed that may be the cause. */
   recordAnswer(suspects: Suspects, now: number): boolean {
--- a/packages/serving/src/quarantine/quarantine.ts
+++ b/packages/serving/src/quarantine/quarantine.ts
@@ -25,6 +25,9 @@
  * not heard of the release does not bring the hold back. */
 export const IDLE_RELEASE_MS = 600_000;
 
+/** Time within which engines that have crashed are back, in milliseconds. */
+const ENGINE_RETURN_MS = 5000;
+
 /** Maximum number of suspects that are held or were released. */
 const HOLDS_MAX = 256;
 
@@ -207,6 +210,26 @@
       : { kind: "trial", suspect: trial };
   }
 
+  /** Whether an engine is known to have crashed lately. */
+  hasCrashed(engineKey: string): boolean {
+    return this.#evidence.hasCrash(engineKey);
+  }
+
+  /** For how long a request must not be sent to the last engine of a service, in
+   * milliseconds; 0 if it may. One that was in a crash which neither another cause
+   * explains nor its answers outweigh waits until engines are back. */
+  lastEngineWaitMs(suspects: Suspects, now: number): number {
+    const request = suspects.at(-1);
+    if (request === undefined) return 0;
+    const { crashes, answers } = this.#evidence.evidenceOn(
+      request,
+      this.#explainedEngines,
+    );
+    if (crashes <= answers) return 0;
+    const knownAt = this.#evidence.lastKnownAt(request) ?? -Infinity;
+    return Math.max(0, knownAt + ENGINE_RETURN_MS - now);
+  }
+
   /** Records that the trial of a held suspect is about to be sent. */
   startTrial(suspect: string, now: number): void {
     const hold = this.#holds.get(suspect);
