--- a/packages/trials/src/soak/callers.ts
+++ b/packages/trials/src/soak/callers.ts
@@ -4,23 +4,18 @@
  * @module
  */
 import { createHash } from "node:crypto";
-import { Agent, request } from "node:http";
+import { Agent } from "node:http";
 import {
   CRASHING_PART,
-  requestHeaders,
   resolveAddresses,
   TRIAL_HOST,
 } from "@banyanlb/platform/stand_in";
 import type { Attempt, RequestKind } from "./checks.ts";
+import { sendRequest } from "./send_request.ts";
 
 /** How long a caller caches resolved addresses, in milliseconds. */
 const ADDRESS_TTL_MS = 1000;
 
-/** Deadline that a caller sends with a request, and the caller's own
- * timeout, in milliseconds. */
-const REQUEST_DEADLINE_MS = 3000;
-const REQUEST_TIMEOUT_MS = 5000;
-
 /** Pause between the requests of one caller, in milliseconds. */
 const REQUEST_PAUSE_MS = 20;
 
@@ -149,8 +144,11 @@
       : [FIRST_PART, ...turns, ownPart];
     const leavesEarly = kind !== "once" && random() < this.#options.leaveRatio;
     const leaveAfterMs = MIN_LEAVE_MS + random() * LEAVE_JITTER_MS;
-    const response = await this.#sendRequest(address, {
+    const response = await sendRequest(address, {
       ...attempt,
+      agent: this.#agent,
+      path: `/${kind}/${attempt.id}`,
+      body: `${TRIAL_HOST} ${attempt.id}`,
       key,
       leaveAfterMs: leavesEarly ? leaveAfterMs : undefined,
       parts: kind === "stream" ? parts : undefined,
@@ -177,61 +175,4 @@
           .digest("hex"),
     );
   }
-
-  #sendRequest(
-    address: string,
-    req: {
-      readonly id: string;
-      readonly kind: RequestKind;
-      readonly model: string | undefined;
-      readonly key: string;
-      readonly parts: readonly string[] | undefined;
-      readonly leaveAfterMs: number | undefined;
-    },
-  ): Promise<
-    Pick<Attempt, "status" | "responseId" | "body" | "complete" | "leftAt">
-  > {
-    const [host, port] = address.split(":");
-    return new Promise((resolve) => {
-      let status = 0;
-      let responseId: string | undefined;
-      let body = "";
-      let leftAt: number | undefined;
-      const finish = (complete: boolean) => {
-        clearTimeout(timer);
-        resolve({ status, responseId, body, complete, leftAt });
-      };
-      const clientRequest = request({
-        agent: this.#agent,
-        host,
-        port: Number(port),
-        method: req.kind === "read" ? "GET" : "POST",
-        path: `/${req.kind}/${req.id}`,
-        setHost: false,
-        headers: requestHeaders({
-          id: req.id,
-          key: req.key,
-          deadlineMs: REQUEST_DEADLINE_MS,
-          ...(req.model === undefined ? {} : { model: req.model }),
-          ...(req.parts === undefined ? {} : { parts: req.parts }),
-        }),
-      });
-      const timer = setTimeout(() => {
-        if (req.leaveAfterMs !== undefined) leftAt = Date.now();
-        clientRequest.destroy();
-      }, req.leaveAfterMs ?? REQUEST_TIMEOUT_MS);
-      clientRequest.on("error", () => finish(false));
-      clientRequest.on("response", (res) => {
-        status = res.statusCode ?? 0;
-        responseId = res.headers["request-id"]?.toString();
-        res.setEncoding("utf8");
-        res.on("data", (text: string) => (body += text));
-        res.on("error", () => finish(false));
-        res.on("end", () => finish(res.complete));
-      });
-      clientRequest.end(
-        req.kind === "read" ? undefined : `${TRIAL_HOST} ${req.id}`,
-      );
-    });
-  }
 }
