Soak: requests that crash engines, whole, come again at several gateways

Cause: the soak knew a shared part of prompts that crashes engines, and no request that does so as a whole, so nothing showed that such a request is repeated without bound. Change: a read, a POST that must not run twice, and a stream that is also resumed end each engine that begins to run them; they come at once at all gateways, every 20 ms, and each second, by seed, beside sound requests that differ in caller, path or body only. Checks: from 3 s after the third crash at most 3 more runs of each; a held one gets 503 at once without Retry-After; the sound ones are not refused as held.

--- a/packages/trials/src/soak/checks.ts
+++ b/packages/trials/src/soak/checks.ts
@@ -15,6 +15,7 @@
   isOverLimit,
   type WorkspaceLimits,
 } from "./limit_checks.ts";
+import { checkCrashingRequests } from "./crash_checks.ts";
 import { mostWithin } from "./most_within.ts";
 import {
   checkColdEngines,
@@ -40,8 +41,12 @@
   readonly body: string;
   /** Whether the response ended without being cut off. */
   readonly complete: boolean;
-  /** Whether the prompt has a part that crashes engines. */
+  /** Whether the request or a part of its prompt crashes engines. */
   readonly isCrashing: boolean;
+  /** Name of the request if it is one that is sent again and again. */
+  readonly repeated?: string;
+  /** The `Retry-After` header of the response, if it had one. */
+  readonly retryAfter?: string | undefined;
   /** Whether the key was valid from the start of the attempt to its end. */
   readonly isKeyValid: boolean;
   /** When the caller gave up before the end of the response, if it did. */
@@ -107,6 +112,7 @@
     ...checkOrders(observations),
     ...checkRecovery(observations),
     ...checkCrashes(observations),
+    ...checkCrashingRequests(observations),
     ...checkLimits(observations),
     ...checkWorkspaceLimits(observations),
     ...checkLeft(observations),
--- a/packages/trials/src/soak/main.ts
+++ b/packages/trials/src/soak/main.ts
@@ -18,6 +18,7 @@
   readonly engines: number;
   readonly fill: boolean;
   readonly restores?: boolean;
+  readonly crashes?: boolean;
 }
 
 const PLAIN_SERVICES = 2;
@@ -32,6 +33,7 @@
   .option("--engines", "Number of engines with adapters", 4)
   .option("--no-fill", "Fill no links while callers leave in the calm part")
   .option("--restores", "Let the store come back from older copies")
+  .option("--crashes", "Send requests that crash engines again and again")
   .action(async (flags: Flags) => {
     const first = Number(flags.seed ?? Math.floor(Math.random() * FRESH_SEEDS));
     let failed = 0;
@@ -41,6 +43,7 @@
         faultPhaseMs: Number(flags.seconds) * 1000,
         fillsLinks: flags.fill !== false,
         restoresStore: flags.restores === true,
+        crashingRequests: flags.crashes === true,
         size: {
           gateways: Number(flags.gateways),
           engines: Number(flags.engines),
--- a/packages/trials/src/soak/soak.ts
+++ b/packages/trials/src/soak/soak.ts
@@ -10,9 +10,12 @@
 import { type CallerOptions, SoakCaller } from "./callers.ts";
 import { runFaults } from "./faults.ts";
 import { type Attempt, checkSoak, countsForRecovery } from "./checks.ts";
+import { chooseGuilty, toldToEngines } from "./crashing_requests.ts";
+import { RepeatingCallers } from "./repeating_callers.ts";
 import {
   LIMITED_WORKSPACE,
   LIMITS,
+  MODEL,
   ORDER_GAP_MS,
   type SoakSize,
   SoakWorld,
@@ -81,6 +84,10 @@
 const LIMITED_ENGINES = 1;
 const REQUEST_LIMIT = 1.5;
 
+/** Added to the seed for the choice of requests that crash engines, so that the
+ * faults of a seed are the same with and without them. */
+const CRASHING_SEED_OFFSET = 1_000_000_007;
+
 const UNLIMITED_KEY = ["w1", "key-1"] as const;
 const WITHDRAWN_KEY = { workspace: "w2", key: "key-2b" } as const;
 
@@ -108,12 +115,22 @@
     readonly fillsLinks: boolean;
     /** Whether the store comes back from older copies in the fault phase. */
     readonly restoresStore?: boolean;
+    /** Whether requests that crash engines come again and again. */
+    readonly crashingRequests?: boolean;
   },
 ): Promise<SoakResult> {
   const { seed, faultPhaseMs, size, fillsLinks, restoresStore = false } =
     options;
   const random = createRandom(seed);
-  const world = new SoakWorld(seed);
+  const crashingRandom = createRandom(seed + CRASHING_SEED_OFFSET);
+  const guilty = options.crashingRequests === true
+    ? chooseGuilty({
+      random: crashingRandom,
+      model: MODEL,
+      withinMs: faultPhaseMs,
+    })
+    : [];
+  const world = new SoakWorld(seed, toldToEngines(guilty));
   let withdrawnAtMs = Infinity;
   try {
     await world.start(size);
@@ -159,7 +176,13 @@
       leaveRatio: LEAVING_RATIO,
     });
     await pause(WARM_UP_MS);
+    const repeatingCallers = new RepeatingCallers({
+      random: crashingRandom,
+      instances: world.instances,
+      guilty,
+    });
     const callerTasks = callers.map((caller) => caller.run());
+    callerTasks.push(repeatingCallers.run());
     const faults = await runFaults(world, {
       random,
       durationMs: faultPhaseMs,
@@ -196,15 +219,16 @@
     world.setZoneLinks(FULL_ZONE, "open");
     await endEvacuation();
     await pause(RECOVERY_MS - ENGINE_RECOVERY_MS - FULL_LINK_MS);
-    // The trial of a held part ends an engine, which must be back before the
+    // The trial of a held suspect ends an engine, which must be back before the
     // requests of the final phase count.
     world.sendsCrashingPart = false;
+    repeatingCallers.stopGuilty();
     await pause(ENGINE_RECOVERY_MS);
     const recoveredFromMs = Date.now();
     await pause(FINAL_PHASE_MS);
-    for (const caller of callers) caller.close();
+    for (const caller of [...callers, repeatingCallers]) caller.close();
     await Promise.all(callerTasks);
-    const attempts = [...callers, ...leavingCallers]
+    const attempts = [...callers, ...leavingCallers, repeatingCallers]
       .flatMap((caller) => caller.attempts);
     const limits = world.workspaceLimits;
     const violations = [
--- a/packages/trials/src/soak/world.ts
+++ b/packages/trials/src/soak/world.ts
@@ -10,6 +10,7 @@
 import { SETTINGS_PATH_VARIABLE } from "@banyanlb/platform";
 import {
   buildTrialConfiguration,
+  type CrashingRequest,
   encodeSettings,
   type EngineRecord,
   type EngineStandInOptions,
@@ -35,7 +36,8 @@
 
 const STORE_PORT = 9000;
 const ENGINE_PORT = 8080;
-const MODEL = "m0";
+/** Name of the engines' model. */
+export const MODEL = "m0";
 const ADAPTER_SLOTS = 6;
 const REQUEST_SLOTS = 16;
 const SHUTDOWN_GRACE_MS = 4000;
@@ -117,6 +119,7 @@
   readonly evacuations: EvacuationSpan[] = [];
   /** Whether callers send a part of prompts that crashes engines. */
   sendsCrashingPart = false;
+  readonly #crashingRequests: readonly CrashingRequest[];
   readonly #prefix: string;
   readonly #directory = mkdtempSync(join(tmpdir(), "banyanlb-soak-"));
   readonly #keys: Record<string, string[]> = {
@@ -141,7 +144,12 @@
   #version = 1;
   #isClosed = false;
 
-  constructor(seed: number) {
+  /** `crashingRequests` are those on which engines end. */
+  constructor(
+    seed: number,
+    crashingRequests: readonly CrashingRequest[] = [],
+  ) {
+    this.#crashingRequests = crashingRequests;
     const n = (process.pid * 31 + seed) % 50_000;
     this.#prefix = `127.${20 + Math.floor(n / 250)}.${n % 250}`;
     this.#store = this.#startProcess("store", STAND_IN_PROGRAM, [
@@ -441,6 +449,7 @@
       renewIntervalMs: RENEW_INTERVAL_MS,
       drainMs: DRAIN_MS,
       coldStartMs: plain || starts === 0 ? 0 : TRIAL_COLD.ms,
+      crashingRequests: this.#crashingRequests,
     };
     return this.#startProcess(options.id, STAND_IN_PROGRAM, [
       "engine",
