Tell operators what is held, and when it is tried again

An operator who asks where a request would go was told an engine although the request was held. The answer of explain lists the prompt parts and requests that are held at this instance, with their evidence and the time until the next trial, which events 847 and 849 have as well (trialInMs).

Test: 'an answer names what is held'; explain had no such field before.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -42,7 +42,7 @@
   type SilentAttempt,
 } from "./handover/handover.ts";
 import { ExchangeLog } from "./exchange_log.ts";
-import { guardedRequest } from "./quarantine/guarded_request.ts";
+import { guardRequest } from "./quarantine/guard_request.ts";
 import type { RefusalTerms, RequestGuard } from "./quarantine/request_guard.ts";
 import { ReadTimeout } from "./read_timeout.ts";
 import { RateCharge } from "./rate_charge.ts";
@@ -163,7 +163,7 @@
     const { caller, route, arrivedAt } = input;
     this.#log = new ExchangeLog(deps, input);
     this.#rateCharge = new RateCharge(deps, input.workspace, caller);
-    this.#guard = deps.guardRequest(guardedRequest(input, deps.chooser));
+    this.#guard = guardRequest(deps, input);
     this.#lastEventId = caller.lastEventId;
     this.#deadline = arrivedAt +
       Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
--- a/packages/gateway/src/explain_endpoint.ts
+++ b/packages/gateway/src/explain_endpoint.ts
@@ -27,6 +27,7 @@
   | "selectionContextAt"
   | "versionOf"
   | "oldestVersionOf"
+  | "crashProtection"
 >;
 
 /** Where a request would go, for one of its route's services. */
@@ -42,6 +43,9 @@
   /** The regions in which the request may be served; null for any. */
   readonly homes: readonly string[] | null;
   readonly services: readonly ServiceExplanation[];
+  /** Prompt parts and whole requests that are held at present: a request that is
+   * one of them, or has one, would be refused. */
+  readonly held: readonly Readonly<Record<string, unknown>>[];
 }
 
 /** Why there is no answer. */
@@ -117,6 +121,7 @@
         context,
       ),
     })),
+    held: deps.crashProtection.held(),
   };
 }
 
@@ -139,7 +144,7 @@
 
 function formatAnswer(answer: RequestExplanation | ExplainError): string {
   if ("error" in answer) return `${answer.error}; ${answer.remedy}\n`;
-  const { configuration, route, workspace, homes, services } = answer;
+  const { configuration, route, workspace, homes, services, held } = answer;
   const binding = homes === null
     ? "any region"
     : homes.length === 0
@@ -151,5 +156,8 @@
     ...services.map(({ service, weight, choice }) =>
       `\nservice ${service} (weight ${weight}): ${formatExplanation(choice)}`
     ),
+    ...held.map((fields) =>
+      `held, since it crashes engines: ${JSON.stringify(fields)}\n`
+    ),
   ].join("\n");
 }
--- a/packages/gateway/src/explain_test.ts
+++ b/packages/gateway/src/explain_test.ts
@@ -54,6 +54,12 @@
   }),
   versionOf: () => 0,
   oldestVersionOf: () => 0,
+  crashProtection: {
+    guard: () => {
+      throw new Error("nothing is sent");
+    },
+    held: () => [{ request: "req-5f", crashes: 2, trialInMs: 9000 }],
+  },
 };
 
 function ask(request: Parameters<typeof explainUrl>[0]) {
@@ -77,6 +83,13 @@
   });
 });
 
+// Guards against an operator who is told that a request would be sent although it is
+// held.
+test("an answer names what is held", () => {
+  expect(ask({ host: "api.example", path: "/chat/1", workspace: "w" }))
+    .toMatchObject({ held: [{ request: "req-5f", trialInMs: 9000 }] });
+});
+
 test("a question that fits nothing is answered with the remedy", () => {
   expect(ask({ host: "api.example", path: "/x" })).toMatchObject({
     error: expect.stringContaining("/x"),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -334,7 +334,7 @@
         log,
       }),
       bodyRoom: new BodyRoom(settings.memoryBytes * BODY_ROOM_SHARE),
-      guardRequest: (request) => this.#crashProtection.guard(request),
+      crashProtection: this.#crashProtection,
       hasTimeFor: (route) => this.#hasTimeFor(route),
       log,
       metrics: this.#metrics,
--- a/packages/gateway/src/quarantine/crash_protection.ts
+++ b/packages/gateway/src/quarantine/crash_protection.ts
@@ -109,6 +109,11 @@
     }, request);
   }
 
+  /** What is held at present, as operators are told. */
+  held(): readonly Readonly<Record<string, unknown>>[] {
+    return this.quarantine.held(performance.now()).map(heldFields);
+  }
+
   #countHeld(): void {
     this.#options.metrics.set("held_parts", this.quarantine.size);
   }
--- a/packages/gateway/src/quarantine/guarded_request.ts
+++ b/packages/gateway/src/quarantine/guard_request.ts
@@ -1,4 +1,4 @@
-/** Describes a request to its guard.
+/** Begins to guard a request.
  *
  * @module
  */
@@ -8,22 +8,26 @@
   EngineChooser,
   Workspace,
 } from "@banyanlb/serving";
-import type { GuardedRequest } from "./request_guard.ts";
+import type { CrashProtection } from "./crash_protection.ts";
+import type { RequestGuard } from "./request_guard.ts";
 
-/** What a request consists of, as far as it may crash engines, and the engines
- * that it may be sent to. */
-export function guardedRequest(
-  { req, caller, workspace, body, service }: {
+/** Creates the guard of a request: what it consists of, as far as it may crash
+ * engines, and the engines that it may be sent to. */
+export function guardRequest(
+  { crashProtection, chooser }: {
+    readonly crashProtection: Pick<CrashProtection, "guard">;
+    readonly chooser: Pick<EngineChooser, "enginesOf">;
+  },
+  { req, caller, workspace, service, body }: {
     readonly req: IncomingMessage;
     readonly caller: CallerRequest;
     readonly workspace: Workspace | undefined;
-    readonly body: Buffer | undefined;
     readonly service: string;
+    readonly body: Buffer | undefined;
   },
-  chooser: Pick<EngineChooser, "enginesOf">,
-): GuardedRequest {
+): RequestGuard {
   const { id, sharedParts, model, adapter, prompt } = caller;
-  return {
+  return crashProtection.guard({
     id,
     sharedParts,
     engines: () => chooser.enginesOf(service),
@@ -37,5 +41,5 @@
       prompt,
       body,
     },
-  };
+  });
 }
--- a/packages/gateway/src/relay_dependencies.ts
+++ b/packages/gateway/src/relay_dependencies.ts
@@ -18,10 +18,7 @@
 import type { EngineConnections } from "./engine_connections.ts";
 import type { GatewayMetrics } from "./metrics.ts";
 import type { LimitKeeper } from "./limit_keeper.ts";
-import type {
-  GuardedRequest,
-  RequestGuard,
-} from "./quarantine/request_guard.ts";
+import type { CrashProtection } from "./quarantine/crash_protection.ts";
 import type { WorkspaceRates } from "./workspace_rates.ts";
 
 /** The configuration that applied to a request, as log lines report it. */
@@ -53,7 +50,7 @@
   readonly limits: LimitKeeper;
   /** Room for the bodies of requests. */
   readonly bodyRoom: BodyRoom;
-  readonly guardRequest: (request: GuardedRequest) => RequestGuard;
+  readonly crashProtection: Pick<CrashProtection, "guard" | "held">;
   /** Whether a request on this route can end before this process exits. */
   readonly hasTimeFor: (route: Route) => boolean;
   readonly log: EventLog;
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -244,7 +244,10 @@
     use: new AdapterUsageCounts(),
     limits: new LimitKeeper({ limits, log }),
     bodyRoom: options.bodyRoom ?? new BodyRoom(BODY_ROOM_BYTES),
-    guardRequest: (request) => new RequestGuard(guardDependencies, request),
+    crashProtection: {
+      guard: (request) => new RequestGuard(guardDependencies, request),
+      held: () => [],
+    },
     hasTimeFor: () => true,
     log,
     metrics,
--- a/packages/serving/src/quarantine/quarantine.ts
+++ b/packages/serving/src/quarantine/quarantine.ts
@@ -87,6 +87,8 @@
   readonly suspect: string;
   readonly trials: number;
   readonly heldMs: number;
+  /** Time until it is due to be tried again, in milliseconds; null if it is not. */
+  readonly trialInMs: number | null;
   readonly reason: HoldReason;
 }
 
@@ -154,6 +156,12 @@
     return count;
   }
 
+  /** The suspects that are held, and why. */
+  held(now: number): readonly HeldSuspect[] {
+    return [...this.#holds].filter(([, hold]) => hold.isHeld)
+      .map(([suspect]) => this.#heldSuspect(suspect, now));
+  }
+
   /** Whether nothing is suspected and nothing was held lately, so that any
    * request may be sent. */
   get isEmpty(): boolean {
@@ -353,9 +361,7 @@
         crashes: hold.crashes,
         trials: hold.trials,
         ageMs: Math.round(now - hold.changedAt),
-        trialInMs: hold.nextTrialAt === Infinity
-          ? null
-          : Math.round(hold.nextTrialAt - now),
+        trialInMs: timeUntil(hold.nextTrialAt, now),
         expiresInMs: Math.round(hold.expiresAt - now),
       },
     ]);
@@ -478,6 +484,7 @@
       answers,
       trials: hold?.trials ?? 0,
       heldMs: Math.round(now - (hold?.changedAt ?? now)),
+      trialInMs: timeUntil(hold?.nextTrialAt ?? Infinity, now),
       reason: hold?.reason ?? "evidence",
     };
   }
@@ -523,6 +530,10 @@
   };
 }
 
+function timeUntil(time: number, now: number): number | null {
+  return time === Infinity ? null : Math.round(time - now);
+}
+
 /** Changes with each of the first answers, then less and less often, so that the
  * answers on a popular suspect are not reported in each digest. */
 function reportState([before, since]: AnswerCounts): number {
