Keep an attempt whose connection is late until another engine has it

Cause: an attempt without a connection ended after 1.3 times the target latency (400 ms at least), and its connection was closed after 700 ms, before another engine was sure. The class: a right that is held is given up on the strength of silence.

Change: handover/. The attempt goes on; another engine is asked, also for a request that must not be repeated, since it was sent to nobody, and also one that has to load the adapter first. The attempt without a connection ends once the other engine has begun an answer, or, where the request must not be at two engines (not repeatable, or no run left), once it is written to the other one. If the late connection comes first, the other attempt ends before it is written; if it comes while the other engine has the request, the known 250 ms begin. A request is not written on a late connection to an engine that meanwhile leaves, was removed or evacuated.

Ruled out: writing to both from the start (two arrivals a request); connecting anew instead of waiting (a path slower than the timeout is never reached); no test of the three that guard against a late writing was run on the old code, which closes the connection after 700 ms.

What it costs: a request whose only engine is a dead machine is held until its deadline and then refused with 503, where it was refused after 0.4 to 0.7 s. It ends sooner only if the engine is removed from the list or refuses the connection.

--- a/packages/gateway/src/attempt_outcome.ts
+++ b/packages/gateway/src/attempt_outcome.ts
@@ -54,3 +54,9 @@
 export function failureReason(outcome: AttemptOutcome): string {
   return "reason" in outcome ? outcome.reason : "engine_error";
 }
+
+/** Whether an attempt ended without the request's end. */
+export function isFailure({ kind }: AttemptOutcome): boolean {
+  return kind === "not_run" || kind === "failed" || kind === "error_answer" ||
+    kind === "broken";
+}
--- a/packages/gateway/src/engine_connections.ts
+++ b/packages/gateway/src/engine_connections.ts
@@ -12,11 +12,6 @@
 import type { Duplex } from "node:stream";
 import { limitFraming, ResponseTooLargeError } from "@banyanlb/platform";
 import { type Engine, IdleLimit } from "@banyanlb/serving";
-import { ReadTimeout } from "./read_timeout.ts";
-
-/** Timeout of a new connection, in milliseconds. Engines accept connections
- * within a few milliseconds; a machine without power never replies. */
-const CONNECT_TIMEOUT_MS = 700;
 
 /** Minimum number of connections that one instance may open to an engine. */
 const CONNECTIONS_MIN = 4;
@@ -179,11 +174,16 @@
 
   /** Starts to send a request. `limits.maxConnections` is the number of
    * connections that the engine accepts from all instances together;
-   * `limits.instances` is the number of instances that share them. */
+   * `limits.instances` is the number of instances that share them. The request
+   * fails if `limits.mayWrite` returns false once its connection has come. */
   send(
     engine: Engine,
     outgoing: OutgoingRequest,
-    limits: { readonly maxConnections: number; readonly instances: number },
+    limits: {
+      readonly maxConnections: number;
+      readonly instances: number;
+      readonly mayWrite?: () => boolean;
+    },
   ): EngineRequest {
     const agent = this.#agentFor(engine.key);
     const startedAt = performance.now();
@@ -222,6 +222,10 @@
     let connectionMs: number | undefined;
     let notifySent: () => void = () => undefined;
     const markSent = () => {
+      if (limits.mayWrite?.() === false) {
+        req.destroy(new Error("the engine may not get the request any more"));
+        return;
+      }
       isSent = true;
       connectionMs = Math.round(performance.now() - startedAt);
       notifySent();
@@ -233,15 +237,8 @@
         markSent();
         return;
       }
-      const timeout = new ReadTimeout(
-        () => socket.destroy(new Error("connection timed out")),
-        CONNECT_TIMEOUT_MS,
-      );
-      socket.once("connect", () => {
-        markSent();
-        timeout.clear();
-      });
-      socket.once("close", () => timeout.clear());
+      // Before the request is written, which waits for the same event.
+      socket.once("connect", markSent);
     });
     req.end(outgoing.body);
     return {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -7,10 +7,9 @@
  *
  * @module
  */
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage } from "node:http";
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 import {
-  type CallerRequest,
   earliestResponseMs,
   type EngineChoice,
   type EngineView,
@@ -19,61 +18,50 @@
   type HomeRegions,
   isPermitted,
   type NoEngineReason,
-  type ResponseHead,
-  type Route,
   urgencyOf,
-  type Workspace,
 } from "@banyanlb/serving";
 import {
   type AttemptOutcome,
   type AttemptSettler,
   type BufferedResponse,
   failureReason,
+  isFailure,
   type Successor,
 } from "./attempt_outcome.ts";
 import { withContentLength, withoutContentLength } from "./content_length.ts";
 import { requirementsOf } from "./engine_requirements.ts";
 import { type EngineRequest, reasonOf } from "./engine_connections.ts";
+import { recordNotices } from "./engine_notices.ts";
 import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
-import * as events from "./events.ts";
 import {
   type ContestedAttempt,
   Handover,
   type SilentAttempt,
 } from "./handover/handover.ts";
+import type { RunningAttempt } from "./handover/running_attempt.ts";
+import {
+  connectTimeoutMs,
+  firstByteTimeoutMs,
+  STALL_TIMEOUT_MS,
+} from "./handover/silence_limits.ts";
+import type { ExchangeInput } from "./exchange_input.ts";
 import { ExchangeLog } from "./exchange_log.ts";
 import { guardRequest } from "./quarantine/guard_request.ts";
 import type { RefusalTerms, RequestGuard } from "./quarantine/request_guard.ts";
 import { ReadTimeout } from "./read_timeout.ts";
 import { RateCharge } from "./rate_charge.ts";
-import type {
-  ConfigurationInUse,
-  RelayDependencies,
-} from "./relay_dependencies.ts";
+import type { RelayDependencies } from "./relay_dependencies.ts";
 import { RESPONSE_MAX_BYTES, ResponseBuffer } from "./response_buffer.ts";
 import { trackCompletion } from "./response_completion.ts";
 import { judgeResponse } from "./response_verdict.ts";
 import { skipBody } from "./skip_body.ts";
-import { StreamContinuation } from "./stream_continuation.ts";
+import { isHeaderValue, StreamContinuation } from "./stream_continuation.ts";
 
 /** Time between a request's deadline and the moment when the gateway aborts its
  * attempt: an engine sends its own response when the deadline that it received
  * expires. */
 const DEADLINE_MARGIN_MS = 150;
 
-/** Multiple of the route's target latency after which an engine that has sent
- * no response counts as unresponsive, and another one is asked to go on, if the
- * request may be repeated. */
-const FIRST_BYTE_TIMEOUT_RATIO = 1.3;
-
-/** Lower bound of that timeout, for services without models, whose target
- * latencies are short. */
-const FIRST_BYTE_TIMEOUT_MIN_MS = 400;
-
-/** Time without a byte after which another engine is asked to go on with a
- * running stream, if the request may be repeated. */
-const STALL_TIMEOUT_MS = 1400;
-
 /** Maximum number of adapter loads that one request waits for. */
 const LOADS_MAX = 4;
 
@@ -89,46 +77,6 @@
 /** Maximum size of one event of a resumable stream, in bytes. */
 const EVENT_MAX_BYTES = 256 * 1024;
 
-/** A request whose route, workspace, service and body have been determined. */
-export interface ExchangeInput {
-  readonly req: IncomingMessage;
-  readonly res: ServerResponse;
-  readonly caller: CallerRequest;
-  readonly route: Route;
-  readonly workspace: Workspace | undefined;
-  readonly service: string;
-  readonly maxConnections: number;
-  readonly body: Buffer | undefined;
-  readonly arrivedAt: number;
-  /** The version of the configuration that applies, and its age on arrival, for
-   * the log. */
-  readonly configuration: ConfigurationInUse;
-  readonly refuse: (
-    status: number,
-    reason: string,
-    waitSeconds?: number,
-  ) => void;
-}
-
-/** An attempt that is in progress. */
-interface RunningAttempt {
-  readonly view: EngineView;
-  readonly request: EngineRequest;
-  readonly startedAt: number;
-  readonly settle: AttemptSettler;
-  /** The last hand-over of the request to another engine. */
-  handover: Handover | undefined;
-  /** Whether the engine's bytes are kept back, since another engine has the
-   * request as well. */
-  isHeld: boolean;
-  /** Goes on after a hand-over that has failed. */
-  onResume: () => void;
-  /** Whether another engine may keep the request. */
-  isContested: boolean;
-  /** Called when the engine has begun an answer that can be forwarded. */
-  onAccepted: () => void;
-}
-
 /** Sends one request to engines until a response has been forwarded or no
  * further attempt is allowed. */
 export class Exchange {
@@ -303,10 +251,20 @@
       }
       return choice.view;
     }
+    return await this.#load(choice.view);
+  }
+
+  /** Loads the request's adapter on an engine; see `#nextEngine`. */
+  async #load(
+    view: EngineView,
+  ): Promise<EngineView | "wait" | "no_engine" | "full"> {
+    const { model, adapter } = this.#input.caller;
     if (model === undefined || adapter === undefined) return "no_engine";
     this.#loadCount += 1;
     if (this.#loadCount > LOADS_MAX) return "full";
-    const loaded = await this.#deps.loader.load(choice.view, {
+    const now = performance.now();
+    const version = this.#newestVersion();
+    const loaded = await this.#deps.loader.load(view, {
       model,
       adapter,
       version,
@@ -316,8 +274,8 @@
       `ok="${loaded}"`,
       performance.now() - now,
     );
-    if (loaded) return choice.view;
-    this.#excludedEngines.add(choice.view.engine.key);
+    if (loaded) return view;
+    this.#excludedEngines.add(view.engine.key);
     return "wait";
   }
 
@@ -368,26 +326,6 @@
     this.#excludedEngines.add(view.engine.key);
   }
 
-  /** Records what the engine says of itself beside its answer. */
-  #recordNotices(
-    { view, startedAt }: RunningAttempt,
-    { isLeaving, pauseMs, coldMs }: ResponseHead,
-    wasTurnedAway: boolean,
-  ): void {
-    const { limits, metrics, log } = this.#deps;
-    const { id } = this.#input.caller;
-    const engine = view.engine.key;
-    if (wasTurnedAway && pauseMs !== undefined) {
-      metrics.add("engine_pauses_total", "");
-      limits.recordPause(engine, pauseMs, id);
-    }
-    if (coldMs !== undefined) limits.recordColdTime(engine, coldMs);
-    const now = performance.now();
-    if (!view.recordLeaving(isLeaving, startedAt, now)) return;
-    metrics.add("engine_leaving_notices_total", `leaving="${isLeaving}"`);
-    log.write(events.ENGINE_LEAVING_SAID, { id, engine, leaving: isLeaving });
-  }
-
   /** Whether a request that did not run may be sent to an engine again. If so,
    * uses one retry of the service's retry budget. */
   #canResend(now: number): boolean {
@@ -411,35 +349,60 @@
       .tryRetry(now, this.#deps.members.sharingCount(now));
   }
 
-  /** The engine that can go on at once with a request whose engine sends nothing,
-   * if there is one and the current engine is not merely busy. If so, uses one
-   * retry of the service's retry budget. */
-  #successorOf(from: EngineView): EngineView | undefined {
+  /** The engine that can go on with a request whose engine sends nothing, if
+   * there is one and the current engine is not merely busy. It has to load the
+   * request's adapter first if the kind is `load`. */
+  #successorOf(
+    { view: from, request, rival }: RunningAttempt,
+  ): EngineChoice | undefined {
     const { res, route } = this.#input;
     const now = performance.now();
-    if (!this.#isRepeatable || this.#mustNotRepeat) return undefined;
+    if (this.#mustNotRepeat) return undefined;
     if (this.#hasCallerDisconnected || res.writableEnded) return undefined;
-    if (from.load(now) >= from.engine.slots) return undefined;
-    if (this.#runCount + 1 >= route.maxAttempts) return undefined;
+    if (request.isSent()) {
+      if (!this.#isRepeatable) return undefined;
+      if (from.load(now) >= from.engine.slots) return undefined;
+      if (this.#runCount + 1 >= route.maxAttempts) return undefined;
+    }
     if (this.#guard.decide().kind !== "send") return undefined;
-    const choice = this.#chooseEngine(
+    const keys = [from, rival ?? from].map(({ engine }) => engine.key);
+    return this.#chooseEngine(
       now,
-      new Set([...this.#excludedEngines, from.engine.key]),
+      new Set([...this.#excludedEngines, ...keys]),
     );
-    if (choice.kind !== "send" || !this.#canRepeat(now)) return undefined;
-    return this.#deps.limits.tryTake(choice.view.engine.key)
-      ? choice.view
-      : undefined;
   }
 
   /** Asks another engine to go on with the request of an attempt whose engine
-   * sends nothing. Returns whether there is one. */
-  #handOver(attempt: RunningAttempt, reason: "silent" | "stalled"): boolean {
-    const { view } = attempt;
+   * sends nothing, or cannot be reached. Returns whether there is one. Uses one
+   * retry of the service's retry budget. */
+  #handOver(
+    attempt: RunningAttempt,
+    reason: "silent" | "stalled" | "unreachable",
+    loadedView?: EngineView,
+  ): boolean {
+    const { view, request } = attempt;
     if (attempt.isContested || attempt.settle.ended()) return false;
-    const next = this.#successorOf(view);
+    if (attempt.handover?.isOver === false) return true;
+    const choice = this.#successorOf(attempt);
+    const wasSent = request.isSent();
+    const mayLoad = !wasSent && !attempt.isLoading && loadedView === undefined;
+    if (choice?.kind === "load" && mayLoad) {
+      attempt.isLoading = true;
+      void this.#load(choice.view).then((loaded) => {
+        attempt.isLoading = false;
+        if (typeof loaded === "string" || request.isSent()) return;
+        this.#handOver(attempt, reason, loaded);
+      });
+    }
+    const next = choice?.kind === "send" ? choice.view : loadedView;
     if (next === undefined) return false;
+    const now = performance.now();
+    if (!(wasSent ? this.#canRepeat(now) : this.#canResend(now))) return false;
+    if (!this.#deps.limits.tryTake(next.engine.key)) return false;
     const current: SilentAttempt = {
+      ...request,
+      isExclusive: !this.#isRepeatable ||
+        this.#runCount + 1 >= this.#input.route.maxAttempts,
       hold: () => (attempt.isHeld = true),
       resume: () => {
         attempt.isHeld = false;
@@ -448,7 +411,7 @@
       yieldTo: (successor, failure = reason) =>
         attempt.settle({ kind: "moved", reason: failure, successor }),
     };
-    const started = this.#startAttempt(next, { isContested: true });
+    const started = this.#startAttempt(next, view);
     attempt.handover = new Handover(current, started, (outcome) => {
       this.#log.resumeAttempt(view);
       if (outcome === undefined || !isFailure(outcome)) return;
@@ -458,6 +421,29 @@
     return true;
   }
 
+  /** Asks another engine while an attempt has no connection. The attempt goes on
+   * without one, since the connection may come; but not beside another attempt,
+   * which has the request, nor for an engine that was removed. */
+  #handleUnreachable(attempt: RunningAttempt): void {
+    const { view, settle } = attempt;
+    if (attempt.isContested || !this.#isListed(view)) {
+      return settle({ kind: "not_run", reason: "unreachable" });
+    }
+    if (this.#handOver(attempt, "unreachable")) return;
+    view.health.recordResult("silent", performance.now());
+    attempt.onResume();
+  }
+
+  /** Asks another engine while an attempt waits for its first byte. An attempt
+   * beside one without a connection becomes the only one for that. */
+  #handleSilent(attempt: RunningAttempt): void {
+    if (attempt.isContested && this.#successorOf(attempt)?.kind === "send") {
+      attempt.onSilent();
+    }
+    if (attempt.isContested) attempt.onResume();
+    else this.#handOver(attempt, "silent");
+  }
+
   /** Follows a request from engine to engine, until an attempt ends that has no
    * successor. */
   async #followAttempts(
@@ -521,7 +507,7 @@
   /** Sends the request to one engine and forwards its response. */
   #startAttempt(
     view: EngineView,
-    { isContested = false } = {},
+    rival?: EngineView,
   ): ContestedAttempt {
     const { req, route, workspace, caller, body } = this.#input;
     const { protocol, connections, members, use: usage } = this.#deps;
@@ -529,6 +515,7 @@
     const heldAdapter = caller.adapter === undefined
       ? undefined
       : view.adapters.get(caller.adapter);
+    const wasLeaving = view.engine.leaving;
     const announcedVersion = this.#newestVersion();
     const priority = workspace?.priority ?? route.priority;
     const headers = protocol.forwardHeaders(req.rawHeaders, {
@@ -556,6 +543,7 @@
     }, {
       maxConnections: this.#input.maxConnections,
       instances: members.sharingCount(now),
+      mayWrite: () => this.#mayWriteTo(view, wasLeaving),
     });
     this.#engineRequests.add(request);
     this.#log.startAttempt(view, request, now);
@@ -572,7 +560,7 @@
     let end: (outcome: AttemptOutcome) => void = () => undefined;
     const outcome = new Promise<AttemptOutcome>((resolve) => (end = resolve));
     const attempt = this.#trackAttempt(
-      { view, request, startedAt: now, isContested },
+      { view, request, startedAt: now, rival },
       end,
     );
     return {
@@ -591,6 +579,7 @@
       }),
       onSent: (listener) => request.onSent(listener),
       onAccepted: (listener) => (attempt.onAccepted = listener),
+      onSilent: (listener) => (attempt.onSilent = listener),
       adopt: () => (attempt.isContested = false),
       abandon: () =>
         attempt.settle({
@@ -600,10 +589,22 @@
     };
   }
 
+  #isListed(view: EngineView): boolean {
+    return this.#deps.chooser.enginesOf(this.#input.service).includes(view);
+  }
+
+  /** Whether an engine may still get the request, now that its connection has
+   * come. */
+  #mayWriteTo(view: EngineView, wasLeaving: boolean): boolean {
+    const context = this.#deps.selectionContextAt(performance.now());
+    return this.#isListed(view) && (wasLeaving || !view.engine.leaving) &&
+      isPermitted(view, { homes: this.#homes }, context);
+  }
+
   #trackAttempt(
     started: Pick<
       RunningAttempt,
-      "view" | "request" | "startedAt" | "isContested"
+      "view" | "request" | "startedAt" | "rival"
     >,
     end: (outcome: AttemptOutcome) => void,
   ): RunningAttempt {
@@ -632,6 +633,9 @@
       settle,
       handover: undefined,
       isHeld: false,
+      isLoading: false,
+      isContested: started.rival !== undefined,
+      onSilent: () => undefined,
       onResume: () => waitForFirstByte(),
       onAccepted: () => undefined,
     };
@@ -639,19 +643,16 @@
       () => settle({ kind: "timed_out" }),
       Math.max(0, this.#deadline - performance.now()) + DEADLINE_MARGIN_MS,
     );
-    const firstByteTimeoutMs = Math.max(
-      FIRST_BYTE_TIMEOUT_MIN_MS,
-      route.targetLatencyMs * FIRST_BYTE_TIMEOUT_RATIO,
-    );
     let firstByteTimeout: ReadTimeout | undefined;
     const waitForFirstByte = () => {
+      firstByteTimeout?.clear();
       if (isSettled) return;
+      const wasSent = request.isSent();
       firstByteTimeout = new ReadTimeout(() => {
-        if (!request.isSent()) {
-          settle({ kind: "not_run", reason: "unreachable" });
-        } else if (attempt.isContested) waitForFirstByte();
-        else this.#handOver(attempt, "silent");
-      }, firstByteTimeoutMs);
+        if (!request.isSent()) this.#handleUnreachable(attempt);
+        else if (!wasSent) waitForFirstByte();
+        else this.#handleSilent(attempt);
+      }, wasSent ? firstByteTimeoutMs(route) : connectTimeoutMs(route));
     };
     waitForFirstByte();
     request.req.on("error", (err) => {
@@ -692,7 +693,10 @@
       responseHead.requestLimit,
       caller.id,
     );
-    this.#recordNotices(attempt, responseHead, verdict.kind === "not_run");
+    recordNotices(this.#deps, { ...attempt, id: caller.id }, {
+      head: responseHead,
+      wasTurnedAway: verdict.kind === "not_run",
+    });
     if (verdict.kind === "unusable") {
       return settle(this.#failedOutcome(verdict.reason));
     }
@@ -904,14 +908,3 @@
     response.on("close", () => stallTimeout?.clear());
   }
 }
-
-/** Whether a header can carry the id of an event. */
-function isHeaderValue(text = ""): boolean {
-  return /^[\t\x20-\x7e\x80-\xff]*$/.test(text);
-}
-
-/** Whether an attempt ended without the request's end. */
-function isFailure({ kind }: AttemptOutcome): boolean {
-  return kind === "not_run" || kind === "failed" || kind === "error_answer" ||
-    kind === "broken";
-}
--- a/packages/gateway/src/handover/handover.ts
+++ b/packages/gateway/src/handover/handover.ts
@@ -3,20 +3,28 @@
  * Silence shows nothing: the engine may be gone, or bytes may be under way. So
  * the first engine keeps the request until the other one has begun an answer, and
  * goes on with it if the other one does not take it. Two engines must not work on
- * one request, so the first one loses it soon after it was written to the other
- * one, unless its answer is whole by then.
+ * one request, so the first one loses it soon after it was written to both,
+ * unless its answer is whole by then. An engine without a connection works on
+ * nothing, so its attempt goes on until the other one has begun an answer.
  *
  * @module
  */
 import type { AttemptOutcome, Successor } from "../attempt_outcome.ts";
 
-/** How long the first engine may keep a request that was written to the other
- * one, in milliseconds. Deployments allow that both work on it for 400 ms, and
+/** How long the first engine may keep a request that was written to both, in
+ * milliseconds. Deployments allow that both work on it for 400 ms, and
  * it takes time until an engine hears that its connection was closed. */
 const KEPT_MS = 250;
 
 /** The attempt at the engine that sends nothing. */
 export interface SilentAttempt {
+  /** Whether the request must not be written to a second engine. */
+  readonly isExclusive: boolean;
+  /** Whether the request may have been written to the engine. */
+  isSent(): boolean;
+  /** Calls `listener` when the request is about to be written to a connection to
+   * the engine. */
+  onSent(listener: () => void): void;
   /** Keeps back what the engine sends from now on. */
   hold(): void;
   /** Goes on with the engine. */
@@ -35,6 +43,9 @@
   /** Calls `listener` when the engine has begun an answer that can be
    * forwarded. */
   onAccepted(listener: () => void): void;
+  /** Calls `listener` when a further engine could be asked, since this one sends
+   * nothing. */
+  onSilent(listener: () => void): void;
   /** The attempt is the only one from now on. */
   adopt(): void;
   /** Ends the attempt. */
@@ -47,6 +58,7 @@
   readonly #next: ContestedAttempt;
   readonly #onKept: (outcome: AttemptOutcome | undefined) => void;
   #isOver = false;
+  #isNextSent = false;
   #keepTimer: NodeJS.Timeout | undefined;
 
   /** `onKept` is called if the first engine keeps the request, with the outcome
@@ -59,15 +71,24 @@
     this.#current = current;
     this.#next = next;
     this.#onKept = onKept;
-    next.onSent(() => this.#hold());
+    next.onSent(() => this.#recordNextSent());
+    if (!current.isSent()) current.onSent(() => this.#recordCurrentSent());
     next.onAccepted(() => this.complete());
+    next.onSilent(() => {
+      if (!current.isSent()) this.complete();
+    });
     void next.outcome.then((outcome) => this.#keep(outcome));
   }
 
+  /** Whether one attempt is left. */
+  get isOver(): boolean {
+    return this.#isOver;
+  }
+
   /** Whether the request was written to the other engine, which has not accepted
    * it yet. */
   get isHolding(): boolean {
-    return !this.#isOver && this.#keepTimer !== undefined;
+    return !this.#isOver && this.#isNextSent;
   }
 
   /** Leaves the request to the other engine. */
@@ -85,8 +106,20 @@
     this.#next.abandon();
   }
 
-  #hold(): void {
+  #recordNextSent(): void {
+    if (this.#isOver) return;
+    this.#isNextSent = true;
+    if (this.#current.isSent()) this.#hold();
+    else if (this.#current.isExclusive) this.complete();
+  }
+
+  #recordCurrentSent(): void {
     if (this.#isOver) return;
+    if (this.#isNextSent) this.#hold();
+    else this.cancel();
+  }
+
+  #hold(): void {
     this.#current.hold();
     this.#keepTimer = setTimeout(() => this.complete(), KEPT_MS);
   }
--- a/packages/gateway/src/handover/handover_test.ts
+++ b/packages/gateway/src/handover/handover_test.ts
@@ -1,22 +1,15 @@
 import { once } from "node:events";
 import {
-  Agent,
   type IncomingMessage,
   request,
   type RequestListener,
   ServerResponse,
 } from "node:http";
-import {
-  connect,
-  type LookupFunction,
-  type NetConnectOpts,
-  type Socket,
-  type TcpNetConnectOpts,
-} from "node:net";
 import { setTimeout as pause } from "node:timers/promises";
 import { RESPONSE_HEADERS } from "@banyanlb/platform";
 import { afterEach, expect, test, vi } from "vitest";
 import * as events from "../events.ts";
+import { delayConnections } from "../testing/delay_connections.ts";
 import { findFreePort } from "../testing/free_port.ts";
 import {
   addCleanup,
@@ -276,29 +269,6 @@
   expect(await sendRequest(port)).toMatchObject({ status: 200, body: "well" });
 });
 
-/** Makes new connections to a port take `ms`. */
-function delayConnections(port: number, ms: number): void {
-  const { createConnection } = Agent.prototype as unknown as {
-    createConnection: (options: NetConnectOpts, ...rest: unknown[]) => Socket;
-  };
-  const lookup: LookupFunction = (_, options, callback) =>
-    void setTimeout(
-      () =>
-        options.all === true
-          ? callback(null, [{ address: "127.0.0.1", family: 4 }])
-          : callback(null, "127.0.0.1", 4),
-      ms,
-    );
-  Object.assign(Agent.prototype, {
-    createConnection(options: TcpNetConnectOpts, ...rest: unknown[]) {
-      return options.port === port
-        ? connect({ port, host: "slow.test", lookup })
-        : createConnection.call(this, options, ...rest);
-    },
-  });
-  addCleanup(() => Object.assign(Agent.prototype, { createConnection }));
-}
-
 // Guards against a request at three engines: the one that was asked is slow to
 // connect, and asks a further one itself.
 test("an engine that was asked asks no other one", async () => {
--- a/packages/gateway/src/stream_continuation.ts
+++ b/packages/gateway/src/stream_continuation.ts
@@ -41,3 +41,8 @@
   const [mediaType = ""] = (headers["content-type"] ?? "").split(";");
   return `${statusCode} ${mediaType.trim().toLowerCase()}`;
 }
+
+/** Whether a header can carry the id of an event. */
+export function isHeaderValue(text = ""): boolean {
+  return /^[\t\x20-\x7e\x80-\xff]*$/.test(text);
+}
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -85,9 +85,14 @@
 /** Options of a relay. */
 export interface RelayOptions {
   readonly route: Partial<Route>;
+  /** Adapters that all engines hold. */
   readonly adapters?: readonly string[];
+  /** Adapters that an engine holds, by its place among the handlers. */
+  readonly adaptersOf?: (place: number) => readonly string[];
   readonly load?: () => Promise<boolean>;
   readonly limits?: EngineLimits;
+  /** The table that the engines are added to. */
+  readonly engineTable?: EngineTable;
   readonly bodyRoom?: BodyRoom;
   readonly maxBodyBytes?: number;
   /** Zones of the engines, `z` if omitted. The region of a zone is its first
@@ -151,7 +156,9 @@
       remainingMs: undefined,
       models: [{
         name: "m",
-        adapters: (options.adapters ?? []).map((name) => ({
+        adapters: (options.adaptersOf?.(i) ?? options.adapters ?? []).map((
+          name,
+        ) => ({
           name,
           version: 1,
         })),
@@ -186,7 +193,7 @@
       },
     });
   const routeTable = createRouteTable({});
-  const engineTable = new EngineTable();
+  const engineTable = options.engineTable ?? new EngineTable();
   engineTable.setEngines(engines);
   const connections = new EngineConnections();
   addCleanup(() => connections.close());
