Ask a silent engine once more if the other one is silent, too

Callers saw: a stream whose engine was silent for 2 s and went on, beside a second engine that said nothing at all, ended incomplete at its deadline; a request whose engine answered at 0.9 s got 504 (found by tests).

Cause: 250 ms after the request was written to the second engine the first one loses it, and was then excluded for good.

Change: TriedEngines tells engines that failed from those that lost the request for silence; these are asked again if there is no other engine. Such an engine has 250 ms to begin an answer and does not get the request for its silence, so a second engine that is merely slow keeps it. A request with no run left may return to an engine that has run it: no further engine runs it.

Also mends a defect of: the time for the connection came before the time for the first byte, so another engine was asked after 0.87 s instead of 0.41 s (FirstByteWatch).

Ruled out: giving up the second engine at 250 ms (the first byte of a sound engine often takes longer, so each request of a dead machine would wait 1.4 s more); taking a connection for evidence (an engine that hangs accepts it).

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -33,17 +33,15 @@
 import { type EngineRequest, reasonOf } from "./engine_connections.ts";
 import { recordNotices } from "./engine_notices.ts";
 import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
+import { FirstByteWatch } from "./handover/first_byte_watch.ts";
 import {
   type ContestedAttempt,
   Handover,
   type SilentAttempt,
 } from "./handover/handover.ts";
 import type { RunningAttempt } from "./handover/running_attempt.ts";
-import {
-  connectTimeoutMs,
-  firstByteTimeoutMs,
-  STALL_TIMEOUT_MS,
-} from "./handover/silence_limits.ts";
+import { STALL_TIMEOUT_MS } from "./handover/silence_limits.ts";
+import { TriedEngines } from "./handover/tried_engines.ts";
 import type { ExchangeInput } from "./exchange_input.ts";
 import { ExchangeLog } from "./exchange_log.ts";
 import { guardRequest } from "./quarantine/guard_request.ts";
@@ -83,7 +81,7 @@
   readonly #deps: RelayDependencies;
   readonly #input: ExchangeInput;
   readonly #deadline: number;
-  readonly #excludedEngines = new Set<string>();
+  readonly #tried = new TriedEngines();
   readonly #framer = new EventFramer();
   readonly #continuation = new StreamContinuation();
   readonly #rateCharge: RateCharge;
@@ -209,7 +207,11 @@
       : 0;
   }
 
-  #chooseEngine(now: number, excluded: ReadonlySet<string>): EngineChoice {
+  #chooseEngine(now: number, others: readonly string[] = []): EngineChoice {
+    return this.#tried.choose((e) => this.#chooseExcept(e, now), others);
+  }
+
+  #chooseExcept(excluded: ReadonlySet<string>, now: number): EngineChoice {
     const { caller, service } = this.#input;
     const { model, adapter } = caller;
     const requirements = requirementsOf(this.#deps, {
@@ -235,7 +237,7 @@
     const { model, adapter } = this.#input.caller;
     const now = performance.now();
     const version = this.#newestVersion();
-    const choice = this.#chooseEngine(now, this.#excludedEngines);
+    const choice = this.#chooseEngine(now);
     if (choice.kind === "none") return choice.reason;
     if (choice.kind === "send") {
       if (
@@ -275,7 +277,7 @@
       performance.now() - now,
     );
     if (loaded) return view;
-    this.#excludedEngines.add(view.engine.key);
+    this.#tried.record(view.engine.key, "failed");
     return "wait";
   }
 
@@ -323,7 +325,8 @@
       }
       return;
     }
-    this.#excludedEngines.add(view.engine.key);
+    const wasSilent = outcome.kind === "moved" && isUnresponsive;
+    this.#tried.record(view.engine.key, wasSilent ? "silent" : "failed");
   }
 
   /** Whether a request that did not run may be sent to an engine again. If so,
@@ -353,23 +356,24 @@
    * there is one and the current engine is not merely busy. It has to load the
    * request's adapter first if the kind is `load`. */
   #successorOf(
-    { view: from, request, rival }: RunningAttempt,
+    { view: from, request, isContested, rival }: RunningAttempt,
   ): EngineChoice | undefined {
-    const { res, route } = this.#input;
+    const { res, route, service } = this.#input;
     const now = performance.now();
     if (this.#mustNotRepeat) return undefined;
     if (this.#hasCallerDisconnected || res.writableEnded) return undefined;
     if (request.isSent()) {
       if (!this.#isRepeatable) return undefined;
       if (from.load(now) >= from.engine.slots) return undefined;
-      if (this.#runCount + 1 >= route.maxAttempts) return undefined;
     }
     if (this.#guard.decide().kind !== "send") return undefined;
-    const keys = [from, rival ?? from].map(({ engine }) => engine.key);
-    return this.#chooseEngine(
-      now,
-      new Set([...this.#excludedEngines, ...keys]),
-    );
+    const others = isContested && rival !== undefined ? [rival, from] : [from];
+    const keys = others.map(({ engine }) => engine.key);
+    if (request.isSent() && this.#runCount + 1 >= route.maxAttempts) {
+      const all = this.#deps.chooser.keysOf(service);
+      keys.push(...all.filter((key) => !this.#tried.hasRunAt(key)));
+    }
+    return this.#chooseEngine(now, keys);
   }
 
   /** Asks another engine to go on with the request of an attempt whose engine
@@ -403,6 +407,7 @@
       ...request,
       isExclusive: !this.#isRepeatable ||
         this.#runCount + 1 >= this.#input.route.maxAttempts,
+      isPreferred: this.#tried.wasSilent(next.engine.key),
       hold: () => (attempt.isHeld = true),
       resume: () => {
         attempt.isHeld = false;
@@ -620,12 +625,15 @@
       }
       isSettled = true;
       clearTimeout(deadlineTimer);
-      firstByteTimeout?.clear();
+      firstByteWatch.clear();
       attempt.handover?.cancel();
       if (outcome.kind !== "finished") request.req.destroy();
       // A request that was written to a connection may have run, unless the
       // engine reported that it did not.
-      if (outcome.kind !== "not_run" && request.isSent()) this.#runCount += 1;
+      if (outcome.kind !== "not_run" && request.isSent()) {
+        this.#runCount += 1;
+        this.#tried.recordRun(started.view.engine.key);
+      }
       end(outcome);
     }, { ended: () => isSettled });
     const attempt: RunningAttempt = {
@@ -636,25 +644,17 @@
       isLoading: false,
       isContested: started.rival !== undefined,
       onSilent: () => undefined,
-      onResume: () => waitForFirstByte(),
+      onResume: () => firstByteWatch.restart(),
       onAccepted: () => undefined,
     };
     const deadlineTimer = setTimeout(
       () => settle({ kind: "timed_out" }),
       Math.max(0, this.#deadline - performance.now()) + DEADLINE_MARGIN_MS,
     );
-    let firstByteTimeout: ReadTimeout | undefined;
-    const waitForFirstByte = () => {
-      firstByteTimeout?.clear();
-      if (isSettled) return;
-      const wasSent = request.isSent();
-      firstByteTimeout = new ReadTimeout(() => {
-        if (!request.isSent()) this.#handleUnreachable(attempt);
-        else if (!wasSent) waitForFirstByte();
-        else this.#handleSilent(attempt);
-      }, wasSent ? firstByteTimeoutMs(route) : connectTimeoutMs(route));
-    };
-    waitForFirstByte();
+    const firstByteWatch = new FirstByteWatch({ ...started, route }, {
+      onUnreachable: () => this.#handleUnreachable(attempt),
+      onSilent: () => this.#handleSilent(attempt),
+    });
     request.req.on("error", (err) => {
       if (this.#hasCallerDisconnected) return settle({ kind: "finished" });
       if (!request.isSent()) {
@@ -663,7 +663,7 @@
       settle(this.#failedOutcome(reasonOf(err)));
     });
     request.req.on("response", (response) => {
-      firstByteTimeout?.clear();
+      firstByteWatch.clear();
       attempt.onResume = () => undefined;
       if (!attempt.isHeld) attempt.handover?.cancel();
       this.#handleResponse(attempt, response);
--- a/packages/gateway/src/handover/handover.ts
+++ b/packages/gateway/src/handover/handover.ts
@@ -7,6 +7,10 @@
  * unless its answer is whole by then. An engine without a connection works on
  * nothing, so its attempt goes on until the other one has begun an answer.
  *
+ * If the other one is silent as well and there is no third, the first one is asked
+ * once more. It has the same short time to begin an answer, and does not get the
+ * request for its silence.
+ *
  * @module
  */
 import type { AttemptOutcome, Successor } from "../attempt_outcome.ts";
@@ -20,6 +24,9 @@
 export interface SilentAttempt {
   /** Whether the request must not be written to a second engine. */
   readonly isExclusive: boolean;
+  /** Whether the attempt goes on unless the other engine answers soon: that one
+   * has lost the request before because it was silent. */
+  readonly isPreferred: boolean;
   /** Whether the request may have been written to the engine. */
   isSent(): boolean;
   /** Calls `listener` when the request is about to be written to a connection to
@@ -121,7 +128,10 @@
 
   #hold(): void {
     this.#current.hold();
-    this.#keepTimer = setTimeout(() => this.complete(), KEPT_MS);
+    this.#keepTimer = setTimeout(
+      () => this.#current.isPreferred ? this.cancel() : this.complete(),
+      KEPT_MS,
+    );
   }
 
   #keep(outcome: AttemptOutcome | undefined): void {
--- a/packages/gateway/src/handover/handover_test.ts
+++ b/packages/gateway/src/handover/handover_test.ts
@@ -394,3 +394,16 @@
   await Promise.all(closed);
   expect(lines).not.toContain(events.ATTEMPT_FAILED.id);
 });
+
+// Guards against callers that wait longer than necessary: the time for the
+// connection came before that for the first byte.
+test("another engine is asked soon after the first one is late", async () => {
+  const answer: RequestListener = (_, res) => {
+    res.writeHead(200, SEALED_HEADERS);
+    res.end("well");
+  };
+  const port = await startRelay([hang, answer], { route: {} });
+  const startedAt = performance.now();
+  expect(await sendRequest(port)).toMatchObject({ status: 200, body: "well" });
+  expect(performance.now() - startedAt).toBeLessThan(700);
+});
