Keep waiting for a load where no other engine can take the request

Callers saw: 503 `no_engine` at once when their adapter's engine left two calls of the loader without a reply, though it replied 1 s later and no other engine could load the adapter (found by tests).

Cause: AdapterLoader resolved all waiters of an engine as failed after two unanswered calls, and the exchange excluded the engine for good.

Change: the exchange asks other engines first, and the silent one again only if there is no other, with `patient`. A load that fails for one request is not cancelled while another one waits for it.

Ruled out: never releasing waiters for silence (requests that another engine could serve would wait 2.5 s at a dead one).

--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -20,6 +20,7 @@
   ORDER_TIMEOUT_MAX_MS,
   outcomeOf,
   OwnedEngine,
+  type Waiter,
 } from "./owned_engine.ts";
 import type { PeerLinks } from "./peer_links.ts";
 import type { HeldRow } from "./peer_messages.ts";
@@ -178,6 +179,7 @@
       readonly version: number;
       readonly early?: boolean;
       readonly quiet?: boolean;
+      readonly patient?: boolean | undefined;
     },
   ): Promise<boolean> {
     const { membership, self, members, links } = this.#options;
@@ -201,13 +203,17 @@
       readonly version: number;
       readonly early?: boolean;
       readonly quiet?: boolean;
+      readonly patient?: boolean | undefined;
     },
   ): Promise<boolean> {
     const engine = this.#engines.get(engineKey);
     if (
       engine === undefined || !this.#options.membership.mayOrder(engineKey)
     ) return Promise.resolve(false);
-    if (engine.unansweredCalls >= DOWN_THRESHOLD) return Promise.resolve(false);
+    const isPatient = request.patient === true;
+    if (engine.unansweredCalls >= DOWN_THRESHOLD && !isPatient) {
+      return Promise.resolve(false);
+    }
     const now = performance.now();
     const { adapter, version } = request;
     const slot = engine.adapterSlots.find(adapter, version);
@@ -226,7 +232,7 @@
     engine.adapterSlots.recordUse(adapter, 0, 1, now);
     return new Promise((resolve) => {
       const until = now + LOAD_WAIT_MS;
-      engine.waiters.add({ adapter, version, until, resolve });
+      engine.waiters.add({ adapter, version, until, isPatient, resolve });
       this.#process(engineKey, engine);
     });
   }
@@ -323,9 +329,7 @@
     for (const waiter of engine.waiters) {
       const isLoaded = isHeld(engine, waiter, now);
       if (!isLoaded && now < waiter.until) continue;
-      engine.waiters.delete(waiter);
-      if (!isLoaded) engine.adapterSlots.cancelLoad(waiter.adapter);
-      waiter.resolve(isLoaded);
+      release(engine, waiter, isLoaded);
     }
     let nextReadyAt = Infinity;
     for (const waiter of engine.waiters) {
@@ -465,7 +469,8 @@
 
   /** Records whether an engine replied to a call. An engine that does not reply
    * counts as down until it replies again; its waiters are released at once so
-   * that their requests go to other engines. */
+   * that their requests go to other engines. Those that have no other one wait
+   * on. */
   #recordReply(view: EngineView, engine: OwnedEngine, hasReplied: boolean) {
     if (hasReplied) {
       engine.unansweredCalls = 0;
@@ -479,10 +484,8 @@
       (isDown ? DOWN_RETRY_PAUSE_MS : ORDER_RETRY_PAUSE_MS);
     if (!isDown) return;
     for (const waiter of engine.waiters) {
-      engine.adapterSlots.cancelLoad(waiter.adapter);
-      waiter.resolve(false);
+      if (!waiter.isPatient) release(engine, waiter, false);
     }
-    engine.waiters.clear();
   }
 
   #updateView(view: EngineView, engine: OwnedEngine): void {
@@ -507,3 +510,15 @@
   return slot !== undefined && slot.readyAt <= now &&
     !engine.denied.has(adapter);
 }
+
+/** Ends a wait. A load that has failed is cancelled unless another request waits
+ * for it. */
+function release(engine: OwnedEngine, waiter: Waiter, isLoaded: boolean): void {
+  const { waiters, adapterSlots } = engine;
+  const { adapter } = waiter;
+  waiters.delete(waiter);
+  if (!isLoaded && ![...waiters].some((other) => other.adapter === adapter)) {
+    adapterSlots.cancelLoad(adapter);
+  }
+  waiter.resolve(isLoaded);
+}
--- a/packages/gateway/src/adapter_loader_test.ts
+++ b/packages/gateway/src/adapter_loader_test.ts
@@ -28,6 +28,7 @@
   const held = new Set(["a1"]);
   const orders: string[] = [];
   let orderCount = 7;
+  const silence = { isSilent: false };
   const engineTable = new EngineTable();
   engineTable.setEngines([{
     key: ENGINE,
@@ -42,20 +43,23 @@
     models: [{ name: "m", adapters: [{ name: "a1", version: 0 }] }],
   }]);
   const control = {
-    report: (): Promise<EngineReport> =>
-      Promise.resolve({
-        startedAtMs: 1,
-        orderCount,
-        models: [{
-          name: "m",
-          adapters: [...held].map((name) => ({ name, version: 0 })),
-        }],
-        fetching: [],
-        running: 0,
-        waiting: 0,
-      }),
+    report: (): Promise<EngineReport | undefined> =>
+      Promise.resolve(
+        silence.isSilent ? undefined : {
+          startedAtMs: 1,
+          orderCount,
+          models: [{
+            name: "m",
+            adapters: [...held].map((name) => ({ name, version: 0 })),
+          }],
+          fetching: [],
+          running: 0,
+          waiting: 0,
+        },
+      ),
     order: (_: unknown, { adapter }: { readonly adapter: string }) => {
       orders.push(adapter);
+      if (silence.isSilent) return Promise.resolve("unknown");
       orderCount += 1;
       held.add(adapter);
       return Promise.resolve("accepted");
@@ -95,7 +99,7 @@
     metrics: new GatewayMetrics(),
   });
   const timer = setInterval(() => loader.tick(), 50);
-  return { held, orders, loader, close: () => clearInterval(timer) };
+  return { held, orders, silence, loader, close: () => clearInterval(timer) };
 }
 
 function load(loader: AdapterLoader, isEarly = false) {
@@ -136,3 +140,26 @@
   expect(orders).toEqual([]);
   close();
 });
+
+// Guards against callers that are refused although their adapter is loaded a moment
+// later: the engine did not reply to two calls, and there is no other one.
+test("a request without another engine waits for an engine that does not reply", async () => {
+  const { held, silence, loader, close } = startOwner();
+  await vi.advanceTimersByTimeAsync(2000);
+  held.delete("a1");
+  void load(loader, true);
+  silence.isSilent = true;
+  const request = { adapter: "a2", version: 0 };
+  const results: (readonly [string, boolean])[] = [];
+  void loader.loadAtOwnEngine(ENGINE, request)
+    .then((ok) => results.push(["other", ok]));
+  void loader.loadAtOwnEngine(ENGINE, { ...request, patient: true })
+    .then((ok) => results.push(["patient", ok]));
+  await vi.advanceTimersByTimeAsync(1200);
+  expect(loader.down()).toEqual([ENGINE]);
+  expect(results).toEqual([["other", false]]);
+  silence.isSilent = false;
+  await vi.advanceTimersByTimeAsync(1200);
+  expect(results).toEqual([["other", false], ["patient", true]]);
+  close();
+});
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -229,8 +229,8 @@
   }
 
   /** Selects the engine for the next attempt and waits for an adapter load if
-   * one is needed. Resolves to `wait` after a failed load, which excludes that
-   * engine: the next call selects another. */
+   * one is needed. Resolves to `wait` after a failed load: the next call selects
+   * another engine, and the same only if there is no other. */
   async #nextEngine(): Promise<
     EngineView | "wait" | NoEngineReason | "full"
   > {
@@ -265,11 +265,14 @@
     this.#loadCount += 1;
     if (this.#loadCount > LOADS_MAX) return "full";
     const now = performance.now();
+    const { key } = view.engine;
     const version = this.#newestVersion();
+    const patient = this.#tried.wasSilent(key) || undefined;
     const loaded = await this.#deps.loader.load(view, {
       model,
       adapter,
       version,
+      patient,
     });
     this.#deps.metrics.time(
       "load_wait_ms",
@@ -277,7 +280,8 @@
       performance.now() - now,
     );
     if (loaded) return view;
-    this.#tried.record(view.engine.key, "failed");
+    // The engine may merely be silent.
+    this.#tried.record(key, patient === true ? "failed" : "silent");
     return "wait";
   }
 
--- a/packages/gateway/src/owned_engine.ts
+++ b/packages/gateway/src/owned_engine.ts
@@ -19,6 +19,8 @@
   readonly adapter: string;
   readonly version: number;
   readonly until: number;
+  /** Whether the request waits although the engine does not reply. */
+  readonly isPatient: boolean;
   readonly resolve: (ok: boolean) => void;
 }
 
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -40,6 +40,9 @@
   readonly early?: boolean;
   /** The sender does not wait for a reply. */
   readonly quiet?: boolean;
+  /** The request has no other engine: it waits although the engine does not
+   * reply. */
+  readonly patient?: boolean | undefined;
 }
 
 /** The owner's reply to a `LoadRequest`. */
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -89,7 +89,10 @@
   readonly adapters?: readonly string[];
   /** Adapters that an engine holds, by its place among the handlers. */
   readonly adaptersOf?: (place: number) => readonly string[];
-  readonly load?: () => Promise<boolean>;
+  readonly load?: (
+    view: { readonly engine: Engine },
+    request: { readonly patient?: boolean | undefined },
+  ) => Promise<boolean>;
   readonly limits?: EngineLimits;
   /** The table that the engines are added to. */
   readonly engineTable?: EngineTable;
