Keep the requests that an engine cut first until its end is confirmed

Cause: after 1 s a further cut request began another possible crash of the same engine, and replaced the one whose end was not confirmed yet, with its requests.

Change: as long as a probe has not shown the engine running and the list may still confirm its end, requests that break off there are one crash. Sound ones among them are acquitted by their answers elsewhere.

Test that failed before: 'the requests cut off first count although others break off later'.

--- a/packages/gateway/src/quarantine/crash_watch.ts
+++ b/packages/gateway/src/quarantine/crash_watch.ts
@@ -71,7 +71,7 @@
     const now = performance.now();
     const { key } = view.engine;
     let crash = this.#crashes.get(key);
-    if (crash === undefined || now - crash.startedAt > CRASH_MS) {
+    if (crash === undefined || this.#isOver(crash, now)) {
       crash = {
         startedAt: now,
         requests: [],
@@ -85,6 +85,13 @@
     if (crash.isConfirmed && request.isSuspect) this.#recordCrash(key, crash);
   }
 
+  /** Whether a request that breaks off now belongs to another crash. As long as it
+   * is open whether the engine has ended, the first requests must not be lost. */
+  #isOver({ startedAt, isConfirmed, isRuledOut }: PossibleCrash, now: number) {
+    const isOpen = !isConfirmed && !isRuledOut;
+    return now - startedAt > (isOpen ? LIST_CONFIRMS_MS : CRASH_MS);
+  }
+
   /** Confirms the crashes of engines that have left the list since. A proxy
    * before an engine may accept connections although the engine has ended. */
   recordEngineList(isListed: (engineKey: string) => boolean): void {
--- a/packages/gateway/src/quarantine/crash_watch_test.ts
+++ b/packages/gateway/src/quarantine/crash_watch_test.ts
@@ -136,3 +136,17 @@
   watch.recordPeerCrash("e2@1");
   expect(quarantine.beliefOn("a").crashes).toBe(1);
 });
+
+// Guards against the loss of the requests that ended an engine: through a proxy that
+// accepts for it, others break off there until it leaves the list.
+test("the requests cut off first count although others break off later", async () => {
+  const { watch, quarantine, lines } = createWatch("unknown");
+  watch.recordCut(createView("e1@1"), cut("r1", ["a"]));
+  await vi.advanceTimersByTimeAsync(1200);
+  watch.recordCut(createView("e1@1"), cut("r2", ["b"]));
+  await vi.advanceTimersByTimeAsync(800);
+  watch.recordEngineList(() => false);
+  await vi.advanceTimersByTimeAsync(200);
+  expect(lines).toMatchObject([{ event: 846, engine: "e1@1", cut: 2 }]);
+  expect(quarantine.beliefOn("a").crashes).toBe(1);
+});
