Keep holding a request although another one ran on the same engines

Cause: a held suspect is released when other causes explain its crashes, and below four crashes two that were always together convict neither. Both are right for parts, which sound requests share, and wrong for whole requests.

Change: only what contains a held suspect, or is contained in it, explains its crashes away. A whole request with three crashes that its answers do not outweigh is a cause whatever else explains them, since only its own repeats share it.

Tests that failed before: 'a held request stays held although another one explains its crashes' (released), 'a request with three crashes is a cause whatever else explains them' (one of two found).

--- a/packages/serving/src/quarantine/crash_evidence.ts
+++ b/packages/serving/src/quarantine/crash_evidence.ts
@@ -35,6 +35,10 @@
  * evidence against a single suspect: engines also end for other reasons. */
 export const CONVICTION_BALANCE = 2;
 
+/** The balance from which a whole request is a cause whatever else explains its
+ * crashes: only its own repeats share it. */
+const REQUEST_BALANCE_MAX = 3;
+
 /** The balance from which a suspect is the cause although another one, on other
  * requests, has the same. Below it the next crash tells them apart. */
 const UNDECIDED_BALANCE_MAX = 4;
@@ -314,14 +318,45 @@
     const shared = this.#isAnyPromptAnswered(now)
       ? NO_SUSPECTS
       : this.#sharedByAll();
+    const requests = this.#candidates(leftOut).filter(({ suspect, balance }) =>
+      isRequestKey(suspect) && balance >= REQUEST_BALANCE_MAX
+    );
     const explanations: Explanation[] = [];
     for (;;) {
       const best = this.#bestCandidate(leftOut, shared);
-      if (best === undefined) return explanations;
+      if (best === undefined) break;
       const engines = [...best.engines];
       for (const key of engines) leftOut.add(key);
       explanations.push({ suspect: best.suspect, engines });
     }
+    const found = new Set(explanations.map(({ suspect }) => suspect));
+    for (const { suspect, engines } of requests) {
+      if (!found.has(suspect)) {
+        explanations.push({ suspect, engines: [...engines] });
+      }
+    }
+    return explanations;
+  }
+
+  /** The explanations of a suspect's crashes by what contains it or is contained in
+   * it: those of other requests on the same engines say nothing of it. */
+  relatedTo(
+    suspect: string,
+    explanations: readonly Explanation[],
+  ): readonly Explanation[] {
+    const crashed = this.#suspected.get(suspect)?.engines ?? NO_ENGINES;
+    return explanations.filter((explanation) => {
+      const engines = explanation.engines.filter((key) => crashed.has(key));
+      const requests = engines.flatMap((key) => [
+        ...this.#crashes.get(key)?.requests.values() ?? [],
+      ]).flat();
+      const isIn = (inner: string, outer: string) =>
+        requests.every((suspects) =>
+          !suspects.includes(outer) || suspects.includes(inner)
+        );
+      return isIn(suspect, explanation.suspect) ||
+        isIn(explanation.suspect, suspect);
+    });
   }
 
   /** Whether no other suspect explains the same crashes as well. All suspects of a
--- a/packages/serving/src/quarantine/crash_evidence_test.ts
+++ b/packages/serving/src/quarantine/crash_evidence_test.ts
@@ -63,6 +63,19 @@
   });
 });
 
+// Guards against a request that goes on crashing engines since another one, on the
+// same engines, crashes more.
+test("a request with three crashes is a cause whatever else explains them", () => {
+  const evidence = new CrashEvidence("i1");
+  const both: readonly Suspects[] = [["req-1"], ["req-2"]];
+  recordCrashes(evidence, [both, both]);
+  expect(causesOf(evidence)).toEqual([]);
+  recordCrashes(evidence, [both, both, both, [["req-2"]]]);
+  expect(causesOf(evidence)).toEqual(["req-2", "req-1"]);
+  answer(evidence, ["req-1"], 1);
+  expect(causesOf(evidence)).toEqual(["req-2"]);
+});
+
 describe("the cause of crashes", () => {
   test("is a suspect that two crashes have in common", () => {
     const evidence = new CrashEvidence("i1");
--- a/packages/serving/src/quarantine/quarantine.ts
+++ b/packages/serving/src/quarantine/quarantine.ts
@@ -18,6 +18,7 @@
 import type { ServingInstances } from "../member_table.ts";
 import type { ReportRow } from "../report_row.ts";
 import type { Suspects } from "./select_suspects.ts";
+import { isRequestKey } from "./request_key.ts";
 import { hasTrialTurn, nextTrialAt } from "./trial_turn.ts";
 
 /** A held suspect that nobody has asked for is released after this time, in
@@ -425,13 +426,17 @@
       explanations.filter((e) => this.#evidence.isDistinct(e))
         .flatMap(({ engines }) => engines),
     );
-    const explained = new Set(explanations.flatMap(({ engines }) => engines));
     for (const [suspect, hold] of this.#holds) {
       if (!hold.isHeld || this.#causes.has(suspect)) continue;
-      if (this.#isSuspected(suspect, explained)) continue;
       // Without all the evidence of the hold there is nothing to conclude.
       const { crashes } = this.#evidence.evidenceOn(suspect);
       if (crashes < hold.crashes) continue;
+      const related = this.#evidence.relatedTo(suspect, explanations);
+      const explained = new Set([
+        ...isRequestKey(suspect) ? [] : this.#explainedEngines,
+        ...related.flatMap(({ engines }) => engines),
+      ]);
+      if (this.#isSuspected(suspect, explained)) continue;
       this.#release(suspect, hold, { reason: "evidence", now });
     }
     for (const explanation of explanations) this.#hold(explanation, now);
--- a/packages/serving/src/quarantine/quarantine_test.ts
+++ b/packages/serving/src/quarantine/quarantine_test.ts
@@ -306,6 +306,28 @@
   expect(held).toEqual(["adapter"]);
 });
 
+// Guards against two guilty requests on the same engines that acquit each other: the
+// one that was held first was released for the crashes of the other.
+test("a held request stays held although another one explains its crashes", () => {
+  const held: string[] = [];
+  const quarantine = new Quarantine("i1", {
+    onHold: (suspect) => void held.push(suspect),
+    onRelease: (suspect) => void held.splice(held.indexOf(suspect), 1),
+    settleMs: () => SETTLE_MS,
+  });
+  const times = { at: 1000, now: 1000 };
+  quarantine.recordCrash("e1@1", [["req-1"]], times);
+  quarantine.recordCrash("e2@1", [["req-1"]], times);
+  quarantine.report(1000 + SETTLE_MS);
+  expect(held).toEqual(["req-1"]);
+  const crash = { ageMs: 500, suspects: [["req-2"]] };
+  quarantine.receive("i2", {
+    crashes: { "e1@1": crash, "e2@1": crash, "e3@1": crash },
+  }, 1500);
+  quarantine.report(1500 + SETTLE_MS);
+  expect(held).toEqual(["req-1", "req-2"]);
+});
+
 // Guards against a part of all requests that stays held: it has no answers while
 // it is held, and the cause was in the same crashes.
 test("a hold on part of the evidence ends when the cause is known", () => {
--- a/packages/serving/src/quarantine/whole_requests_test.ts
+++ b/packages/serving/src/quarantine/whole_requests_test.ts
@@ -96,6 +96,24 @@
     expect(fleet.refusedSound).toBe(0);
   });
 
+  // Guards against two guilty requests on the same engines that acquit each other:
+  // the one that is held first was released for the crashes of the other.
+  test("stays held although another one ran on the same engines", () => {
+    const fleet = new QuarantineFleet(4);
+    const worse = requestFor("/worse");
+    const isEither = (request: Suspects) =>
+      isBad(request) || request.includes(keyOf(worse));
+    fleet.send([["i0", worse]], isEither);
+    for (let i = 0; i < 40; i += 1) {
+      fleet.send([[turn(i, 4), BAD], [turn(i + 1, 4), worse]], isEither);
+      fleet.pass(400);
+    }
+    expect(fleet.isHeldEverywhere(keyOf(BAD))).toBe(true);
+    expect(fleet.isHeldEverywhere(keyOf(worse))).toBe(true);
+    expect(fleet.sentAt.length).toBeLessThanOrEqual(2 * CRASHES_BEFORE + 1);
+    expect(lateSends(fleet).length).toBeLessThanOrEqual(SENDS_AFTER_MAX);
+  });
+
   // Guards against all requests with a common part that pay for one of them.
   test("is held itself, not the parts that it shares with others", () => {
     const fleet = new QuarantineFleet(8);
