Hold no part of all prompts beside a request that is repeated

Cause: the rule that waits for an answered prompt did not apply if one request was in two crashes, which was meant to find what that request has in itself. It is a suspect of its own now.

Change: the rule applies wherever whole requests are named. Older builds do not name them; beside their reports it does not apply, as before it existed.

Test that failed before: 'is no cause beside a request that was in two crashes' (first, expected the request).

--- a/packages/serving/src/quarantine/crash_evidence.ts
+++ b/packages/serving/src/quarantine/crash_evidence.ts
@@ -398,21 +398,22 @@
       );
   }
 
-  /** The parts of all prompts that were cut off, if none of those was in two
-   * crashes. As long as no prompt is answered, nothing tells such a part from
-   * engines that end by themselves. */
+  /** The parts of all prompts that were cut off. As long as no prompt is answered,
+   * nothing tells such a part from engines that end by themselves. Where older
+   * builds do not name whole requests, nothing tells it from one that is
+   * repeated, either, and it counts. */
   #sharedByAll(): ReadonlySet<string> {
     const prompts = [...this.#crashes.values()]
       .flatMap(({ requests }) => [...requests.values()]).flat()
       .filter(isPrompt);
-    const isRepeated = prompts.some((suspects) =>
-      this.#repeated.has(suspects.at(-1) ?? "")
-    );
-    if (isRepeated) return NO_SUSPECTS;
     const [first = []] = prompts;
+    if (!prompts.every((suspects) => suspects.some(isRequestKey))) {
+      return NO_SUSPECTS;
+    }
     return new Set(
-      first.filter((part) =>
-        prompts.every((suspects) => suspects.includes(part))
+      first.filter((suspect) =>
+        !isRequestKey(suspect) &&
+        prompts.every((suspects) => suspects.includes(suspect))
       ),
     );
   }
--- a/packages/serving/src/quarantine/crash_evidence_test.ts
+++ b/packages/serving/src/quarantine/crash_evidence_test.ts
@@ -55,6 +55,14 @@
     expect(causesOf(evidence)).toEqual(["first"]);
   });
 
+  // Guards against a request that comes again and convicts what all prompts share.
+  test("is no cause beside a request that was in two crashes", () => {
+    const evidence = new CrashEvidence("i1");
+    const request = ["first", "a", "req-1"];
+    recordCrashes(evidence, [[request], [request], [["first", "b", "req-2"]]]);
+    expect(causesOf(evidence)).toEqual(["req-1"]);
+  });
+
   test("does not hide the one request that was in all crashes", () => {
     const evidence = new CrashEvidence("i1");
     const request = ["first", "a", "req-1"];
