Count an error answer for the caller as an answer of its request

What callers would see: a read that engines answer with 404 (or another status below 500) is held for good after two crashes, however often it was answered.

Cause: only answers with a status of success were recorded. Parts of prompts hardly met this, whole requests do; a trial that is answered so releases nothing either.

Change: a complete answer with a status below 500 counts.

Ruled out: answers of 500 and above: they may come from an engine that has not begun the request.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -768,6 +768,7 @@
       };
       if (status < 500) {
         view.health.recordResult("answered", performance.now());
+        this.#guard.recordAnswer();
         this.#forwardErrorResponse(errorResponse);
         settle({ kind: "finished" });
         return;
--- a/packages/gateway/src/quarantine/relay_crashing_request_test.ts
+++ b/packages/gateway/src/quarantine/relay_crashing_request_test.ts
@@ -128,3 +128,32 @@
   expect(await sendRequest(port, {}, { path: "/good" }))
     .toMatchObject({ status: 200 });
 });
+
+// Guards against a sound read that is refused for good since its answer, an error of
+// the caller's, does not speak for it.
+test("a read that is answered with 404 is not held because engines end by themselves", async () => {
+  let mayEnd = false;
+  const ports: number[] = [];
+  for (let i = 0; i < 6; i += 1) {
+    const server = await listen((req, res) => {
+      req.resume();
+      if (mayEnd) {
+        mayEnd = false;
+        server.close();
+        server.closeAllConnections();
+        return;
+      }
+      res.writeHead(404, SEALED_HEADERS);
+      res.end();
+    });
+    ports.push(portOf(server));
+  }
+  const port = await startRelay(ports, { route: { maxAttempts: 3 } });
+  const statuses: number[] = [];
+  for (let i = 0; i < 20; i += 1) {
+    mayEnd = i === 5 || i === 10;
+    statuses.push((await sendRequest(port, {}, { path: "/absent" })).status);
+    await pause(60);
+  }
+  expect(statuses).toEqual(Array(20).fill(404));
+});
