Count no engine that runs among those that cut a request off

What callers saw: a read whose connection broke off at two engines, both of which run, got 502, although its route allows a third attempt.

Cause: since all engines count that cut the request off, also those of which the probe has shown that they did not crash.

Change: the guard leaves those out. The last one still counts, since its probe has just begun.

Test that failed before: 'a read is repeated if the engines that broke it off still run' (502).

--- a/packages/gateway/src/quarantine/crash_watch.ts
+++ b/packages/gateway/src/quarantine/crash_watch.ts
@@ -113,6 +113,11 @@
     }
   }
 
+  /** Whether an engine broke requests off without a crash. */
+  isRuledOut(engineKey: string): boolean {
+    return this.#crashes.get(engineKey)?.isRuledOut === true;
+  }
+
   async #probe(view: EngineView, crash: PossibleCrash): Promise<void> {
     const { control, metrics } = this.#options;
     const probe = await control.probe(view.engine);
--- a/packages/gateway/src/quarantine/relay_crashing_request_test.ts
+++ b/packages/gateway/src/quarantine/relay_crashing_request_test.ts
@@ -157,3 +157,16 @@
   }
   expect(statuses).toEqual(Array(20).fill(404));
 });
+
+// Guards against a sound read that is given up since two connections broke off,
+// although their engines run.
+test("a read is repeated if the engines that broke it off still run", async () => {
+  const breakOff: RequestListener = (req) => {
+    setTimeout(() => req.socket.destroy(), 100);
+  };
+  const port = await startRelay([breakOff, breakOff, (_, res) => {
+    res.writeHead(200, SEALED_HEADERS);
+    res.end("a");
+  }], { route: { maxAttempts: 3 } });
+  expect(await sendRequest(port)).toMatchObject({ status: 200 });
+});
--- a/packages/gateway/src/quarantine/request_guard.ts
+++ b/packages/gateway/src/quarantine/request_guard.ts
@@ -151,10 +151,10 @@
 
   /** Whether the request may be sent again after this engine failed it. */
   mayRepeat(view: EngineView): boolean {
-    const { quarantine } = this.#deps;
-    const { key } = view.engine;
+    const { quarantine, crashWatch } = this.#deps;
+    const cutBy = [...this.#cutBy].filter((key) => !crashWatch.isRuledOut(key));
     return this.#isCleared ||
-      quarantine.mayRepeat(this.suspects, [...this.#cutBy, key]);
+      quarantine.mayRepeat(this.suspects, [...cutBy, view.engine.key]);
   }
 
   /** Refuses to send to the last engine that runs a request which may have ended
