Count no leaving engine among those that cut a request off

Cause: the watch takes the end of a leaving engine for no crash, but since the guard counts it: during a planned change, a request that a leaving engine broke off and one more engine failed is given up, whatever its route allows.

Change: the guard leaves it out too.

Test that failed before: 'an engine that leaves does not count among those that cut a request off'.

--- a/packages/gateway/src/quarantine/crash_watch_test.ts
+++ b/packages/gateway/src/quarantine/crash_watch_test.ts
@@ -9,6 +9,7 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { CrashWatch } from "./crash_watch.ts";
 import { GatewayMetrics } from "../metrics.ts";
+import { RequestGuard } from "./request_guard.ts";
 
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
@@ -51,7 +52,7 @@
     log,
     metrics: new GatewayMetrics(),
   });
-  return { watch, quarantine, lines, probes: () => probes };
+  return { watch, quarantine, lines, log, probes: () => probes };
 }
 
 const cut = (id: string, suspects: readonly string[], isSuspect = true) => ({
@@ -150,3 +151,35 @@
   expect(lines).toMatchObject([{ event: 846, engine: "e1@1", cut: 2 }]);
   expect(quarantine.beliefOn("a").crashes).toBe(1);
 });
+
+// Guards against a sound request that is given up while engines leave one by one.
+test("an engine that leaves does not count among those that cut a request off", () => {
+  const { watch, quarantine, log } = createWatch("unknown");
+  const guard = new RequestGuard({
+    quarantine,
+    crashWatch: watch,
+    instances: () => ({ names: ["i1"], isCutOff: false }),
+    log,
+    metrics: new GatewayMetrics(),
+  }, {
+    id: "r1",
+    sharedParts: [],
+    engines: () => [],
+    identity: {
+      method: "GET",
+      host: "h",
+      path: "/",
+      workspace: undefined,
+      model: undefined,
+      adapter: undefined,
+      prompt: "",
+      body: undefined,
+    },
+  });
+  const leaving = createView("e1@1", true);
+  guard.recordCut(leaving);
+  expect(guard.mayRepeat(leaving)).toBe(true);
+  const second = createView("e2@1");
+  guard.recordCut(second);
+  expect(guard.mayRepeat(second)).toBe(true);
+});
--- a/packages/gateway/src/quarantine/request_guard.ts
+++ b/packages/gateway/src/quarantine/request_guard.ts
@@ -141,7 +141,10 @@
 
   /** Records that the engine broke the request off. */
   recordCut(view: EngineView): void {
-    if (!this.#isCleared) this.#cutBy.add(view.engine.key);
+    // A leaving engine ends with what it still runs.
+    if (!this.#isCleared && !view.engine.leaving) {
+      this.#cutBy.add(view.engine.key);
+    }
     this.#deps.crashWatch.recordCut(view, {
       id: this.#request.id,
       suspects: this.suspects,
