Remember the answers on parts beside requests that come once

Cause: since each answer puts the key of its request into the table of 16,384 answered suspects. At some 270 requests a second, most of which come once, a part that was answered within the time of the evidence (60 s) is dropped, and two crashes convict it as if it had never been answered.

Change: one table for parts and one for whole requests, each as large.

Test that failed before: 'answers on a part are remembered beside many requests that come once' (0 answers, expected 1).

--- a/packages/serving/src/quarantine/crash_evidence.ts
+++ b/packages/serving/src/quarantine/crash_evidence.ts
@@ -108,8 +108,10 @@
 /** The crashes and answers that this instance and its peers have seen. */
 export class CrashEvidence {
   readonly #self: string;
-  /** Answers of this instance by what was asked, the least recently used first. */
-  readonly #answered = new Map<string, AnsweredSuspect>();
+  /** Answers of this instance by what was asked, the least recently used first.
+   * Whole requests, of which most come once, take no places of parts. */
+  readonly #answeredParts = new Map<string, AnsweredSuspect>();
+  readonly #answeredRequests = new Map<string, AnsweredSuspect>();
   readonly #crashes = new Map<string, Crash>();
   /** The suspects of all requests. */
   readonly #suspected = new Map<string, SuspectEntry>();
@@ -141,9 +143,10 @@
     let isChanged = false;
     if (isPrompt(suspects)) this.#promptAnsweredAt = now;
     for (const suspect of suspects) {
-      const count = (this.#answered.get(suspect)?.count ?? 0) + 1;
-      this.#answered.delete(suspect);
-      this.#answered.set(suspect, { count, at: now });
+      const answered = this.#answeredLike(suspect);
+      const count = (answered.get(suspect)?.count ?? 0) + 1;
+      answered.delete(suspect);
+      answered.set(suspect, { count, at: now });
       const suspected = this.#suspected.get(suspect);
       if (suspected === undefined) continue;
       const [before, since] = suspected.own;
@@ -151,9 +154,11 @@
       suspected.own = [before, since + 1];
       isChanged ||= this.#repeated.has(suspect);
     }
-    for (const suspect of this.#answered.keys()) {
-      if (this.#answered.size <= ANSWERED_SUSPECTS_MAX) break;
-      this.#answered.delete(suspect);
+    for (const answered of [this.#answeredParts, this.#answeredRequests]) {
+      for (const suspect of answered.keys()) {
+        if (answered.size <= ANSWERED_SUSPECTS_MAX) break;
+        answered.delete(suspect);
+      }
     }
     return isChanged;
   }
@@ -450,7 +455,7 @@
   #entryOf(suspect: string, now: number): SuspectEntry {
     const existing = this.#suspected.get(suspect);
     if (existing !== undefined) return existing;
-    const answered = this.#answered.get(suspect);
+    const answered = this.#answeredLike(suspect).get(suspect);
     const before = answered !== undefined && now - answered.at < EVIDENCE_MS
       ? Math.min(answered.count, ANSWERS_BEFORE_MAX)
       : 0;
@@ -464,6 +469,11 @@
     return suspected;
   }
 
+  /** The answers on suspects of the same kind. */
+  #answeredLike(suspect: string): Map<string, AnsweredSuspect> {
+    return isRequestKey(suspect) ? this.#answeredRequests : this.#answeredParts;
+  }
+
   #answersOn(suspect: string): number {
     const suspected = this.#suspected.get(suspect);
     if (suspected === undefined) return 0;
@@ -480,7 +490,7 @@
    * which this instance had no answers. */
   #rank(suspect: string): number {
     if (isRequestKey(suspect) || this.#suspected.has(suspect)) return 0;
-    return this.#answered.has(suspect) ? 2 : 1;
+    return this.#answeredLike(suspect).has(suspect) ? 2 : 1;
   }
 
   #dropOldCrashes(now: number): void {
--- a/packages/serving/src/quarantine/crash_evidence_test.ts
+++ b/packages/serving/src/quarantine/crash_evidence_test.ts
@@ -279,3 +279,13 @@
   expect(performance.now() - startedAt).toBeLessThan(1000);
   expect([...evidence.ownCrashes(-1)].length).toBeLessThanOrEqual(64);
 });
+
+// Guards against parts that lose what speaks for them since each read that comes
+// once takes a place in the same table.
+test("answers on a part are remembered beside many requests that come once", () => {
+  const evidence = new CrashEvidence("i1");
+  evidence.recordAnswer(["part", "req-0"], 0);
+  for (let i = 1; i <= 20_000; i += 1) evidence.recordAnswer([`req-${i}`], i);
+  recordCrashes(evidence, [[["part", "req-x"]]]);
+  expect(evidence.evidenceOn("part")).toEqual({ crashes: 1, answers: 1 });
+});
