Judge a peer's report as a whole

Cause: receive() called onPeerCrash while it read the crashes. The watch then records this instance's suspects, which concludes, before the answers and holds of the same report are known.

Change: onPeerCrash is called once the whole report is recorded.

Test that failed before: 'a peer's report is judged as a whole' (a was held).

--- a/packages/serving/src/quarantine/quarantine.ts
+++ b/packages/serving/src/quarantine/quarantine.ts
@@ -338,12 +338,13 @@
         at,
         knownAt: now - knownMs,
       });
-      this.#listener.onPeerCrash?.(key);
     }
     for (const [suspect, counts] of Object.entries(answers)) {
       this.#evidence.recordPeerAnswers(peer, suspect, counts);
     }
     const isChanged = this.adopt(holds, "peer", now);
+    // The listener may record more suspects of the crash, which concludes.
+    for (const key of Object.keys(crashes)) this.#listener.onPeerCrash?.(key);
     // The peer may have held or released a suspect on older evidence.
     if (
       isChanged || report.crashes !== undefined || report.answers !== undefined
--- a/packages/serving/src/quarantine/quarantine_test.ts
+++ b/packages/serving/src/quarantine/quarantine_test.ts
@@ -366,3 +366,23 @@
     expect(quarantine?.mayRepeat(["req-1"], ["e1@1", "e2@1"])).toBe(false);
   });
 });
+
+// Guards against a sound suspect that is held, and told to all, between two parts of
+// one report.
+test("a peer's report is judged as a whole", () => {
+  const held: string[] = [];
+  const quarantine = new Quarantine("i1", {
+    onHold: (suspect) => held.push(suspect),
+    onRelease: () => undefined,
+    // As the watch does if this instance's request was cut off there as well.
+    onPeerCrash: (key) =>
+      quarantine.recordCrash(key, [["a"]], { at: 8000, now: 9000 }),
+    settleMs: () => SETTLE_MS,
+  });
+  quarantine.recordCrash("e1@1", [["a"]], { at: 5000, now: 5000 });
+  quarantine.receive("i2", {
+    crashes: { "e2@1": { ageMs: 1000, knownMs: 900, suspects: [["b"]] } },
+    answers: { a: [0, 3] },
+  }, 9000);
+  expect(held).toEqual([]);
+});
