Drop crashes that no longer count without waiting for the next one

Cause: old crashes were dropped only when a crash or an answer led to new conclusions.

Change: they are dropped when a report is made, in each digest.

Test that failed before: 'crashes older than the evidence count for no repeat'.

--- a/packages/serving/src/quarantine/crash_evidence.ts
+++ b/packages/serving/src/quarantine/crash_evidence.ts
@@ -137,6 +137,14 @@
     return this.#crashes.has(engineKey);
   }
 
+  /** Drops the crashes that no longer count. */
+  dropOldCrashes(now: number): void {
+    for (const [key, { at }] of this.#crashes) {
+      const isOld = now - at > EVIDENCE_MS;
+      if (isOld || this.#crashes.size > CRASHES_MAX) this.#dropCrash(key);
+    }
+  }
+
   /** Records that an answer of this instance got past its beginning. Returns
    * whether the evidence on a suspect has changed that may be the cause. */
   recordAnswer(suspects: Suspects, now: number): boolean {
@@ -200,7 +208,7 @@
     if (crash === undefined) {
       crash = { at, knownAt, requests: new Map(), suspects: new Set() };
       this.#crashes.set(engineKey, crash);
-      this.#dropOldCrashes(at);
+      this.dropOldCrashes(at);
     }
     crash.knownAt = Math.min(crash.knownAt, knownAt);
     crash.requests.set(reporter, requests);
@@ -315,7 +323,7 @@
    * Crashes that were not known at `settledAt` are left out: other instances have
    * yet to report their requests, and the cause may be one of those. */
   explain(now: number, settledAt: number): readonly Explanation[] {
-    this.#dropOldCrashes(now);
+    this.dropOldCrashes(now);
     const leftOut = new Set<string>();
     for (const [key, { knownAt }] of this.#crashes) {
       if (knownAt > settledAt) leftOut.add(key);
@@ -493,13 +501,6 @@
     return this.#answeredLike(suspect).has(suspect) ? 2 : 1;
   }
 
-  #dropOldCrashes(now: number): void {
-    for (const [key, { at }] of this.#crashes) {
-      const isOld = now - at > EVIDENCE_MS;
-      if (isOld || this.#crashes.size > CRASHES_MAX) this.#dropCrash(key);
-    }
-  }
-
   /** Drops the suspects that only one crash has, of the oldest crashes first; whole
    * crashes if that is not enough. */
   #dropSurplusSuspects(): void {
--- a/packages/serving/src/quarantine/quarantine.ts
+++ b/packages/serving/src/quarantine/quarantine.ts
@@ -304,6 +304,7 @@
 
   /** What peers are told. */
   report(now: number): QuarantineReport {
+    this.#evidence.dropOldCrashes(now);
     if (now >= this.#concludeAt) this.#conclude(now);
     const crashes = [...this.#evidence.ownCrashes(now - REPORT_CRASHES_MS)].map(
       ([key, { at, knownAt, requests }]): ReportRow<CrashReport> => [
--- a/packages/serving/src/quarantine/quarantine_test.ts
+++ b/packages/serving/src/quarantine/quarantine_test.ts
@@ -386,3 +386,17 @@
   }, 9000);
   expect(held).toEqual([]);
 });
+
+// Guards against a request that is judged by crashes which no longer count.
+test("crashes older than the evidence count for no repeat", () => {
+  const quarantine = new Quarantine("i1", {
+    onHold: () => undefined,
+    onRelease: () => undefined,
+    settleMs: () => SETTLE_MS,
+  });
+  quarantine.recordCrash("e1@1", [["a"]], { at: 0, now: 0 });
+  // As digests are made all the time.
+  for (let now = 0; now <= 3_600_000; now += 1000) quarantine.report(now);
+  expect(quarantine.isEmpty).toBe(true);
+  expect(quarantine.mayRepeat(["a"], ["e2@1"])).toBe(true);
+});
