--- a/packages/gateway/src/quarantine/relay_crashing_request_test.ts
+++ b/packages/gateway/src/quarantine/relay_crashing_request_test.ts
@@ -1,4 +1,4 @@
-import type { RequestListener } from "node:http";
+import { request, type RequestListener } from "node:http";
 import { afterEach, expect, test } from "vitest";
 import {
   cleanUp,
@@ -158,6 +158,73 @@
   expect(statuses).toEqual(Array(20).fill(404));
 });
 
+/** Starts engines that end some time after a request has begun there, whether or
+ * not somebody still waits for it. */
+async function startLateCrashingEngines(count: number, endMs: number) {
+  let crashCount = 0;
+  const ports: number[] = [];
+  for (let i = 0; i < count; i += 1) {
+    let isEnding = false;
+    const server = await listen((req) => {
+      req.resume();
+      if (isEnding) return;
+      isEnding = true;
+      setTimeout(() => {
+        crashCount += 1;
+        server.close();
+        server.closeAllConnections();
+      }, endMs);
+    });
+    ports.push(portOf(server));
+  }
+  return { ports, crashCount: () => crashCount };
+}
+
+// Guards against a request that ends engine after engine unnoticed, since nobody
+// waits for it any more when they end.
+test.each(
+  [
+    ["after its deadline", "unsafe", 300, 600],
+    ["after it was handed over, and after its deadline", "safe", 1000, 1300],
+  ] as const,
+)(
+  "a request whose engines end %s stops reaching them",
+  async (_, kind, timeoutMs, endMs) => {
+    const engines = await startLateCrashingEngines(ENGINE_COUNT, endMs);
+    const port = await startRelay(engines.ports, {
+      route: { kind, timeoutMs, maxAttempts: 3 },
+    });
+    for (let i = 0; i < 8; i += 1) {
+      await sendRequest(port, {}, { path: "/bad" });
+      await pause(endMs);
+    }
+    expect(engines.crashCount()).toBeLessThanOrEqual(2 * CRASHES_MAX);
+  },
+);
+
+// Guards against a request that ends engine after engine unnoticed, since its
+// caller gives up sooner.
+test("a request whose caller leaves before the engine ends stops reaching them", async () => {
+  const engines = await startLateCrashingEngines(ENGINE_COUNT, 60);
+  const port = await startRelay(engines.ports, { route: { kind: "unsafe" } });
+  for (let i = 0; i < 8; i += 1) {
+    const req = request({
+      host: "127.0.0.1",
+      port,
+      path: "/bad",
+      agent: false,
+      headers: { host: "h", "request-id": "r1", deadline: "2000" },
+    });
+    req.on("error", () => undefined);
+    req.end();
+    await pause(30);
+    req.destroy();
+    await pause(200);
+  }
+  expect(engines.crashCount()).toBeGreaterThan(0);
+  expect(engines.crashCount()).toBeLessThanOrEqual(2 * CRASHES_MAX);
+});
+
 // Guards against a sound read that is given up since two connections broke off,
 // although their engines run.
 test("a read is repeated if the engines that broke it off still run", async () => {
@@ -170,3 +237,32 @@
   }], { route: { maxAttempts: 3 } });
   expect(await sendRequest(port)).toMatchObject({ status: 200 });
 });
+
+// Guards against a stream that ends engine after engine, since its first bytes speak
+// for it each time.
+test("a stream that ends engines after its beginning stops reaching them", async () => {
+  let crashCount = 0;
+  const ports: number[] = [];
+  for (let i = 0; i < ENGINE_COUNT; i += 1) {
+    const server = await listen((req, res) => {
+      req.resume();
+      res.writeHead(200, SEALED_HEADERS);
+      const timer = setInterval(() => res.write("id: 1\ndata: a\n\n"), 50);
+      setTimeout(() => {
+        clearInterval(timer);
+        crashCount += 1;
+        server.close();
+        server.closeAllConnections();
+      }, 600);
+    });
+    ports.push(portOf(server));
+  }
+  const port = await startRelay(ports, {
+    route: { kind: "stream", resumable: true, maxAttempts: 1 },
+  });
+  for (let i = 0; i < 8; i += 1) {
+    await sendRequest(port, {}, { method: "POST", path: "/bad", body: "b" });
+    await pause(100);
+  }
+  expect(crashCount).toBeLessThanOrEqual(2 * CRASHES_MAX);
+});
--- a/packages/serving/src/quarantine/whole_requests_test.ts
+++ b/packages/serving/src/quarantine/whole_requests_test.ts
@@ -212,3 +212,57 @@
   }
   expect(fleet.refusedSound).toBe(0);
 });
+
+// Guards against a request that ends an engine at each of its rare repeats, since
+// its crashes are forgotten sooner than it comes again.
+test("a request that comes again each 61 s is stopped", () => {
+  const fleet = new QuarantineFleet(8);
+  for (let i = 0; i < 12; i += 1) {
+    fleet.send([[turn(i, 8), BAD]], isBad);
+    fleet.pass(61_000);
+  }
+  expect(lateSends(fleet).length).toBeLessThanOrEqual(SENDS_AFTER_MAX);
+});
+
+// Guards against a request that was found late and then ends engines in its trials,
+// as many as if it had been found at once.
+test("a request that was sound before is not sent too often once it crashes engines", () => {
+  const fleet = new QuarantineFleet(8);
+  for (let i = 0; i < 10; i += 1) {
+    fleet.send([[turn(i, 8), BAD]], () => false);
+    fleet.pass(500);
+  }
+  for (let i = 0; i < 60; i += 1) {
+    fleet.send([[turn(i, 8), BAD]], isBad);
+    fleet.pass(3500);
+  }
+  expect(lateSends(fleet).length).toBeLessThanOrEqual(SENDS_AFTER_MAX);
+});
+
+// Guards against a guilty request whose companion is held in its place, so that it
+// ends engines as often again, and then in its trials. Which of the two is held first
+// depends on their keys.
+test.each(["/a", "/b", "/c", "/d", "/e"])(
+  "a request with a companion %s at the same engine is not sent too often",
+  (path) => {
+    const fleet = new QuarantineFleet(8);
+    const companion = requestFor(path);
+    for (let i = 0; i < 60; i += 1) {
+      fleet.send([[turn(i, 8), BAD], [turn(i, 8), companion]], isBad);
+      fleet.pass(3500);
+    }
+    expect(lateSends(fleet).length).toBeLessThanOrEqual(SENDS_AFTER_MAX);
+  },
+);
+
+// Guards against engine after engine that ends under a part which all prompts have
+// that were cut off, as long as none was answered.
+test("a part of all prompts is held after many crashes, answered or not", () => {
+  const fleet = new QuarantineFleet(8);
+  const hasCause = (request: Suspects) => request.includes("cause");
+  for (let i = 0; i < 40; i += 1) {
+    fleet.send([[turn(i, 8), requestFor(`/${i}`, "cause")]], hasCause);
+    fleet.pass(1000);
+  }
+  expect(lateSends(fleet).length).toBeLessThanOrEqual(SENDS_AFTER_MAX);
+});
