Log each second's bytes of control traffic from other regions

Event 873 names them by type of message and region, and those of the store by kind of record and call.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -501,3 +501,12 @@
   severity: "warn",
   text: "outdated list of the store refused",
 };
+
+/** Once a second, if 8 KiB or more arrived in it from the store and from peers of
+ * other regions: the bytes from these `peers` by type of message and region, and
+ * those from the `store` by kind of record and call. */
+export const TRAFFIC_SUM: LogEvent = {
+  id: 873,
+  severity: "info",
+  text: "control traffic of a second",
+};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -118,6 +118,7 @@
   readonly #evacuationProgress: EvacuationProgress;
   readonly #rates: WorkspaceRates;
   readonly #rateLog: RateLog;
+  readonly #trafficLog: TrafficLog;
   readonly #retryBudgets = new Map<string, RetryBudget>();
   readonly #callerServer: CallerServer;
   readonly #readinessServer: CallerServer;
@@ -154,16 +155,21 @@
       incarnation: randomUUID().slice(0, 8),
       cores: settings.cores,
     };
-    const traffic = new TrafficLog({ log, metrics: this.#metrics });
+    this.#members = new MemberTable(settings.name, performance.now());
+    this.#trafficLog = new TrafficLog({
+      self: this.#self,
+      members: this.#members,
+      log,
+      metrics: this.#metrics,
+    });
     this.#store = new ObjectStoreClient(
       settings.store,
-      (transfer) => traffic.recordStoreTransfer(transfer),
+      (transfer) => this.#trafficLog.recordStoreTransfer(transfer),
     );
     this.#store.onEraChange((era) =>
       log.write(events.STORE_ERA_CHANGED, { era })
     );
     this.#eventLoopWatch = new EventLoopWatch({ log, metrics: this.#metrics });
-    this.#members = new MemberTable(settings.name, performance.now());
     this.#readerRoles = new ReaderRoles({
       self: this.#self,
       members: this.#members,
@@ -218,7 +224,8 @@
         this.#onPeerMessage(from, message, sendReply),
       onInvalidMessage: (reason) =>
         log.write(events.PEER_MESSAGE_INVALID, { reason }),
-      onReceived: (type, bytes) => traffic.recordPeerMessage(type, bytes),
+      onReceived: (type, bytes, sender) =>
+        this.#trafficLog.recordPeerMessage(type, bytes, sender),
     });
     this.#loader = new AdapterLoader({
       self: settings.name,
@@ -567,6 +574,7 @@
     this.#evacuationProgress.check(now);
     this.#storeView.dropMissingEngines(now);
     this.#rateLog.tick(now);
+    this.#trafficLog.tick(now);
   }
 
   /** Whether nobody in a large fleet needs news of this instance often: it does
--- a/packages/gateway/src/peer_links.ts
+++ b/packages/gateway/src/peer_links.ts
@@ -41,8 +41,13 @@
   /** Called when a message could not be parsed or processed. The connection is
    * closed, and the side that dialled it dials again. */
   readonly onInvalidMessage: (reason: string) => void;
-  /** Called for each message with its size, also for replies. */
-  readonly onReceived?: (type: PeerMessage["t"], bytes: number) => void;
+  /** Called for each message with its size, also for replies. `sender` is its
+   * name; for replies, its address. */
+  readonly onReceived?: (
+    type: PeerMessage["t"],
+    bytes: number,
+    sender: string,
+  ) => void;
 }
 
 interface PendingRequest {
@@ -167,6 +172,8 @@
     this.#options.incomplete.read(socket, {
       ...this.#options,
       isSenderUnknown: () => false,
+      onReceived: (type, bytes) =>
+        this.#options.onReceived?.(type, bytes, this.address),
       onMessage: (message) => {
         this.lastAliveAt = performance.now();
         if ("n" in message) this.#resolve(message.n, message);
@@ -281,6 +288,8 @@
     this.#incomplete.read(socket, {
       ...this.#options,
       isSenderUnknown: () => from === undefined,
+      onReceived: (type, bytes) =>
+        this.#options.onReceived?.(type, bytes, from ?? ""),
       onMessage: (message) => {
         if (message.t === "hello") {
           const member = decodeMember(message.member);
--- a/packages/gateway/src/peer_links_test.ts
+++ b/packages/gateway/src/peer_links_test.ts
@@ -13,13 +13,20 @@
   });
   const received: PeerMessage[] = [];
   const invalid: string[] = [];
+  const senders: [type: PeerMessage["t"], sender: string][] = [];
   const links = new PeerLinks(member, {
-    onMessage: (_, message) => void received.push(message),
+    onMessage: (_, message, sendReply) => {
+      received.push(message);
+      if (message.t === "confirm") {
+        sendReply({ t: "confirmed", n: message.n, kinds: [] });
+      }
+    },
     onInvalidMessage: (reason) => void invalid.push(reason),
+    onReceived: (type, _, sender) => void senders.push([type, sender]),
   });
   await links.listen({ host: "127.0.0.1", port });
   onTestFinished(() => links.close());
-  return { links, port, member, received, invalid };
+  return { links, port, member, received, invalid, senders };
 }
 
 const CONFIRM: PeerMessage = { t: "confirm", n: 1 };
@@ -73,3 +80,16 @@
   links.send(member.peerAddress, CONFIRM);
   await vi.waitFor(() => expect(received).toContainEqual(CONFIRM));
 });
+
+// What a peer costs is counted by its region, which replies do not name.
+test("each message is counted under its sender's name or address", async () => {
+  const { links, member, senders } = await startLinks();
+  const reply = links.ask(
+    member.peerAddress,
+    (n) => ({ t: "confirm", n }),
+    200,
+  );
+  await vi.waitFor(() => expect(senders).toContainEqual(["confirm", "a"]));
+  await reply;
+  expect(senders).toContainEqual(["confirmed", member.peerAddress]);
+});
