Answer a question that is asked after a quiet time

A connection that had carried nothing for 1.1 s was replaced for the next question, and the end of the old one, which follows a moment later, failed that question on the new one.

--- a/packages/gateway/src/peer_links.ts
+++ b/packages/gateway/src/peer_links.ts
@@ -111,19 +111,24 @@
     timeoutMs: number,
   ): Promise<PeerMessage | undefined> {
     const n = this.#nextRequestNumber++;
+    // A dead connection ends here, with all that waits for its replies.
+    if (!this.send(buildRequest(n))) return Promise.resolve(undefined);
     return new Promise((resolve) => {
       const timer = setTimeout(() => {
         this.#requests.delete(n);
         resolve(undefined);
       }, timeoutMs);
       this.#requests.set(n, { resolve, timer });
-      if (!this.send(buildRequest(n))) this.#resolve(n, undefined);
     });
   }
 
   close(): void {
     this.#isClosed = true;
     this.#socket?.destroy();
+    this.#endRequests();
+  }
+
+  #endRequests(): void {
     for (const n of [...this.#requests.keys()]) this.#resolve(n, undefined);
   }
 
@@ -146,6 +151,7 @@
       if (!isDead) return socket;
       socket.destroy();
       this.#socket = undefined;
+      this.#endRequests();
     }
     if (this.#isClosed || now < this.#nextDialAt) return undefined;
     return this.#dial(now);
@@ -166,8 +172,10 @@
     socket.on("error", () => undefined);
     socket.on("close", () => {
       clearTimeout(timer);
-      if (this.#socket === socket) this.#socket = undefined;
-      for (const n of [...this.#requests.keys()]) this.#resolve(n, undefined);
+      // Requests belong to the present connection.
+      if (this.#socket !== socket) return;
+      this.#socket = undefined;
+      this.#endRequests();
     });
     this.#options.incomplete.read(socket, {
       ...this.#options,
--- a/packages/gateway/src/peer_links_test.ts
+++ b/packages/gateway/src/peer_links_test.ts
@@ -93,3 +93,16 @@
   await reply;
   expect(senders).toContainEqual(["confirmed", member.peerAddress]);
 });
+
+// The end of the old connection used to fail what had been asked on the new one.
+test("a question after a quiet time is answered on a new connection", async () => {
+  const { links, member } = await startLinks();
+  const ask = () =>
+    links.ask(member.peerAddress, (n) => ({ t: "confirm", n }), 500);
+  expect(await ask()).toMatchObject({ t: "confirmed" });
+  const clock = vi.spyOn(performance, "now");
+  onTestFinished(() => clock.mockRestore());
+  const later = performance.now() + 1200;
+  clock.mockReturnValue(later);
+  expect(await ask()).toMatchObject({ t: "confirmed" });
+});
