Keep a replaced connection until what was asked on it is answered

Links without digests carry nothing while an owner loads an adapter, which may take 2.5 s. After 1.1 s the next message replaced the connection, and the load counted as failed for all that waited for its reply.

--- a/packages/gateway/src/peer_links.ts
+++ b/packages/gateway/src/peer_links.ts
@@ -51,6 +51,8 @@
 }
 
 interface PendingRequest {
+  /** The connection on which it was sent, and on which its reply arrives. */
+  readonly socket: Socket;
   readonly resolve: (reply: PeerMessage | undefined) => void;
   readonly timer: NodeJS.Timeout;
 }
@@ -111,25 +113,22 @@
     timeoutMs: number,
   ): Promise<PeerMessage | undefined> {
     const n = this.#nextRequestNumber++;
-    // A dead connection ends here, with all that waits for its replies.
-    if (!this.send(buildRequest(n))) return Promise.resolve(undefined);
+    const socket = this.#usableSocket();
+    if (socket === undefined) return Promise.resolve(undefined);
     return new Promise((resolve) => {
-      const timer = setTimeout(() => {
-        this.#requests.delete(n);
-        resolve(undefined);
-      }, timeoutMs);
-      this.#requests.set(n, { resolve, timer });
+      const timer = setTimeout(() => this.#resolve(n, undefined), timeoutMs);
+      this.#requests.set(n, { socket, resolve, timer });
+      socket.write(`${JSON.stringify(buildRequest(n))}\n`);
     });
   }
 
   close(): void {
     this.#isClosed = true;
     this.#socket?.destroy();
-    this.#endRequests();
-  }
-
-  #endRequests(): void {
-    for (const n of [...this.#requests.keys()]) this.#resolve(n, undefined);
+    for (const { socket } of [...this.#requests.values()]) {
+      this.#endRequests(socket);
+      socket.destroy();
+    }
   }
 
   #resolve(n: number, reply: PeerMessage | undefined): void {
@@ -138,6 +137,21 @@
     this.#requests.delete(n);
     clearTimeout(pending.timer);
     pending.resolve(reply);
+    this.#closeReplaced(pending.socket);
+  }
+
+  /** Ends what waits for replies on a connection. */
+  #endRequests(socket: Socket): void {
+    for (const [n, pending] of [...this.#requests]) {
+      if (pending.socket === socket) this.#resolve(n, undefined);
+    }
+  }
+
+  /** Closes a connection that was replaced and on which nothing waits. */
+  #closeReplaced(socket: Socket): void {
+    const isAwaited = [...this.#requests.values()]
+      .some((pending) => pending.socket === socket);
+    if (socket !== this.#socket && !isAwaited) socket.destroy();
   }
 
   #usableSocket(): Socket | undefined {
@@ -145,13 +159,14 @@
     this.usedAt = now;
     const socket = this.#socket;
     if (socket !== undefined) {
-      const isDead = socket.destroyed ||
-        socket.writableLength > UNSENT_MAX_BYTES ||
+      const isFull = socket.writableLength > UNSENT_MAX_BYTES;
+      const isDead = socket.destroyed || isFull ||
         now - this.lastAliveAt > ACK_TIMEOUT_MS + 2 * this.digestIntervalMs;
       if (!isDead) return socket;
-      socket.destroy();
       this.#socket = undefined;
-      this.#endRequests();
+      // It may have been quiet because nothing was due.
+      if (isFull) socket.destroy();
+      else this.#closeReplaced(socket);
     }
     if (this.#isClosed || now < this.#nextDialAt) return undefined;
     return this.#dial(now);
@@ -172,10 +187,8 @@
     socket.on("error", () => undefined);
     socket.on("close", () => {
       clearTimeout(timer);
-      // Requests belong to the present connection.
-      if (this.#socket !== socket) return;
-      this.#socket = undefined;
-      this.#endRequests();
+      if (this.#socket === socket) this.#socket = undefined;
+      this.#endRequests(socket);
     });
     this.#options.incomplete.read(socket, {
       ...this.#options,
--- a/packages/gateway/src/peer_links_test.ts
+++ b/packages/gateway/src/peer_links_test.ts
@@ -1,4 +1,4 @@
-import { connect } from "node:net";
+import { connect, createServer } from "node:net";
 import { memberOf } from "@banyanlb/serving/testing";
 import { expect, onTestFinished, test, vi } from "vitest";
 import { PeerLinks } from "./peer_links.ts";
@@ -17,6 +17,10 @@
   const links = new PeerLinks(member, {
     onMessage: (_, message, sendReply) => {
       received.push(message);
+      if (message.t === "load") {
+        const { n } = message;
+        setTimeout(() => sendReply({ t: "loaded", n, ok: true }), 1500);
+      }
       if (message.t === "confirm") {
         sendReply({ t: "confirmed", n: message.n, kinds: [] });
       }
@@ -106,3 +110,40 @@
   clock.mockReturnValue(later);
   expect(await ask()).toMatchObject({ t: "confirmed" });
 });
+
+// A load takes longer than the time after which a quiet connection is replaced.
+test("a question that waits for its reply survives a later one", async () => {
+  const { links, member } = await startLinks();
+  const ask = (message: (n: number) => PeerMessage) =>
+    links.ask(member.peerAddress, message, 2500);
+  const slow = ask((n) => ({
+    t: "load",
+    n,
+    engine: "e",
+    model: "m",
+    adapter: "a",
+    version: 1,
+  }));
+  await new Promise((resolve) => setTimeout(resolve, 1200));
+  expect(await ask((n) => ({ t: "confirm", n }))).toMatchObject({
+    t: "confirmed",
+  });
+  expect(await slow).toMatchObject({ t: "loaded", ok: true });
+});
+
+test("a connection that ends fails what waits on it", async () => {
+  const port = await findFreePort();
+  const server = createServer((socket) => {
+    socket.once("data", () => socket.destroy());
+  });
+  await new Promise<void>((resolve) => server.listen(port, resolve));
+  onTestFinished(() => void server.close());
+  const { links } = await startLinks();
+  const askedAt = performance.now();
+  const reply = links.ask(`127.0.0.1:${port}`, (n) => ({
+    t: "confirm",
+    n,
+  }), 5000);
+  expect(await reply).toBeUndefined();
+  expect(performance.now() - askedAt).toBeLessThan(2500);
+});
