Leave a suspect that was convicted late fewer trials

What callers saw: a read that was answered before it began to crash engines is held at its sixth crash, since up to four earlier answers must be outweighed, and was tried twice on top: five sends later than 3 s after the third crash, where three are allowed.

Change: the trials of a hold and the crashes before it are at most six together.

Test that failed before: 'a request that was sound before is not sent too often once it crashes engines' (5 late sends).

--- a/packages/serving/src/quarantine/quarantine.ts
+++ b/packages/serving/src/quarantine/quarantine.ts
@@ -19,7 +19,7 @@
 import type { ReportRow } from "../report_row.ts";
 import type { Suspects } from "./select_suspects.ts";
 import { isRequestKey } from "./request_key.ts";
-import { hasTrialTurn, nextTrialAt } from "./trial_turn.ts";
+import { hasTrialTurn, nextTrialAt, trialsUsedBy } from "./trial_turn.ts";
 
 /** A held suspect that nobody has asked for is released after this time, in
  * milliseconds. A released one is remembered as long, so that a peer that has
@@ -455,7 +455,10 @@
     const current = this.#holds.get(suspect);
     if (current?.isHeld === true) return;
     // A suspect that is held again has used up the trials of before.
-    const trials = current?.trials ?? 0;
+    const trials = Math.max(
+      current?.trials ?? 0,
+      trialsUsedBy(engines.length),
+    );
     this.#holds.set(suspect, {
       revision: (current?.revision ?? 0) + 1,
       isHeld: true,
--- a/packages/serving/src/quarantine/trial_turn.ts
+++ b/packages/serving/src/quarantine/trial_turn.ts
@@ -20,6 +20,14 @@
 const TURN_MS = 5000;
 const GUARD_MS = 1500;
 
+/** Maximum number of engines that a suspect may end, its trials among them. */
+const CRASHES_MAX = 6;
+
+/** The trials that a suspect has used up when it is held after `crashes`. */
+export function trialsUsedBy(crashes: number): number {
+  return Math.min(TRIALS_MAX, Math.max(0, TRIALS_MAX + crashes - CRASHES_MAX));
+}
+
 /** When a suspect is tried next after so many trials; Infinity if no more. */
 export function nextTrialAt(trials: number, now: number): number {
   return trials >= TRIALS_MAX
