--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -341,7 +341,7 @@
   text: "held prompt part or request tried",
 };
 
-/** The held prompt parts could not be read from the store or written to it. */
+/** What is held could not be read from the store or written to it. */
 export const HOLDS_NOT_STORED: LogEvent = {
   id: 851,
   severity: "warn",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -374,31 +374,24 @@
       if (req.url?.startsWith(EXPLAIN_PATH) === true) {
         return serveExplanation(relayDependencies, req, res);
       }
-      this.#metrics.set("log_lines_dropped", options.droppedLogLines());
-      this.#metrics.set(
+      const metrics = this.#metrics;
+      const now = performance.now();
+      metrics.set("log_lines_dropped", options.droppedLogLines());
+      metrics.set(
         "configuration_version",
         this.#storeView.routeTable?.configuration.version ?? 0,
       );
-      this.#metrics.set(
+      metrics.set(
         "configuration_age_ms",
-        this.#storeView.follower("configuration").ageMs(performance.now()),
-      );
-      this.#metrics.set("limited_engines", this.#engineLimits.size);
-      this.#metrics.set("digest_age_ms", this.#digestExchange.oldestAgeMs);
-      this.#metrics.set(
-        "paused_engines",
-        this.#engineLimits.pausedCount(performance.now()),
-      );
-      this.#metrics.set(
-        "cold_engines",
-        this.#warmUp.warmUps.count(performance.now()),
-      );
-      this.#metrics.set("evacuated_zones", this.#storeView.evacuations.size);
-      this.#metrics.set(
-        "evacuated_requests",
-        this.#evacuationProgress.runningCount,
+        this.#storeView.follower("configuration").ageMs(now),
       );
-      res.end(this.#metrics.render());
+      metrics.set("limited_engines", this.#engineLimits.size);
+      metrics.set("digest_age_ms", this.#digestExchange.oldestAgeMs);
+      metrics.set("paused_engines", this.#engineLimits.pausedCount(now));
+      metrics.set("cold_engines", this.#warmUp.warmUps.count(now));
+      metrics.set("evacuated_zones", this.#storeView.evacuations.size);
+      metrics.set("evacuated_requests", this.#evacuationProgress.runningCount);
+      res.end(metrics.render());
     });
     this.#evacuationProgress = new EvacuationProgress({
       engineTable: this.#engineTable,
--- a/packages/gateway/src/quarantine/hold_keeper.ts
+++ b/packages/gateway/src/quarantine/hold_keeper.ts
@@ -1,4 +1,4 @@
-/** Keeps the held prompt parts in the store, so that they outlast a restart of
+/** Keeps the holds in the store, so that they outlast a restart of
  * all instances.
  *
  * @module
@@ -19,12 +19,12 @@
 const CHECK_INTERVAL_MS = 1000;
 
 /** How long an instance that starts waits for the record before it is ready, in
- * milliseconds. Its peers report the held parts as well. */
+ * milliseconds. Its peers report the holds as well. */
 const READ_WAIT_MS = 600;
 
-/** Maximum number of parts in the record: an object of the store is limited in
+/** Maximum number of holds in the record: an object of the store is limited in
  * size. */
-const STORED_PARTS_MAX = 128;
+const STORED_HOLDS_MAX = 128;
 
 const RECORD_NAME = "parts";
 
@@ -46,7 +46,7 @@
   readonly log: EventLog;
 }
 
-/** Reads the held parts at the start, and writes them when they change. */
+/** Reads the holds at the start, and writes them when they change. */
 export class HoldKeeper {
   readonly #store: HoldStore;
   readonly #options: HoldKeeperOptions;
@@ -88,7 +88,7 @@
   }
 
   /** Reads the record if that has not succeeded yet; writes it if this instance
-   * is the writer and the held parts have changed. */
+   * is the writer and the holds have changed. */
   async check(): Promise<void> {
     if (this.#isBusy) return;
     this.#isBusy = true;
@@ -98,7 +98,7 @@
       if (!this.#options.isWriter() || stateOf(holds) === this.#storedState) {
         return;
       }
-      await this.#write(holds.slice(0, STORED_PARTS_MAX));
+      await this.#write(holds.slice(0, STORED_HOLDS_MAX));
       this.#storedState = stateOf(holds);
     } catch (err) {
       // Another instance wrote the record, or it is not known whether the call
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -41,6 +41,7 @@
 export * from "./ports.ts";
 export * from "./quarantine/crash_evidence.ts";
 export * from "./quarantine/quarantine.ts";
+export * from "./quarantine/quarantine_records.ts";
 export * from "./quarantine/request_key.ts";
 export * from "./quarantine/select_suspects.ts";
 export * from "./quarantine/trial_turn.ts";
--- a/packages/serving/src/quarantine/quarantine.ts
+++ b/packages/serving/src/quarantine/quarantine.ts
@@ -17,6 +17,12 @@
 } from "./crash_evidence.ts";
 import type { ServingInstances } from "../member_table.ts";
 import type { ReportRow } from "../report_row.ts";
+import type {
+  CrashReport,
+  HoldRecord,
+  PeerReport,
+  QuarantineReport,
+} from "./quarantine_records.ts";
 import type { Suspects } from "./select_suspects.ts";
 import { isRequestKey } from "./request_key.ts";
 import { hasTrialTurn, nextTrialAt, trialsUsedBy } from "./trial_turn.ts";
@@ -43,46 +49,6 @@
 export type HoldReason = "evidence" | "peer" | "store";
 export type ReleaseReason = "evidence" | "trial" | "idle" | "peer";
 
-/** A hold as peers and the store exchange it. Of two, the one with the higher
- * revision is newer. */
-export interface HoldRecord {
-  readonly revision: number;
-  readonly isHeld: boolean;
-  readonly crashes: number;
-  readonly trials: number;
-  /** Time since the suspect was held or released, in milliseconds. */
-  readonly ageMs: number;
-  /** Time until the next trial, in milliseconds; null if there is none. */
-  readonly trialInMs: number | null;
-  /** Time until the record is dropped, in milliseconds. */
-  readonly expiresInMs: number;
-}
-
-/** What an instance reports to its peers. */
-export interface QuarantineReport {
-  /** Suspects of the reporter by the key of the engine that crashed. */
-  readonly crashes: readonly ReportRow<CrashReport>[];
-  readonly answers: readonly ReportRow<AnswerCounts>[];
-  readonly holds: readonly ReportRow<HoldRecord>[];
-}
-
-/** The suspects of one instance in one crash. */
-export interface CrashReport {
-  /** Time since the engine began to break requests off, in milliseconds. */
-  readonly ageMs: number;
-  /** Time since the reporter knew of the crash, in milliseconds; older builds do
-   * not say it. */
-  readonly knownMs?: number;
-  readonly suspects: readonly Suspects[];
-}
-
-/** The values that a peer has reported, by name. */
-export interface PeerReport {
-  readonly crashes?: Readonly<Record<string, CrashReport>>;
-  readonly answers?: Readonly<Record<string, AnswerCounts>>;
-  readonly holds?: Readonly<Record<string, HoldRecord>>;
-}
-
 /** Why a request is refused: one of its suspects is held. */
 export interface HeldSuspect extends SuspectEvidence {
   readonly suspect: string;
@@ -225,7 +191,7 @@
   }
 
   /** For how long a request must not be sent to the last engine of a service, in
-   * milliseconds; 0 if it may. One that was in a crash which neither another cause
+   * milliseconds; 0 if it may. Its last suspect is the request as a whole. One that was in a crash which neither another cause
    * explains nor its answers outweigh waits until engines are back. */
   lastEngineWaitMs(suspects: Suspects, now: number): number {
     const request = suspects.at(-1);
@@ -523,23 +489,6 @@
   }
 }
 
-/** A record that was made `ageMs` ago.
- *
- * @example
- * ```ts
- * quarantine.adopt({ suspect: agedHold(record, 300) }, "peer", now);
- * ```
- */
-export function agedHold(hold: HoldRecord, ageMs: number): HoldRecord {
-  const { trialInMs } = hold;
-  return {
-    ...hold,
-    ageMs: hold.ageMs + ageMs,
-    trialInMs: trialInMs === null ? null : trialInMs - ageMs,
-    expiresInMs: hold.expiresInMs - ageMs,
-  };
-}
-
 function timeUntil(time: number, now: number): number | null {
   return time === Infinity ? null : Math.round(time - now);
 }
--- a/packages/serving/src/quarantine/select_suspects.ts
+++ b/packages/serving/src/quarantine/select_suspects.ts
@@ -49,11 +49,11 @@
   },
 ): readonly Suspects[] {
   const { maxSuspects, rank } = options;
-  const partCount = requests.reduce(
+  const suspectCount = requests.reduce(
     (sum, suspects) => sum + suspects.length,
     0,
   );
-  if (partCount <= maxSuspects) return requests;
+  if (suspectCount <= maxSuspects) return requests;
   let room = maxSuspects;
   const shares = new Map<Suspects, number>();
   const byLength = requests.toSorted((a, b) => a.length - b.length);
--- a/packages/serving/src/testing/quarantine_fleet.ts
+++ b/packages/serving/src/testing/quarantine_fleet.ts
@@ -2,7 +2,8 @@
  *
  * @module
  */
-import { type PeerReport, Quarantine } from "../quarantine/quarantine.ts";
+import { Quarantine } from "../quarantine/quarantine.ts";
+import type { PeerReport } from "../quarantine/quarantine_records.ts";
 import type { Suspects } from "../quarantine/select_suspects.ts";
 import type { ReportRow } from "../report_row.ts";
 
