Try a request soon that was held beside others, and let its answer count

Cause: below an answer nothing tells two requests apart that were always on the same engines, so both are held; the first trial comes after 20 s, and its answer did not outweigh three crashes.

Change: where another request was on the same engines as often, the first trial is due after 2 s; trials and crashes stay six at most together. An answer on a whole request since its first crash weighs as three crashes, because the request ran as a whole, which an answer on a part does not show.

Test that failed before: 'a request that was held beside others is tried soon' (refused at all four instances after 10 s).

--- a/packages/serving/src/quarantine/crash_evidence.ts
+++ b/packages/serving/src/quarantine/crash_evidence.ts
@@ -15,7 +15,7 @@
  * its first crash, and since. Both saturate. */
 export type AnswerCounts = readonly [before: number, since: number];
 
-/** What speaks for and against a suspect. */
+/** What speaks for and against a suspect: crashes, and the weight of answers. */
 export interface SuspectEvidence {
   readonly crashes: number;
   readonly answers: number;
@@ -26,6 +26,9 @@
   readonly suspect: string;
   /** Keys of the engines whose crashes it explains. */
   readonly engines: readonly string[];
+  /** Whether a request explains them that may be sound: another one was on the
+   * same engines as often. */
+  readonly isShared?: boolean;
 }
 
 /** How long a crash counts, in milliseconds. */
@@ -52,6 +55,10 @@
  * for a suspect: as many as there may be crashes. */
 const ANSWERS_SINCE_MAX = 64;
 
+/** Weight of an answer on a whole request since its first crash: it ran as a whole,
+ * while an answer on a part says little of the part in other prompts. */
+const REQUEST_ANSWER_WEIGHT = 3;
+
 /** Bounds of the tables. A crash that no other one resembles is no evidence, so
  * the suspects of a single crash are dropped before those of several. */
 const ANSWERED_SUSPECTS_MAX = 16_384;
@@ -344,11 +351,18 @@
     }
     const found = new Set(explanations.map(({ suspect }) => suspect));
     for (const { suspect, engines } of requests) {
-      if (!found.has(suspect)) {
-        explanations.push({ suspect, engines: [...engines] });
-      }
+      if (found.has(suspect)) continue;
+      explanations.push({ suspect, engines: [...engines] });
     }
-    return explanations;
+    return explanations.map((explanation) =>
+      requests.some(({ suspect, engines }) =>
+          suspect !== explanation.suspect &&
+          isRequestKey(explanation.suspect) &&
+          explanation.engines.some((key) => engines.has(key))
+        )
+        ? { ...explanation, isShared: true }
+        : explanation
+    );
   }
 
   /** The explanations of a suspect's crashes by what contains it or is contained in
@@ -490,7 +504,8 @@
       before += peerBefore;
       since += peerSince;
     }
-    return Math.min(before, ANSWERS_BEFORE_MAX) + since;
+    const weight = isRequestKey(suspect) ? REQUEST_ANSWER_WEIGHT : 1;
+    return Math.min(before, ANSWERS_BEFORE_MAX) + since * weight;
   }
 
   /** The lower, the more likely a suspect is the cause: whole requests, which only
--- a/packages/serving/src/quarantine/quarantine.ts
+++ b/packages/serving/src/quarantine/quarantine.ts
@@ -417,7 +417,10 @@
     return crashes - answers >= CONVICTION_BALANCE;
   }
 
-  #hold({ suspect, engines }: Explanation, now: number): void {
+  #hold(
+    { suspect, engines, isShared = false }: Explanation,
+    now: number,
+  ): void {
     const current = this.#holds.get(suspect);
     if (current?.isHeld === true) return;
     // A suspect that is held again has used up the trials of before.
@@ -431,7 +434,7 @@
       crashes: engines.length,
       trials,
       changedAt: now,
-      nextTrialAt: nextTrialAt(trials, now),
+      nextTrialAt: nextTrialAt(trials, now, { isShared }),
       expiresAt: now + IDLE_RELEASE_MS,
       reason: "evidence",
     });
--- a/packages/serving/src/quarantine/trial_turn.ts
+++ b/packages/serving/src/quarantine/trial_turn.ts
@@ -8,6 +8,10 @@
 /** Time from the beginning of a hold to the first trial, in milliseconds. */
 export const FIRST_TRIAL_MS = 20_000;
 
+/** The same for a hold whose crashes another suspect explains as well, so that the
+ * held one may be sound. */
+const FIRST_SHARED_TRIAL_MS = 2000;
+
 /** Factor by which the time to the next trial grows with each trial. */
 const TRIAL_BACKOFF = 4;
 
@@ -28,11 +32,18 @@
   return Math.min(TRIALS_MAX, Math.max(0, TRIALS_MAX + crashes - CRASHES_MAX));
 }
 
-/** When a suspect is tried next after so many trials; Infinity if no more. */
-export function nextTrialAt(trials: number, now: number): number {
-  return trials >= TRIALS_MAX
-    ? Infinity
-    : now + FIRST_TRIAL_MS * TRIAL_BACKOFF ** trials;
+/** When a suspect is tried next after so many trials; Infinity if no more.
+ * `isShared` tells whether another suspect explains its crashes as well. */
+export function nextTrialAt(
+  trials: number,
+  now: number,
+  { isShared = false } = {},
+): number {
+  if (trials >= TRIALS_MAX) return Infinity;
+  return now +
+    (isShared && trials === 0
+      ? FIRST_SHARED_TRIAL_MS
+      : FIRST_TRIAL_MS * TRIAL_BACKOFF ** trials);
 }
 
 /** Whether an instance may start the trial of a suspect that has been due for
--- a/packages/serving/src/quarantine/whole_requests_test.ts
+++ b/packages/serving/src/quarantine/whole_requests_test.ts
@@ -196,6 +196,27 @@
   });
 });
 
+// Guards against sound requests that pay for long for those which were on the same
+// engines: they get no answers while they are held.
+test("a request that was held beside others is tried soon", () => {
+  const fleet = new QuarantineFleet(4);
+  const sound = requestFor("/sound");
+  for (let i = 0; i < 4; i += 1) {
+    fleet.send([[turn(i, 4), BAD], [turn(i + 1, 4), sound]], isBad);
+  }
+  fleet.pass(1000);
+  expect(fleet.isHeldEverywhere(keyOf(BAD))).toBe(true);
+  for (let i = 0; i < 100; i += 1) {
+    fleet.send([[turn(i, 4), sound]], isBad);
+    fleet.send([[turn(i, 4), BAD]], isBad);
+    fleet.pass(100);
+  }
+  const before = fleet.refusedSound;
+  for (let i = 0; i < 4; i += 1) fleet.send([[`i${i}`, sound]], isBad);
+  expect(fleet.refusedSound).toBe(before);
+  expect(lateSends(fleet).length).toBeLessThanOrEqual(SENDS_AFTER_MAX);
+});
+
 // Guards against sound requests that are held because engines end by themselves.
 test("no request is held because an engine ends by itself ten times", () => {
   const fleet = new QuarantineFleet(8);
