--- a/packages/serving/src/quarantine/crash_evidence.ts
+++ b/packages/serving/src/quarantine/crash_evidence.ts
@@ -327,6 +327,8 @@
    * Each answer cancels a crash, so a suspect that always crashes engines is taken
    * after its second crash, and one that is merely popular never is.
    *
+   * Whole requests with three crashes are taken besides, whatever explains those.
+   *
    * Crashes that were not known at `settledAt` are left out: other instances have
    * yet to report their requests, and the cause may be one of those. */
   explain(now: number, settledAt: number): readonly Explanation[] {
@@ -349,20 +351,7 @@
       for (const key of engines) leftOut.add(key);
       explanations.push({ suspect: best.suspect, engines });
     }
-    const found = new Set(explanations.map(({ suspect }) => suspect));
-    for (const { suspect, engines } of requests) {
-      if (found.has(suspect)) continue;
-      explanations.push({ suspect, engines: [...engines] });
-    }
-    return explanations.map((explanation) =>
-      requests.some(({ suspect, engines }) =>
-          suspect !== explanation.suspect &&
-          isRequestKey(explanation.suspect) &&
-          explanation.engines.some((key) => engines.has(key))
-        )
-        ? { ...explanation, isShared: true }
-        : explanation
-    );
+    return addRequests(explanations, requests);
   }
 
   /** The explanations of a suspect's crashes by what contains it or is contained in
@@ -565,6 +554,28 @@
   }
 }
 
+/** Adds the requests that are not among the explanations, and marks those that were
+ * on the same engines as another one. */
+function addRequests(
+  explanations: readonly Explanation[],
+  requests: readonly Candidate[],
+): readonly Explanation[] {
+  const found = new Set(explanations.map(({ suspect }) => suspect));
+  const all = [
+    ...explanations,
+    ...requests.filter(({ suspect }) => !found.has(suspect))
+      .map(({ suspect, engines }) => ({ suspect, engines: [...engines] })),
+  ];
+  return all.map((explanation) => {
+    const isShared = isRequestKey(explanation.suspect) &&
+      requests.some(({ suspect, engines }) =>
+        suspect !== explanation.suspect &&
+        explanation.engines.some((key) => engines.has(key))
+      );
+    return isShared ? { ...explanation, isShared } : explanation;
+  });
+}
+
 /** Whether the suspects of a request include parts of a prompt. */
 function isPrompt(suspects: Suspects): boolean {
   return suspects.some((suspect) => !isRequestKey(suspect));
--- a/packages/serving/src/quarantine/quarantine.ts
+++ b/packages/serving/src/quarantine/quarantine.ts
@@ -191,8 +191,9 @@
   }
 
   /** For how long a request must not be sent to the last engine of a service, in
-   * milliseconds; 0 if it may. Its last suspect is the request as a whole. One that was in a crash which neither another cause
-   * explains nor its answers outweigh waits until engines are back. */
+   * milliseconds; 0 if it may. One that was in a crash which neither another cause
+   * explains nor its answers outweigh waits until engines are back. Its last
+   * suspect is the request as a whole. */
   lastEngineWaitMs(suspects: Suspects, now: number): number {
     const request = suspects.at(-1);
     if (request === undefined) return 0;
