Try a suspect that was convicted late as soon as any other

Cause: the crashes before a hold count as trials, and the time to the next one grows with each trial.

Change: only trials that were made postpone the next one; the others bound their number.

Test that failed before: 'a suspect that was convicted late is tried as soon as others, but once' (80 s).

--- a/packages/serving/src/quarantine/quarantine.ts
+++ b/packages/serving/src/quarantine/quarantine.ts
@@ -25,7 +25,12 @@
 } from "./quarantine_records.ts";
 import type { Suspects } from "./select_suspects.ts";
 import { isRequestKey } from "./request_key.ts";
-import { hasTrialTurn, nextTrialAt, trialsUsedBy } from "./trial_turn.ts";
+import {
+  hasTrialTurn,
+  nextTrialAt,
+  TRIALS_MAX,
+  trialsUsedBy,
+} from "./trial_turn.ts";
 
 /** A held suspect that nobody has asked for is released after this time, in
  * milliseconds. A released one is remembered as long, so that a peer that has
@@ -435,7 +440,9 @@
       crashes: engines.length,
       trials,
       changedAt: now,
-      nextTrialAt: nextTrialAt(trials, now, { isShared }),
+      nextTrialAt: trials >= TRIALS_MAX
+        ? Infinity
+        : nextTrialAt(current?.trials ?? 0, now, { isShared }),
       expiresAt: now + IDLE_RELEASE_MS,
       reason: "evidence",
     });
--- a/packages/serving/src/quarantine/quarantine_test.ts
+++ b/packages/serving/src/quarantine/quarantine_test.ts
@@ -306,6 +306,23 @@
   expect(held).toEqual(["adapter"]);
 });
 
+// Guards against a sound part that is refused for 80 s, since the crashes before its
+// hold counted as trials that had been made.
+test("a suspect that was convicted late is tried as soon as others, but once", () => {
+  const quarantine = new QuarantineFleet(1).instances.get("i0");
+  const times = { at: 1000, now: 1000 };
+  for (let i = 0; i < 5; i += 1) {
+    quarantine?.recordCrash(`e${i}@1`, [["bad", `a${i}`]], times);
+  }
+  const heldAt = 1000 + SETTLE_MS;
+  quarantine?.report(heldAt);
+  expect(quarantine?.held(heldAt)).toMatchObject([
+    { suspect: "bad", trialInMs: FIRST_TRIAL_MS },
+  ]);
+  quarantine?.startTrial("bad", heldAt + FIRST_TRIAL_MS);
+  expect(quarantine?.held(heldAt)).toMatchObject([{ trialInMs: null }]);
+});
+
 // Guards against two guilty requests on the same engines that acquit each other: the
 // one that was held first was released for the crashes of the other.
 test("a held request stays held although another one explains its crashes", () => {
