--- a/packages/gateway/src/quarantine/relay_crashing_part_test.ts
+++ b/packages/gateway/src/quarantine/relay_crashing_part_test.ts
@@ -1,9 +1,7 @@
-import type { RequestListener } from "node:http";
 import { afterEach, expect, test } from "vitest";
+import { startEndingEngines } from "../testing/ending_engines.ts";
 import {
   cleanUp,
-  listen,
-  portOf,
   SEALED_HEADERS,
   sendRequest,
   startRelay,
@@ -22,24 +20,16 @@
  * `CRASHING_PART`. */
 async function startCrashingEngines(count = ENGINE_COUNT) {
   let crashCount = 0;
-  const ports: number[] = [];
-  for (let i = 0; i < count; i += 1) {
-    const handle: RequestListener = (req, res) => {
-      res.writeHead(200, SEALED_HEADERS);
-      res.write("id: 1\ndata: a\n\n");
-      if (!String(req.headers["prompt-prefix"]).includes(CRASHING_PART)) {
-        res.end("id: 2\ndata: b\n\n");
-        return;
-      }
-      crashCount += 1;
-      setTimeout(() => {
-        server.close();
-        server.closeAllConnections();
-      }, 5);
-    };
-    const server = await listen(handle);
-    ports.push(portOf(server));
-  }
+  const { ports } = await startEndingEngines(count, (req, res, end) => {
+    res.writeHead(200, SEALED_HEADERS);
+    res.write("id: 1\ndata: a\n\n");
+    if (!String(req.headers["prompt-prefix"]).includes(CRASHING_PART)) {
+      res.end("id: 2\ndata: b\n\n");
+      return;
+    }
+    crashCount += 1;
+    end(5);
+  });
   return { ports, crashCount: () => crashCount };
 }
 
--- a/packages/gateway/src/quarantine/relay_crashing_request_test.ts
+++ b/packages/gateway/src/quarantine/relay_crashing_request_test.ts
@@ -1,5 +1,6 @@
 import { request, type RequestListener } from "node:http";
 import { afterEach, expect, test } from "vitest";
+import { startEndingEngines } from "../testing/ending_engines.ts";
 import {
   cleanUp,
   listen,
@@ -47,24 +48,16 @@
 /** Starts engines that end when a request for `/bad` begins there. */
 async function startCrashingEngines(count: number) {
   let crashCount = 0;
-  const ports: number[] = [];
-  for (let i = 0; i < count; i += 1) {
-    const handle: RequestListener = (req, res) => {
-      req.resume();
-      if (req.url !== "/bad") {
-        res.writeHead(200, SEALED_HEADERS);
-        res.end("id: 4\ndata: a\n\n");
-        return;
-      }
-      crashCount += 1;
-      setTimeout(() => {
-        server.close();
-        server.closeAllConnections();
-      }, 5);
-    };
-    const server = await listen(handle);
-    ports.push(portOf(server));
-  }
+  const { ports } = await startEndingEngines(count, (req, res, end) => {
+    req.resume();
+    if (req.url !== "/bad") {
+      res.writeHead(200, SEALED_HEADERS);
+      res.end("id: 4\ndata: a\n\n");
+      return;
+    }
+    crashCount += 1;
+    end(5);
+  });
   return { ports, crashCount: () => crashCount };
 }
 
@@ -160,24 +153,11 @@
 
 /** Starts engines that end some time after a request has begun there, whether or
  * not somebody still waits for it. */
-async function startLateCrashingEngines(count: number, endMs: number) {
-  let crashCount = 0;
-  const ports: number[] = [];
-  for (let i = 0; i < count; i += 1) {
-    let isEnding = false;
-    const server = await listen((req) => {
-      req.resume();
-      if (isEnding) return;
-      isEnding = true;
-      setTimeout(() => {
-        crashCount += 1;
-        server.close();
-        server.closeAllConnections();
-      }, endMs);
-    });
-    ports.push(portOf(server));
-  }
-  return { ports, crashCount: () => crashCount };
+function startLateCrashingEngines(count: number, endMs: number) {
+  return startEndingEngines(count, (req, _, end) => {
+    req.resume();
+    end(endMs);
+  });
 }
 
 // Guards against a request that ends engine after engine unnoticed, since nobody
@@ -198,7 +178,7 @@
       await sendRequest(port, {}, { path: "/bad" });
       await pause(endMs);
     }
-    expect(engines.crashCount()).toBeLessThanOrEqual(2 * CRASHES_MAX);
+    expect(engines.endedCount()).toBeLessThanOrEqual(2 * CRASHES_MAX);
   },
 );
 
@@ -221,8 +201,8 @@
     req.destroy();
     await pause(200);
   }
-  expect(engines.crashCount()).toBeGreaterThan(0);
-  expect(engines.crashCount()).toBeLessThanOrEqual(2 * CRASHES_MAX);
+  expect(engines.endedCount()).toBeGreaterThan(0);
+  expect(engines.endedCount()).toBeLessThanOrEqual(2 * CRASHES_MAX);
 });
 
 // Guards against a sound read that is given up since two connections broke off,
