Judge no crashes as long as nothing is in two of them

Each conclusion asked whether a prompt was answered, and which parts all prompts share, before it looked for candidates, and copied up to 65,536 suspects for it. Without a suspect in two crashes there is no candidate, so explain returns at once; otherwise the suspects are read until the first answer. No behaviour changes; the tests of both quarantine rooms are as before.

--- a/packages/serving/src/quarantine/crash_evidence.ts
+++ b/packages/serving/src/quarantine/crash_evidence.ts
@@ -333,6 +333,7 @@
    * yet to report their requests, and the cause may be one of those. */
   explain(now: number, settledAt: number): readonly Explanation[] {
     this.dropOldCrashes(now);
+    if (this.#repeated.size === 0) return [];
     const leftOut = new Set<string>();
     for (const [key, { knownAt }] of this.#crashes) {
       if (knownAt > settledAt) leftOut.add(key);
@@ -408,10 +409,11 @@
 
   /** Whether a prompt was answered lately, by this instance or a peer. */
   #isAnyPromptAnswered(now: number): boolean {
-    return now - this.#promptAnsweredAt <= EVIDENCE_MS ||
-      [...this.#suspected.keys()].some((suspect) =>
-        !isRequestKey(suspect) && this.#answersOn(suspect) > 0
-      );
+    if (now - this.#promptAnsweredAt <= EVIDENCE_MS) return true;
+    for (const suspect of this.#suspected.keys()) {
+      if (!isRequestKey(suspect) && this.#answersOn(suspect) > 0) return true;
+    }
+    return false;
   }
 
   /** The parts of all prompts that were cut off. As long as no prompt is answered,
