Log the software version of engines, and which attempt a stream goes on from

Streams were joined from engines of two software versions, and no line could tell which ones. Lines about attempts, served requests and engines that join name the engine's version (softwareVersion), and served requests name the attempt that they take up (resumes).

--- a/packages/gateway/src/exchange_log.ts
+++ b/packages/gateway/src/exchange_log.ts
@@ -168,6 +168,7 @@
       workspace: workspace?.name,
       model: caller.model,
       adapter: caller.adapter,
+      resumes: caller.resumes,
       ...attemptFields(this.#attempt),
       engine: view?.engine.key,
       status,
@@ -186,6 +187,7 @@
   return {
     engine: attempt?.view.engine.key,
     engineZone: attempt?.view.engine.zone,
+    softwareVersion: attempt?.view.engine.softwareVersion,
     startMs: attempt?.startMs,
     connectionMs: attempt?.request.connectionMs(),
   };
--- a/packages/gateway/src/store_view.ts
+++ b/packages/gateway/src/store_view.ts
@@ -453,6 +453,7 @@
       this.#log.write(events.ENGINE_CHANGED, {
         engine: key,
         service: engine.service,
+        softwareVersion: engine.softwareVersion,
         state: engine.leaving ? "leaving" : "ready",
         remainingMs: engine.remainingMs,
       });
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -220,6 +220,9 @@
   /** Declared tokens, prompt and output together. */
   readonly tokens: number | undefined;
   readonly lastEventId: string | undefined;
+  /** The id of the attempt that brought the first event of the stream that this
+   * request goes on with; undefined for a new stream. */
+  readonly resumes?: string | undefined;
   /** Ids of the parts of the prompt that other requests may share, in their
    * order. The last part of a prompt is the request's own and not listed. */
   readonly sharedParts: readonly string[];
--- a/packages/serving/src/types.ts
+++ b/packages/serving/src/types.ts
@@ -122,6 +122,9 @@
   readonly host: string;
   readonly port: number;
   readonly zone: string;
+  /** The version of the engine's software; undefined if the list does not show
+   * it. What two versions write does not fit together. */
+  readonly softwareVersion?: string | undefined;
   readonly slots: number;
   readonly leaving: boolean;
   /** Time until a leaving engine is stopped, in milliseconds; undefined if the
