Go on with a stream only at engines of the version that began it

Callers saw: answers joined from two software versions of a service, complete and without a sign of it. Within an answer the choice after a broken attempt, the hand-over of a silent one and the load of an adapter took any engine of the service.

The version of the engine whose events were forwarded first is a requirement on the next engine from then on, checked in the screening that all choices use and again before the request is written. If no engine of it is left, the answer breaks off at once (no_version). Before the first event any version will do.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -53,6 +53,7 @@
 import { trackCompletion } from "./response_completion.ts";
 import { judgeResponse } from "./response_verdict.ts";
 import { skipBody } from "./skip_body.ts";
+import { StreamVersion } from "./software_versions/stream_version.ts";
 import { isHeaderValue, StreamContinuation } from "./stream_continuation.ts";
 
 /** Time between a request's deadline and the moment when the gateway aborts its
@@ -84,6 +85,7 @@
   readonly #tried = new TriedEngines();
   readonly #framer = new EventFramer();
   readonly #continuation = new StreamContinuation();
+  readonly #streamVersion = new StreamVersion();
   readonly #rateCharge: RateCharge;
   readonly #guard: RequestGuard;
   readonly #log: ExchangeLog;
@@ -172,7 +174,7 @@
         return this.#giveUp("too_late");
       }
       // Homes and evacuations may have changed meanwhile.
-      if (!isPermitted(view, { homes: this.#homes }, context)) continue;
+      if (!isPermitted(view, this.#permissions, context)) continue;
       // The limit may have been reached while the adapter was loaded.
       if (!this.#deps.limits.tryTake(view.engine.key)) continue;
       this.#guard.start(decision);
@@ -219,7 +221,7 @@
       model,
       adapter,
       excludedEngines: excluded,
-      homes: this.#homes,
+      ...this.#permissions,
       timeLeftMs: this.#deadline - now,
     });
     return this.#deps.chooser.choose(
@@ -285,10 +287,16 @@
     return "wait";
   }
 
-  /** The regions in which the request may be served at present. */
-  get #homes(): HomeRegions {
+  /** What decides at present whether an engine may get the request at all. */
+  get #permissions(): {
+    readonly homes: HomeRegions;
+    readonly softwareVersion: string | undefined;
+  } {
     const { route, workspace } = this.#input;
-    return this.#deps.routeTable()?.homeRegionsOf(route, workspace);
+    return {
+      homes: this.#deps.routeTable()?.homeRegionsOf(route, workspace),
+      softwareVersion: this.#streamVersion.required,
+    };
   }
 
   #recordFailure(view: EngineView, outcome: AttemptOutcome, now: number): void {
@@ -607,7 +615,7 @@
   #mayWriteTo(view: EngineView, wasLeaving: boolean): boolean {
     const context = this.#deps.selectionContextAt(performance.now());
     return this.#isListed(view) && (wasLeaving || !view.engine.leaving) &&
-      isPermitted(view, { homes: this.#homes }, context);
+      isPermitted(view, this.#permissions, context);
   }
 
   #trackAttempt(
@@ -877,6 +885,7 @@
         return;
       }
       if (bytes.length === 0 || res.destroyed || settle.ended()) return;
+      if (route.resumable) this.#streamVersion.recordEvents(view.engine);
       if (!res.write(bytes)) {
         response.pause();
         stallTimeout?.clear();
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -101,6 +101,8 @@
   /** Zones of the engines, `z` if omitted. The region of a zone is its first
    * letter. */
   readonly zones?: readonly string[];
+  /** Versions of the engines' software; none if omitted. */
+  readonly softwareVersions?: readonly string[];
   readonly isEvacuated?: (zone: string) => boolean;
   /** Changes the route while the relay runs. */
   readonly currentRoute?: () => Partial<Route>;
@@ -154,6 +156,7 @@
       host: "127.0.0.1",
       port: typeof handle === "number" ? handle : portOf(await listen(handle)),
       zone: options.zones?.[i] ?? "z",
+      softwareVersion: options.softwareVersions?.[i],
       slots: 8,
       leaving: false,
       remainingMs: undefined,
--- a/packages/serving/src/screening/screen_engines.ts
+++ b/packages/serving/src/screening/screen_engines.ts
@@ -13,6 +13,8 @@
 
 /** Why an engine is not used for a request. */
 export type Exclusion =
+  /** Its software has another version than the one that began the stream. */
+  | "software_version"
   /** It was tried before. */
   | "tried"
   | "leaving"
@@ -32,6 +34,8 @@
 /** Why a request can be sent to no engine. */
 export type NoEngineReason =
   | "no_engine"
+  /** No engine has the version of the software that the stream needs. */
+  | "no_version"
   | "residency"
   | "evacuated"
   | "limited"
@@ -43,6 +47,9 @@
   readonly excludedEngines: ReadonlySet<string>;
   /** The regions in which the request may be served. */
   readonly homes?: HomeRegions;
+  /** The only version of the engines' software that may serve; undefined for
+   * any. */
+  readonly softwareVersion?: string | undefined;
   /** Time until the request's deadline, in milliseconds. */
   readonly timeLeftMs: number;
 }
@@ -72,10 +79,16 @@
   ) => boolean;
 }
 
-/** Whether operators allow an engine by one rule. */
+/** What decides whether an engine may get a request at all. */
+type PermissionRequirements = Pick<
+  ScreeningRequirements,
+  "homes" | "softwareVersion"
+>;
+
+/** Whether one rule allows an engine. */
 type PermissionRule = (
   view: EngineView,
-  requirements: Pick<ScreeningRequirements, "homes">,
+  requirements: PermissionRequirements,
   context: Pick<ScreeningContext, "regionOf" | "isEvacuated">,
 ) => boolean;
 
@@ -85,7 +98,15 @@
 const isInUse: PermissionRule = ({ engine }, _, { isEvacuated }) =>
   isEvacuated?.(engine.zone) !== true;
 
+const isOfVersion: PermissionRule = ({ engine }, { softwareVersion }) =>
+  softwareVersion === undefined || engine.softwareVersion === softwareVersion;
+
 const STAGES: readonly Stage[] = [
+  {
+    exclusion: "software_version",
+    reason: "no_version",
+    admits: isOfVersion,
+  },
   {
     exclusion: "tried",
     reason: "no_engine",
@@ -175,15 +196,16 @@
   return { kind: "usable", views: remaining };
 }
 
-/** Whether operators allow a request to be sent to an engine at all: its region is
- * a home, and its zone is not evacuated. */
+/** Whether a request may be sent to an engine at all: its region is a home, its
+ * zone is not evacuated, and its software fits what was sent so far. */
 export function isPermitted(
   view: EngineView,
-  requirements: Pick<ScreeningRequirements, "homes">,
+  requirements: PermissionRequirements,
   context: Pick<ScreeningContext, "regionOf" | "isEvacuated">,
 ): boolean {
   return isInHomes(view, requirements, context) &&
-    isInUse(view, requirements, context);
+    isInUse(view, requirements, context) &&
+    isOfVersion(view, requirements, context);
 }
 
 /** Time until an engine's response begins at the earliest, in milliseconds.
