Begin each stream at the version that a stored split gives its id

Callers saw: streams that broke off and were taken up at another instance, or after all had been lost, went on at another software version: answered 200 and complete, the text joined from two versions. Nobody knew at which version a stream had begun, and the id that a take-up names was not read.

All ids are divided among the versions of a service's engines by a split that the store has confirmed before anyone uses it; a new stream begins where the split puts its id, or not at all.

Ruled out: memory of peers (lost with all of them), a record of each stream (a fifth of the store's writes, and late).

The take-ups of software_versions_test.ts have no counterpart in the code before, which read no name: each engine of the service could go on.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -510,3 +510,52 @@
   severity: "info",
   text: "control traffic of a second",
 };
+
+/** A request goes on with a stream that the attempt `resumes` began: at
+ * `softwareVersion`, which `engines` of the service have. `source` is how the
+ * version is known, `reason` why it is not. */
+export const STREAM_TAKEN_UP: LogEvent = {
+  id: 874,
+  severity: "info",
+  text: "stream taken up",
+};
+
+/** This instance wrote how new streams are split among the versions of engines'
+ * software, as ranges of each pool of engines. */
+export const SPLITS_WRITTEN: LogEvent = {
+  id: 875,
+  severity: "info",
+  text: "version splits written",
+};
+
+/** This instance begins streams by the splits `number` from now on, and has
+ * reported `strayed` streams that began elsewhere than these would let them. */
+export const SPLITS_ADOPTED: LogEvent = {
+  id: 876,
+  severity: "info",
+  text: "version splits adopted",
+};
+
+/** The report of this instance's streams was not stored. It is tried again; until
+ * then, streams that new splits move do not begin here. */
+export const REPORT_NOT_STORED: LogEvent = {
+  id: 877,
+  severity: "warn",
+  text: "report of streams not stored",
+};
+
+/** The version splits could not be updated, since a call to the store failed.
+ * They are checked again. */
+export const SPLITS_NOT_STORED: LogEvent = {
+  id: 878,
+  severity: "warn",
+  text: "version splits not stored",
+};
+
+/** The splits or the reports could not be read for a stream that is taken up. It
+ * is refused unless peers or this instance's memory tell its version. */
+export const SPLITS_NOT_READ: LogEvent = {
+  id: 879,
+  severity: "warn",
+  text: "version splits not read",
+};
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -85,7 +85,7 @@
   readonly #tried = new TriedEngines();
   readonly #framer = new EventFramer();
   readonly #continuation = new StreamContinuation();
-  readonly #streamVersion = new StreamVersion();
+  readonly #streamVersion: StreamVersion;
   readonly #rateCharge: RateCharge;
   readonly #guard: RequestGuard;
   readonly #log: ExchangeLog;
@@ -112,6 +112,7 @@
     this.#log = new ExchangeLog(deps, input);
     this.#rateCharge = new RateCharge(deps, input.workspace, caller);
     this.#guard = guardRequest(deps, input);
+    this.#streamVersion = new StreamVersion(deps, input);
     this.#lastEventId = caller.lastEventId;
     this.#deadline = arrivedAt +
       Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
@@ -124,9 +125,18 @@
   }
 
   async run(): Promise<void> {
+    await this.#serve();
+    this.#streamVersion.close(this.#input.res.writableEnded);
+  }
+
+  async #serve(): Promise<void> {
     const { res, refuse } = this.#input;
     const first = this.#guard.decide();
     if (first.kind === "refuse") return this.#giveUp(first.reason, first);
+    const unknown = await this.#streamVersion.decide(this.#permissions.homes);
+    if (unknown !== undefined) {
+      return refuse(503, unknown.reason, unknown.waitSeconds);
+    }
     const rateWaitSeconds = await this.#rateCharge.take(this.#deadline);
     if (rateWaitSeconds !== undefined) {
       return refuse(429, "over_rate", rateWaitSeconds);
@@ -157,6 +167,8 @@
             this.#deps.chooser.keysOf(this.#input.service),
             this.#input.caller.id,
           )
+          : view === "no_version"
+          ? this.#streamVersion.waitSeconds(this.#permissions.homes)
           : retryAfterSeconds();
         return refuse(503, `${view}:${reason}`, waitSeconds);
       }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -54,6 +54,7 @@
 import { Relay } from "./relay.ts";
 import type { RelayDependencies } from "./relay_dependencies.ts";
 import { SharedRecords } from "./shared_records.ts";
+import { SoftwareVersions } from "./software_versions/software_versions.ts";
 import { SteeringEndpoint } from "./steering_endpoint.ts";
 import { StoreView } from "./store_view.ts";
 import { TrafficLog } from "./traffic_log.ts";
@@ -113,6 +114,7 @@
   readonly #pathDelays = new PathDelays();
   readonly #readerRoles: ReaderRoles;
   readonly #crashProtection: CrashProtection;
+  readonly #softwareVersions: SoftwareVersions;
   readonly #engineLimits: EngineLimits;
   readonly #warmUp: EngineWarmUp;
   readonly #evacuationProgress: EvacuationProgress;
@@ -197,6 +199,18 @@
       windowMs: settings.bounds.rateWindowMs,
       links: () => this.#links,
     });
+    this.#softwareVersions = new SoftwareVersions({
+      self: this.#self,
+      members: this.#members,
+      engineTable: this.#engineTable,
+      store: this.#store,
+      reachesStore: () => this.#reachesStore,
+      routeTable: () => this.#storeView.routeTable,
+      regionOf: (zone) => settings.regions.get(zone),
+      isEvacuated: (zone) => this.#storeView.evacuations.isEvacuated(zone),
+      enginesAgeMs: (now) => this.#storeView.follower("engines").ageMs(now),
+      log,
+    });
     this.#membership = new Membership(this.#store, {
       self: this.#self,
       members: this.#members,
@@ -207,10 +221,11 @@
       changeKnownMs: settings.bounds.changeKnownMs,
       isStoreReader: () => this.#readerRoles.isStoreReader,
       rates: this.#rates,
-      onAssignmentChange: () => {
-        this.#loader.tick();
+      onAssignmentRecords: (records) => {
+        this.#softwareVersions.setRecords(records);
         this.#announceChanges();
       },
+      onAssignmentChange: () => this.#loader.tick(),
       onStoreFailure: () => {
         this.#storeView.reconnect();
         this.#membership.reconnect();
@@ -342,6 +357,7 @@
       }),
       bodyRoom: new BodyRoom(settings.memoryBytes * BODY_ROOM_SHARE),
       crashProtection: this.#crashProtection,
+      softwareVersions: this.#softwareVersions,
       hasTimeFor: (route) => this.#hasTimeFor(route),
       log,
       metrics: this.#metrics,
@@ -508,6 +524,7 @@
     clearTimeout(this.#loaderTimer);
     this.#eventLoopWatch.close();
     this.#crashProtection.close();
+    this.#softwareVersions.close();
     this.#storeView.close();
     this.#membership.close();
     this.#digestExchange.close();
@@ -527,7 +544,8 @@
 
   get #isReady(): boolean {
     return this.#isListening && this.#storeView.ready &&
-      this.#crashProtection.isReady && !this.#isDraining;
+      this.#crashProtection.isReady && this.#softwareVersions.isReady &&
+      !this.#isDraining;
   }
 
   /** Announces changed records to all peers at once if this instance is a store
@@ -566,6 +584,7 @@
     this.#rates.update(now);
     this.#evacuationProgress.check(now);
     this.#storeView.dropMissingEngines(now);
+    void this.#softwareVersions.check(now);
     this.#rateLog.tick(now);
     this.#trafficLog.tick(now);
   }
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -28,6 +28,7 @@
   WALL_CLOCK_SKEW_MS,
 } from "@banyanlb/serving";
 import * as events from "./events.ts";
+import { splitsProgressOf } from "./software_versions/split_records.ts";
 import type { WorkspaceRates } from "./workspace_rates.ts";
 import {
   decodeAssignment,
@@ -119,6 +120,10 @@
   readonly changeKnownMs: number;
   /** Whether this instance reads the store on behalf of its region. */
   readonly isStoreReader: () => boolean;
+  /** Called with all records that assign work, after each change. */
+  readonly onAssignmentRecords: (
+    records: ReadonlyMap<string, StoredRecord>,
+  ) => void;
   /** Called when a new assignment is in force. */
   readonly onAssignmentChange: () => void;
   /** Called when calls to the store begin to fail, and when a renewal gets no
@@ -205,7 +210,11 @@
       confirmationTimes: confirmationTimes(
         options.changeKnownMs * ASSIGNMENT_KNOWN_FACTOR,
       ),
-      onRecords: (records) => this.#setAssignment(records),
+      onRecords: (records) => {
+        this.#setAssignment(records);
+        options.onAssignmentRecords(records);
+      },
+      lostRecords: { progressOf: splitsProgressOf },
       onReachabilityChange: (reachable, reason) =>
         this.#onReachabilityChange("assignment", reachable, reason),
       log: options.log,
--- a/packages/gateway/src/relay_dependencies.ts
+++ b/packages/gateway/src/relay_dependencies.ts
@@ -19,6 +19,7 @@
 import type { GatewayMetrics } from "./metrics.ts";
 import type { LimitKeeper } from "./limit_keeper.ts";
 import type { CrashProtection } from "./quarantine/crash_protection.ts";
+import type { StreamVersionDependencies } from "./software_versions/stream_version.ts";
 import type { WorkspaceRates } from "./workspace_rates.ts";
 
 /** The configuration that applied to a request, as log lines report it. */
@@ -31,7 +32,7 @@
 }
 
 /** Dependencies that the relay uses for every request. */
-export interface RelayDependencies {
+export interface RelayDependencies extends StreamVersionDependencies {
   readonly protocol: CallerProtocol;
   readonly routeTable: () => RouteTable | undefined;
   /** Time since a reply of the store or of a peer last showed the
--- /dev/null
+++ b/packages/gateway/src/software_versions/software_versions.ts
@@ -0,0 +1,85 @@
+/** Keeps each stream at the version of the engines' software that began it.
+ *
+ * @module
+ */
+import type { EventLog } from "@banyanlb/core";
+import {
+  type EngineTable,
+  type Member,
+  type MemberTable,
+  OpenStreams,
+  type RecordStore,
+  type RouteTable,
+  type StoredRecord,
+} from "@banyanlb/serving";
+import { SplitAdoption } from "./split_adoption.ts";
+import { reportNameOf, SplitKeeper } from "./split_keeper.ts";
+import { SPLITS_RECORD_NAME } from "./split_records.ts";
+import { StreamVersions } from "./stream_versions.ts";
+
+/** Parts of the gateway that the versions of streams need. */
+export interface SoftwareVersionsOptions {
+  readonly self: Member;
+  readonly members: MemberTable;
+  readonly engineTable: EngineTable;
+  readonly store: RecordStore;
+  /** Whether the store replies to this instance. */
+  readonly reachesStore: () => boolean;
+  readonly routeTable: () => RouteTable | undefined;
+  readonly regionOf: (zone: string) => string | undefined;
+  readonly isEvacuated: (zone: string) => boolean;
+  /** Time since the list of engines was last known to be the newest, in
+   * milliseconds. */
+  readonly enginesAgeMs: (now: number) => number;
+  readonly log: EventLog;
+}
+
+/** The splits of streams among versions, and what begins and goes on by them. */
+export class SoftwareVersions {
+  /** The streams that this process has begun. */
+  readonly streams = new OpenStreams();
+  /** Finds the versions of streams. */
+  readonly versions: StreamVersions;
+  readonly #adoption: SplitAdoption;
+  readonly #keeper: SplitKeeper;
+
+  constructor(options: SoftwareVersionsOptions) {
+    const { self, members, store } = options;
+    const { streams } = this;
+    this.#adoption = new SplitAdoption(store, {
+      ...options,
+      streams,
+      reportName: reportNameOf(self),
+    });
+    const adoption = this.#adoption;
+    this.versions = new StreamVersions({ ...options, adoption, streams });
+    this.#keeper = new SplitKeeper(store, {
+      ...options,
+      adoption,
+      isWriter: () =>
+        options.reachesStore() &&
+        members.membersReachingStore(performance.now())
+          .every(({ name }) => self.name < name),
+    });
+  }
+
+  /** Whether the streams of before are known as far as they can be. */
+  get isReady(): boolean {
+    return this.#adoption.isReady;
+  }
+
+  /** Stops to write reports. */
+  close(): void {
+    this.#adoption.close();
+  }
+
+  /** Takes the records that assign work, from the store or a peer. */
+  setRecords(records: ReadonlyMap<string, StoredRecord>): void {
+    this.#adoption.setRecord(records.get(SPLITS_RECORD_NAME));
+  }
+
+  /** Keeps the splits in line with the engines. Called regularly. */
+  check(now: number): Promise<void> {
+    return this.#keeper.check(now);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/software_versions/software_versions_test.ts
@@ -0,0 +1,328 @@
+import { EventLog } from "@banyanlb/core";
+import {
+  type Engine,
+  EngineTable,
+  MemberTable,
+  type RecordKind,
+  RecordStore,
+  type Route,
+  RouteTable,
+  StoreCallError,
+} from "@banyanlb/serving";
+import { memberOf } from "@banyanlb/serving/testing";
+import pino from "pino";
+import { afterEach, expect, test } from "vitest";
+import { FakeRecordStore } from "../testing/fake_record_store.ts";
+import { SoftwareVersions } from "./software_versions.ts";
+import type { StreamDecision } from "./stream_versions.ts";
+
+/** Past the time in which a process that has started writes no splits. */
+const SETTLED_MS = 10_000;
+
+const processes: TestProcess[] = [];
+afterEach(() => {
+  for (const process of processes.splice(0)) process.parts.close();
+});
+
+/** The store as one process reaches it. */
+class StoreLink extends RecordStore {
+  readonly #store: FakeRecordStore;
+  isCut = false;
+
+  constructor(store: FakeRecordStore) {
+    super();
+    this.#store = store;
+  }
+
+  override list(kind: RecordKind) {
+    return this.#call(() => this.#store.list(kind));
+  }
+
+  override get(kind: RecordKind, name: string) {
+    return this.#call(() => this.#store.get(kind, name));
+  }
+
+  override put(...args: Parameters<RecordStore["put"]>) {
+    return this.#call(() => this.#store.put(...args));
+  }
+
+  override watch(...args: Parameters<RecordStore["watch"]>) {
+    return this.#store.watch(...args);
+  }
+
+  override remove() {
+    return this.#store.remove();
+  }
+
+  override close(): void {}
+
+  async #call<T>(call: () => Promise<T>): Promise<T> {
+    if (this.isCut) throw new StoreCallError("unknown", "cut off");
+    const result = await call();
+    if (this.#store.era !== undefined) this.recordEra(this.#store.era);
+    return result;
+  }
+}
+
+/** One start of an instance. */
+class TestProcess {
+  readonly engineTable = new EngineTable();
+  readonly parts: SoftwareVersions;
+  readonly link: StoreLink;
+  /** Whether it believes that the store replies. */
+  reachesStore = true;
+  #checks = 0;
+
+  constructor(store: FakeRecordStore, name: string) {
+    this.link = new StoreLink(store);
+    processes.push(this);
+    const incarnation = String(processes.length);
+    this.parts = new SoftwareVersions({
+      self: memberOf(name, { incarnation }),
+      members: new MemberTable(name, performance.now()),
+      engineTable: this.engineTable,
+      store: this.link,
+      reachesStore: () => this.reachesStore,
+      routeTable: () => ROUTES,
+      regionOf: (zone) => zone,
+      isEvacuated: () => false,
+      enginesAgeMs: () => this.link.isCut ? Infinity : 0,
+      log: new EventLog(pino({ level: "silent" })),
+    });
+  }
+
+  setEngines(...versions: readonly string[]): void {
+    this.engineTable.setEngines(versions.map(engineOf));
+  }
+
+  /** Reads the records that assign work, and waits for what follows. */
+  async read(): Promise<void> {
+    const { records } = await this.link.list("assignment");
+    this.parts.setRecords(new Map(records.map((r) => [r.name, r])));
+    await new Promise((resolve) => setTimeout(resolve, 20));
+  }
+
+  /** Keeps the splits as the writer. */
+  async write(): Promise<void> {
+    this.#checks += 1;
+    await this.parts.check(performance.now() + this.#checks * SETTLED_MS);
+  }
+
+  async begin(id: string): Promise<string | undefined> {
+    const decision = await this.#decide(id, undefined);
+    if (decision.kind !== "begin") return undefined;
+    this.parts.streams.begin(id, decision.pool, decision.version);
+    return decision.version;
+  }
+
+  takeUp(resumes: string | undefined): Promise<StreamDecision> {
+    return this.#decide("take-up", resumes, true);
+  }
+
+  #decide(
+    id: string,
+    resumes: string | undefined,
+    isContinued = false,
+  ): Promise<StreamDecision> {
+    const homes = undefined;
+    const service = "svc";
+    const request = { id, resumes, isContinued, service, homes };
+    return this.parts.versions.decide(request);
+  }
+}
+
+function engineOf(softwareVersion: string, place: number): Engine {
+  return {
+    key: `e${place}-${softwareVersion}`,
+    id: `e${place}-${softwareVersion}`,
+    service: "svc",
+    host: "127.0.0.1",
+    port: 1,
+    zone: "z",
+    softwareVersion,
+    slots: 8,
+    leaving: false,
+    remainingMs: undefined,
+    models: [],
+  };
+}
+
+const ROUTE: Route = {
+  name: "route",
+  host: "h",
+  pathPrefix: "/",
+  kind: "stream",
+  timeoutMs: 2000,
+  targetLatencyMs: 100,
+  priority: 0,
+  services: [{ service: "svc", weight: 1 }],
+  maxAttempts: 2,
+  isPublic: true,
+  resumable: true,
+};
+const ROUTES = new RouteTable({
+  version: 1,
+  routes: [ROUTE],
+  services: [],
+  workspaces: [],
+  limits: {
+    headerTimeoutMs: 1,
+    idleTimeoutMs: 1,
+    maxHeaderBytes: 1000,
+    maxBodyBytes: 1000,
+  },
+});
+
+/** Two instances before four engines of v1, of which `newer` are replaced by v2
+ * while streams run. Resolves to the instances, the store and the versions of the
+ * streams. */
+async function release(newer = 2) {
+  const store = new FakeRecordStore();
+  store.isWritable = true;
+  const [a, b] = [new TestProcess(store, "a"), new TestProcess(store, "b")];
+  const begun = new Map<string, string | undefined>();
+  const beginAll = async (prefix: string) => {
+    for (let i = 0; i < 24; i += 1) {
+      const id = `${prefix}-${i}`;
+      begun.set(id, await (i % 2 === 0 ? a : b).begin(id));
+    }
+  };
+  for (const process of [a, b]) process.setEngines("v1", "v1", "v1", "v1");
+  await a.write();
+  await a.read();
+  await b.read();
+  await beginAll("old");
+  const versions = ["v1", "v1", "v1", "v1"].fill("v2", 0, newer);
+  for (const process of [a, b]) process.setEngines(...versions);
+  await new Promise((resolve) => setTimeout(resolve, 1100));
+  store.copy();
+  await a.write();
+  return { store, a, b, begun, beginAll, versions };
+}
+
+// Guards against streams that are taken up at another version than the one that
+// began them, after all instances were lost with their memory.
+test("all streams go on at their version after a loss of all instances", async () => {
+  const { store, a, b, begun, beginAll, versions } = await release();
+  await a.read();
+  await b.read();
+  await beginAll("new");
+  expect(new Set(begun.values())).toEqual(new Set(["v1", "v2"]));
+  const late = new TestProcess(store, "a");
+  late.setEngines(...versions);
+  await late.read();
+  for (const [id, version] of begun) {
+    expect(await late.takeUp(id)).toMatchObject({ kind: "go_on", version });
+  }
+});
+
+test("streams go on at their version although it is gone", async () => {
+  const { store, a, b, begun } = await release(4);
+  await a.read();
+  await b.read();
+  const late = new TestProcess(store, "a");
+  late.setEngines("v2", "v2");
+  await late.read();
+  for (const id of begun.keys()) {
+    expect(await late.takeUp(id)).toMatchObject({ version: "v1" });
+  }
+});
+
+// Guards against an instance that has not heard of a split and lets a stream go on
+// by an older one.
+test("an instance that is behind reads the splits for a take-up", async () => {
+  const { a, b, begun } = await release();
+  await a.read();
+  const ids = Array.from({ length: 16 }, (_, i) => `new-${i}`);
+  for (const id of ids) begun.set(id, await a.begin(id));
+  expect(ids.map((id) => begun.get(id))).toContain("v2");
+  for (const id of ids) {
+    const { kind, ...rest } = await b.takeUp(id);
+    if (kind === "go_on") {
+      expect(rest).toMatchObject({ version: begun.get(id) });
+    }
+  }
+});
+
+test("without the store and peers a stream of another instance is refused", async () => {
+  const { a, b } = await release();
+  await a.read();
+  b.link.isCut = true;
+  expect(await b.takeUp("old-0")).toEqual({
+    kind: "unknown",
+    reason: "unconfirmed",
+  });
+  expect(await b.takeUp("old-1")).toMatchObject({ source: "memory" });
+});
+
+test("moved streams are refused if an instance was lost before it reported", async () => {
+  const { store, a, begun, versions } = await release();
+  await a.read();
+  const late = new TestProcess(store, "b");
+  late.setEngines(...versions);
+  await late.read();
+  const kinds = new Set<string>();
+  for (const [id, version] of begun) {
+    const decision = await late.takeUp(id);
+    kinds.add(decision.kind);
+    if (decision.kind === "go_on") expect(decision.version).toBe(version);
+  }
+  expect(kinds).toEqual(new Set(["go_on", "unknown"]));
+});
+
+// The store has lost the split by which some streams have begun.
+test("a restored store's older splits let no moved stream go on wrongly", async () => {
+  const { store, a, b, begun, beginAll, versions } = await release();
+  await a.read();
+  await b.read();
+  await beginAll("new");
+  store.restore();
+  const late = new TestProcess(store, "c");
+  late.setEngines(...versions);
+  await late.read();
+  expect(await late.takeUp("new-1")).toMatchObject({ kind: "unknown" });
+  // One that knew the splits writes them again.
+  await a.link.list("assignment");
+  await b.link.list("assignment");
+  await a.write();
+  await new Promise((resolve) => setTimeout(resolve, 500));
+  await late.read();
+  for (const [id, version] of begun) {
+    const decision = await late.takeUp(id);
+    if (decision.kind === "go_on") expect(decision.version).toBe(version);
+  }
+  expect(await late.takeUp("new-1")).toMatchObject({
+    kind: "go_on",
+    version: begun.get("new-1"),
+  });
+});
+
+test("a stream of two versions without a name is refused", async () => {
+  const { a } = await release();
+  expect(await a.takeUp(undefined)).toEqual({
+    kind: "unknown",
+    reason: "unnamed",
+  });
+});
+
+test("moved ids begin nowhere while the report is in doubt", async () => {
+  const { a, b, store } = await release();
+  await a.read();
+  const { records } = await store.list("assignment");
+  b.link.isCut = true;
+  b.parts.setRecords(new Map(records.map((r) => [r.name, r])));
+  const versions: (string | undefined)[] = [];
+  for (let i = 0; i < 12; i += 1) versions.push(await b.begin(`late-${i}`));
+  expect(new Set(versions)).toEqual(new Set(["v1", undefined]));
+});
+
+// Guards against an outage of the store that stops streams from beginning.
+test("while the store is away streams begin by the splits of before", async () => {
+  const { a, b, store } = await release();
+  await a.read();
+  const { records } = await store.list("assignment");
+  b.link.isCut = true;
+  b.reachesStore = false;
+  b.parts.setRecords(new Map(records.map((r) => [r.name, r])));
+  for (let i = 0; i < 12; i += 1) expect(await b.begin(`late-${i}`)).toBe("v1");
+});
--- /dev/null
+++ b/packages/gateway/src/software_versions/split_adoption.ts
@@ -0,0 +1,244 @@
+/** Follows the splits of streams among software versions, and reports the streams
+ * of this process before it uses new ones.
+ *
+ * @module
+ */
+import type { EventLog } from "@banyanlb/core";
+import {
+  NO_SPLITS,
+  type OpenStreams,
+  type RecordStore,
+  StoreCallError,
+  type StoredRecord,
+  type StreamReport,
+  TAKE_UP_MAX_MS,
+  type VersionSplits,
+} from "@banyanlb/serving";
+import * as events from "../events.ts";
+import { decodeSplits, SPLITS_RECORD_NAME } from "./split_records.ts";
+
+/** Pause after a report that the store did not take, in milliseconds. */
+const RETRY_PAUSE_MS = 200;
+
+/** How long an instance that starts waits for its first report before it is
+ * ready, in milliseconds: without the store it serves all the same. */
+const FIRST_REPORT_WAIT_MS = 600;
+
+/** The calls of the store that the adoption uses. */
+export type ReportStore = Pick<
+  RecordStore,
+  "get" | "put" | "onEraChange" | "era"
+>;
+
+/** Parts of the gateway that the adoption uses. */
+export interface SplitAdoptionOptions {
+  readonly streams: OpenStreams;
+  /** Name of this process's report: it differs with each start. */
+  readonly reportName: string;
+  /** Whether the store replies to this instance. */
+  readonly reachesStore: () => boolean;
+  readonly log: EventLog;
+}
+
+/** The splits in force for this process. */
+export class SplitAdoption {
+  readonly #records: ReportStore;
+  readonly #options: SplitAdoptionOptions;
+  readonly #streams: OpenStreams;
+  readonly #startedAt = performance.now();
+  readonly #stopHearingOfEras: () => void;
+  #hasList = false;
+  #known = NO_SPLITS;
+  #adopted = NO_SPLITS;
+  #pending: VersionSplits | undefined;
+  /** The number of the splits of the last report that was stored. */
+  #reported = 0;
+  #reportRevision: number | undefined;
+  /** Whether the store may take a report of which it has not said so. */
+  #isInDoubt = false;
+  #isReporting = false;
+  /** Whether the store was restored while this process knew the splits. */
+  #knewBeforeRestore = false;
+  #isClosed = false;
+  readonly #waiters: (() => void)[] = [];
+  #damagedRevision = 0;
+
+  constructor(store: ReportStore, options: SplitAdoptionOptions) {
+    this.#records = store;
+    this.#options = options;
+    this.#streams = options.streams;
+    this.#stopHearingOfEras = store.onEraChange(() => this.#onRestore());
+  }
+
+  /** The newest splits that this process has heard of. */
+  get known(): VersionSplits {
+    return this.#known;
+  }
+
+  /** The splits by which streams begin here. */
+  get adopted(): VersionSplits {
+    return this.#adopted;
+  }
+
+  /** Splits whose report is under way: a stream that they move must not begin;
+   * undefined if there are none. */
+  get pending(): VersionSplits | undefined {
+    return this.#pending;
+  }
+
+  /** Whether the splits may have been lost in a restore of the store that this
+   * process did not see. */
+  get mayHaveLostSplits(): boolean {
+    return !this.#isOfEra && !this.#knewBeforeRestore;
+  }
+
+  /** Whether the splits must be written again: the store was restored, and this
+   * process knew them before, or has waited until nobody can take up a stream of
+   * that time. */
+  get mustWriteAgain(): boolean {
+    if (this.#isOfEra) return false;
+    return this.#knewBeforeRestore ||
+      performance.now() - this.#startedAt > TAKE_UP_MAX_MS;
+  }
+
+  /** Whether this process is known in the store, or that takes too long to wait
+   * for. */
+  get isReady(): boolean {
+    const isKnown = this.#hasList && this.#reported >= this.#known.number;
+    return isKnown ||
+      performance.now() - this.#startedAt > FIRST_REPORT_WAIT_MS;
+  }
+
+  /** Whether the splits are of the store's present era. */
+  get #isOfEra(): boolean {
+    const { era } = this.#records;
+    return era === undefined || this.#known.number === 0 ||
+      this.#known.era >= era;
+  }
+
+  /** Takes the record of the splits from the store or a peer. */
+  setRecord(record: StoredRecord | undefined): void {
+    this.#hasList = true;
+    if (record === undefined) return;
+    const splits = decodeSplits(record.value);
+    if (splits === undefined) {
+      if (record.revision === this.#damagedRevision) return;
+      this.#damagedRevision = record.revision;
+      this.#options.log.write(events.RECORD_IGNORED, {
+        kind: "assignment",
+        name: SPLITS_RECORD_NAME,
+        revision: record.revision,
+      });
+      return;
+    }
+    const { number, era } = this.#known;
+    if (splits.number < number) return;
+    if (splits.number === number && splits.era <= era) return;
+    this.#known = splits;
+    void this.#reportAll();
+  }
+
+  /** Resolves when no report is under way, or after `maxMs`. */
+  async settled(maxMs: number): Promise<void> {
+    if (this.#pending === undefined) return;
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, maxMs);
+      this.#waiters.push(() => {
+        clearTimeout(timer);
+        resolve();
+      });
+    });
+  }
+
+  /** Ends the reports. */
+  close(): void {
+    this.#isClosed = true;
+    this.#stopHearingOfEras();
+  }
+
+  /** Writes again what the restored store may have lost. */
+  #onRestore(): void {
+    this.#knewBeforeRestore = this.#known.number > 0;
+    this.#reportRevision = undefined;
+    this.#reported = 0;
+    void this.#reportAll();
+  }
+
+  /** Reports the streams of this process for the newest splits, until the store
+   * has taken it. */
+  async #reportAll(): Promise<void> {
+    if (this.#isReporting) return;
+    this.#isReporting = true;
+    while (this.#reported < this.#known.number && !this.#isClosed) {
+      const splits = this.#pending ?? this.#known;
+      // Nothing began by other splits.
+      if (this.#adopted.number === 0 && this.#streams.isEmpty) {
+        this.#adopted = splits;
+      } else if (this.#adopted.number < splits.number) this.#pending = splits;
+      if (this.#options.reachesStore() && await this.#store(splits)) continue;
+      if (!this.#isInDoubt) this.#setPending(undefined);
+      await new Promise((resolve) => setTimeout(resolve, RETRY_PAUSE_MS));
+    }
+    this.#isReporting = false;
+  }
+
+  /** Stores the report for `splits` and adopts them; returns whether the store
+   * has taken it. */
+  async #store(splits: VersionSplits): Promise<boolean> {
+    const strayed = this.#streams.strayed(splits, performance.now());
+    if (!await this.#write({ splits: splits.number, strayed })) return false;
+    this.#reported = splits.number;
+    this.#adopted = splits;
+    this.#setPending(undefined);
+    this.#options.log.write(events.SPLITS_ADOPTED, {
+      number: splits.number,
+      strayed: Object.keys(strayed).length,
+    });
+    return true;
+  }
+
+  /** Writes the report; returns whether the store has taken it. */
+  async #write(report: StreamReport): Promise<boolean> {
+    const { reportName, log } = this.#options;
+    const wasInDoubt = this.#isInDoubt;
+    this.#isInDoubt = true;
+    try {
+      const { revision } = await this.#records.put("streams", {
+        name: reportName,
+        value: report,
+        revision: this.#reportRevision,
+      });
+      this.#reportRevision = revision;
+      this.#isInDoubt = false;
+      return true;
+    } catch (err) {
+      if (!(err instanceof StoreCallError)) throw err;
+      log.write(events.REPORT_NOT_STORED, { failure: err.failure });
+      // A former call may still be carried out.
+      this.#isInDoubt = wasInDoubt || err.failure !== "rejected";
+      if (err.failure === "conflict" || err.failure === "not_found") {
+        await this.#readRevision();
+      }
+      return false;
+    }
+  }
+
+  async #readRevision(): Promise<void> {
+    try {
+      const { reportName } = this.#options;
+      const record = await this.#records.get("streams", reportName);
+      this.#reportRevision = record?.revision;
+    } catch (err) {
+      if (!(err instanceof StoreCallError)) throw err;
+      this.#options.log.write(events.REPORT_NOT_STORED, {
+        failure: err.failure,
+      });
+    }
+  }
+
+  #setPending(splits: VersionSplits | undefined): void {
+    this.#pending = splits;
+    if (splits !== undefined) return;
+    for (const resolve of this.#waiters.splice(0)) resolve();
+  }
+}
--- a/packages/gateway/src/software_versions/stream_version.ts
+++ b/packages/gateway/src/software_versions/stream_version.ts
@@ -2,20 +2,125 @@
  *
  * @module
  */
-import type { Engine } from "@banyanlb/serving";
+import {
+  type Engine,
+  type HomeRegions,
+  type OpenStreams,
+  TAKE_UP_MAX_MS,
+} from "@banyanlb/serving";
+import type { EventLog } from "@banyanlb/core";
+import { retryAfterSeconds } from "../error_response.ts";
+import * as events from "../events.ts";
+import type { ExchangeInput } from "../exchange_input.ts";
+import type { StreamVersions } from "./stream_versions.ts";
 
-/** The version that began a stream, from its first event on. What two versions
- * write does not fit together, and engines do not check it. */
+/** How long a stream whose end was written may still be taken up, in
+ * milliseconds: its last bytes may be lost on the way. */
+const ENDED_KEPT_MS = 2000;
+
+/** What the version of an answer depends on. */
+export interface StreamVersionDependencies {
+  readonly softwareVersions: {
+    readonly streams: OpenStreams;
+    readonly versions: Pick<StreamVersions, "decide" | "countOf" | "isInUse">;
+  };
+  readonly log: EventLog;
+}
+
+/** Why a stream cannot be served. */
+export interface VersionRefusal {
+  readonly reason: string;
+  /** When the caller may come back, in seconds; undefined if that is in vain. */
+  readonly waitSeconds: number | undefined;
+}
+
+/** The version at which a stream begins or goes on. What two versions write does
+ * not fit together, and engines do not check it. */
 export class StreamVersion {
+  readonly #deps: StreamVersionDependencies;
+  readonly #input: ExchangeInput;
   #required: string | undefined;
+  #isGoingOn = false;
+  /** Whether this process begins the stream. */
+  #isBegun = false;
+  #hasEvents = false;
+
+  constructor(deps: StreamVersionDependencies, input: ExchangeInput) {
+    this.#deps = deps;
+    this.#input = input;
+  }
 
-  /** The version that engines must have from now on; undefined for any. */
+  /** The version that engines must have; undefined for any. */
   get required(): string | undefined {
     return this.#required;
   }
 
+  /** Finds the version; returns why the request must be refused if it is not
+   * known. */
+  async decide(homes: HomeRegions): Promise<VersionRefusal | undefined> {
+    const { caller, route, service } = this.#input;
+    if (route.kind !== "stream" || !route.resumable) return undefined;
+    const { streams, versions } = this.#deps.softwareVersions;
+    const { id = "", resumes, lastEventId } = caller;
+    const isContinued = resumes !== undefined || lastEventId !== undefined;
+    const request = { id, resumes, isContinued, service, homes };
+    const decision = await versions.decide(request);
+    if (isContinued) {
+      const version = "version" in decision ? decision.version : undefined;
+      this.#deps.log.write(events.STREAM_TAKEN_UP, {
+        id,
+        resumes,
+        softwareVersion: version,
+        engines: version && versions.countOf(service, version),
+        source: decision.kind === "go_on" ? decision.source : undefined,
+        reason: decision.kind === "unknown" ? decision.reason : undefined,
+      });
+    }
+    if (decision.kind === "unknown") {
+      const isInVain = decision.reason === "unnamed";
+      return {
+        reason: `version_unknown:${decision.reason}`,
+        waitSeconds: isInVain ? undefined : retryAfterSeconds(),
+      };
+    }
+    if (decision.kind === "any") return undefined;
+    this.#required = decision.version;
+    this.#isGoingOn = decision.kind === "go_on";
+    if (decision.kind === "begin") {
+      this.#isBegun = true;
+      streams.begin(id, decision.pool, decision.version);
+    }
+    return undefined;
+  }
+
+  /** When a caller may come back whose stream has no engine of its version, in
+   * seconds; undefined if that is in vain. */
+  waitSeconds(homes: HomeRegions): number | undefined {
+    const isGone = this.#isGoingOn && this.#required !== undefined &&
+      !this.#deps.softwareVersions.versions.isInUse(
+        this.#input.service,
+        homes,
+        this.#required,
+      );
+    return isGone ? undefined : retryAfterSeconds();
+  }
+
   /** Records that events of this engine are forwarded. */
   recordEvents({ softwareVersion }: Pick<Engine, "softwareVersion">): void {
+    this.#hasEvents = true;
     this.#required ??= softwareVersion;
   }
+
+  /** Records that nothing more is sent; `isWhole` is whether the answer was. */
+  close(isWhole: boolean): void {
+    if (!this.#isBegun) return;
+    const { streams } = this.#deps.softwareVersions;
+    const { caller, arrivedAt } = this.#input;
+    const { id = "" } = caller;
+    if (!this.#hasEvents) return streams.end(id);
+    const until = isWhole
+      ? performance.now() + ENDED_KEPT_MS
+      : arrivedAt + Math.min(caller.deadlineMs ?? Infinity, TAKE_UP_MAX_MS);
+    streams.breakOff(id, until);
+  }
 }
--- /dev/null
+++ b/packages/gateway/src/software_versions/stream_versions.ts
@@ -0,0 +1,243 @@
+/** Decides at which version of the engines' software a stream begins or goes
+ * on.
+ *
+ * @module
+ */
+import type { EventLog } from "@banyanlb/core";
+import {
+  type EngineTable,
+  type HomeRegions,
+  type MemberTable,
+  type OpenStreams,
+  poolOf,
+  type RecordStore,
+  splitsInUse,
+  StoreCallError,
+  type StreamReport,
+  type StreamTrace,
+  type TraceSource,
+  traceStream,
+  versionAt,
+} from "@banyanlb/serving";
+import * as events from "../events.ts";
+import { SharedRead } from "./shared_read.ts";
+import type { SplitAdoption } from "./split_adoption.ts";
+import { decodeReport, SPLITS_RECORD_NAME } from "./split_records.ts";
+
+/** How long a stream waits for splits to be adopted before it is refused, in
+ * milliseconds. */
+const ADOPTION_WAIT_MS = 400;
+
+/** How long the list of engines may not have been confirmed that shows no other
+ * version, in milliseconds. */
+const UNCONFIRMED_MAX_MS = 3000;
+
+/** Share of the members that must be heard of for this instance to count as one
+ * that hears of new splits. */
+const HEARD_SHARE = 0.5;
+
+/** A stream that is about to begin or to go on. */
+export interface StreamRequest {
+  /** The id of this attempt. */
+  readonly id: string;
+  /** The id of the attempt that began the stream. */
+  readonly resumes: string | undefined;
+  /** Whether events of the stream have reached the caller. */
+  readonly isContinued: boolean;
+  readonly service: string;
+  readonly homes: HomeRegions;
+}
+
+/** Why the version of a stream cannot be told. */
+export type UnknownReason =
+  | Extract<StreamTrace, { readonly kind: "unknown" }>["reason"]
+  /** Splits that move the stream are being adopted. */
+  | "unsettled";
+
+/** The version that engines must have for a stream. */
+export type StreamDecision =
+  /** The service's engines state no version. */
+  | { readonly kind: "any" }
+  | { readonly kind: "begin"; readonly version: string; readonly pool: string }
+  | {
+    readonly kind: "go_on";
+    readonly version: string;
+    readonly source: TraceSource;
+  }
+  | { readonly kind: "unknown"; readonly reason: UnknownReason };
+
+/** Parts of the gateway that decide on versions. */
+export interface StreamVersionsOptions {
+  readonly engineTable: EngineTable;
+  readonly members: MemberTable;
+  readonly adoption: SplitAdoption;
+  readonly streams: OpenStreams;
+  readonly store: Pick<RecordStore, "get" | "list">;
+  /** Time since the list of engines was last known to be the newest, in
+   * milliseconds. */
+  readonly enginesAgeMs: (now: number) => number;
+  readonly log: EventLog;
+}
+
+/** Finds the versions of streams. */
+export class StreamVersions {
+  readonly #options: StreamVersionsOptions;
+  readonly #newestSplits: SharedRead<boolean>;
+  readonly #reports: SharedRead<readonly StreamReport[] | undefined>;
+
+  constructor(options: StreamVersionsOptions) {
+    this.#options = options;
+    this.#newestSplits = new SharedRead(() => this.#readSplits());
+    this.#reports = new SharedRead(() => this.#readReports());
+  }
+
+  /** Decides on a stream. One whose version is not known must be refused: the
+   * caller would get an answer joined from two versions. */
+  async decide(request: StreamRequest): Promise<StreamDecision> {
+    const listed = this.#listedVersions(request.service);
+    if (listed.every((version) => version === undefined)) {
+      return { kind: "any" };
+    }
+    if (request.isContinued) return await this.#trace(request, listed);
+    return await this.#begin(request, listed);
+  }
+
+  /** The number of engines of a service that have a version. */
+  countOf(service: string, version: string): number {
+    return this.#options.engineTable.ofService(service)
+      .filter(({ engine }) => engine.softwareVersion === version).length;
+  }
+
+  /** Whether streams may begin at a version, so that its engines may be back
+   * soon if there are none. */
+  isInUse(service: string, homes: HomeRegions, version: string): boolean {
+    const splits = this.#options.adoption.known.pools[poolOf(service, homes)];
+    return splits?.[0]?.ranges.some((range) => range.version === version) ??
+      true;
+  }
+
+  #listedVersions(service: string): readonly (string | undefined)[] {
+    const versions = this.#options.engineTable.ofService(service)
+      .map(({ engine }) => engine.softwareVersion);
+    return [...new Set(versions)];
+  }
+
+  async #begin(
+    { id, service, homes }: StreamRequest,
+    listed: readonly (string | undefined)[],
+  ): Promise<StreamDecision> {
+    const { adoption } = this.#options;
+    const pool = poolOf(service, homes);
+    for (const mayWait of [true, false]) {
+      const { adopted, pending } = adoption;
+      const version = this.#versionIn(adopted, pool, id, listed);
+      const isMoving = pending !== undefined &&
+        versionAt(pending.pools[pool]?.[0], id) !== version;
+      if (!isMoving) {
+        return version === undefined
+          ? { kind: "unknown", reason: "no_split" }
+          : { kind: "begin", version, pool };
+      }
+      if (mayWait) await adoption.settled(ADOPTION_WAIT_MS);
+    }
+    return { kind: "unknown", reason: "unsettled" };
+  }
+
+  #versionIn(
+    { pools }: SplitAdoption["adopted"],
+    pool: string,
+    id: string,
+    listed: readonly (string | undefined)[],
+  ): string | undefined {
+    const newest = pools[pool]?.[0];
+    if (newest !== undefined) return versionAt(newest, id);
+    return listed.length === 1 ? listed[0] : undefined;
+  }
+
+  async #trace(
+    { resumes, service, homes }: StreamRequest,
+    listed: readonly (string | undefined)[],
+  ): Promise<StreamDecision> {
+    const { adoption, streams, enginesAgeMs } = this.#options;
+    const now = performance.now();
+    const remembered = resumes === undefined
+      ? undefined
+      : streams.versionOf(resumes, now);
+    if (remembered !== undefined) {
+      return { kind: "go_on", version: remembered, source: "memory" };
+    }
+    const pool = poolOf(service, homes);
+    const splits = () => splitsInUse(adoption.known, pool, Date.now());
+    const only = singleVersion(splits(), listed);
+    const isConfirmed = enginesAgeMs(now) < UNCONFIRMED_MAX_MS ||
+      this.#hearsOfPeers(now);
+    if (only !== undefined && isConfirmed && !adoption.mayHaveLostSplits) {
+      return { kind: "go_on", version: only, source: "single" };
+    }
+    if (resumes === undefined) return { kind: "unknown", reason: "unnamed" };
+    const isNewest = await this.#newestSplits.run();
+    if (!isNewest || adoption.mayHaveLostSplits) {
+      return { kind: "unknown", reason: "unconfirmed" };
+    }
+    let trace = traceStream(resumes, splits());
+    if (trace.kind === "moved") {
+      const reports = await this.#reports.run();
+      if (reports === undefined) {
+        return { kind: "unknown", reason: "unconfirmed" };
+      }
+      trace = traceStream(resumes, splits(), reports);
+    }
+    if (trace.kind === "known") return { ...trace, kind: "go_on" };
+    return trace.kind === "unknown"
+      ? trace
+      : { kind: "unknown", reason: "unreported" };
+  }
+
+  /** Reads the newest splits; returns whether this instance knows them. */
+  async #readSplits(): Promise<boolean> {
+    const { store, adoption, log } = this.#options;
+    try {
+      adoption.setRecord(await store.get("assignment", SPLITS_RECORD_NAME));
+      return true;
+    } catch (err) {
+      if (!(err instanceof StoreCallError)) throw err;
+      log.write(events.SPLITS_NOT_READ, { failure: err.failure });
+      // Peers tell of new splits soon after the store has confirmed them.
+      return this.#hearsOfPeers(performance.now());
+    }
+  }
+
+  async #readReports(): Promise<readonly StreamReport[] | undefined> {
+    const { store, log } = this.#options;
+    try {
+      const { records } = await store.list("streams");
+      return records.map(({ value }) => decodeReport(value));
+    } catch (err) {
+      if (!(err instanceof StoreCallError)) throw err;
+      log.write(events.SPLITS_NOT_READ, { failure: err.failure });
+      return undefined;
+    }
+  }
+
+  /** Whether this instance hears of most members, and so of new splits. */
+  #hearsOfPeers(now: number): boolean {
+    const { members } = this.#options;
+    const listed = members.list();
+    const heard = listed.filter(({ name }) => members.isAlive(name, now));
+    return heard.length > 0 && heard.length >= listed.length * HEARD_SHARE;
+  }
+}
+
+/** The only version that splits and listed engines name; undefined if there are
+ * more. */
+function singleVersion(
+  splits: ReturnType<typeof splitsInUse>,
+  listed: readonly (string | undefined)[],
+): string | undefined {
+  if (splits.length === 0) return undefined;
+  const versions = new Set([
+    ...listed,
+    ...splits.flatMap(({ ranges }) => ranges.map(({ version }) => version)),
+  ]);
+  return versions.size === 1 ? [...versions][0] : undefined;
+}
--- a/packages/gateway/src/testing/membership_options.ts
+++ b/packages/gateway/src/testing/membership_options.ts
@@ -35,6 +35,7 @@
       isNearlyUsed: () => false,
       adoptFormerUse: () => undefined,
     },
+    onAssignmentRecords: () => undefined,
     onAssignmentChange: () => undefined,
     onStoreFailure: () => undefined,
     acceptsOrders: () => true,
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -23,6 +23,7 @@
   EngineTable,
   LoadForecast,
   MemberTable,
+  OpenStreams,
   Quarantine,
   RetryBudget,
   type Route,
@@ -37,6 +38,7 @@
 import { LimitKeeper } from "../limit_keeper.ts";
 import { RequestGuard } from "../quarantine/request_guard.ts";
 import { Relay } from "../relay.ts";
+import type { RelayDependencies } from "../relay_dependencies.ts";
 
 /** The headers of an engine's response to the request of `sendRequest`. */
 export const SEALED_HEADERS = {
@@ -53,6 +55,12 @@
 
 const SINGLE_INSTANCE = { names: ["self"], isCutOff: false };
 
+const ANY_VERSION: RelayDependencies["softwareVersions"]["versions"] = {
+  decide: () => Promise.resolve({ kind: "any" }),
+  countOf: () => 0,
+  isInUse: () => true,
+};
+
 /** Ends what a test has started, in reverse order. */
 const cleanups: (() => void)[] = [];
 
@@ -106,6 +114,8 @@
   readonly isEvacuated?: (zone: string) => boolean;
   /** Changes the route while the relay runs. */
   readonly currentRoute?: () => Partial<Route>;
+  /** Decides at which version streams begin and go on; any, if omitted. */
+  readonly streamVersions?: RelayDependencies["softwareVersions"]["versions"];
   /** Receives the fields of each log line. */
   readonly onLog?: (fields: Readonly<Record<string, unknown>>) => void;
 }
@@ -261,6 +271,10 @@
       guard: (request) => new RequestGuard(guardDependencies, request),
       held: () => [],
     },
+    softwareVersions: {
+      streams: new OpenStreams(),
+      versions: options.streamVersions ?? ANY_VERSION,
+    },
     hasTimeFor: () => true,
     log,
     metrics,
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -64,6 +64,7 @@
   | "members"
   | "assignment"
   | "holds"
+  | "streams"
   | "evacuations";
 
 /** The deployment's store of records. Calls reject with `StoreCallError`.
--- /dev/null
+++ b/packages/serving/src/software_versions/open_streams.ts
@@ -0,0 +1,77 @@
+/** The streams that this process has begun and that may still be taken up.
+ *
+ * @module
+ */
+import { versionAt, type VersionSplits } from "./version_split.ts";
+
+/** Time between removals of streams that nobody can take up any more, in
+ * milliseconds. */
+const SWEEP_INTERVAL_MS = 1000;
+
+interface OpenStream {
+  readonly pool: string;
+  readonly version: string;
+  /** When its caller gives up at the latest, by the monotonic clock; `Infinity`
+   * while the answer is under way. */
+  until: number;
+}
+
+/** Remembers at which version streams began, by the ids of their first
+ * attempts. */
+export class OpenStreams {
+  readonly #streams = new Map<string, OpenStream>();
+  #sweptAt = -Infinity;
+
+  /** Whether no stream is known. */
+  get isEmpty(): boolean {
+    return this.#streams.size === 0;
+  }
+
+  /** Records that a stream begins. */
+  begin(id: string, pool: string, version: string): void {
+    this.#streams.set(id, { pool, version, until: Infinity });
+  }
+
+  /** Records that a stream cannot be taken up: it has ended, or brought no
+   * event. */
+  end(id: string): void {
+    this.#streams.delete(id);
+  }
+
+  /** Records that the answer has broken off; the caller may take the stream up
+   * until `until`. */
+  breakOff(id: string, until: number): void {
+    const stream = this.#streams.get(id);
+    if (stream !== undefined) stream.until = until;
+  }
+
+  /** The version at which a stream of this process began. */
+  versionOf(id: string, now: number): string | undefined {
+    this.#sweep(now);
+    return this.#streams.get(id)?.version;
+  }
+
+  /** The streams that are not where `splits` would let them begin, with their
+   * versions by id. */
+  strayed(
+    splits: VersionSplits,
+    now: number,
+  ): Readonly<Record<string, string>> {
+    this.#sweep(now);
+    return Object.fromEntries(
+      [...this.#streams].flatMap(([id, { pool, version }]) =>
+        versionAt(splits.pools[pool]?.[0], id) === version
+          ? []
+          : [[id, version]]
+      ),
+    );
+  }
+
+  #sweep(now: number): void {
+    if (now - this.#sweptAt < SWEEP_INTERVAL_MS) return;
+    this.#sweptAt = now;
+    for (const [id, { until }] of this.#streams) {
+      if (until < now) this.#streams.delete(id);
+    }
+  }
+}
--- /dev/null
+++ b/packages/serving/src/software_versions/trace_stream.ts
@@ -0,0 +1,79 @@
+/** Tells at which version a stream began that this process did not begin.
+ *
+ * An id that all splits in use give to one version began there. An id that was
+ * moved may have begun before or after: each process reports its streams that
+ * began before when it adopts the split, and begins none of the moved ids until
+ * the report is stored.
+ *
+ * @module
+ */
+import { versionAt, type VersionSplit } from "./version_split.ts";
+
+/** What a process has stored of the streams that it began. */
+export interface StreamReport {
+  /** The number of the newest splits that the process has adopted. */
+  readonly splits: number;
+  /** The versions of its streams that began elsewhere than these splits would let
+   * them, by the ids of their first attempts. */
+  readonly strayed: Readonly<Record<string, string>>;
+}
+
+/** How the version of a stream is known. */
+export type TraceSource =
+  /** This process began it. */
+  | "memory"
+  /** There was no other version. */
+  | "single"
+  /** All splits in use agree. */
+  | "split"
+  /** The process that began it has reported it, or all have reported theirs. */
+  | "report";
+
+/** The version at which a stream began, or why it is not known. */
+export type StreamTrace =
+  | {
+    readonly kind: "known";
+    readonly version: string;
+    readonly source: TraceSource;
+  }
+  | {
+    readonly kind: "unknown";
+    readonly reason: "no_split" | "unnamed" | "unconfirmed" | "unreported";
+  }
+  /** The reports decide. */
+  | { readonly kind: "moved" };
+
+/** Finds the version of the stream whose first attempt was `id`. `splits` are
+ * those in use, newest first. Without `reports`, the result is `moved` if they are
+ * needed.
+ *
+ * @example
+ * ```ts
+ * const trace = traceStream(id, splitsInUse(splits, pool, Date.now()));
+ * ```
+ */
+export function traceStream(
+  id: string,
+  splits: readonly VersionSplit[],
+  reports?: readonly StreamReport[],
+): StreamTrace {
+  const [newest] = splits;
+  const version = versionAt(newest, id);
+  if (version === undefined) return { kind: "unknown", reason: "no_split" };
+  const moves = splits.slice(0, -1).filter((split, i) =>
+    versionAt(split, id) !== versionAt(splits[i + 1], id)
+  );
+  if (moves.length === 0) return { kind: "known", version, source: "split" };
+  if (reports === undefined) return { kind: "moved" };
+  for (const { strayed } of reports) {
+    const reported = Object.hasOwn(strayed, id) ? strayed[id] : undefined;
+    if (reported !== undefined) {
+      return { kind: "known", version: reported, source: "report" };
+    }
+  }
+  // A process that ended before it reported may have begun the stream.
+  const lastMove = Math.max(...moves.map(({ number }) => number));
+  return reports.every((report) => report.splits >= lastMove)
+    ? { kind: "known", version, source: "report" }
+    : { kind: "unknown", reason: "unreported" };
+}
