Let streams that broke off go on before others begin within a rate

A take-up pays its whole price once more, and competed with all new ones for the little that the window leaves.

A stream that goes on leaves nothing to small requests, and one that was refused claims its units until its caller has had time to return: new requests leave that many, up to a quarter of a share. The bound on what is used stays as it is, so no rate is exceeded.

--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -100,6 +100,8 @@
   readonly n: number;
   readonly workspace: string;
   readonly units: number;
+  /** The stream that goes on with them. */
+  readonly resumes?: string | undefined;
   /** How long after the question the sender may use the units, in
    * milliseconds. */
   readonly validMs: number;
--- a/packages/gateway/src/rate_borrower.ts
+++ b/packages/gateway/src/rate_borrower.ts
@@ -15,6 +15,7 @@
   unitsInWindow,
 } from "@banyanlb/serving";
 import type { PeerLinks } from "./peer_links.ts";
+import type { TakeRequest } from "./peer_messages.ts";
 
 /** Time after which a caller returns to an instance without a share, which does
  * not know when the others have units again, in milliseconds. */
@@ -46,6 +47,15 @@
   unanswered: number;
 }
 
+/** A request that needs units. */
+export interface UnitsRequest {
+  readonly units: number;
+  /** The stream that it goes on with, by the id of its first attempt. */
+  readonly resumes?: string | undefined;
+  /** How long it may wait for a loan, in milliseconds. */
+  readonly waitMaxMs: number;
+}
+
 /** The workspace of a request: its rate at this instance, and the instances that
  * share the limit equally. */
 export interface SharedRate {
@@ -76,13 +86,15 @@
    * since the rests of shares would be too small for any request by themselves. */
   async borrow(
     shared: SharedRate,
-    request: { readonly units: number; readonly waitMaxMs: number },
+    request: UnitsRequest,
   ): Promise<RateGrant | RateRefusal> {
     const { lenders, members, clocks, windowMs } = this.#options;
     const { rate, name: workspace, sharers, counts } = shared;
-    const own = rate.takeRest(request.units, performance.now());
-    const units = request.units - own.units;
     const now = performance.now();
+    const { resumes } = request;
+    const own = rate.takeRest(request.units, now, resumes !== undefined);
+    const units = request.units - own.units;
+    const need = { workspace, units, resumes };
     const alive = sharers.filter(({ name }) => members.isAlive(name, now));
     const search = new LoanSearch(lenders, alive, {
       workspace,
@@ -96,7 +108,7 @@
       if (offer === undefined) break;
       counts.asked += 1;
       const askedAt = clocks.read();
-      const { reply, giveBack } = await this.#ask(offer, { workspace, units });
+      const { reply, giveBack } = await this.#ask(offer, need);
       const elapsedMs = clocks.elapsedMs(askedAt);
       if (search.accept(offer, { reply, elapsedMs })) {
         counts.borrowed += units;
@@ -115,7 +127,7 @@
 
   async #ask(
     { lender: { peerAddress }, validMs }: LoanOffer,
-    need: { readonly workspace: string; readonly units: number },
+    need: Pick<TakeRequest, "workspace" | "units" | "resumes">,
   ): Promise<{ readonly reply: LoanReply | undefined; giveBack: () => void }> {
     const { links } = this.#options;
     let number = 0;
@@ -132,17 +144,18 @@
 
   #refuse(
     { rate }: SharedRate,
-    request: {
-      readonly units: number;
+    request: UnitsRequest & {
       readonly own: TakenUnits;
       readonly asked: readonly string[];
     },
   ): RateRefusal {
     const now = performance.now();
     rate.refund(request.own, now);
+    const { units, resumes } = request;
+    if (resumes !== undefined) rate.claim(resumes, units, now);
     return {
       waitMs: rate.share > 0
-        ? rate.waitMs(request.units, now)
+        ? rate.waitMs(units, now, resumes !== undefined)
         : NO_SHARE_WAIT_MS,
       left: rate.levelAt(now),
       share: rate.share,
--- a/packages/gateway/src/rate_charge.ts
+++ b/packages/gateway/src/rate_charge.ts
@@ -47,6 +47,7 @@
       : 1;
     const taken = await this.#deps.rates.take(workspace.name, {
       units,
+      resumes: this.#caller.resumes,
       waitMaxMs: (deadline - performance.now()) * BORROW_TIME_FRACTION,
     });
     if (taken === undefined) return undefined;
@@ -58,6 +59,7 @@
       id: this.#caller.id,
       workspace: workspace.name,
       units,
+      resumes: this.#caller.resumes,
       left: Math.round(taken.left),
       share: taken.share,
       asked: taken.asked,
--- a/packages/gateway/src/workspace_rates.ts
+++ b/packages/gateway/src/workspace_rates.ts
@@ -24,6 +24,7 @@
   type RateGrant,
   type RateRefusal,
   type SharedRate,
+  type UnitsRequest,
 } from "./rate_borrower.ts";
 
 /** Reported rooms differ by at least this fraction of a share. */
@@ -188,12 +189,13 @@
    */
   async take(
     workspace: string,
-    request: { readonly units: number; readonly waitMaxMs: number },
+    request: UnitsRequest,
   ): Promise<RateGrant | RateRefusal | undefined> {
     const entry = this.#entries.get(workspace);
     if (entry === undefined) return undefined;
     const { rate } = entry;
-    const taken = rate.tryTake(request.units, { now: performance.now() });
+    const { units, resumes } = request;
+    const taken = rate.tryTake(units, { now: performance.now(), resumes });
     if (taken !== undefined) {
       return { refund: () => rate.refund(taken, performance.now()) };
     }
@@ -202,10 +204,10 @@
 
   /** Replies to an instance that asks for units. */
   lend(from: string, request: TakeRequest, sendReply: SendReply): void {
-    const { n, workspace, units, validMs } = request;
+    const { n, workspace, units, validMs, resumes } = request;
     const now = performance.now();
     const entry = this.#entries.get(workspace);
-    const taken = entry?.rate.tryTake(units, { now, validMs });
+    const taken = entry?.rate.tryTake(units, { now, validMs, resumes });
     const loan = entry !== undefined && taken !== undefined
       ? { rate: entry.rate, taken }
       : undefined;
--- a/packages/serving/src/token_rate.ts
+++ b/packages/serving/src/token_rate.ts
@@ -15,6 +15,7 @@
  *
  * @module
  */
+import { RateClaims } from "./rate_claims/rate_claims.ts";
 import { UseWindow } from "./use_window.ts";
 
 /** Longest time for which units are lent, in milliseconds. */
@@ -44,6 +45,9 @@
  * burst of a large workspace says nothing about its calls. */
 const LARGE_REQUEST_FACTOR = 4;
 
+/** Largest part of a share that claims keep from new requests. */
+const CLAIMED_MAX_FRACTION = 0.25;
+
 /** A workspace's limits, in units. */
 export interface RateLimit {
   readonly perSecond: number;
@@ -80,6 +84,7 @@
   #isShared = false;
   #admitsLarge = true;
   #removeAssumedUse: () => void = () => undefined;
+  readonly #claims = new RateClaims();
 
   /** `hasEarlierUse` is whether an earlier process of this instance may have
    * used the limit within the last window; `smallUnits` are the units of a small
@@ -196,19 +201,25 @@
    */
   tryTake(
     units: number,
-    options: { readonly now: number; readonly validMs?: number },
+    options: {
+      readonly now: number;
+      readonly validMs?: number;
+      /** The stream that goes on with them. */
+      readonly resumes?: string | undefined;
+    },
   ): TakenUnits | undefined {
-    const { now, validMs = 0 } = options;
-    if (
-      this.#share <= 0 || this.levelAt(now) < this.#requiredLevel(units)
-    ) return undefined;
+    const { now, validMs = 0, resumes } = options;
+    const required = this.#requiredLevel(units, now, resumes !== undefined);
+    if (this.#share <= 0 || this.levelAt(now) < required) return undefined;
+    if (resumes !== undefined) this.#claims.meet(resumes);
     return { units, bucket: this.#window.add(units, now + validMs) };
   }
 
   /** Takes what the share has left of the units that a request needs, if that is
    * less; the rest must come from other instances. */
-  takeRest(units: number, now: number): TakenUnits {
-    const spare = this.levelAt(now) - this.#reservedUnits(units);
+  takeRest(units: number, now: number, isResumed = false): TakenUnits {
+    const spare = this.levelAt(now) -
+      this.#reservedUnits(units, now, isResumed);
     const rest = Math.max(0, Math.min(units, Math.floor(spare)));
     return { units: rest, bucket: this.#window.add(rest, now) };
   }
@@ -219,22 +230,41 @@
     this.#window.remove(taken.units, taken.bucket);
   }
 
+  /** Records that a stream could not go on for want of units: others that begin
+   * leave it as many until its caller has had time to return. */
+  claim(stream: string, units: number, now: number): void {
+    this.#claims.add(stream, units, now);
+  }
+
   /** Milliseconds from `now` until the share has enough units for a request, if
    * no other request uses any. */
-  waitMs(units: number, now: number): number {
-    const missing = this.#requiredLevel(units) - this.levelAt(now);
+  waitMs(units: number, now: number, isResumed = false): number {
+    const missing = this.#requiredLevel(units, now, isResumed) -
+      this.levelAt(now);
     return missing <= 0 ? 0 : this.#window.waitMs(missing, now);
   }
 
   /** The level from which a request of `units` is admitted. One instance admits a
    * request above its whole share, when nothing of it was used. */
-  #requiredLevel(units: number): number {
+  #requiredLevel(units: number, now: number, isResumed: boolean): number {
     if (units > this.shareUnits && !this.#admitsLarge) return Infinity;
-    return Math.min(units + this.#reservedUnits(units), this.shareUnits);
+    const reserved = this.#reservedUnits(units, now, isResumed);
+    return Math.min(units + reserved, this.shareUnits);
+  }
+
+  /** Units of the share that a request of `units` must leave: to streams that
+   * broke off and to smaller requests. A stream that goes on leaves none, since
+   * what its caller has of it is worth nothing without the rest. */
+  #reservedUnits(units: number, now: number, isResumed: boolean): number {
+    if (isResumed) return 0;
+    const claimed = Math.min(
+      this.#claims.unitsAt(now),
+      this.shareUnits * CLAIMED_MAX_FRACTION,
+    );
+    return claimed + this.#unitsForSmall(units);
   }
 
-  /** Units of the share that a request of `units` must leave to smaller ones. */
-  #reservedUnits(units: number): number {
+  #unitsForSmall(units: number): number {
     const { burst } = this.#limit;
     const smallMax = Math.min(
       burst * LARGE_REQUEST_FRACTION,
