Place streams in a split by their adapter, so that fewer are loaded twice

Each adapter was wanted at each version while two were in service, and small pools refused what they could not load. The position of a stream follows from its adapter now, and its id spreads it over a fifth of all positions.

--- a/packages/gateway/src/software_versions/software_versions_test.ts
+++ b/packages/gateway/src/software_versions/software_versions_test.ts
@@ -111,7 +111,7 @@
   async begin(id: string): Promise<string | undefined> {
     const decision = await this.#decide(id, undefined);
     if (decision.kind !== "begin") return undefined;
-    this.parts.streams.begin(id, decision.pool, decision.version);
+    this.parts.streams.begin(id, decision);
     return decision.version;
   }
 
@@ -126,8 +126,15 @@
   ): Promise<StreamDecision> {
     const homes = undefined;
     const service = "svc";
-    const request = { id, resumes, isContinued, service, homes };
-    return this.parts.versions.decide(request);
+    return this.parts.versions.decide({
+      id,
+      resumes,
+      isContinued,
+      service,
+      homes,
+      model: undefined,
+      adapter: undefined,
+    });
   }
 }
 
--- a/packages/gateway/src/software_versions/stream_version.ts
+++ b/packages/gateway/src/software_versions/stream_version.ts
@@ -61,10 +61,17 @@
     const { caller, route, service } = this.#input;
     if (route.kind !== "stream" || !route.resumable) return undefined;
     const { streams, versions } = this.#deps.softwareVersions;
-    const { id = "", resumes, lastEventId } = caller;
+    const { id = "", resumes, lastEventId, model, adapter } = caller;
     const isContinued = resumes !== undefined || lastEventId !== undefined;
-    const request = { id, resumes, isContinued, service, homes };
-    const decision = await versions.decide(request);
+    const decision = await versions.decide({
+      id,
+      resumes,
+      isContinued,
+      service,
+      homes,
+      model,
+      adapter,
+    });
     if (isContinued) {
       const version = "version" in decision ? decision.version : undefined;
       this.#deps.log.write(events.STREAM_TAKEN_UP, {
@@ -88,7 +95,7 @@
     this.#isGoingOn = decision.kind === "go_on";
     if (decision.kind === "begin") {
       this.#isBegun = true;
-      streams.begin(id, decision.pool, decision.version);
+      streams.begin(id, decision);
     }
     return undefined;
   }
--- a/packages/gateway/src/software_versions/stream_versions.ts
+++ b/packages/gateway/src/software_versions/stream_versions.ts
@@ -5,11 +5,13 @@
  */
 import type { EventLog } from "@banyanlb/core";
 import {
+  adapterKey,
   type EngineTable,
   type HomeRegions,
   type MemberTable,
   type OpenStreams,
   poolOf,
+  positionOf,
   type RecordStore,
   splitsInUse,
   StoreCallError,
@@ -46,6 +48,8 @@
   readonly isContinued: boolean;
   readonly service: string;
   readonly homes: HomeRegions;
+  readonly model: string | undefined;
+  readonly adapter: string | undefined;
 }
 
 /** Why the version of a stream cannot be told. */
@@ -58,7 +62,12 @@
 export type StreamDecision =
   /** The service's engines state no version. */
   | { readonly kind: "any" }
-  | { readonly kind: "begin"; readonly version: string; readonly pool: string }
+  | {
+    readonly kind: "begin";
+    readonly version: string;
+    readonly pool: string;
+    readonly position: number;
+  }
   | {
     readonly kind: "go_on";
     readonly version: string;
@@ -123,42 +132,36 @@
   }
 
   async #begin(
-    { id, service, homes }: StreamRequest,
+    request: StreamRequest,
     listed: readonly (string | undefined)[],
   ): Promise<StreamDecision> {
     const { adoption } = this.#options;
-    const pool = poolOf(service, homes);
+    const pool = poolOf(request.service, request.homes);
+    const position = positionIn(request, request.id);
     for (const mayWait of [true, false]) {
       const { adopted, pending } = adoption;
-      const version = this.#versionIn(adopted, pool, id, listed);
+      const newest = adopted.pools[pool]?.[0];
+      const version = newest === undefined && listed.length === 1
+        ? listed[0]
+        : versionAt(newest, position);
       const isMoving = pending !== undefined &&
-        versionAt(pending.pools[pool]?.[0], id) !== version;
+        versionAt(pending.pools[pool]?.[0], position) !== version;
       if (!isMoving) {
         return version === undefined
           ? { kind: "unknown", reason: "no_split" }
-          : { kind: "begin", version, pool };
+          : { kind: "begin", version, pool, position };
       }
       if (mayWait) await adoption.settled(ADOPTION_WAIT_MS);
     }
     return { kind: "unknown", reason: "unsettled" };
   }
 
-  #versionIn(
-    { pools }: SplitAdoption["adopted"],
-    pool: string,
-    id: string,
-    listed: readonly (string | undefined)[],
-  ): string | undefined {
-    const newest = pools[pool]?.[0];
-    if (newest !== undefined) return versionAt(newest, id);
-    return listed.length === 1 ? listed[0] : undefined;
-  }
-
   async #trace(
-    { resumes, service, homes }: StreamRequest,
+    request: StreamRequest,
     listed: readonly (string | undefined)[],
   ): Promise<StreamDecision> {
     const { adoption, streams, enginesAgeMs } = this.#options;
+    const { resumes, service, homes } = request;
     const now = performance.now();
     const remembered = resumes === undefined
       ? undefined
@@ -179,13 +182,14 @@
     if (!isNewest || adoption.mayHaveLostSplits) {
       return { kind: "unknown", reason: "unconfirmed" };
     }
-    let trace = traceStream(resumes, splits());
+    const stream = { id: resumes, position: positionIn(request, resumes) };
+    let trace = traceStream(stream, splits());
     if (trace.kind === "moved") {
       const reports = await this.#reports.run();
       if (reports === undefined) {
         return { kind: "unknown", reason: "unconfirmed" };
       }
-      trace = traceStream(resumes, splits(), reports);
+      trace = traceStream(stream, splits(), reports);
     }
     if (trace.kind === "known") return { ...trace, kind: "go_on" };
     return trace.kind === "unknown"
@@ -228,6 +232,13 @@
   }
 }
 
+/** The position of the stream whose first attempt was `id`. */
+function positionIn({ model, adapter }: StreamRequest, id: string): number {
+  return model === undefined || adapter === undefined
+    ? positionOf(id, undefined)
+    : positionOf(id, adapterKey(model, adapter));
+}
+
 /** The only version that splits and listed engines name; undefined if there are
  * more. */
 function singleVersion(
--- a/packages/serving/src/software_versions/open_streams.ts
+++ b/packages/serving/src/software_versions/open_streams.ts
@@ -10,6 +10,7 @@
 
 interface OpenStream {
   readonly pool: string;
+  readonly position: number;
   readonly version: string;
   /** When its caller gives up at the latest, by the monotonic clock; `Infinity`
    * while the answer is under way. */
@@ -28,8 +29,15 @@
   }
 
   /** Records that a stream begins. */
-  begin(id: string, pool: string, version: string): void {
-    this.#streams.set(id, { pool, version, until: Infinity });
+  begin(
+    id: string,
+    stream: {
+      readonly pool: string;
+      readonly position: number;
+      readonly version: string;
+    },
+  ): void {
+    this.#streams.set(id, { ...stream, until: Infinity });
   }
 
   /** Records that a stream cannot be taken up: it has ended, or brought no
@@ -59,8 +67,8 @@
   ): Readonly<Record<string, string>> {
     this.#sweep(now);
     return Object.fromEntries(
-      [...this.#streams].flatMap(([id, { pool, version }]) =>
-        versionAt(splits.pools[pool]?.[0], id) === version
+      [...this.#streams].flatMap(([id, { pool, position, version }]) =>
+        versionAt(splits.pools[pool]?.[0], position) === version
           ? []
           : [[id, version]]
       ),
--- a/packages/serving/src/software_versions/trace_stream.ts
+++ b/packages/serving/src/software_versions/trace_stream.ts
@@ -43,25 +43,29 @@
   /** The reports decide. */
   | { readonly kind: "moved" };
 
-/** Finds the version of the stream whose first attempt was `id`. `splits` are
- * those in use, newest first. Without `reports`, the result is `moved` if they are
- * needed.
+/** Finds the version of a stream. `splits` are those in use, newest first. Without
+ * `reports`, the result is `moved` if they are needed.
  *
  * @example
  * ```ts
- * const trace = traceStream(id, splitsInUse(splits, pool, Date.now()));
+ * const stream = { id, position: positionOf(id, adapter) };
+ * const trace = traceStream(stream, splitsInUse(splits, pool, Date.now()));
  * ```
  */
 export function traceStream(
-  id: string,
+  { id, position }: {
+    /** The id of its first attempt. */
+    readonly id: string;
+    readonly position: number;
+  },
   splits: readonly VersionSplit[],
   reports?: readonly StreamReport[],
 ): StreamTrace {
   const [newest] = splits;
-  const version = versionAt(newest, id);
+  const version = versionAt(newest, position);
   if (version === undefined) return { kind: "unknown", reason: "no_split" };
   const moves = splits.slice(0, -1).filter((split, i) =>
-    versionAt(split, id) !== versionAt(splits[i + 1], id)
+    versionAt(split, position) !== versionAt(splits[i + 1], position)
   );
   if (moves.length === 0) return { kind: "known", version, source: "split" };
   if (reports === undefined) return { kind: "moved" };
--- a/packages/serving/src/software_versions/trace_stream_test.ts
+++ b/packages/serving/src/software_versions/trace_stream_test.ts
@@ -5,6 +5,7 @@
 import { type StreamReport, traceStream } from "./trace_stream.ts";
 import {
   NO_SPLITS,
+  positionOf,
   splitsInUse,
   TAKE_UP_MAX_MS,
   versionAt,
@@ -13,6 +14,8 @@
 
 const START_MS = 1_700_000_000_000;
 const PROCESSES = 3;
+/** Streams without an adapter lie anywhere. */
+const ADAPTER = undefined;
 
 /** One process of the model: what it knows, what it has reported, its streams. */
 class ModelProcess {
@@ -23,10 +26,12 @@
 
   /** Where a stream begins; undefined if it must not begin. */
   versionOf(id: string): string | undefined {
-    const version = versionAt(this.adopted.pools.svc?.[0], id);
+    const position = positionOf(id, ADAPTER);
+    const version = versionAt(this.adopted.pools.svc?.[0], position);
     const next = this.pending;
     if (next === undefined) return version;
-    return versionAt(next.pools.svc?.[0], id) === version ? version : undefined;
+    const moved = versionAt(next.pools.svc?.[0], position);
+    return moved === version ? version : undefined;
   }
 }
 
@@ -82,7 +87,8 @@
     const version = process?.versionOf(id);
     if (process === undefined || version === undefined) return;
     if (this.begun.has(id)) return;
-    process.streams.begin(id, "svc", version);
+    const position = positionOf(id, ADAPTER);
+    process.streams.begin(id, { pool: "svc", position, version });
     this.begun.set(id, { version, at: this.now });
   }
 
@@ -93,7 +99,8 @@
     const splits = splitsInUse(this.splits, "svc", this.now);
     for (const [id, { version, at }] of this.begun) {
       if (this.now - at >= TAKE_UP_MAX_MS) continue;
-      const trace = traceStream(id, splits, [...this.reports.values()]);
+      const stream = { id, position: positionOf(id, ADAPTER) };
+      const trace = traceStream(stream, splits, [...this.reports.values()]);
       if (trace.kind !== "known") continue;
       expect(trace.version).toBe(version);
       known += 1;
@@ -165,7 +172,7 @@
 });
 
 test("an id without a split is unknown", () => {
-  expect(traceStream("r1", [])).toEqual({
+  expect(traceStream({ id: "r1", position: 0 }, [])).toEqual({
     kind: "unknown",
     reason: "no_split",
   });
--- a/packages/serving/src/software_versions/version_split.ts
+++ b/packages/serving/src/software_versions/version_split.ts
@@ -1,8 +1,9 @@
 /** Which version of the engines' software a new stream begins at.
  *
- * It follows from the id of the stream's first attempt and from a split of all
- * ids among the versions, which the store has confirmed before anyone uses it.
- * So an instance that has lost its memory still tells where a stream began.
+ * It follows from the adapter and the id of the stream's first attempt, which a
+ * caller names again, and from a split of all positions among the versions, which
+ * the store has confirmed before anyone uses it. So an instance that has lost its
+ * memory still tells where a stream began.
  *
  * @module
  */
@@ -14,14 +15,19 @@
  * callers that wait longer are not known. */
 export const TAKE_UP_MAX_MS = 40_000;
 
-/** The part of all ids that begin at one version: those whose position is below
- * `until` and not in a former range. */
+/** Part of all positions over which the streams of one adapter are spread. If it
+ * were all, each adapter would be loaded at each version; if it were none, one
+ * version could get all requests of an adapter that many ask for. */
+const ADAPTER_SPREAD = 0.2;
+
+/** The part of all positions that begin at one version: those below `until` that
+ * are in no former range. */
 export interface VersionRange {
   readonly version: string;
   readonly until: number;
 }
 
-/** A division of all ids among versions. */
+/** A division of all positions among versions. */
 export interface VersionSplit {
   /** Grows with each split, over all pools. */
   readonly number: number;
@@ -64,20 +70,34 @@
     : `${service}@${[...homes].sort().join(",")}`;
 }
 
-/** The version at which a stream begins, by the id of its first attempt;
- * undefined if the split does not tell.
+/** The position of a stream in a split, in [0, 1): by its adapter, if it has one,
+ * and by the id of its first attempt.
+ *
+ * @example
+ * ```ts
+ * positionOf("r1", adapterKey("m", "a1"));
+ * ```
+ */
+export function positionOf(id: string, adapter: string | undefined): number {
+  const idPosition = hashToUnitInterval(id);
+  if (adapter === undefined) return idPosition;
+  return (hashToUnitInterval(adapter) + idPosition * ADAPTER_SPREAD) % 1;
+}
+
+/** The version at which a stream begins, by its position; undefined if the split
+ * does not tell.
  *
  * @example
  * ```ts
- * versionAt({ number: 1, madeAt, ranges: [{ version: "v1", until: 1 }] }, id);
+ * const ranges = [{ version: "v1", until: 1 }];
+ * versionAt({ number: 1, madeAt, ranges }, positionOf("r1", undefined)); // "v1"
  * ```
  */
 export function versionAt(
   split: VersionSplit | undefined,
-  id: string,
+  position: number,
 ): string | undefined {
   if (split === undefined) return undefined;
-  const position = hashToUnitInterval(id);
   return split.ranges.find(({ until }) => position < until)?.version;
 }
 
