Give the engines of an instance without a path to them another owner

An instance that is cut from engines is alive, in touch with the store and its peers, and kept the engines that it owned; nobody could load adapters on them, and requests waited until they were too late.

EngineReach tells from what an instance asks engines anyway whether most of a service's are silent (0.6 s) or refuse connections; one that is slow or gone is no cut. Digests tell the others. If no instance has a path, nothing moves. Until an engine has moved no load is asked of it. What an instance without a path reports of engines (down, slow, ended) is left out, and callers are sent to others.

Ruled out: the health of engines, which answer the others.

--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -7,6 +7,7 @@
 import {
   type AdapterState,
   type EngineControl,
+  type EngineReach,
   type EngineTable,
   type EngineView,
   type MemberTable,
@@ -60,6 +61,7 @@
   readonly membership: Membership;
   readonly members: MemberTable;
   readonly links: PeerLinks;
+  readonly reach: EngineReach;
   /** Called when an engine's report says for how long it stays cold. */
   readonly onColdTime?: (engineKey: string, leftMs: number) => void;
   readonly log: EventLog;
@@ -112,12 +114,14 @@
     ]);
   }
 
-  /** The engines of this instance that count as down. */
+  /** The engines of this instance that count as down; not while it is this
+   * instance that has no path to them. */
   down(): readonly string[] {
-    return [...this.#engines].filter(([, e]) =>
-      e.unansweredCalls >= DOWN_THRESHOLD
-    )
-      .map(([key]) => key);
+    const { engineTable, reach } = this.#options;
+    return [...this.#engines].filter(([key, { unansweredCalls }]) =>
+      unansweredCalls >= DOWN_THRESHOLD &&
+      !reach.isCut(engineTable.get(key)?.engine.service ?? "")
+    ).map(([key]) => key);
   }
 
   /** Records how many adapters the engines of all other instances are
@@ -162,7 +166,10 @@
     const owner = this.#options.membership.ownerOf(engineKey);
     if (owner === undefined) return false;
     if (owner !== this.#options.self) {
-      return this.#options.members.isAlive(owner, performance.now());
+      const { members } = this.#options;
+      const now = performance.now();
+      return members.isAlive(owner, now) &&
+        members.orderPaths.cutMs(owner, now) === undefined;
     }
     return this.#engines.has(engineKey) &&
       this.#options.membership.mayOrder(engineKey);
@@ -447,7 +454,10 @@
       "reports_total",
       `answered="${report !== undefined}"`,
     );
-    this.#recordReply(view, engine, report !== undefined);
+    const { key, service } = view.engine;
+    const isAnswered = report !== undefined;
+    this.#options.reach.recordCall(key, service, { isAnswered, now });
+    this.#recordReply(view, engine, isAnswered);
     if (report === undefined) return;
     if (report.coldMs !== undefined) {
       this.#options.onColdTime?.(view.engine.key, report.coldMs);
--- a/packages/gateway/src/adapter_loader_test.ts
+++ b/packages/gateway/src/adapter_loader_test.ts
@@ -1,6 +1,7 @@
 import { EventLog } from "@banyanlb/core";
 import {
   type EngineControl,
+  EngineReach,
   type EngineReport,
   EngineTable,
   MemberTable,
@@ -68,6 +69,7 @@
   const loader = new AdapterLoader({
     self: "i1",
     engineTable,
+    reach: new EngineReach(),
     control,
     storeView: {
       routeTable: {
--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -12,6 +12,7 @@
   type Digest,
   DigestPlane,
   type EngineLimits,
+  type EngineReach,
   type EngineTable,
   isLargeFleet,
   LagDetector,
@@ -99,7 +100,13 @@
     readonly serves: boolean;
     /** Fraction of time for which this instance is busy, in [0, 1]. */
     readonly busy: number;
+    /** Whether this instance has no path to engines, and whether these take
+     * orders. */
+    readonly cutOff?: boolean;
+    readonly ordersCut?: boolean;
+    readonly takesPassed?: boolean;
   };
+  readonly reach: EngineReach;
   readonly log: EventLog;
 }
 
@@ -279,7 +286,7 @@
   /** This instance's state; sends use of adapters to the owners of engines. */
   #state(now: number) {
     const { self, membership, loader, engineTable, use } = this.#options;
-    const { ready, leaving, serves, busy } = this.#options.state();
+    const { ready, leaving, serves, busy, ...paths } = this.#options.state();
     let isOwner = false;
     for (const { engine: { key } } of engineTable.all()) {
       const owner = membership.ownerOf(key);
@@ -301,6 +308,7 @@
         ? undefined
         : Math.ceil(storeRoundTripMs / STORE_STEP_MS) * STORE_STEP_MS,
       tenure: membership.tenure,
+      ...paths,
     };
   }
 
--- a/packages/gateway/src/digest_rows.ts
+++ b/packages/gateway/src/digest_rows.ts
@@ -14,6 +14,7 @@
   distanceBetween,
   type Engine,
   type EngineLimits,
+  type EngineReach,
   type EngineTable,
   type HoldRecord,
   type LimitRecord,
@@ -57,6 +58,9 @@
   readonly warmUps: Pick<WarmUps, "report" | "recordTold">;
   readonly roles: Pick<ReaderRoles, "isStoreReader">;
   readonly pathDelays: PathDelays;
+  /** Which engines this instance reaches. What others believe of engines does not
+   * follow from its own lack of a path. */
+  readonly reach: EngineReach;
   /** The region of a zone. */
   readonly regionOf: (zone: string) => string | undefined;
   /** All regions but this instance's. */
@@ -242,11 +246,12 @@
 
   /** Engines whose path is slow, by this instance's own requests. */
   #slowRows(now: number): readonly ReportRow<number>[] {
+    const { reach } = this.#options;
     const rows: ReportRow<number>[] = [];
     const state = Math.floor(now / DELAY_REPEAT_MS);
     for (const { engine, path } of this.#options.engineTable.all()) {
       const delayMs = path.ownDelayMs(now);
-      if (delayMs <= SLOW_PATH_MS) continue;
+      if (delayMs <= SLOW_PATH_MS || reach.isCut(engine.service)) continue;
       rows.push([engine.key, state, Math.round(delayMs)]);
       if (rows.length === SLOW_ENGINES_MAX) break;
     }
--- a/packages/gateway/src/engine_connections.ts
+++ b/packages/gateway/src/engine_connections.ts
@@ -11,7 +11,7 @@
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { limitFraming, ResponseTooLargeError } from "@banyanlb/platform";
-import { type Engine, IdleLimit } from "@banyanlb/serving";
+import { type Engine, type EngineReach, IdleLimit } from "@banyanlb/serving";
 
 /** Minimum number of connections that one instance may open to an engine. */
 const CONNECTIONS_MIN = 4;
@@ -171,6 +171,12 @@
   readonly #agents = new Map<string, EngineAgent>();
   /** Limits on the idle time of connections, by service. */
   readonly #idleLimits = new Map<string, IdleLimit>();
+  readonly #reach: EngineReach | undefined;
+
+  /** `reach`, if given, is told what shows that engines are reached. */
+  constructor(reach?: EngineReach) {
+    this.#reach = reach;
+  }
 
   /** Starts to send a request. `limits.maxConnections` is the number of
    * connections that the engine accepts from all instances together;
@@ -240,6 +246,7 @@
       // Before the request is written, which waits for the same event.
       socket.once("connect", markSent);
     });
+    this.#watchReach(req, engine);
     req.end(outgoing.body);
     return {
       req,
@@ -270,6 +277,32 @@
     this.#agents.clear();
   }
 
+  /** Records what a request shows of the path to its engine. */
+  #watchReach(req: ClientRequest, { key, service }: Engine): void {
+    const reach = this.#reach;
+    if (reach === undefined) return;
+    const expectation = reach.expect(key, service, performance.now());
+    const recordBytes = () => reach.recordHeard(key, performance.now());
+    const recordConnection = (isMade: boolean) =>
+      reach.recordConnection(key, isMade, performance.now());
+    req.once("socket", (socket: Socket) => {
+      let isConnected = !socket.connecting;
+      socket.on("data", recordBytes);
+      if (!isConnected) {
+        socket.once("connect", () => {
+          isConnected = true;
+          recordConnection(true);
+        });
+        // It is not emitted when this side gives up.
+        socket.once("error", () => {
+          if (!isConnected) recordConnection(false);
+        });
+      }
+      req.once("close", () => socket.removeListener("data", recordBytes));
+    });
+    req.once("close", () => reach.end(expectation));
+  }
+
   #idleLimitFor(service: string): IdleLimit {
     let limit = this.#idleLimits.get(service);
     if (limit === undefined) {
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -559,3 +559,19 @@
   severity: "warn",
   text: "version splits not read",
 };
+
+/** This instance has no path to the engines of a service: most of those that it
+ * asked (`blocked`) are silent or refuse connections, `open` were heard of. Other
+ * instances serve its callers, and own its engines. */
+export const ENGINES_OUT_OF_REACH: LogEvent = {
+  id: 880,
+  severity: "warn",
+  text: "no path to the engines of a service",
+};
+
+/** This instance reaches the engines of a service again. */
+export const ENGINES_IN_REACH: LogEvent = {
+  id: 881,
+  severity: "info",
+  text: "engines of a service reached again",
+};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,8 +9,10 @@
 import {
   BodyRoom,
   DIGEST_TICK_MS,
+  type EngineAddress,
   EngineChooser,
   EngineLimits,
+  type EngineProbe,
   EngineTable,
   IDLE_TICKS,
   isAcceptedWhileDraining,
@@ -18,6 +20,7 @@
   type Member,
   MemberTable,
   PathDelays,
+  type ReadyMember,
   RetryBudget,
   type Route,
   type SelectionContext,
@@ -48,6 +51,8 @@
 import { PeerLinks, type SendReply } from "./peer_links.ts";
 import type { PeerMessage } from "./peer_messages.ts";
 import { RateLog } from "./rate_log.ts";
+import { OwnOrderPath } from "./reach/own_order_path.ts";
+import { ReachWatch } from "./reach/reach_watch.ts";
 import { ReaderRoles } from "./reader_roles.ts";
 import { RecordConfirmer } from "./record_confirmer.ts";
 import { CrashProtection } from "./quarantine/crash_protection.ts";
@@ -101,7 +106,9 @@
   readonly #store: ObjectStoreClient;
   readonly #eventLoopWatch: EventLoopWatch;
   readonly #control = new EngineControlClient();
-  readonly #connections = new EngineConnections();
+  readonly #reachWatch: ReachWatch;
+  readonly #ownOrderPath: OwnOrderPath;
+  readonly #connections: EngineConnections;
   readonly #members: MemberTable;
   readonly #storeView: StoreView;
   readonly #membership: Membership;
@@ -164,6 +171,17 @@
       log,
       metrics: this.#metrics,
     });
+    this.#reachWatch = new ReachWatch({
+      engineTable: this.#engineTable,
+      onChange: () => this.#digestExchange.send({ isUrgent: true }),
+      log,
+    });
+    const { reach } = this.#reachWatch;
+    this.#connections = new EngineConnections(reach);
+    this.#ownOrderPath = new OwnOrderPath(settings.name, {
+      members: this.#members,
+      orderGapMs: settings.bounds.orderGapMs,
+    });
     this.#store = new ObjectStoreClient(
       settings.store,
       (transfer) => this.#trafficLog.recordStoreTransfer(transfer),
@@ -230,9 +248,8 @@
         this.#storeView.reconnect();
         this.#membership.reconnect();
       },
-      acceptsOrders: (service) =>
-        this.#storeView.routeTable?.findService(service)?.engineClass !==
-          undefined,
+      ownPath: this.#ownOrderPath,
+      acceptsOrders: (service) => this.#acceptsOrders(service),
     });
     this.#links = new PeerLinks(this.#self, {
       onMessage: (from, message, sendReply) =>
@@ -250,6 +267,7 @@
       membership: this.#membership,
       members: this.#members,
       links: this.#links,
+      reach,
       onColdTime: (engine, leftMs) => this.#warmUp.recordTold(engine, leftMs),
       log,
       metrics: this.#metrics,
@@ -279,7 +297,7 @@
       self: this.#self,
       members: this.#members,
       store: this.#store,
-      control: this.#control,
+      control: { probe: (engine) => this.#probe(engine) },
       reachesStore: () => this.#storeView.reachesStore,
       log,
       metrics: this.#metrics,
@@ -330,7 +348,10 @@
         leaving: this.#isDraining,
         serves: this.#ownLoad.serves,
         busy: this.#ownLoad.busy,
+        cutOff: reach.isCutOff,
+        ordersCut: this.#areOrdersCut,
       }),
+      reach,
       log,
     });
     this.#rateLog = new RateLog({ rates: this.#rates, log });
@@ -363,12 +384,13 @@
       metrics: this.#metrics,
     };
     const relay = new Relay(relayDependencies);
+    const recordError = (res: ServerResponse) => (err: unknown) => {
+      log.write(events.UNEXPECTED_ERROR, { error: String(err) });
+      res.destroy();
+    };
     this.#callerServer = new CallerServer((req, res) => {
       this.#ownLoad.countRequest(performance.now());
-      relay.serve(req, res).catch((err: unknown) => {
-        log.write(events.UNEXPECTED_ERROR, { error: String(err) });
-        res.destroy();
-      });
+      relay.serve(req, res).catch(recordError(res));
     });
     this.#readinessServer = new CallerServer((req, res) =>
       this.#serveReadiness(req, res)
@@ -376,10 +398,7 @@
     const steering = new SteeringEndpoint({
       protocol: this.#protocol,
       maxCacheSeconds: settings.bounds.maxSteeringTtlSeconds,
-      readyMembers: (now) => [
-        ...this.#members.ready(now),
-        ...(this.#isReady ? [{ ...this.#self, busy: this.#ownLoad.busy }] : []),
-      ],
+      readyMembers: (now) => this.#readyMembers(now),
       steeringRegionsOf: (host) =>
         this.#storeView.routeTable?.steeringRegionsOf(host),
     });
@@ -576,6 +595,8 @@
     const now = performance.now();
     this.#ownLoad.tick(now);
     this.#recordConfirmer.check(now);
+    this.#reachWatch.check(now);
+    this.#ownOrderPath.record(!this.#areOrdersCut, now);
     this.#ticks += 1;
     if (this.#isIdle && this.#ticks < IDLE_TICKS) return;
     this.#digestExchange.send({ ticks: this.#ticks });
@@ -598,6 +619,40 @@
       performance.now() > IDLE_AFTER_MS && !this.#isDraining;
   }
 
+  /** The instances for callers: those that have a path to engines, unless none
+   * has. */
+  #readyMembers(now: number): readonly ReadyMember[] {
+    const self = { ...this.#self, busy: this.#ownLoad.busy };
+    const ready = [
+      ...this.#members.ready(now),
+      ...(this.#isReady ? [self] : []),
+    ];
+    const reaching = ready.filter(({ name }) =>
+      name === this.#self.name
+        ? !this.#reachWatch.reach.isCutOff
+        : !this.#members.isCutOff(name)
+    );
+    return reaching.length > 0 ? reaching : ready;
+  }
+
+  /** Asks whether an engine still runs. One that refuses a connection has not
+   * ended if others refuse it as well. */
+  async #probe(engine: EngineAddress): Promise<EngineProbe> {
+    const result = await this.#control.probe(engine);
+    return this.#reachWatch.reach.isCutOff ? "unknown" : result;
+  }
+
+  #acceptsOrders(service: string): boolean {
+    const table = this.#storeView.routeTable;
+    return table?.findService(service)?.engineClass !== undefined;
+  }
+
+  /** Whether this instance has no path to engines that take orders. */
+  get #areOrdersCut(): boolean {
+    return [...this.#reachWatch.reach.cutServices]
+      .some((service) => this.#acceptsOrders(service));
+  }
+
   #onStoreViewChange(): void {
     const routeTable = this.#storeView.routeTable;
     if (routeTable === undefined) return;
@@ -608,6 +663,7 @@
     this.#crashProtection.recordEngineList((key) => keys.has(key));
     this.#warmUp.recordList();
     this.#engineLimits.keepOnly((key) => keys.has(key));
+    this.#reachWatch.reach.keepOnly((key) => keys.has(key));
     for (const key of this.#connections.engineKeys()) {
       if (!keys.has(key)) this.#connections.retire(key);
     }
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -29,6 +29,7 @@
 } from "@banyanlb/serving";
 import * as events from "./events.ts";
 import { splitsProgressOf } from "./software_versions/split_records.ts";
+import type { OwnOrderPath } from "./reach/own_order_path.ts";
 import type { WorkspaceRates } from "./workspace_rates.ts";
 import {
   decodeAssignment,
@@ -134,6 +135,8 @@
     WorkspaceRates,
     "useAt" | "isNearlyUsed" | "adoptFormerUse"
   >;
+  /** What tells whether orders of this instance reach engines. */
+  readonly ownPath: Pick<OwnOrderPath, "mayOrder" | "mayTakeOver">;
   /** Whether the engines of a service accept orders. */
   readonly acceptsOrders: (service: string) => boolean;
 }
@@ -243,7 +246,7 @@
   mayOrder(engineKey: string): boolean {
     const allowedAt = this.#orderAllowedAt.get(engineKey);
     if (allowedAt === undefined || performance.now() < allowedAt) return false;
-    if (!this.#lease.isHeld()) return false;
+    if (!this.#lease.isHeld() || !this.#options.ownPath.mayOrder) return false;
     const isHeldOver = this.#heldOver.has(engineKey);
     if (!isHeldOver && !this.#isRestoreOver) return false;
     // The restored store may name another owner.
@@ -546,7 +549,7 @@
     this.#owners = new Map(
       Object.entries(this.#assignment).map(([key, { owner }]) => [
         key,
-        owner.split("#")[0] ?? owner,
+        nameOf(owner),
       ]),
     );
     this.#fencingToken = record.revision;
@@ -560,7 +563,11 @@
   #updateOwnedEngines(previous: StoredAssignment): void {
     const { self, log, orderGapMs } = this.#options;
     const selfOwner = `${self.name}#${this.#tenure}`;
-    for (const [key, { owner, movedAt }] of Object.entries(this.#assignment)) {
+    for (
+      const [key, { owner, movedAt, idleMs = 0 }] of Object.entries(
+        this.#assignment,
+      )
+    ) {
       if (owner !== selfOwner) {
         this.#heldOver.delete(key);
         if (this.#orderAllowedAt.delete(key)) {
@@ -575,7 +582,7 @@
         ? 0
         : previous[key] === undefined
         ? movedAt + orderGapMs + WALL_CLOCK_SKEW_MS - Date.now()
-        : orderGapMs;
+        : orderGapMs - idleMs;
       if (this.#orderAllowedAt.size === 0) this.#startRenewal?.();
       this.#orderAllowedAt.set(key, performance.now() + Math.max(0, delayMs));
       log.write(events.OWNERSHIP_CHANGED, {
@@ -692,11 +699,24 @@
     for (const [key, owner] of Object.entries(formerOwners)) {
       if (mayBeLost || listedOwners.has(owner)) kept[key] = owner;
     }
-    const alivePeers = members.list().filter((m) => alive.includes(m.name));
+    const now = performance.now();
+    const { orderPaths } = members;
+    const reaching = [self, ...members.list()].filter(({ name }) =>
+      name === self.name
+        ? this.#options.ownPath.mayTakeOver
+        : alive.includes(name) && orderPaths.mayTakeOver(name, now)
+    );
+    for (const [key, owner] of Object.entries(kept)) {
+      if (reaching.length === 0) break;
+      if (orderPaths.mustYield(nameOf(owner), now)) delete kept[key];
+    }
+    const candidates = reaching.length > 0
+      ? reaching
+      : [self, ...members.list().filter(({ name }) => alive.includes(name))];
     const added = planAssignment(
       kept,
       engines.filter(({ key }) => kept[key] === undefined),
-      [self, ...alivePeers].flatMap(({ name, zone, cores }) => {
+      candidates.flatMap(({ name, zone, cores }) => {
         const tenure = name === self.name ? this.#tenure : tenureOf(name);
         return tenure === undefined
           ? []
@@ -710,6 +730,11 @@
     const isStored = this.#storedRevision !== undefined || keys.length === 0;
     if (isUnchanged && !this.#isAssignmentDamaged && isStored) return;
     const value: Record<string, StoredOwner> = {};
+    // Nothing that it has sent since it had no path has reached its engines.
+    const idleMsOf = (formerOwner = "") => {
+      const cutMs = orderPaths.cutMs(nameOf(formerOwner), now);
+      return cutMs === undefined ? undefined : Math.floor(cutMs);
+    };
     for (const key of keys) {
       const owner = planned[key] ?? "";
       const previous = current[key];
@@ -719,7 +744,7 @@
         : formerOwner === owner ||
             (formerOwner === undefined && !this.#isAssignmentDamaged)
         ? { owner, movedAt: 0 }
-        : { owner, movedAt: Date.now() };
+        : { owner, movedAt: Date.now(), idleMs: idleMsOf(formerOwner) };
     }
     const record = await this.#store.put("assignment", {
       name: ASSIGNMENT_RECORD_NAME,
@@ -733,3 +758,8 @@
     });
   }
 }
+
+/** The name of an owner. */
+function nameOf(owner: string): string {
+  return owner.split("#")[0] ?? owner;
+}
--- a/packages/gateway/src/quarantine/crash_protection.ts
+++ b/packages/gateway/src/quarantine/crash_protection.ts
@@ -30,7 +30,7 @@
   readonly self: Member;
   readonly members: MemberTable;
   readonly store: RecordStore;
-  readonly control: EngineControl;
+  readonly control: Pick<EngineControl, "probe">;
   /** Whether the store replies to this instance. */
   readonly reachesStore: () => boolean;
   readonly log: EventLog;
--- a/packages/gateway/src/testing/digest_options.ts
+++ b/packages/gateway/src/testing/digest_options.ts
@@ -1,6 +1,7 @@
 import { EventLog } from "@banyanlb/core";
 import {
   EngineLimits,
+  EngineReach,
   EngineTable,
   PathDelays,
   Quarantine,
@@ -47,6 +48,7 @@
       links: () => links,
     }),
     use: new AdapterUsageCounts(),
+    reach: new EngineReach(),
     quarantine: new Quarantine(self.name, {
       onHold: () => undefined,
       onRelease: () => undefined,
--- a/packages/gateway/src/testing/membership_options.ts
+++ b/packages/gateway/src/testing/membership_options.ts
@@ -38,6 +38,7 @@
     onAssignmentRecords: () => undefined,
     onAssignmentChange: () => undefined,
     onStoreFailure: () => undefined,
+    ownPath: { mayOrder: true, mayTakeOver: true },
     acceptsOrders: () => true,
   };
 }
--- a/packages/serving/src/digest_board.ts
+++ b/packages/serving/src/digest_board.ts
@@ -57,6 +57,12 @@
   readonly tenure: string | undefined;
   /** Longest time between the instance's digests, in milliseconds. */
   readonly digestIntervalMs: number;
+  /** Whether the instance has no path to the engines of some service. */
+  readonly cutOff?: boolean;
+  /** Whether one of these services has engines that take orders. */
+  readonly ordersCut?: boolean;
+  /** Whether the instance serves requests that others pass on to it. */
+  readonly takesPassed?: boolean;
 }
 
 /** One row: a value by kind and name, which an instance reports when it
--- a/packages/serving/src/digest_message.ts
+++ b/packages/serving/src/digest_message.ts
@@ -138,6 +138,9 @@
   serves: 4,
   orders: 8,
   reachesStore: 16,
+  cutOff: 32,
+  takesPassed: 64,
+  ordersCut: 128,
 } as const;
 
 const FLAG_NAMES = Object.keys(FLAGS) as (keyof typeof FLAGS)[];
@@ -175,6 +178,9 @@
     serves: has("serves"),
     orders: has("orders"),
     reachesStore: has("reachesStore"),
+    cutOff: has("cutOff"),
+    takesPassed: has("takesPassed"),
+    ordersCut: has("ordersCut"),
     busy: busyPercent / 100,
     storeRoundTripMs: storeMs < 0 ? undefined : storeMs,
     digestIntervalMs,
--- a/packages/serving/src/member_table.ts
+++ b/packages/serving/src/member_table.ts
@@ -4,6 +4,7 @@
  */
 import type { InstanceState } from "./digest_board.ts";
 import type { ReadyMember } from "./steering.ts";
+import { OrderPaths } from "./reach/order_paths.ts";
 import type { Member } from "./types.ts";
 
 /** How long an instance that is not heard of still counts as alive, in
@@ -55,6 +56,7 @@
   #generation = 0;
   readonly #states = new Map<string, InstanceState>();
   readonly #evidence = new Map<string, Evidence>();
+  readonly #orderPaths = new OrderPaths();
   readonly #ownName: string;
   readonly #startedAt: number;
 
@@ -99,6 +101,25 @@
   /** Records the state that a member reports. */
   setState(name: string, state: InstanceState): void {
     this.#states.set(name, state);
+    this.#orderPaths.record(name, state.ordersCut !== true, performance.now());
+  }
+
+  /** Which members' orders reach engines. */
+  get orderPaths(): OrderPaths {
+    return this.#orderPaths;
+  }
+
+  /** The members that may serve a request which this instance passes on. */
+  takingPassed(now: number): readonly ReadyMember[] {
+    return this.ready(now).filter(({ name }) => {
+      const state = this.#states.get(name);
+      return state?.takesPassed === true && state.cutOff !== true;
+    });
+  }
+
+  /** Whether the member reports that it has no path to engines. */
+  isCutOff(name: string): boolean {
+    return this.#states.get(name)?.cutOff === true;
   }
 
   /** Records what shows that a member is alive. Of two ways on which it is heard
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -47,6 +47,8 @@
 export * from "./quarantine/trial_turn.ts";
 export * from "./rate_lenders.ts";
 export * from "./rate_sharers.ts";
+export * from "./reach/engine_reach.ts";
+export * from "./reach/order_paths.ts";
 export * from "./record_set.ts";
 export * from "./report_row.ts";
 export * from "./residency/residency.ts";
--- /dev/null
+++ b/packages/serving/src/reach/engine_reach_test.ts
@@ -0,0 +1,73 @@
+import { expect, test } from "vitest";
+import { EngineReach } from "./engine_reach.ts";
+
+const ENGINES = ["e0", "e1", "e2", "e3", "e4", "e5"];
+
+/** An instance that has something waiting at each engine, and hears of all. */
+function createReach(): EngineReach {
+  const reach = new EngineReach();
+  for (const engine of ENGINES) {
+    reach.expect(engine, "svc", 0);
+    reach.recordHeard(engine, 1000);
+  }
+  return reach;
+}
+
+// Guards against an instance that goes on to ask engines which it does not reach.
+test("an instance whose engines are all silent is cut within a second", () => {
+  const reach = createReach();
+  expect(reach.update(1500)).toEqual([]);
+  expect(reach.update(1600)).toMatchObject([
+    { service: "svc", isCut: true, openCount: 0 },
+  ]);
+  expect(reach.isCut("svc")).toBe(true);
+  expect(reach.isCut("other")).toBe(false);
+});
+
+test("connections that are refused by most engines cut the instance, though old ones live", () => {
+  const reach = createReach();
+  for (const engine of ENGINES.slice(0, 5)) {
+    reach.recordConnection(engine, false, 1100);
+  }
+  for (const engine of ENGINES) reach.recordHeard(engine, 1200);
+  reach.update(1300);
+  expect(reach.isCut("svc")).toBe(true);
+});
+
+// Guards against callers who are sent elsewhere since one engine is slow, or some
+// have crashed.
+test("a few engines that are silent or gone are no cut", () => {
+  for (const silent of [1, 2, 3]) {
+    const reach = createReach();
+    for (const engine of ENGINES.slice(silent)) reach.recordHeard(engine, 1900);
+    for (const engine of ENGINES.slice(0, silent)) {
+      reach.recordConnection(engine, false, 1900);
+    }
+    expect(reach.update(2000)).toEqual([]);
+  }
+});
+
+test("an instance that asks nothing is not cut", () => {
+  const reach = new EngineReach();
+  const expectations = ENGINES.map((engine) => reach.expect(engine, "svc", 0));
+  for (const expectation of expectations) reach.end(expectation);
+  expect(reach.update(10_000)).toEqual([]);
+});
+
+test("the path is back when two engines have taken a connection", () => {
+  const reach = createReach();
+  reach.update(2000);
+  reach.recordConnection("e0", true, 3000);
+  reach.update(3000);
+  expect(reach.isCut("svc")).toBe(true);
+  // A link that flaps starts anew.
+  reach.recordConnection("e1", false, 3100);
+  reach.recordConnection("e2", true, 3200);
+  reach.update(3200);
+  expect(reach.isCut("svc")).toBe(true);
+  reach.recordConnection("e3", true, 3300);
+  expect(reach.update(3300)).toMatchObject([{ isCut: false }]);
+  expect(reach.isCutOff).toBe(false);
+  // What had waited for long shows nothing any more.
+  expect(reach.update(4300)).toEqual([]);
+});
