Pass requests on to an instance that reaches their engines

Callers keep their addresses for longer than the cut may last, so sending them elsewhere cannot be enough.

An instance without a path passes a request on, as its caller sent it and with the time that is left, on the listener for instances; the other one does all that it does for its own callers, so limits, retries and loads count once, and never passes it on again. A request is offered to another instance only if the first has not read it or says that it has not taken it: a lost peer is a 502. Nobody but a member, by its incarnation, can use it. A request that finds its engines out of reach before the instance knows of the cut is passed on as well. If no instance has a path, it is refused at once.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -575,3 +575,21 @@
   severity: "info",
   text: "engines of a service reached again",
 };
+
+/** A request was passed on to an instance that reaches the engines. `outcome`:
+ * answered (also with a refusal), broken off midway, `lost` with the other instance
+ * after it may have read the request, `not_taken` or `unreachable`: then another
+ * one is asked. The other instance logs the request under the same id. */
+export const REQUEST_PASSED: LogEvent = {
+  id: 882,
+  severity: "info",
+  text: "request passed on",
+};
+
+/** A request on the listener for instances named no member of the fleet, and was
+ * refused. A member that has started lately may not be known yet. */
+export const PASSED_REQUEST_REFUSED: LogEvent = {
+  id: 883,
+  severity: "warn",
+  text: "passed request of no member refused",
+};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -52,7 +52,9 @@
 import type { PeerMessage } from "./peer_messages.ts";
 import { RateLog } from "./rate_log.ts";
 import { OwnOrderPath } from "./reach/own_order_path.ts";
+import { PassedRequests } from "./reach/passed_requests.ts";
 import { ReachWatch } from "./reach/reach_watch.ts";
+import { RequestPasser } from "./reach/request_passer.ts";
 import { ReaderRoles } from "./reader_roles.ts";
 import { RecordConfirmer } from "./record_confirmer.ts";
 import { CrashProtection } from "./quarantine/crash_protection.ts";
@@ -108,6 +110,8 @@
   readonly #control = new EngineControlClient();
   readonly #reachWatch: ReachWatch;
   readonly #ownOrderPath: OwnOrderPath;
+  readonly #passer: RequestPasser;
+  readonly #passedRequests: PassedRequests;
   readonly #connections: EngineConnections;
   readonly #members: MemberTable;
   readonly #storeView: StoreView;
@@ -252,6 +256,7 @@
       acceptsOrders: (service) => this.#acceptsOrders(service),
     });
     this.#links = new PeerLinks(this.#self, {
+      onRequests: (socket) => this.#passedRequests.accept(socket),
       onMessage: (from, message, sendReply) =>
         this.#onPeerMessage(from, message, sendReply),
       onInvalidMessage: (reason) =>
@@ -350,11 +355,20 @@
         busy: this.#ownLoad.busy,
         cutOff: reach.isCutOff,
         ordersCut: this.#areOrdersCut,
+        takesPassed: true,
       }),
       reach,
       log,
     });
     this.#rateLog = new RateLog({ rates: this.#rates, log });
+    this.#passer = new RequestPasser({
+      self: this.#self,
+      members: this.#members,
+      reach,
+      protocol: this.#protocol,
+      log,
+      metrics: this.#metrics,
+    });
     const relayDependencies: RelayDependencies = {
       protocol: this.#protocol,
       routeTable: () => this.#storeView.routeTable,
@@ -379,6 +393,7 @@
       bodyRoom: new BodyRoom(settings.memoryBytes * BODY_ROOM_SHARE),
       crashProtection: this.#crashProtection,
       softwareVersions: this.#softwareVersions,
+      passer: this.#passer,
       hasTimeFor: (route) => this.#hasTimeFor(route),
       log,
       metrics: this.#metrics,
@@ -392,6 +407,13 @@
       this.#ownLoad.countRequest(performance.now());
       relay.serve(req, res).catch(recordError(res));
     });
+    this.#passedRequests = new PassedRequests({
+      members: this.#members,
+      isCutOff: () => reach.isCutOff,
+      serve: (req, res) =>
+        void relay.servePassed(req, res).catch(recordError(res)),
+      log,
+    });
     this.#readinessServer = new CallerServer((req, res) =>
       this.#serveReadiness(req, res)
     );
@@ -526,6 +548,7 @@
       const elapsedMs = performance.now() - startedAt;
       if (
         elapsedMs > DRAIN_MIN_MS && this.#callerServer.active === 0 &&
+        this.#passedRequests.active === 0 &&
         this.#callerServer.idleMs() > DRAIN_IDLE_MS
       ) break;
       await new Promise((resolve) => setTimeout(resolve, 100));
@@ -548,6 +571,8 @@
     this.#membership.close();
     this.#digestExchange.close();
     this.#links.close();
+    this.#passedRequests.close();
+    this.#passer.close();
     this.#connections.close();
     this.#control.close();
     this.#store.close();
--- a/packages/gateway/src/peer_links.ts
+++ b/packages/gateway/src/peer_links.ts
@@ -24,6 +24,9 @@
  * to it: one until the next digest, and one until its acknowledgement. */
 const ACK_TIMEOUT_MS = 1100;
 
+/** First byte of a message, `{`. */
+const MESSAGE_START = 0x7b;
+
 /** Number of unsent bytes above which a connection counts as dead. */
 const UNSENT_MAX_BYTES = 1024 * 1024;
 
@@ -38,6 +41,9 @@
     message: PeerMessage,
     sendReply: SendReply,
   ) => void;
+  /** Called with a connection that carries requests of callers, which other
+   * instances pass on. */
+  readonly onRequests?: (socket: Socket) => void;
   /** Called when a message could not be parsed or processed. The connection is
    * closed, and the side that dialled it dials again. */
   readonly onInvalidMessage: (reason: string) => void;
@@ -300,6 +306,19 @@
     // The close event, which always follows, does the cleanup.
     socket.on("error", () => undefined);
     socket.on("close", () => this.#acceptedSockets.delete(socket));
+    // Messages are JSON objects; requests begin with a method.
+    socket.once("data", (chunk: Buffer) => {
+      socket.pause();
+      socket.unshift(chunk);
+      const { onRequests } = this.#options;
+      if (chunk[0] === MESSAGE_START || onRequests === undefined) {
+        this.#readMessages(socket);
+      } else onRequests(socket);
+      socket.resume();
+    });
+  }
+
+  #readMessages(socket: Socket): void {
     let from: string | undefined;
     const sendReply = (message: PeerMessage) => {
       // A peer that does not read its replies must not exhaust the memory.
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -5,10 +5,11 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { pickService } from "@banyanlb/serving";
-import { sendErrorResponse } from "./error_response.ts";
+import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
 import * as events from "./events.ts";
 import { Exchange } from "./exchange.ts";
 import { readBody } from "./read_body.ts";
+import type { RequestPasser } from "./reach/request_passer.ts";
 import type {
   ConfigurationInUse,
   RelayDependencies,
@@ -24,6 +25,19 @@
 
   /** Serves one caller's request. Resolves when the request has ended. */
   async serve(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    await this.#serve(req, res, this.#deps.passer);
+  }
+
+  /** Serves a request that another instance has passed on. */
+  async servePassed(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    await this.#serve(req, res, undefined);
+  }
+
+  async #serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+    passer: RequestPasser | undefined,
+  ): Promise<void> {
     const { protocol, metrics, log } = this.#deps;
     const arrivedAt = performance.now();
     const caller = protocol.readRequest(req.rawHeaders);
@@ -59,7 +73,6 @@
     if (!this.#deps.hasTimeFor(route)) return refuse(503, "leaving", 0);
     const service = pickService(route, Math.random());
     if (service === undefined) return refuse(503, "no_service", 1);
-    this.#deps.retryBudgetOf(service).recordRequest(arrivedAt);
     const body = await readBody(req, res, {
       maxBytes: routeTable.configuration.limits.maxBodyBytes,
       room: this.#deps.bodyRoom,
@@ -71,6 +84,24 @@
       res.destroy();
       return;
     }
+    const passed = { req, res, caller, route, service, body, arrivedAt };
+    if (passer?.isNeeded(service) === true) {
+      if (await passer.pass(passed)) return;
+      // No instance reaches more than this one does.
+      const engines = this.#deps.chooser.keysOf(service);
+      if (passer.isHopeless(service, engines.length)) {
+        return refuse(503, "no_path", retryAfterSeconds());
+      }
+    }
+    this.#deps.retryBudgetOf(service).recordRequest(arrivedAt);
+    // Engines may be out of reach since a moment ago.
+    const refuseOrPass = (status: number, reason: string, wait?: number) => {
+      const mayPass = status === 503 && passer?.mayHelp(service) === true;
+      if (!mayPass) return refuse(status, reason, wait);
+      passer.pass(passed).then((isPassed) => {
+        if (!isPassed) refuse(status, reason, wait);
+      }, () => res.destroy());
+    };
     const exchange = new Exchange(this.#deps, {
       req,
       res,
@@ -82,7 +113,7 @@
       body,
       arrivedAt,
       configuration,
-      refuse,
+      refuse: refuseOrPass,
     });
     await exchange.run();
   }
--- a/packages/gateway/src/relay_dependencies.ts
+++ b/packages/gateway/src/relay_dependencies.ts
@@ -19,6 +19,7 @@
 import type { GatewayMetrics } from "./metrics.ts";
 import type { LimitKeeper } from "./limit_keeper.ts";
 import type { CrashProtection } from "./quarantine/crash_protection.ts";
+import type { RequestPasser } from "./reach/request_passer.ts";
 import type { StreamVersionDependencies } from "./software_versions/stream_version.ts";
 import type { WorkspaceRates } from "./workspace_rates.ts";
 
@@ -52,6 +53,8 @@
   /** Room for the bodies of requests. */
   readonly bodyRoom: BodyRoom;
   readonly crashProtection: Pick<CrashProtection, "guard" | "held">;
+  /** Passes requests on whose engines are out of reach. */
+  readonly passer?: RequestPasser;
   /** Whether a request on this route can end before this process exits. */
   readonly hasTimeFor: (route: Route) => boolean;
   readonly log: EventLog;
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -20,6 +20,7 @@
   EngineChooser,
   EngineLimits,
   type EngineProbe,
+  type EngineReach,
   EngineTable,
   LoadForecast,
   MemberTable,
@@ -36,6 +37,7 @@
 import { CrashWatch } from "../quarantine/crash_watch.ts";
 import { GatewayMetrics } from "../metrics.ts";
 import { LimitKeeper } from "../limit_keeper.ts";
+import type { RequestPasser } from "../reach/request_passer.ts";
 import { RequestGuard } from "../quarantine/request_guard.ts";
 import { Relay } from "../relay.ts";
 import type { RelayDependencies } from "../relay_dependencies.ts";
@@ -116,6 +118,10 @@
   readonly currentRoute?: () => Partial<Route>;
   /** Decides at which version streams begin and go on; any, if omitted. */
   readonly streamVersions?: RelayDependencies["softwareVersions"]["versions"];
+  /** Passes requests on; not, if omitted. */
+  readonly passer?: RequestPasser;
+  /** Is told what shows that engines are reached. */
+  readonly reach?: EngineReach;
   /** Receives the fields of each log line. */
   readonly onLog?: (fields: Readonly<Record<string, unknown>>) => void;
 }
@@ -157,6 +163,15 @@
   handlers: readonly (RequestListener | number)[],
   options: RelayOptions,
 ): Promise<number> {
+  const relay = await createRelay(handlers, options);
+  return portOf(await listen((req, res) => void relay.serve(req, res)));
+}
+
+/** Creates a relay without a listener; see `startRelay`. */
+export async function createRelay(
+  handlers: readonly (RequestListener | number)[],
+  options: RelayOptions,
+): Promise<Relay> {
   const engines: Engine[] = [];
   for (const [i, handle] of handlers.entries()) {
     engines.push({
@@ -211,7 +226,7 @@
   const routeTable = createRouteTable({});
   const engineTable = options.engineTable ?? new EngineTable();
   engineTable.setEngines(engines);
-  const connections = new EngineConnections();
+  const connections = new EngineConnections(options.reach);
   addCleanup(() => connections.close());
   const retryBudget = new RetryBudget({
     ratio: 1,
@@ -237,7 +252,7 @@
     log,
     metrics,
   };
-  const relay = new Relay({
+  return new Relay({
     protocol: new PlatformCallerProtocol(),
     routeTable: () =>
       options.currentRoute === undefined
@@ -275,11 +290,11 @@
       streams: new OpenStreams(),
       versions: options.streamVersions ?? ANY_VERSION,
     },
+    ...options.passer && { passer: options.passer },
     hasTimeFor: () => true,
     log,
     metrics,
   });
-  return portOf(await listen((req, res) => void relay.serve(req, res)));
 }
 
 /** Probes an engine without a request that its handler would count. */
@@ -307,13 +322,15 @@
   readonly method?: string;
   readonly path?: string;
   readonly body?: string | undefined;
+  /** When the caller closes its connection, in milliseconds. */
+  readonly leaveAfterMs?: number;
 }
 
 /** Sends a request to a relay; rejects if no response arrives. */
 export function sendRequest(
   port: number,
   headers: Record<string, string> = {},
-  { method = "GET", path = "/x", body }: TestRequest = {},
+  { method = "GET", path = "/x", body, leaveAfterMs }: TestRequest = {},
 ): Promise<TestResponse> {
   return new Promise((resolve, reject) => {
     const req = request({
@@ -336,5 +353,8 @@
       response.on("end", () => finish(true));
     });
     req.end(body);
+    if (leaveAfterMs !== undefined) {
+      setTimeout(() => req.destroy(), leaveAfterMs);
+    }
   });
 }
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -283,6 +283,13 @@
     fields: ForwardedFields,
   ): readonly string[];
 
+  /** The headers of a request that another instance serves for its caller, as the
+   * caller sent them. */
+  abstract passHeaders(
+    rawHeaders: readonly string[],
+    fields: Pick<ForwardedFields, "deadlineMs" | "bodyBytes">,
+  ): readonly string[];
+
   /** Reads the status and headers of an engine's response. */
   abstract readResponse(
     status: number,
