Let few requests wait at engines that end if they turn many away

Engines may say that they are brittle (Server-Brittle: N): more than N requests turned away in a second, over all instances, end one. Nothing read it.

All that waits at such an engine may be turned away at once, so each instance lets only its part of N wait, where N is below the number of instances one each at the first N by hash, and sends nothing for a second after a refusal.

--- a/packages/gateway/src/engine_notices.ts
+++ b/packages/gateway/src/engine_notices.ts
@@ -24,12 +24,13 @@
     readonly view: EngineView;
     readonly startedAt: number;
   },
-  { head: { isLeaving, pauseMs, coldMs }, wasTurnedAway }: {
+  { head: { isLeaving, pauseMs, coldMs, brittleLimit }, wasTurnedAway }: {
     readonly head: ResponseHead;
     readonly wasTurnedAway: boolean;
   },
 ): void {
   const engine = view.engine.key;
+  limits.recordBrittle(engine, brittleLimit, { wasTurnedAway, requestId: id });
   if (wasTurnedAway && pauseMs !== undefined) {
     metrics.add("engine_pauses_total", "");
     limits.recordPause(engine, pauseMs, id);
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -593,3 +593,12 @@
   severity: "warn",
   text: "passed request of no member refused",
 };
+
+/** An engine says in its answers that it ends if it has to turn more than
+ * `refusalsMax` requests away in a second, from all instances together; without
+ * that field, that it does not any more. Few requests wait there meanwhile. */
+export const ENGINE_BRITTLE_CHANGED: LogEvent = {
+  id: 884,
+  severity: "info",
+  text: "engine is brittle, or no longer",
+};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -722,7 +722,10 @@
       isEvacuated: (engineZone) =>
         this.#storeView.evacuations.isEvacuated(engineZone),
       isCold: (key) => this.#warmUp.isCold(key, now),
-      roomOf: (key) => this.#engineLimits.roomOf(key, now),
+      roomOf: (key) => {
+        const waiting = this.#engineTable.get(key)?.path.waitingCount;
+        return this.#engineLimits.roomOf(key, now, waiting);
+      },
       linkMs: (engineZone) => {
         const region = regions.get(engineZone) ?? "";
         const delayMs = delayByRegion.get(region) ??
--- a/packages/gateway/src/limit_keeper.ts
+++ b/packages/gateway/src/limit_keeper.ts
@@ -71,6 +71,27 @@
     });
   }
 
+  /** Records how many requests an engine may turn away in a second, as its response
+   * to a request says, or that it is not brittle. */
+  recordBrittle(
+    engineKey: string,
+    refusalsMax: number | undefined,
+    { wasTurnedAway, requestId }: {
+      readonly wasTurnedAway: boolean;
+      readonly requestId: string | undefined;
+    },
+  ): void {
+    const { limits, log } = this.#options;
+    const now = performance.now();
+    const options = { wasTurnedAway, now };
+    if (!limits.recordBrittle(engineKey, refusalsMax, options)) return;
+    log.write(events.ENGINE_BRITTLE_CHANGED, {
+      id: requestId,
+      engine: engineKey,
+      refusalsMax,
+    });
+  }
+
   /** Records that an engine said in a response for how long it stays cold. */
   recordColdTime(engineKey: string, leftMs: number): void {
     this.#options.warmUp?.recordTold(engineKey, leftMs);
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -275,7 +275,8 @@
       regionOf: (zone) => zone.slice(0, 1),
       isEvacuated: options.isEvacuated ?? (() => false),
       canOrder: () => true,
-      roomOf: (key) => limits.roomOf(key, now),
+      roomOf: (key) =>
+        limits.roomOf(key, now, engineTable.get(key)?.path.waitingCount),
       linkMs: () => 0,
       now,
     }),
--- a/packages/serving/src/engine_limits.ts
+++ b/packages/serving/src/engine_limits.ts
@@ -10,6 +10,7 @@
  * @module
  */
 import { rankByRendezvous } from "@banyanlb/core";
+import { BrittleEngines } from "./allowance/brittle_engines.ts";
 import { RequestAllowance } from "./allowance/request_allowance.ts";
 import type { ServingInstances } from "./member_table.ts";
 import type { ReportRow } from "./report_row.ts";
@@ -34,6 +35,10 @@
  * is asked again. */
 const PAUSE_MAX_MS = 60_000;
 
+/** How long this instance sends nothing to a brittle engine that has turned a
+ * request away, in milliseconds: refusals count for a second. */
+const BRITTLE_PAUSE_MS = 1100;
+
 /** How an engine may be used at present. */
 export type EngineRoom =
   /** It names no limit. */
@@ -42,8 +47,8 @@
   | "limited"
   /** It is cold, and this instance may send it a request. */
   | "warming"
-  /** It is cold or names a limit, or it asked for a pause, and this instance must
-   * not send it a request now. */
+  /** It is cold, brittle or names a limit, or it asked for a pause, and this
+   * instance must not send it a request now. */
   | "closed";
 
 /** An engine's limit as peers report it. */
@@ -89,6 +94,7 @@
   readonly #warmUps = new Map<string, RequestAllowance>();
   /** Until when engines asked this instance to pause. */
   readonly #pausedUntil = new Map<string, number>();
+  readonly #brittle: BrittleEngines;
 
   /** `self` is the name of this instance. */
   constructor(
@@ -99,6 +105,7 @@
     this.#self = self;
     this.#instances = instances;
     this.#coldEngines = coldEngines;
+    this.#brittle = new BrittleEngines(self, instances);
   }
 
   /** Number of engines that name a limit. */
@@ -138,6 +145,25 @@
     return now >= current && pauseMs > 0;
   }
 
+  /** Records how many requests an engine may turn away in a second before it ends,
+   * as its response says; undefined if it is not brittle. `wasTurnedAway` is
+   * whether the response turned a request away. Returns whether the number has
+   * changed. */
+  recordBrittle(
+    engineKey: string,
+    refusalsMax: number | undefined,
+    { wasTurnedAway, now }: {
+      readonly wasTurnedAway: boolean;
+      readonly now: number;
+    },
+  ): boolean {
+    const isChanged = this.#brittle.record(engineKey, refusalsMax);
+    if (refusalsMax !== undefined && wasTurnedAway) {
+      this.recordPause(engineKey, BRITTLE_PAUSE_MS, now);
+    }
+    return isChanged;
+  }
+
   /** Time until the end of an engine's pause, in milliseconds. */
   pauseLeftMs(engineKey: string, now: number): number {
     const until = this.#pausedUntil.get(engineKey);
@@ -153,9 +179,11 @@
     return count;
   }
 
-  /** How an engine may be used. */
-  roomOf(engineKey: string, now: number): EngineRoom {
+  /** How an engine may be used. `waiting` is the number of requests of this
+   * instance there that have no response yet. */
+  roomOf(engineKey: string, now: number, waiting = 0): EngineRoom {
     if (this.pauseLeftMs(engineKey, now) > 0) return "closed";
+    if (waiting >= this.#brittle.waitingMax(engineKey)) return "closed";
     const limit = this.#limits.get(engineKey);
     const isLimited = limit?.perSecond !== undefined;
     if (isLimited && !limit.allowance.hasToken(now)) return "closed";
@@ -234,6 +262,7 @@
     for (const key of this.#warmUps.keys()) {
       if (!isListed(key)) this.#warmUps.delete(key);
     }
+    this.#brittle.keepOnly(isListed);
   }
 
   /** The allowance for an engine that is cold. */
--- a/packages/serving/src/engine_path.ts
+++ b/packages/serving/src/engine_path.ts
@@ -43,6 +43,11 @@
   #givenUpSince = Infinity;
   #givenUpAt = -Infinity;
 
+  /** Number of requests that wait for their response. */
+  get waitingCount(): number {
+    return this.#waiting.size;
+  }
+
   /** Records that a request is sent at `now`. */
   start(now: number): PathProbe {
     const probe = { startedAt: now };
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -254,6 +254,9 @@
   /** The requests a second that the engine accepts at present from all instances
    * together; undefined if it names no limit. */
   readonly requestLimit: number | undefined;
+  /** The requests a second that the engine may turn away, from all instances
+   * together, before it ends; undefined if it is not brittle. */
+  readonly brittleLimit?: number | undefined;
   /** Whether the engine says that it is leaving. */
   readonly isLeaving: boolean;
   /** Time for which the engine wants no request from this instance, in
