Take only answers on new connections for a path that is back

A soak with instances cut off behind proxies: callers of three instances that reached no engine were served 2 times in 4 s, since something between takes the connections: each one counted as a sign of the engine, so the cut was noticed late and seemed over after half a second, again and again.

A connection that was made only ends that it was refused. While there is no path an engine is asked on a new connection, and two must answer; bytes of old connections, which may live on, do not count.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -177,6 +177,7 @@
     });
     this.#reachWatch = new ReachWatch({
       engineTable: this.#engineTable,
+      control: this.#control,
       onChange: () => this.#digestExchange.send({ isUrgent: true }),
       log,
     });
--- a/packages/gateway/src/reach/reach_watch.ts
+++ b/packages/gateway/src/reach/reach_watch.ts
@@ -3,12 +3,11 @@
  *
  * @module
  */
-import { connect } from "node:net";
 import type { EventLog } from "@banyanlb/core";
 import {
+  type EngineControl,
   EngineReach,
   type EngineTable,
-  type EngineView,
   type ReachChange,
 } from "@banyanlb/serving";
 import * as events from "../events.ts";
@@ -25,6 +24,7 @@
 /** Parts of the gateway that the watch uses. */
 export interface ReachWatchOptions {
   readonly engineTable: EngineTable;
+  readonly control: Pick<EngineControl, "answersAnew">;
   /** Called when engines of a service are reached again, or no longer. */
   readonly onChange: (change: ReachChange) => void;
   readonly log: EventLog;
@@ -67,33 +67,16 @@
     }
   }
 
-  /** Opens a connection to an engine of the service, whichever. */
+  /** Asks an engine of the service, whichever, on a new connection. */
   #try(service: string): void {
-    const views = this.#options.engineTable.ofService(service)
+    const { engineTable, control } = this.#options;
+    const views = engineTable.ofService(service)
       .filter(({ engine }) => !engine.leaving);
     const view = views[Math.floor(Math.random() * views.length)];
-    if (view !== undefined) this.#connect(view);
-  }
-
-  #connect({ engine }: EngineView): void {
-    const record = (isMade: boolean) => {
-      const now = performance.now();
-      this.reach.end(this.reach.expect(engine.key, engine.service, now));
-      this.reach.recordConnection(engine.key, isMade, now);
-    };
-    const socket = connect(engine.port, engine.host);
-    const timer = setTimeout(() => {
-      socket.destroy();
-      record(false);
-    }, TRY_TIMEOUT_MS);
-    socket.once("connect", () => {
-      clearTimeout(timer);
-      socket.destroy();
-      record(true);
-    });
-    socket.once("error", () => {
-      clearTimeout(timer);
-      record(false);
-    });
+    if (view === undefined) return;
+    const { engine } = view;
+    void control.answersAnew(engine, TRY_TIMEOUT_MS).then((isAnswered) =>
+      this.reach.recordTry(engine.key, service, isAnswered)
+    );
   }
 }
--- a/packages/serving/src/ports.ts
+++ b/packages/serving/src/ports.ts
@@ -205,6 +205,13 @@
   /** Asks whether an engine still runs. Never rejects. */
   abstract probe(engine: EngineAddress): Promise<EngineProbe>;
 
+  /** Whether an engine answers on a new connection within `timeoutMs`. Never
+   * rejects. */
+  abstract answersAnew(
+    engine: EngineAddress,
+    timeoutMs: number,
+  ): Promise<boolean>;
+
   /** Closes the connections to engines. */
   abstract close(): void;
 }
--- a/packages/serving/src/reach/engine_reach.ts
+++ b/packages/serving/src/reach/engine_reach.ts
@@ -20,7 +20,8 @@
 const BLOCKED_MIN = 2;
 const BLOCKED_RATIO = 2;
 
-/** Number of engines that must take a connection before there is a path again. */
+/** Number of engines that must answer on new connections before there is a path
+ * again. */
 const RESTORED_MIN = 2;
 
 /** An answer or a connection that something waits for. */
@@ -58,8 +59,8 @@
 /** The engines that this instance reaches, as its requests and orders show it. */
 export class EngineReach {
   readonly #sightings = new Map<string, Sighting>();
-  /** The services whose engines are not reached, with the engines that have taken
-   * a connection since. */
+  /** The services whose engines are not reached, with the engines that have
+   * answered on a new connection since. */
   readonly #cut = new Map<string, Set<string>>();
 
   /** Records that something is asked of an engine at `now`. */
@@ -80,18 +81,21 @@
     if (sighting !== undefined) sighting.heardAt = now;
   }
 
-  /** Records whether an engine took a new connection. */
+  /** Records whether an engine took a new connection. One that does need not have
+   * read anything: its machine takes connections for it. */
   recordConnection(engine: string, isMade: boolean, now: number): void {
     const sighting = this.#sightings.get(engine);
     if (sighting === undefined) return;
-    if (!isMade) {
-      sighting.refusedAt = now;
-      this.#cut.get(sighting.service)?.clear();
-      return;
-    }
-    sighting.connectedAt = now;
-    sighting.heardAt = now;
-    this.#cut.get(sighting.service)?.add(engine);
+    if (isMade) sighting.connectedAt = now;
+    else sighting.refusedAt = now;
+  }
+
+  /** Records whether an engine answered on a new connection while there was no path
+   * to the engines of its service. Old connections may live on. */
+  recordTry(engine: string, service: string, isAnswered: boolean): void {
+    const restored = this.#cut.get(service);
+    if (isAnswered) restored?.add(engine);
+    else restored?.clear();
   }
 
   /** Records whether an engine answered a call within its time. */
--- a/packages/serving/src/reach/engine_reach_test.ts
+++ b/packages/serving/src/reach/engine_reach_test.ts
@@ -54,20 +54,35 @@
   expect(reach.update(10_000)).toEqual([]);
 });
 
-test("the path is back when two engines have taken a connection", () => {
+test("the path is back when two engines have answered on new connections", () => {
   const reach = createReach();
   reach.update(2000);
-  reach.recordConnection("e0", true, 3000);
+  reach.recordTry("e0", "svc", true);
   reach.update(3000);
   expect(reach.isCut("svc")).toBe(true);
   // A link that flaps starts anew.
-  reach.recordConnection("e1", false, 3100);
-  reach.recordConnection("e2", true, 3200);
+  reach.recordTry("e1", "svc", false);
+  reach.recordTry("e2", "svc", true);
   reach.update(3200);
   expect(reach.isCut("svc")).toBe(true);
-  reach.recordConnection("e3", true, 3300);
+  reach.recordTry("e3", "svc", true);
   expect(reach.update(3300)).toMatchObject([{ isCut: false }]);
   expect(reach.isCutOff).toBe(false);
   // What had waited for long shows nothing any more.
   expect(reach.update(4300)).toEqual([]);
 });
+
+// Guards against a path that seems to be back since something between takes
+// connections, and against bytes of old connections, for new ones are refused.
+test("neither new connections nor bytes of old ones show that the path is back", () => {
+  const reach = createReach();
+  for (const engine of ENGINES) reach.recordConnection(engine, true, 1500);
+  reach.update(1700);
+  expect(reach.isCut("svc")).toBe(true);
+  for (const engine of ENGINES) {
+    reach.recordConnection(engine, true, 1800);
+    reach.recordHeard(engine, 1800);
+  }
+  reach.update(1900);
+  expect(reach.isCut("svc")).toBe(true);
+});
