--- a/packages/trials/src/soak/callers.ts
+++ b/packages/trials/src/soak/callers.ts
@@ -11,7 +11,11 @@
   TRIAL_HOST,
 } from "@banyanlb/platform/stand_in";
 import type { Attempt, RequestKind } from "./checks.ts";
-import { sendRequest } from "./send_request.ts";
+import {
+  type OutgoingRequest,
+  type ReceivedResponse,
+  sendRequest,
+} from "./send_request.ts";
 
 /** How long a caller caches resolved addresses, in milliseconds. */
 const ADDRESS_TTL_MS = 1000;
@@ -32,6 +36,11 @@
  * requests are sent. */
 const CRASHING_RATIO = 0.1;
 
+/** How often a caller takes a stream up that broke off, and the pause before, in
+ * milliseconds. */
+const TAKE_UPS_MAX = 3;
+const TAKE_UP_PAUSE_MS = 150;
+
 /** Bounds of the time after which a caller gives up a request that it does not
  * wait for, in milliseconds. */
 const MIN_LEAVE_MS = 100;
@@ -55,6 +64,8 @@
   readonly sendsCrashingPart: () => boolean;
   /** Ratio of the streams and reads that the caller gives up early. */
   readonly leaveRatio: number;
+  /** Whether the caller takes streams up that broke off. */
+  readonly takesUp?: boolean;
 }
 
 /** One caller, with its own connection pool. */
@@ -121,7 +132,7 @@
   }
 
   async #sendAndRecord(address: string): Promise<void> {
-    const { random, pickKey, isKeyValidSince, model, adapters } = this.#options;
+    const { random, pickKey, model, adapters } = this.#options;
     const kinds: readonly RequestKind[] = ["stream", "stream", "once", "read"];
     const kind = this.#pick(kinds) ?? "read";
     const [workspace, key] = pickKey();
@@ -144,7 +155,7 @@
       : [FIRST_PART, ...turns, ownPart];
     const leavesEarly = kind !== "once" && random() < this.#options.leaveRatio;
     const leaveAfterMs = MIN_LEAVE_MS + random() * LEAVE_JITTER_MS;
-    const response = await sendRequest(address, {
+    const outgoing = {
       ...attempt,
       agent: this.#agent,
       path: `/${kind}/${attempt.id}`,
@@ -152,6 +163,57 @@
       key,
       leaveAfterMs: leavesEarly ? leaveAfterMs : undefined,
       parts: kind === "stream" ? parts : undefined,
+    };
+    const first = await this.#send(address, outgoing);
+    if (kind !== "stream" || this.#options.takesUp !== true) return;
+    let eventsBefore = eventCountOf(first.body);
+    for (let i = 0; i < TAKE_UPS_MAX && eventsBefore > 0; i += 1) {
+      const { complete, leftAt } = this.#attempts.at(-1) ?? first;
+      const wasServed = this.#attempts.at(-1)?.status === 200 && complete;
+      if (wasServed || leftAt !== undefined || this.#isClosed) return;
+      await new Promise((resolve) => setTimeout(resolve, TAKE_UP_PAUSE_MS));
+      const other = this.#pick(this.#addresses);
+      if (other === undefined) return;
+      const response = await this.#send(other, {
+        ...outgoing,
+        id: `${attempt.id}-${i + 1}`,
+        sentAt: Date.now(),
+        resumes: attempt.id,
+        eventsBefore,
+        lastEventId: String(eventsBefore),
+      });
+      eventsBefore += eventCountOf(response.body);
+    }
+  }
+
+  /** Sends a request and records the attempt. */
+  async #send(
+    address: string,
+    { agent, path, body, key, leaveAfterMs, parts, lastEventId, ...attempt }:
+      & Omit<
+        Attempt,
+        keyof ReceivedResponse | "endedAt" | "isKeyValid"
+      >
+      & Pick<
+        OutgoingRequest,
+        | "agent"
+        | "path"
+        | "body"
+        | "key"
+        | "leaveAfterMs"
+        | "parts"
+        | "lastEventId"
+      >,
+  ): Promise<ReceivedResponse> {
+    const response = await sendRequest(address, {
+      ...attempt,
+      agent,
+      path,
+      body,
+      key,
+      leaveAfterMs,
+      parts,
+      lastEventId,
     });
     const { status, leftAt } = response;
     if (status === 0 && leftAt === undefined) {
@@ -161,8 +223,9 @@
       ...attempt,
       ...response,
       endedAt: Date.now(),
-      isKeyValid: isKeyValidSince(key, attempt.sentAt),
+      isKeyValid: this.#options.isKeyValidSince(key, attempt.sentAt),
     });
+    return response;
   }
 
   /** Ids of the turns of a conversation before the request, as hash sums. Each
@@ -176,3 +239,8 @@
     );
   }
 }
+
+/** The number of whole events in a body. */
+function eventCountOf(body: string): number {
+  return body.split("\n\n").length - 1;
+}
--- a/packages/trials/src/soak/checks.ts
+++ b/packages/trials/src/soak/checks.ts
@@ -23,6 +23,8 @@
   type EvacuationSpan,
 } from "./place_checks.ts";
 
+import { checkStreamVersions } from "./version_checks.ts";
+
 /** Kind of a request, which decides how the gateways may repeat it. */
 export type RequestKind = "stream" | "once" | "read";
 
@@ -45,6 +47,10 @@
   readonly isCrashing: boolean;
   /** Name of the request if it is one that is sent again and again. */
   readonly repeated?: string;
+  /** The id of the attempt that began the stream, and how many of its events the
+   * caller had, if this one goes on with it. */
+  readonly resumes?: string | undefined;
+  readonly eventsBefore?: number;
   /** The `Retry-After` header of the response, if it had one. */
   readonly retryAfter?: string | undefined;
   /** Whether the key was valid from the start of the attempt to its end. */
@@ -116,6 +122,7 @@
     ...checkLimits(observations),
     ...checkWorkspaceLimits(observations),
     ...checkLeft(observations),
+    ...checkStreamVersions(observations.attempts),
     ...checkEvacuations(observations),
     ...checkColdEngines(observations),
   ];
@@ -123,15 +130,18 @@
 
 function checkResponse(attempt: Attempt): readonly string[] {
   const { id, kind, status, complete, body, responseId, isKeyValid } = attempt;
+  const { eventsBefore = 0 } = attempt;
   const errors: string[] = [];
   if (DENIED.has(status) && isKeyValid) errors.push(`denied with ${status}`);
   if (status !== 200) return errors.map((text) => `${kind} ${id}: ${text}`);
   if (responseId !== id) errors.push(`has the answer of ${responseId}`);
   const texts = [...body.matchAll(/^data: (.*)$/gm)].map((m) => m[1] ?? "");
   if (kind === "stream") {
-    const index = texts.findIndex((text, i) => text !== eventText(id, i + 1));
+    const index = texts.findIndex((text, i) =>
+      text !== eventText(id, eventsBefore + i + 1)
+    );
     if (index >= 0) errors.push(`event ${index + 1} is ${texts[index]}`);
-    if (complete && texts.length !== STREAM_EVENTS) {
+    if (complete && eventsBefore + texts.length !== STREAM_EVENTS) {
       errors.push(`ended as complete after ${texts.length} events`);
     }
   } else if (complete && body !== plainText(id)) {
--- a/packages/trials/src/soak/faults.ts
+++ b/packages/trials/src/soak/faults.ts
@@ -173,6 +173,18 @@
   },
 };
 
+/** The faults of a soak with two software versions, and with gateways that are cut
+ * off from engines. */
+const faultsWithVersions: Readonly<Record<string, Fault>> = {
+  ...faults,
+  gateways_cut_from_engines: (world, pick) => {
+    const count = pick([1, 2, world.gateways.length - 1]);
+    const first = pick([...world.gateways.keys()]);
+    const slots = [...world.gateways.slice(first), ...world.gateways];
+    return world.cutFromEngines(slots.slice(0, count));
+  },
+};
+
 const GATEWAY_RESTARTS: readonly string[] = [
   "gateway_killed",
   "gateway_stopped",
@@ -199,9 +211,12 @@
     readonly durationMs: number;
     /** Whether the store comes back from older copies, at least twice. */
     readonly restoresStore: boolean;
+    /** Whether gateways are cut off from engines, at least twice, and all of them
+     * are killed. */
+    readonly hasTwoVersions: boolean;
   },
 ): Promise<readonly string[]> {
-  const { random, durationMs, restoresStore } = options;
+  const { random, durationMs, restoresStore, hasTwoVersions } = options;
   const pick: PickOne = (items) => {
     const item = items[Math.floor(random() * items.length)];
     if (item === undefined) throw new Error("nothing to pick from");
@@ -210,7 +225,10 @@
   const startMs = performance.now();
   const injected: string[] = [];
   const lifts: Promise<unknown>[] = [];
-  const pool = Object.entries(restoresStore ? faultsWithRestores : faults);
+  const pool = Object.entries({
+    ...(restoresStore ? faultsWithRestores : faults),
+    ...(hasTwoVersions ? faultsWithVersions : {}),
+  });
   // The names of the first faults; any fault where there is none.
   const planned = restoresStore
     ? [
@@ -220,6 +238,16 @@
       undefined,
       "store_restored",
     ]
+    : hasTwoVersions
+    ? [
+      "engine_leaves",
+      "gateways_cut_from_engines",
+      pick(GATEWAY_RESTARTS),
+      "engine_killed",
+      "all_gateways_killed",
+      undefined,
+      "gateways_cut_from_engines",
+    ]
     : [];
   while (performance.now() - startMs < durationMs || planned.length > 0) {
     const plannedName = planned.shift();
--- a/packages/trials/src/soak/main.ts
+++ b/packages/trials/src/soak/main.ts
@@ -19,6 +19,7 @@
   readonly fill: boolean;
   readonly restores?: boolean;
   readonly crashes?: boolean;
+  readonly versions?: boolean;
 }
 
 const PLAIN_SERVICES = 2;
@@ -34,6 +35,10 @@
   .option("--no-fill", "Fill no links while callers leave in the calm part")
   .option("--restores", "Let the store come back from older copies")
   .option("--crashes", "Send requests that crash engines again and again")
+  .option(
+    "--versions",
+    "Run engines of two software versions, and cut gateways off from engines",
+  )
   .action(async (flags: Flags) => {
     const first = Number(flags.seed ?? Math.floor(Math.random() * FRESH_SEEDS));
     let failed = 0;
@@ -44,6 +49,7 @@
         fillsLinks: flags.fill !== false,
         restoresStore: flags.restores === true,
         crashingRequests: flags.crashes === true,
+        hasTwoVersions: flags.versions === true,
         size: {
           gateways: Number(flags.gateways),
           engines: Number(flags.engines),
--- a/packages/trials/src/soak/proxy.ts
+++ b/packages/trials/src/soak/proxy.ts
@@ -45,6 +45,7 @@
   readonly #connections = new Set<ProxiedConnection>();
   readonly #target: Endpoint;
   #state: LinkState = "open";
+  #isCut: ((port: number) => boolean) | undefined;
 
   constructor(target: Endpoint) {
     this.#target = target;
@@ -66,6 +67,15 @@
     for (const pair of this.#connections) pair.isDead = true;
   }
 
+  /** Makes connections unresponsive, also later ones, for which `isCut` says so by
+   * the port of the client; none if it is undefined. */
+  cut(isCut: ((port: number) => boolean) | undefined): void {
+    this.#isCut = isCut;
+    for (const pair of this.#connections) {
+      if (isCut?.(pair.near.remotePort ?? 0) === true) pair.isDead = true;
+    }
+  }
+
   /** Resets all connections. */
   reset(): void {
     for (const { near, far } of this.#connections) {
@@ -82,7 +92,8 @@
 
   #accept(near: Socket): void {
     const far = connect(this.#target);
-    const pair = { near, far, isDead: this.#state === "silent" };
+    const isCut = this.#isCut?.(near.remotePort ?? 0) === true;
+    const pair = { near, far, isDead: this.#state === "silent" || isCut };
     this.#connections.add(pair);
     this.#forward(pair, near, far);
     this.#forward(pair, far, near);
--- a/packages/trials/src/soak/send_request.ts
+++ b/packages/trials/src/soak/send_request.ts
@@ -24,6 +24,7 @@
   /** Ids of the prompt's parts. */
   readonly parts: readonly string[] | undefined;
   readonly lastEventId?: string | undefined;
+  readonly resumes?: string | undefined;
   /** When the caller gives up, if it does not wait. */
   readonly leaveAfterMs?: number | undefined;
 }
@@ -71,6 +72,7 @@
         ...(req.lastEventId === undefined
           ? {}
           : { lastEventId: req.lastEventId }),
+        ...(req.resumes === undefined ? {} : { resumes: req.resumes }),
       }),
     });
     const timer = setTimeout(() => {
--- a/packages/trials/src/soak/soak.ts
+++ b/packages/trials/src/soak/soak.ts
@@ -117,10 +117,13 @@
     readonly restoresStore?: boolean;
     /** Whether requests that crash engines come again and again. */
     readonly crashingRequests?: boolean;
+    /** Whether engines run two software versions, callers take streams up, and
+     * gateways are cut off from engines. */
+    readonly hasTwoVersions?: boolean;
   },
 ): Promise<SoakResult> {
-  const { seed, faultPhaseMs, size, fillsLinks, restoresStore = false } =
-    options;
+  const { seed, faultPhaseMs, size, fillsLinks } = options;
+  const { restoresStore = false, hasTwoVersions = false } = options;
   const random = createRandom(seed);
   const crashingRandom = createRandom(seed + CRASHING_SEED_OFFSET);
   const guilty = options.crashingRequests === true
@@ -132,6 +135,7 @@
     : [];
   const world = new SoakWorld(seed, {
     crashingRequests: toldToEngines(guilty),
+    hasTwoVersions,
   });
   let withdrawnAtMs = Infinity;
   try {
@@ -164,6 +168,7 @@
               key !== WITHDRAWN_KEY.key || (sinceMs < withdrawnAtMs &&
                 Date.now() < withdrawnAtMs),
             sendsCrashingPart: () => world.sendsCrashingPart,
+            takesUp: hasTwoVersions,
             ...rest,
           }),
       );
@@ -189,6 +194,7 @@
       random,
       durationMs: faultPhaseMs,
       restoresStore,
+      hasTwoVersions,
     });
     world.sendsCrashingPart = true;
     await pause(STABLE_MS);
--- a/packages/trials/src/soak/soak_test.ts
+++ b/packages/trials/src/soak/soak_test.ts
@@ -26,6 +26,21 @@
   }
 });
 
+// Guards against streams joined from two software versions, and against instances
+// that refuse since they, or the owners of engines, reach no engine.
+test("two software versions, and gateways cut off from engines", {
+  timeout: LIMIT_MS,
+}, async () => {
+  const { violations } = await runSoak({
+    seed: 46,
+    faultPhaseMs: 5000,
+    size: { gateways: 4, engines: 4, plain: 2 },
+    fillsLinks: false,
+    hasTwoVersions: true,
+  });
+  expect(violations).toEqual([]);
+});
+
 // Guards against requests that reach engines after their callers have left, over
 // links that deliver them late.
 test("callers that leave while links are full, seed 503", {
--- a/packages/trials/src/soak/world.ts
+++ b/packages/trials/src/soak/world.ts
@@ -25,6 +25,7 @@
 } from "@banyanlb/platform/stand_in";
 import type { LimitChange, WorkspaceLimits } from "./limit_checks.ts";
 import type { EvacuationSpan } from "./place_checks.ts";
+import { portsOf } from "./connection_owner.ts";
 import { LinkProxy, type LinkState } from "./proxy.ts";
 import { SoakProcess } from "./soak_process.ts";
 
@@ -121,6 +122,7 @@
   sendsCrashingPart = false;
   readonly #crashingRequests: readonly CrashingRequest[];
   readonly #isDirect: boolean;
+  readonly #hasTwoVersions: boolean;
   readonly #prefix: string;
   readonly #directory = mkdtempSync(join(tmpdir(), "banyanlb-soak-"));
   readonly #keys: Record<string, string[]> = {
@@ -150,12 +152,16 @@
    * refuses connections. */
   constructor(
     seed: number,
-    { crashingRequests = [], isDirect = false }: {
+    { crashingRequests = [], isDirect = false, hasTwoVersions = false }: {
       readonly crashingRequests?: readonly CrashingRequest[];
       readonly isDirect?: boolean;
+      /** Whether engines run two versions of their software, and a restart
+       * changes an engine's. */
+      readonly hasTwoVersions?: boolean;
     } = {},
   ) {
     this.#crashingRequests = crashingRequests;
+    this.#hasTwoVersions = hasTwoVersions;
     this.#isDirect = isDirect;
     const n = (process.pid * 31 + seed) % 50_000;
     this.#prefix = `127.${20 + Math.floor(n / 250)}.${n % 250}`;
@@ -352,6 +358,16 @@
     }
   }
 
+  /** Cuts gateways off from all engines. Returns the function that heals it. */
+  cutFromEngines(slots: readonly GatewaySlot[]): () => void {
+    const isCut = (port: number) =>
+      slots.some(({ process }) => portsOf(process.pid).has(port));
+    for (const { proxy } of this.engines) proxy.cut(isCut);
+    return () => {
+      for (const { proxy } of this.engines) proxy.cut(undefined);
+    };
+  }
+
   /** Restarts a gateway if it has exited. */
   restartGateway(slot: GatewaySlot): void {
     if (slot.process.running || this.#isClosed) return;
@@ -458,6 +474,9 @@
       drainMs: DRAIN_MS,
       coldStartMs: plain || starts === 0 ? 0 : TRIAL_COLD.ms,
       crashingRequests: this.#crashingRequests,
+      softwareVersion: this.#hasTwoVersions && (index + starts) % 2 === 1
+        ? "v2"
+        : "v1",
     };
     return this.#startProcess(options.id, STAND_IN_PROGRAM, [
       "engine",
