--- a/packages/serving/src/explain/explain_choice.ts
+++ b/packages/serving/src/explain/explain_choice.ts
@@ -22,6 +22,7 @@
   readonly engine: string;
   readonly zone: string;
   readonly region: string | undefined;
+  readonly softwareVersion: string | undefined;
   /** The rule that leaves it out; undefined if none does. */
   readonly excluded: Exclusion | undefined;
   /** Undefined for requests without an adapter. */
@@ -97,6 +98,7 @@
         engine: engine.key,
         zone: engine.zone,
         region: context.regionOf(engine.zone),
+        softwareVersion: engine.softwareVersion,
         excluded: exclusions.get(view),
         adapter: adapter === undefined
           ? undefined
@@ -139,6 +141,7 @@
         ? "-"
         : `${row.expectedLoad.toFixed(1)}/${row.capacity}`,
       row.penalty === undefined ? "-" : row.penalty.toFixed(2),
+      row.softwareVersion ?? "-",
     ]);
   const table = [
     [
@@ -150,6 +153,7 @@
       "counted",
       "expected",
       "penalty",
+      "version",
     ],
     ...rows,
   ];
