Let an owner whose path is back order only when its ownership is confirmed

Two owners could take turns: the coordinator acted on what an owner had reported before it fell silent, while the owner, cut off from the store and peers as well, found its path again and ordered after the gap.

The coordinator moves engines only by reports of owners that it hears of, so they are little more than a second old.

Two cases of reach_membership_test.ts fail on the code before: a silence 200 ms after the path was lost (600 ms between two owners' orders, 1,000 allowed), and an owner whose assignment nobody has confirmed.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -186,6 +186,7 @@
     this.#ownOrderPath = new OwnOrderPath(settings.name, {
       members: this.#members,
       orderGapMs: settings.bounds.orderGapMs,
+      assignmentAgeMs: (now) => this.#membership.assignmentFollower.ageMs(now),
     });
     this.#store = new ObjectStoreClient(
       settings.store,
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -706,9 +706,13 @@
         ? this.#options.ownPath.mayTakeOver
         : alive.includes(name) && orderPaths.mayTakeOver(name, now)
     );
+    // What a silent owner reported last may be over.
+    const isHeard = (name: string) =>
+      name === self.name || alive.includes(name);
     for (const [key, owner] of Object.entries(kept)) {
+      const name = nameOf(owner);
       if (reaching.length === 0) break;
-      if (orderPaths.mustYield(nameOf(owner), now)) delete kept[key];
+      if (isHeard(name) && orderPaths.mustYield(name, now)) delete kept[key];
     }
     const candidates = reaching.length > 0
       ? reaching
--- a/packages/gateway/src/reach/reach_membership_test.ts
+++ b/packages/gateway/src/reach/reach_membership_test.ts
@@ -26,6 +26,8 @@
   readonly ownPath: OwnOrderPath;
   readonly membership: Membership;
   hasPath = true;
+  isHeard = true;
+  assignmentAgeMs = 0;
 
   constructor(store: FakeRecordStore, name: string) {
     this.name = name;
@@ -46,6 +48,7 @@
     this.ownPath = new OwnOrderPath(name, {
       members: this.members,
       orderGapMs: ORDER_GAP_MS,
+      assignmentAgeMs: () => this.assignmentAgeMs,
     });
     this.membership = new Membership(store, {
       ...membershipOptions(memberOnPort(name, 1), this.members),
@@ -74,8 +77,8 @@
       const now = performance.now();
       for (const to of fleet) {
         to.ownPath.record(to.hasPath, now);
-        for (const { name, hasPath, membership } of fleet) {
-          if (name === to.name) continue;
+        for (const { name, hasPath, isHeard, membership } of fleet) {
+          if (name === to.name || !isHeard) continue;
           to.members.add(memberOnPort(name, 1));
           const { tenure } = membership;
           hearOf(to.members, name, { now, tenure, ordersCut: !hasPath });
@@ -86,7 +89,7 @@
     }
   };
   await pass(9000);
-  return { fleet, pass };
+  return { fleet, pass, store };
 }
 
 // Guards against engines that get no loads, since their owner, which is alive and
@@ -148,3 +151,50 @@
     expect(cut.orderable).toEqual([]);
   });
 });
+
+// Guards against two owners: one is named by what the other reported before it fell
+// silent and its path came back.
+test.each([200, 500, 900])(
+  "owners take no turns if one is silent %i ms after it lost its path",
+  async (silentAfterMs) => {
+    const { fleet, pass } = await startFleet();
+    const cut = fleet.find(({ name, orderable }) =>
+      name !== "a" && orderable.length > 0
+    );
+    if (cut === undefined) throw new Error("no owner");
+    cut.hasPath = false;
+    await pass(silentAfterMs);
+    cut.isHeard = false;
+    cut.hasPath = true;
+    const lastOrders = new Map<string, { name: string; at: number }>();
+    await pass(9000, () => {
+      const at = performance.now();
+      for (const { name, orderable } of fleet) {
+        for (const key of orderable) {
+          const last = lastOrders.get(key);
+          if (last !== undefined && last.name !== name) {
+            expect(at - last.at).toBeGreaterThanOrEqual(ORDER_GAP_MS);
+          }
+          lastOrders.set(key, { name, at });
+        }
+      }
+    });
+    expect([...lastOrders.keys()].sort()).toEqual(ENGINES);
+  },
+);
+
+test("an owner whose path is back orders nothing before its ownership is confirmed", async () => {
+  const { fleet, pass, store } = await startFleet();
+  const cut = fleet.find(({ orderable }) => orderable.length > 0);
+  if (cut === undefined) throw new Error("no owner");
+  const own = cut.orderable;
+  // No other owner can be named meanwhile.
+  store.isWritable = false;
+  cut.hasPath = false;
+  await pass(600);
+  cut.hasPath = true;
+  cut.assignmentAgeMs = 60_000;
+  await pass(3000, () => expect(cut.orderable).toEqual([]));
+  cut.assignmentAgeMs = 0;
+  expect(cut.orderable).toEqual(own);
+});
