Wire the paths to engines in one module, and keep it out of larger ones

EngineAccess holds what follows from paths, OwnerMoves what the coordinator decides by them, and bufferBody reads bodies for the exchange. No behaviour changes; the tests of gateway parts that use them pass unchanged.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -28,6 +28,7 @@
   isFailure,
   type Successor,
 } from "./attempt_outcome.ts";
+import { bufferBody } from "./buffer_body.ts";
 import { withContentLength, withoutContentLength } from "./content_length.ts";
 import { requirementsOf } from "./engine_requirements.ts";
 import { type EngineRequest, reasonOf } from "./engine_connections.ts";
@@ -49,7 +50,7 @@
 import { ReadTimeout } from "./read_timeout.ts";
 import { RateCharge } from "./rate_charge.ts";
 import type { RelayDependencies } from "./relay_dependencies.ts";
-import { RESPONSE_MAX_BYTES, ResponseBuffer } from "./response_buffer.ts";
+import { RESPONSE_MAX_BYTES } from "./response_buffer.ts";
 import { trackCompletion } from "./response_completion.ts";
 import { judgeResponse } from "./response_verdict.ts";
 import { skipBody } from "./skip_body.ts";
@@ -817,29 +818,15 @@
     });
   }
 
-  /** Reads a whole body within the limits and passes it to `onBody`. A body that
-   * is too large or incomplete fails the attempt. Its room is kept until the
-   * caller has received the response. */
   #bufferBody(
     response: IncomingMessage,
     settle: AttemptSettler,
     onBody: (body: Buffer) => void,
   ): void {
-    const buffer = new ResponseBuffer();
-    const isComplete = trackCompletion(response);
-    const fail = (reason: string) => {
-      buffer.release();
-      settle(this.#failedOutcome(reason));
-    };
-    this.#input.res.once("close", () => buffer.release());
-    response.on("data", (chunk: Buffer) => {
-      if (!settle.ended() && !buffer.push(chunk)) fail("response_too_large");
-    });
-    response.on("error", () => fail("connection_lost"));
-    response.on("end", () => {
-      if (settle.ended()) return;
-      if (isComplete()) onBody(buffer.concat());
-      else fail("connection_lost");
+    bufferBody(response, this.#input.res, {
+      isEnded: settle.ended,
+      onBody,
+      onFailure: (reason) => settle(this.#failedOutcome(reason)),
     });
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,10 +9,8 @@
 import {
   BodyRoom,
   DIGEST_TICK_MS,
-  type EngineAddress,
   EngineChooser,
   EngineLimits,
-  type EngineProbe,
   EngineTable,
   IDLE_TICKS,
   isAcceptedWhileDraining,
@@ -20,7 +18,6 @@
   type Member,
   MemberTable,
   PathDelays,
-  type ReadyMember,
   RetryBudget,
   type Route,
   type SelectionContext,
@@ -51,10 +48,7 @@
 import { PeerLinks, type SendReply } from "./peer_links.ts";
 import type { PeerMessage } from "./peer_messages.ts";
 import { RateLog } from "./rate_log.ts";
-import { OwnOrderPath } from "./reach/own_order_path.ts";
-import { PassedRequests } from "./reach/passed_requests.ts";
-import { ReachWatch } from "./reach/reach_watch.ts";
-import { RequestPasser } from "./reach/request_passer.ts";
+import { EngineAccess } from "./reach/engine_access.ts";
 import { ReaderRoles } from "./reader_roles.ts";
 import { RecordConfirmer } from "./record_confirmer.ts";
 import { CrashProtection } from "./quarantine/crash_protection.ts";
@@ -108,10 +102,7 @@
   readonly #store: ObjectStoreClient;
   readonly #eventLoopWatch: EventLoopWatch;
   readonly #control = new EngineControlClient();
-  readonly #reachWatch: ReachWatch;
-  readonly #ownOrderPath: OwnOrderPath;
-  readonly #passer: RequestPasser;
-  readonly #passedRequests: PassedRequests;
+  readonly #access: EngineAccess;
   readonly #connections: EngineConnections;
   readonly #members: MemberTable;
   readonly #storeView: StoreView;
@@ -175,19 +166,23 @@
       log,
       metrics: this.#metrics,
     });
-    this.#reachWatch = new ReachWatch({
+    this.#access = new EngineAccess({
+      self: this.#self,
+      members: this.#members,
       engineTable: this.#engineTable,
       control: this.#control,
+      protocol: this.#protocol,
+      routeTable: () => this.#storeView.routeTable,
+      orderGapMs: settings.bounds.orderGapMs,
+      assignmentAgeMs: (now) => this.#membership.assignmentFollower.ageMs(now),
       onChange: () => this.#digestExchange.send({ isUrgent: true }),
+      servePassed: (req, res) =>
+        void relay.servePassed(req, res).catch(recordError(res)),
       log,
+      metrics: this.#metrics,
     });
-    const { reach } = this.#reachWatch;
+    const { reach } = this.#access;
     this.#connections = new EngineConnections(reach);
-    this.#ownOrderPath = new OwnOrderPath(settings.name, {
-      members: this.#members,
-      orderGapMs: settings.bounds.orderGapMs,
-      assignmentAgeMs: (now) => this.#membership.assignmentFollower.ageMs(now),
-    });
     this.#store = new ObjectStoreClient(
       settings.store,
       (transfer) => this.#trafficLog.recordStoreTransfer(transfer),
@@ -254,11 +249,11 @@
         this.#storeView.reconnect();
         this.#membership.reconnect();
       },
-      ownPath: this.#ownOrderPath,
-      acceptsOrders: (service) => this.#acceptsOrders(service),
+      ownPath: this.#access.ownPath,
+      acceptsOrders: (service) => this.#access.acceptsOrders(service),
     });
     this.#links = new PeerLinks(this.#self, {
-      onRequests: (socket) => this.#passedRequests.accept(socket),
+      onRequests: (socket) => this.#access.passedRequests.accept(socket),
       onMessage: (from, message, sendReply) =>
         this.#onPeerMessage(from, message, sendReply),
       onInvalidMessage: (reason) =>
@@ -304,7 +299,7 @@
       self: this.#self,
       members: this.#members,
       store: this.#store,
-      control: { probe: (engine) => this.#probe(engine) },
+      control: this.#access,
       reachesStore: () => this.#storeView.reachesStore,
       log,
       metrics: this.#metrics,
@@ -355,22 +350,12 @@
         leaving: this.#isDraining,
         serves: this.#ownLoad.serves,
         busy: this.#ownLoad.busy,
-        cutOff: reach.isCutOff,
-        ordersCut: this.#areOrdersCut,
-        takesPassed: true,
+        ...this.#access.state,
       }),
       reach,
       log,
     });
     this.#rateLog = new RateLog({ rates: this.#rates, log });
-    this.#passer = new RequestPasser({
-      self: this.#self,
-      members: this.#members,
-      reach,
-      protocol: this.#protocol,
-      log,
-      metrics: this.#metrics,
-    });
     const relayDependencies: RelayDependencies = {
       protocol: this.#protocol,
       routeTable: () => this.#storeView.routeTable,
@@ -395,7 +380,7 @@
       bodyRoom: new BodyRoom(settings.memoryBytes * BODY_ROOM_SHARE),
       crashProtection: this.#crashProtection,
       softwareVersions: this.#softwareVersions,
-      passer: this.#passer,
+      passer: this.#access.passer,
       hasTimeFor: (route) => this.#hasTimeFor(route),
       log,
       metrics: this.#metrics,
@@ -409,20 +394,19 @@
       this.#ownLoad.countRequest(performance.now());
       relay.serve(req, res).catch(recordError(res));
     });
-    this.#passedRequests = new PassedRequests({
-      members: this.#members,
-      isCutOff: () => reach.isCutOff,
-      serve: (req, res) =>
-        void relay.servePassed(req, res).catch(recordError(res)),
-      log,
-    });
     this.#readinessServer = new CallerServer((req, res) =>
       this.#serveReadiness(req, res)
     );
     const steering = new SteeringEndpoint({
       protocol: this.#protocol,
       maxCacheSeconds: settings.bounds.maxSteeringTtlSeconds,
-      readyMembers: (now) => this.#readyMembers(now),
+      readyMembers: (now) =>
+        this.#access.preferReaching([
+          ...this.#members.ready(now),
+          ...(this.#isReady
+            ? [{ ...this.#self, busy: this.#ownLoad.busy }]
+            : []),
+        ]),
       steeringRegionsOf: (host) =>
         this.#storeView.routeTable?.steeringRegionsOf(host),
     });
@@ -550,7 +534,7 @@
       const elapsedMs = performance.now() - startedAt;
       if (
         elapsedMs > DRAIN_MIN_MS && this.#callerServer.active === 0 &&
-        this.#passedRequests.active === 0 &&
+        this.#access.passedRequests.active === 0 &&
         this.#callerServer.idleMs() > DRAIN_IDLE_MS
       ) break;
       await new Promise((resolve) => setTimeout(resolve, 100));
@@ -573,8 +557,7 @@
     this.#membership.close();
     this.#digestExchange.close();
     this.#links.close();
-    this.#passedRequests.close();
-    this.#passer.close();
+    this.#access.close();
     this.#connections.close();
     this.#control.close();
     this.#store.close();
@@ -622,8 +605,7 @@
     const now = performance.now();
     this.#ownLoad.tick(now);
     this.#recordConfirmer.check(now);
-    this.#reachWatch.check(now);
-    this.#ownOrderPath.record(!this.#areOrdersCut, now);
+    this.#access.check(now);
     this.#ticks += 1;
     if (this.#isIdle && this.#ticks < IDLE_TICKS) return;
     this.#digestExchange.send({ ticks: this.#ticks });
@@ -646,40 +628,6 @@
       performance.now() > IDLE_AFTER_MS && !this.#isDraining;
   }
 
-  /** The instances for callers: those that have a path to engines, unless none
-   * has. */
-  #readyMembers(now: number): readonly ReadyMember[] {
-    const self = { ...this.#self, busy: this.#ownLoad.busy };
-    const ready = [
-      ...this.#members.ready(now),
-      ...(this.#isReady ? [self] : []),
-    ];
-    const reaching = ready.filter(({ name }) =>
-      name === this.#self.name
-        ? !this.#reachWatch.reach.isCutOff
-        : !this.#members.isCutOff(name)
-    );
-    return reaching.length > 0 ? reaching : ready;
-  }
-
-  /** Asks whether an engine still runs. One that refuses a connection has not
-   * ended if others refuse it as well. */
-  async #probe(engine: EngineAddress): Promise<EngineProbe> {
-    const result = await this.#control.probe(engine);
-    return this.#reachWatch.reach.isCutOff ? "unknown" : result;
-  }
-
-  #acceptsOrders(service: string): boolean {
-    const table = this.#storeView.routeTable;
-    return table?.findService(service)?.engineClass !== undefined;
-  }
-
-  /** Whether this instance has no path to engines that take orders. */
-  get #areOrdersCut(): boolean {
-    return [...this.#reachWatch.reach.cutServices]
-      .some((service) => this.#acceptsOrders(service));
-  }
-
   #onStoreViewChange(): void {
     const routeTable = this.#storeView.routeTable;
     if (routeTable === undefined) return;
@@ -690,7 +638,7 @@
     this.#crashProtection.recordEngineList((key) => keys.has(key));
     this.#warmUp.recordList();
     this.#engineLimits.keepOnly((key) => keys.has(key));
-    this.#reachWatch.reach.keepOnly((key) => keys.has(key));
+    this.#access.reach.keepOnly((key) => keys.has(key));
     for (const key of this.#connections.engineKeys()) {
       if (!keys.has(key)) this.#connections.retire(key);
     }
--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -30,6 +30,7 @@
 import * as events from "./events.ts";
 import { splitsProgressOf } from "./software_versions/split_records.ts";
 import type { OwnOrderPath } from "./reach/own_order_path.ts";
+import { instanceOf, OwnerMoves } from "./reach/owner_moves.ts";
 import type { WorkspaceRates } from "./workspace_rates.ts";
 import {
   decodeAssignment,
@@ -549,7 +550,7 @@
     this.#owners = new Map(
       Object.entries(this.#assignment).map(([key, { owner }]) => [
         key,
-        nameOf(owner),
+        instanceOf(owner),
       ]),
     );
     this.#fencingToken = record.revision;
@@ -699,28 +700,19 @@
     for (const [key, owner] of Object.entries(formerOwners)) {
       if (mayBeLost || listedOwners.has(owner)) kept[key] = owner;
     }
-    const now = performance.now();
-    const { orderPaths } = members;
-    const reaching = [self, ...members.list()].filter(({ name }) =>
-      name === self.name
-        ? this.#options.ownPath.mayTakeOver
-        : alive.includes(name) && orderPaths.mayTakeOver(name, now)
-    );
-    // What a silent owner reported last may be over.
-    const isHeard = (name: string) =>
-      name === self.name || alive.includes(name);
+    const moves = new OwnerMoves(self, {
+      members,
+      ownPath: this.#options.ownPath,
+      alive,
+      now: performance.now(),
+    });
     for (const [key, owner] of Object.entries(kept)) {
-      const name = nameOf(owner);
-      if (reaching.length === 0) break;
-      if (isHeard(name) && orderPaths.mustYield(name, now)) delete kept[key];
+      if (moves.mustYield(owner)) delete kept[key];
     }
-    const candidates = reaching.length > 0
-      ? reaching
-      : [self, ...members.list().filter(({ name }) => alive.includes(name))];
     const added = planAssignment(
       kept,
       engines.filter(({ key }) => kept[key] === undefined),
-      candidates.flatMap(({ name, zone, cores }) => {
+      moves.candidates.flatMap(({ name, zone, cores }) => {
         const tenure = name === self.name ? this.#tenure : tenureOf(name);
         return tenure === undefined
           ? []
@@ -734,11 +726,6 @@
     const isStored = this.#storedRevision !== undefined || keys.length === 0;
     if (isUnchanged && !this.#isAssignmentDamaged && isStored) return;
     const value: Record<string, StoredOwner> = {};
-    // Nothing that it has sent since it had no path has reached its engines.
-    const idleMsOf = (formerOwner = "") => {
-      const cutMs = orderPaths.cutMs(nameOf(formerOwner), now);
-      return cutMs === undefined ? undefined : Math.floor(cutMs);
-    };
     for (const key of keys) {
       const owner = planned[key] ?? "";
       const previous = current[key];
@@ -748,7 +735,7 @@
         : formerOwner === owner ||
             (formerOwner === undefined && !this.#isAssignmentDamaged)
         ? { owner, movedAt: 0 }
-        : { owner, movedAt: Date.now(), idleMs: idleMsOf(formerOwner) };
+        : { owner, movedAt: Date.now(), idleMs: moves.idleMs(formerOwner) };
     }
     const record = await this.#store.put("assignment", {
       name: ASSIGNMENT_RECORD_NAME,
@@ -762,8 +749,3 @@
     });
   }
 }
-
-/** The name of an owner. */
-function nameOf(owner: string): string {
-  return owner.split("#")[0] ?? owner;
-}
