--- a/packages/gateway/src/software_versions/split_keeper.ts
+++ b/packages/gateway/src/software_versions/split_keeper.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from "@banyanlb/core";
 import {
   type Configuration,
+  type Engine,
   type EngineTable,
   FIRST_ERA,
   type HomeRegions,
@@ -31,6 +32,9 @@
  * milliseconds: the engines of a new deployment should be listed by then. */
 const SETTLE_MS = 2500;
 
+/** Room of an engine that is cold, compared with a warm one. */
+const COLD_ROOM_RATIO = 0.4;
+
 /** Time between removals of reports, in milliseconds. */
 const CLEAN_INTERVAL_MS = 30_000;
 
@@ -60,6 +64,12 @@
   readonly homes: HomeRegions;
 }
 
+/** The room of an engine: how many requests it runs, fewer while it is slow after
+ * its start. */
+function roomOf({ slots, coldMs = 0 }: Engine): number {
+  return coldMs > 0 ? slots * COLD_ROOM_RATIO : slots;
+}
+
 /** The name of a process's report. */
 export function reportNameOf({ name, incarnation }: Member): string {
   return `${name}.${incarnation}`;
@@ -142,10 +152,11 @@
     for (const [name, { service, homes }] of this.#currentPools()) {
       const room = new Map<string, number>();
       for (const view of engineTable.ofService(service)) {
-        const { softwareVersion, leaving, slots } = view.engine;
+        const { softwareVersion, leaving } = view.engine;
         if (softwareVersion === undefined || leaving) continue;
         if (!isPermitted(view, { homes }, context)) continue;
-        room.set(softwareVersion, (room.get(softwareVersion) ?? 0) + slots);
+        const former = room.get(softwareVersion) ?? 0;
+        room.set(softwareVersion, former + roomOf(view.engine));
       }
       if (room.size > 0) rooms.set(name, room);
     }
