Pass on only requests that find no engine within reach

Engines that a request crashes refuse connections for a while, and two of them were reason enough to pass any refused request on: also one that is held since it crashes engines. It could have reached more of them through another instance. Found by reading the change; relay_passing_test.ts names the reasons now.

The version of a stream is released also if serving it fails unexpectedly.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -126,8 +126,11 @@
   }
 
   async run(): Promise<void> {
-    await this.#serve();
-    this.#streamVersion.close(this.#input.res.writableEnded);
+    try {
+      await this.#serve();
+    } finally {
+      this.#streamVersion.close(this.#input.res.writableEnded);
+    }
   }
 
   async #serve(): Promise<void> {
--- a/packages/gateway/src/reach/relay_passing_test.ts
+++ b/packages/gateway/src/reach/relay_passing_test.ts
@@ -280,6 +280,25 @@
   expect(await sendRequest(port)).toMatchObject({ status: 200, body: WELL });
 });
 
+// Guards against a request that is held, since it crashes engines, and reaches more
+// of them through other instances.
+test("only what finds no engine is passed on", async () => {
+  const reach = new EngineReach();
+  const peer = await startPeer("b", [respondWell], { relay: { route: {} } });
+  const passer = createPasser([peer], reach);
+  for (const engine of ["e0@1", "e1@1"]) {
+    reach.expect(engine, "svc", 0);
+    reach.recordConnection(engine, false, performance.now());
+  }
+  for (const reason of ["unreachable", "full:no_engine", "no_engine:full"]) {
+    expect(passer.mayHelp("svc", reason)).toBe(true);
+  }
+  for (const reason of ["held_request", "held_part", "no_memory", "leaving"]) {
+    expect(passer.mayHelp("svc", reason)).toBe(false);
+  }
+  expect(passer.mayHelp("other", "unreachable")).toBe(false);
+});
+
 test("an engine that turns a request away is no reason to pass it on", async () => {
   const turnAway: RequestListener = (_, res) => {
     res.writeHead(503, {
--- a/packages/gateway/src/reach/request_passer.ts
+++ b/packages/gateway/src/reach/request_passer.ts
@@ -57,6 +57,9 @@
  * on, although the service does not count as cut. */
 const DOUBTED_MIN = 2;
 
+/** Refusals for want of an engine that can be reached in time. */
+const PATH_REASON = /^(no_engine|full|too_late|unreachable)(:|$)/;
+
 /** Cost of an instance in another zone of the region and in another region, as
  * fractions of busy time: links between regions are narrow. */
 const DISTANCE_COSTS = [0, 0.1, 0.5] as const;
@@ -109,8 +112,10 @@
     return count > 0 && blocked.length >= count;
   }
 
-  /** Whether a request that found no engine should be passed on. */
-  mayHelp(service: string): boolean {
+  /** Whether a request that was to be refused for `reason` should be passed on:
+   * another instance may reach engines, but decides alike on all else. */
+  mayHelp(service: string, reason: string): boolean {
+    if (!PATH_REASON.test(reason)) return false;
     const { blocked } = this.#options.reach.reachOf(service, performance.now());
     return this.isNeeded(service) || blocked.length >= DOUBTED_MIN;
   }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -96,7 +96,8 @@
     this.#deps.retryBudgetOf(service).recordRequest(arrivedAt);
     // Engines may be out of reach since a moment ago.
     const refuseOrPass = (status: number, reason: string, wait?: number) => {
-      const mayPass = status === 503 && passer?.mayHelp(service) === true;
+      const mayPass = status === 503 &&
+        passer?.mayHelp(service, reason) === true;
       if (!mayPass) return refuse(status, reason, wait);
       passer.pass(passed).then((isPassed) => {
         if (!isPassed) refuse(status, reason, wait);
