Believe that engines have ended if no other instance reaches them

An instance without a path took no refused connection for the end of an engine, so requests that end all engines of a small service would not have been held. Found by reading; it asks now whether another instance has a path.

--- a/packages/gateway/src/reach/engine_access.ts
+++ b/packages/gateway/src/reach/engine_access.ts
@@ -108,10 +108,13 @@
   }
 
   /** Asks whether an engine still runs. One that refuses a connection need not have
-   * ended while others refuse them as well. */
+   * ended if others refuse them as well, but only here. */
   async probe(engine: EngineAddress): Promise<EngineProbe> {
-    const result = await this.#options.control.probe(engine);
-    return this.reach.isCutOff ? "unknown" : result;
+    const { control, members } = this.#options;
+    const result = await control.probe(engine);
+    const isCutAlone = this.reach.isCutOff &&
+      members.takingPassed(performance.now()).length > 0;
+    return isCutAlone ? "unknown" : result;
   }
 
   /** Closes the connections from and to other instances. */
