Give engines that have joined a growing part of new streams

An engine that has joined the list counts with 0.4 of its slots, and with all of them after ten seconds; those of the first list count whole.

--- a/packages/gateway/src/software_versions/software_versions_test.ts
+++ b/packages/gateway/src/software_versions/software_versions_test.ts
@@ -334,26 +334,30 @@
   for (let i = 0; i < 12; i += 1) expect(await b.begin(`late-${i}`)).toBe("v1");
 });
 
-// Pattern of load: engines are replaced by ones that are slow after their start.
-test("engines that are cold get fewer new streams", async () => {
+// Pattern of load: engines are replaced by ones that are slow after their start and
+// hold no adapters.
+test("engines that are cold or have just joined get fewer new streams", async () => {
   const store = new FakeRecordStore();
   store.isWritable = true;
   const process = new TestProcess(store, "a");
-  const shareOfNewer = async (coldMs: number) => {
-    const engines = ["v1", "v1", "v2", "v2"].map(engineOf);
+  const former = ["v1", "v1"].map(engineOf);
+  const newer = ["v2", "v2"].map(engineOf);
+  const shareOfNewer = async (coldMs: number, joinedMsAgo: number) => {
+    const joinedAt = performance.now() - joinedMsAgo;
+    process.engineTable.setEngines(former);
     process.engineTable.setEngines(
-      engines.map((engine) =>
-        engine.softwareVersion === "v2" ? { ...engine, coldMs } : engine
-      ),
+      [...former, ...newer.map((engine) => ({ ...engine, coldMs }))],
+      joinedAt,
     );
     await process.write();
     await process.read();
     const versions = await Promise.all(
       Array.from({ length: 200 }, (_, i) => process.begin(`${coldMs}-${i}`)),
     );
+    await new Promise((resolve) => setTimeout(resolve, 1100));
     return versions.filter((version) => version === "v2").length / 200;
   };
-  expect(await shareOfNewer(5000)).toBeLessThan(0.4);
-  await new Promise((resolve) => setTimeout(resolve, 1100));
-  expect(await shareOfNewer(0)).toBeGreaterThan(0.4);
+  expect(await shareOfNewer(5000, 20_000)).toBeLessThan(0.4);
+  expect(await shareOfNewer(0, 20_000)).toBeGreaterThan(0.4);
+  expect(await shareOfNewer(0, 0)).toBeLessThan(0.4);
 });
--- a/packages/gateway/src/software_versions/split_keeper.ts
+++ b/packages/gateway/src/software_versions/split_keeper.ts
@@ -32,8 +32,11 @@
  * milliseconds: the engines of a new deployment should be listed by then. */
 const SETTLE_MS = 2500;
 
-/** Room of an engine that is cold, compared with a warm one. */
+/** Room of an engine that is cold, compared with a warm one, and how long one that
+ * has joined takes to have all of its room, in milliseconds: it is slow, and holds
+ * no adapters. */
 const COLD_ROOM_RATIO = 0.4;
+const SLOW_START_MS = 10_000;
 
 /** Time between removals of reports, in milliseconds. */
 const CLEAN_INTERVAL_MS = 30_000;
@@ -64,10 +67,11 @@
   readonly homes: HomeRegions;
 }
 
-/** The room of an engine: how many requests it runs, fewer while it is slow after
- * its start. */
-function roomOf({ slots, coldMs = 0 }: Engine): number {
-  return coldMs > 0 ? slots * COLD_ROOM_RATIO : slots;
+/** The room of an engine that joined `listedMs` ago: how many requests it runs,
+ * fewer after its start. */
+function roomOf({ slots, coldMs = 0 }: Engine, listedMs: number): number {
+  const progress = coldMs > 0 ? 0 : Math.min(1, listedMs / SLOW_START_MS);
+  return slots * (COLD_ROOM_RATIO + (1 - COLD_ROOM_RATIO) * progress);
 }
 
 /** The name of a process's report. */
@@ -148,6 +152,7 @@
   #rooms(): ReadonlyMap<string, RoomByVersion> {
     const { engineTable, regionOf, isEvacuated } = this.#options;
     const context = { regionOf, isEvacuated };
+    const now = performance.now();
     const rooms = new Map<string, RoomByVersion>();
     for (const [name, { service, homes }] of this.#currentPools()) {
       const room = new Map<string, number>();
@@ -156,7 +161,8 @@
         if (softwareVersion === undefined || leaving) continue;
         if (!isPermitted(view, { homes }, context)) continue;
         const former = room.get(softwareVersion) ?? 0;
-        room.set(softwareVersion, former + roomOf(view.engine));
+        const listedMs = now - view.listedAt;
+        room.set(softwareVersion, former + roomOf(view.engine, listedMs));
       }
       if (room.size > 0) rooms.set(name, room);
     }
--- a/packages/serving/src/engine_table.ts
+++ b/packages/serving/src/engine_table.ts
@@ -21,6 +21,9 @@
 /** This instance's view of one engine. */
 export class EngineView {
   engine: Engine;
+  /** When the engine joined the list, by the monotonic clock; `-Infinity` if it
+   * was in the first one that was received. */
+  readonly listedAt: number;
   adapters: AdapterStates;
   /** Whether the engine's owner has reported the held adapters. */
   isReportedByOwner = false;
@@ -39,8 +42,9 @@
   #othersCountedAt = -Infinity;
   #othersLoadValidUntil = -Infinity;
 
-  constructor(engine: Engine) {
+  constructor(engine: Engine, listedAt = -Infinity) {
     this.engine = engine;
+    this.listedAt = listedAt;
     this.#isListedLeaving = engine.leaving;
     // The engine may have been leaving for long and may stop at any time.
     if (engine.leaving) this.leavingSince = -Infinity;
@@ -147,11 +151,12 @@
   setEngines(engines: readonly Engine[], now = 0): readonly EngineView[] {
     const seen = new Set<string>();
     const sizeBefore = this.#views.size;
+    const listedAt = sizeBefore === 0 ? -Infinity : now;
     for (const engine of engines) {
       seen.add(engine.key);
       const view = this.#views.get(engine.key);
       if (view === undefined) {
-        this.#views.set(engine.key, new EngineView(engine));
+        this.#views.set(engine.key, new EngineView(engine, listedAt));
       } else {
         view.updateEntry(engine, now);
       }
