--- a/packages/gateway/src/reach/reach_watch.ts
+++ b/packages/gateway/src/reach/reach_watch.ts
@@ -36,6 +36,7 @@
   readonly #options: ReachWatchOptions;
   #checkedAt = -Infinity;
   #triedAt = -Infinity;
+  #tries = 0;
 
   constructor(options: ReachWatchOptions) {
     this.#options = options;
@@ -67,16 +68,21 @@
     }
   }
 
-  /** Asks an engine of the service, whichever, on a new connection. */
+  /** Asks the next engine of the service that has not answered lately on a new
+   * connection. */
   #try(service: string): void {
     const { engineTable, control } = this.#options;
-    const views = engineTable.ofService(service)
-      .filter(({ engine }) => !engine.leaving);
-    const view = views[Math.floor(Math.random() * views.length)];
+    const now = performance.now();
+    const views = engineTable.ofService(service).filter(({ engine }) =>
+      !engine.leaving && !this.reach.hasAnswered(engine.key, service, now)
+    );
+    this.#tries += 1;
+    const view = views[this.#tries % Math.max(1, views.length)];
     if (view === undefined) return;
     const { engine } = view;
-    void control.answersAnew(engine, TRY_TIMEOUT_MS).then((isAnswered) =>
-      this.reach.recordTry(engine.key, service, isAnswered)
-    );
+    void control.answersAnew(engine, TRY_TIMEOUT_MS).then((isAnswered) => {
+      if (!isAnswered) return;
+      this.reach.recordTry(engine.key, service, performance.now());
+    });
   }
 }
--- a/packages/serving/src/reach/engine_reach.ts
+++ b/packages/serving/src/reach/engine_reach.ts
@@ -24,6 +24,10 @@
  * again. */
 const RESTORED_MIN = 2;
 
+/** How long such an answer counts, in milliseconds. Some of the engines may be gone,
+ * so the tries between may fail. */
+const ANSWER_VALID_MS = 3000;
+
 /** An answer or a connection that something waits for. */
 export interface Expectation {
   readonly engine: string;
@@ -60,8 +64,8 @@
 export class EngineReach {
   readonly #sightings = new Map<string, Sighting>();
   /** The services whose engines are not reached, with the engines that have
-   * answered on a new connection since. */
-  readonly #cut = new Map<string, Set<string>>();
+   * answered on a new connection since, and when. */
+  readonly #cut = new Map<string, Map<string, number>>();
 
   /** Records that something is asked of an engine at `now`. */
   expect(engine: string, service: string, now: number): Expectation {
@@ -90,12 +94,16 @@
     else sighting.refusedAt = now;
   }
 
-  /** Records whether an engine answered on a new connection while there was no path
-   * to the engines of its service. Old connections may live on. */
-  recordTry(engine: string, service: string, isAnswered: boolean): void {
-    const restored = this.#cut.get(service);
-    if (isAnswered) restored?.add(engine);
-    else restored?.clear();
+  /** Records that an engine answered on a new connection while there was no path to
+   * the engines of its service. Old connections may live on. */
+  recordTry(engine: string, service: string, now: number): void {
+    this.#cut.get(service)?.set(engine, now);
+  }
+
+  /** Whether an engine has answered so lately, while there was no path. */
+  hasAnswered(engine: string, service: string, now: number): boolean {
+    const answeredAt = this.#cut.get(service)?.get(engine) ?? -Infinity;
+    return now - answeredAt < ANSWER_VALID_MS;
   }
 
   /** Records whether an engine answered a call within its time. */
@@ -136,9 +144,9 @@
         const isCut = blocked.length >= BLOCKED_MIN &&
           blocked.length > openCount * BLOCKED_RATIO;
         if (!isCut) continue;
-        this.#cut.set(service, new Set());
+        this.#cut.set(service, new Map());
         changes.push({ service, isCut, ...reach });
-      } else if (restored.size >= RESTORED_MIN) {
+      } else if (this.#answeredCount(service, now) >= RESTORED_MIN) {
         this.#cut.delete(service);
         this.#forget(service);
         changes.push({ service, isCut: false, ...reach });
@@ -169,6 +177,11 @@
     }
   }
 
+  #answeredCount(service: string, now: number): number {
+    const engines = [...this.#cut.get(service)?.keys() ?? []];
+    return engines.filter((e) => this.hasAnswered(e, service, now)).length;
+  }
+
   /** What was not answered before the path came back shows nothing any more. */
   #forget(service: string): void {
     for (const [engine, sighting] of this.#sightings) {
