Let the new owner of an engine wait the whole gap between two orders

The new one had waited less by the time for which the former had reported that it had no path. But the former merely seemed to have none, beside engines that were slow, and an order of it, sent before, arrived 1.5 s after the report. Nothing is known of what is under way, so nothing is taken off the gap; engines of an instance without a path get orders about a second later.

reach_membership_test.ts asks for the gap after the other owner is named, which fails on the code before (1,000 ms, 1,500 needed).

--- a/packages/gateway/src/membership.ts
+++ b/packages/gateway/src/membership.ts
@@ -564,11 +564,7 @@
   #updateOwnedEngines(previous: StoredAssignment): void {
     const { self, log, orderGapMs } = this.#options;
     const selfOwner = `${self.name}#${this.#tenure}`;
-    for (
-      const [key, { owner, movedAt, idleMs = 0 }] of Object.entries(
-        this.#assignment,
-      )
-    ) {
+    for (const [key, { owner, movedAt }] of Object.entries(this.#assignment)) {
       if (owner !== selfOwner) {
         this.#heldOver.delete(key);
         if (this.#orderAllowedAt.delete(key)) {
@@ -583,7 +579,7 @@
         ? 0
         : previous[key] === undefined
         ? movedAt + orderGapMs + WALL_CLOCK_SKEW_MS - Date.now()
-        : orderGapMs - idleMs;
+        : orderGapMs;
       if (this.#orderAllowedAt.size === 0) this.#startRenewal?.();
       this.#orderAllowedAt.set(key, performance.now() + Math.max(0, delayMs));
       log.write(events.OWNERSHIP_CHANGED, {
@@ -735,7 +731,7 @@
         : formerOwner === owner ||
             (formerOwner === undefined && !this.#isAssignmentDamaged)
         ? { owner, movedAt: 0 }
-        : { owner, movedAt: Date.now(), idleMs: moves.idleMs(formerOwner) };
+        : { owner, movedAt: Date.now() };
     }
     const record = await this.#store.put("assignment", {
       name: ASSIGNMENT_RECORD_NAME,
--- a/packages/gateway/src/membership_entries.ts
+++ b/packages/gateway/src/membership_entries.ts
@@ -32,9 +32,6 @@
   /** When the engine moved from another owner, in milliseconds of Unix time; 0
    * if it had no owner before. */
   readonly movedAt: number;
-  /** How long before the move no order of the former owner had reached the engine,
-   * in milliseconds; undefined if that is not known. */
-  readonly idleMs?: number | undefined;
 }
 
 /** The owners of engines by the engines' keys. */
@@ -117,8 +114,7 @@
 
 function isOwner(value: unknown): value is StoredOwner {
   if (typeof value !== "object" || value === null) return false;
-  const { owner, movedAt, idleMs = 0 } = value as Partial<StoredOwner>;
+  const { owner, movedAt } = value as Partial<StoredOwner>;
   return typeof owner === "string" && /^[^#]+#[^#]+$/.test(owner) &&
-    Number.isSafeInteger(movedAt) && Number(movedAt) >= 0 &&
-    Number.isSafeInteger(idleMs) && idleMs >= 0;
+    Number.isSafeInteger(movedAt) && Number(movedAt) >= 0;
 }
--- a/packages/gateway/src/reach/owner_moves.ts
+++ b/packages/gateway/src/reach/owner_moves.ts
@@ -60,15 +60,6 @@
       this.#members.orderPaths.mustYield(name, this.#now);
   }
 
-  /** How long no order of an owner can have reached its engines, in milliseconds;
-   * undefined if they may have. */
-  idleMs(owner: string | undefined): number | undefined {
-    const cutMs = owner === undefined
-      ? undefined
-      : this.#members.orderPaths.cutMs(instanceOf(owner), this.#now);
-    return cutMs === undefined ? undefined : Math.floor(cutMs);
-  }
-
   #isHeard({ name }: Pick<Member, "name">): boolean {
     return name === this.#self.name || this.#alive.has(name);
   }
--- a/packages/gateway/src/reach/reach_membership_test.ts
+++ b/packages/gateway/src/reach/reach_membership_test.ts
@@ -1,4 +1,4 @@
-import { EngineTable, MemberTable } from "@banyanlb/serving";
+import { EngineTable, MemberTable, OWNER_CUT_MS } from "@banyanlb/serving";
 import { hearOf } from "@banyanlb/serving/testing";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { Membership } from "../membership.ts";
@@ -115,7 +115,10 @@
   });
   expect([...firstOrderAt.keys()].sort()).toEqual(lost);
   for (const at of firstOrderAt.values()) {
-    expect(at - lastOrderAt).toBeGreaterThanOrEqual(ORDER_GAP_MS);
+    // An order of before may arrive until the other owner was named.
+    expect(at - lastOrderAt).toBeGreaterThanOrEqual(
+      OWNER_CUT_MS + ORDER_GAP_MS,
+    );
     expect(at - lastOrderAt).toBeLessThanOrEqual(2500);
   }
   // Nothing moves back.
