Ask for the version of a stream before engines are listed

An instance that has just started may not have the list of engines yet. It took that for a service without versions, so a stream that waited for units of its rate could be taken up at whatever engine was listed by then. Found by reading; the test of it fails on the code before (any version would have done).

--- a/packages/gateway/src/software_versions/software_versions_test.ts
+++ b/packages/gateway/src/software_versions/software_versions_test.ts
@@ -304,6 +304,21 @@
   });
 });
 
+// Guards against a stream that is taken up at an instance which has just started: it
+// waits for units of its rate, and goes on at whatever engine is listed by then.
+test("a stream is not taken up at any version before engines are listed", async () => {
+  const { a, b, store, begun } = await release();
+  await a.read();
+  await b.read();
+  const late = new TestProcess(store, "c");
+  late.setEngines();
+  expect((await late.takeUp(undefined)).kind).toBe("unknown");
+  for (const [id, version] of begun) {
+    expect(await late.takeUp(id)).toMatchObject({ kind: "go_on", version });
+  }
+  expect(await late.begin("first")).toMatch(/^v/);
+});
+
 test("a stream of two versions without a name is refused", async () => {
   const { a } = await release();
   expect(await a.takeUp(undefined)).toEqual({
--- a/packages/gateway/src/software_versions/stream_versions.ts
+++ b/packages/gateway/src/software_versions/stream_versions.ts
@@ -104,9 +104,12 @@
    * caller would get an answer joined from two versions. */
   async decide(request: StreamRequest): Promise<StreamDecision> {
     const listed = this.#listedVersions(request.service);
-    if (listed.every((version) => version === undefined)) {
-      return { kind: "any" };
-    }
+    const pool = poolOf(request.service, request.homes);
+    // Engines that are not listed yet may have versions.
+    const hasVersions = listed.some((version) => version !== undefined) ||
+      this.#options.adoption.known.pools[pool] !== undefined ||
+      (request.isContinued && listed.length === 0);
+    if (!hasVersions) return { kind: "any" };
     if (request.isContinued) return await this.#trace(request, listed);
     return await this.#begin(request, listed);
   }
