Share one engine and one fresh rate among tests

Change: `engineOf` in the testing part of serving, beside `memberOf`, serves the five tests; `createRate` the rates. No assertion has changed.

Ruled out: the engines of the choosers' tests stay, since they differ in most fields that matter to them.

--- a/packages/gateway/src/membership_test.ts
+++ b/packages/gateway/src/membership_test.ts
@@ -1,5 +1,6 @@
 import { EventLog } from "@banyanlb/core";
 import { EngineTable, MemberTable } from "@banyanlb/serving";
+import { engineOf } from "@banyanlb/serving/testing";
 import pino from "pino";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import * as events from "./events.ts";
@@ -34,18 +35,7 @@
 function startMembership(store: FakeRecordStore, name = "a") {
   const logged: Readonly<Record<string, unknown>>[] = [];
   const engineTable = new EngineTable();
-  engineTable.setEngines(["e1", "e2"].map((id) => ({
-    key: `${id}@1`,
-    id,
-    service: "svc",
-    host: "127.0.0.1",
-    port: 1,
-    zone: "z",
-    slots: 1,
-    leaving: false,
-    remainingMs: undefined,
-    models: [],
-  })));
+  engineTable.setEngines(["e1", "e2"].map((id) => engineOf(`${id}@1`, { id })));
   const members = new MemberTable(name, performance.now());
   const membership = new Membership(store, {
     ...membershipOptions(memberOnPort(name, 1), members),
--- a/packages/gateway/src/reach/reach_membership_test.ts
+++ b/packages/gateway/src/reach/reach_membership_test.ts
@@ -1,5 +1,5 @@
 import { EngineTable, MemberTable, OWNER_CUT_MS } from "@banyanlb/serving";
-import { hearOf } from "@banyanlb/serving/testing";
+import { engineOf, hearOf } from "@banyanlb/serving/testing";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { Membership } from "../membership.ts";
 import { FakeRecordStore } from "../testing/fake_record_store.ts";
@@ -32,18 +32,7 @@
   constructor(store: FakeRecordStore, name: string) {
     this.name = name;
     const engineTable = new EngineTable();
-    engineTable.setEngines(ENGINES.map((key) => ({
-      key,
-      id: key,
-      service: "svc",
-      host: "127.0.0.1",
-      port: 1,
-      zone: "z",
-      slots: 1,
-      leaving: false,
-      remainingMs: undefined,
-      models: [],
-    })));
+    engineTable.setEngines(ENGINES.map((key) => engineOf(key)));
     this.members = new MemberTable(name, performance.now());
     this.ownPath = new OwnOrderPath(name, {
       members: this.members,
--- a/packages/gateway/src/reach/reach_watch_test.ts
+++ b/packages/gateway/src/reach/reach_watch_test.ts
@@ -1,5 +1,6 @@
 import { EventLog } from "@banyanlb/core";
-import { type Engine, EngineTable } from "@banyanlb/serving";
+import { EngineTable } from "@banyanlb/serving";
+import { engineOf } from "@banyanlb/serving/testing";
 import pino from "pino";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { ReachWatch } from "./reach_watch.ts";
@@ -9,21 +10,6 @@
 beforeEach(() => void vi.useFakeTimers());
 afterEach(() => void vi.useRealTimers());
 
-function engineOf(key: string): Engine {
-  return {
-    key,
-    id: key,
-    service: "svc",
-    host: "127.0.0.1",
-    port: 1,
-    zone: "z",
-    slots: 1,
-    leaving: false,
-    remainingMs: undefined,
-    models: [],
-  };
-}
-
 // Guards against a path that is back for long before it is noticed, since some
 // engines were lost meanwhile.
 test.each([1, 2, 5])(
@@ -31,7 +17,7 @@
   async (goneCount) => {
     const keys = Array.from({ length: 7 }, (_, i) => `e${i}`);
     const engineTable = new EngineTable();
-    engineTable.setEngines(keys.map(engineOf));
+    engineTable.setEngines(keys.map((key) => engineOf(key)));
     let hasPath = false;
     let tries = 0;
     const watch = new ReachWatch({
--- a/packages/gateway/src/restored_store/restored_membership_test.ts
+++ b/packages/gateway/src/restored_store/restored_membership_test.ts
@@ -1,4 +1,5 @@
 import { EngineTable, MemberTable, ORDER_LEASE_MS } from "@banyanlb/serving";
+import { engineOf } from "@banyanlb/serving/testing";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { Membership, type MembershipOptions } from "../membership.ts";
 import { FakeRecordStore } from "../testing/fake_record_store.ts";
@@ -46,18 +47,7 @@
   changes: Partial<MembershipOptions> = {},
 ): Membership {
   const engineTable = new EngineTable();
-  engineTable.setEngines([{
-    key: ENGINE,
-    id: "e1",
-    service: "svc",
-    host: "127.0.0.1",
-    port: 1,
-    zone: "z",
-    slots: 1,
-    leaving: false,
-    remainingMs: undefined,
-    models: [],
-  }]);
+  engineTable.setEngines([engineOf(ENGINE, { id: "e1" })]);
   const members = new MemberTable("a", performance.now());
   const membership = new Membership(store, {
     ...membershipOptions(memberOnPort("a", 1), members),
--- a/packages/gateway/src/software_versions/software_versions_test.ts
+++ b/packages/gateway/src/software_versions/software_versions_test.ts
@@ -1,6 +1,5 @@
 import { EventLog } from "@banyanlb/core";
 import {
-  type Engine,
   EngineTable,
   MemberTable,
   type RecordKind,
@@ -9,7 +8,7 @@
   RouteTable,
   StoreCallError,
 } from "@banyanlb/serving";
-import { memberOf } from "@banyanlb/serving/testing";
+import { engineOf, memberOf } from "@banyanlb/serving/testing";
 import pino from "pino";
 import { afterEach, expect, test } from "vitest";
 import { FakeRecordStore } from "../testing/fake_record_store.ts";
@@ -92,7 +91,7 @@
   }
 
   setEngines(...versions: readonly string[]): void {
-    this.engineTable.setEngines(versions.map(engineOf));
+    this.engineTable.setEngines(versions.map(runningVersion));
   }
 
   /** Reads the records that assign work, and waits for what follows. */
@@ -138,20 +137,11 @@
   }
 }
 
-function engineOf(softwareVersion: string, place: number): Engine {
-  return {
-    key: `e${place}-${softwareVersion}`,
-    id: `e${place}-${softwareVersion}`,
-    service: "svc",
-    host: "127.0.0.1",
-    port: 1,
-    zone: "z",
+function runningVersion(softwareVersion: string, place: number) {
+  return engineOf(`e${place}-${softwareVersion}`, {
     softwareVersion,
     slots: 8,
-    leaving: false,
-    remainingMs: undefined,
-    models: [],
-  };
+  });
 }
 
 const ROUTE: Route = {
@@ -355,8 +345,8 @@
   const store = new FakeRecordStore();
   store.isWritable = true;
   const process = new TestProcess(store, "a");
-  const former = ["v1", "v1"].map(engineOf);
-  const newer = ["v2", "v2"].map(engineOf);
+  const former = ["v1", "v1"].map(runningVersion);
+  const newer = ["v2", "v2"].map(runningVersion);
   const shareOfNewer = async (coldMs: number, joinedMsAgo: number) => {
     const joinedAt = performance.now() - joinedMsAgo;
     process.engineTable.setEngines(former);
--- a/packages/serving/src/rate_claims/rate_claims_test.ts
+++ b/packages/serving/src/rate_claims/rate_claims_test.ts
@@ -5,14 +5,20 @@
 const UNITS = 1200;
 const LIMIT = { perSecond: 24_000, burst: 24_000 };
 
-/** A share of which everything has been used, evenly over the window. */
-function createUsedRate(): TokenRate {
+/** A share of which nothing has been used. */
+function createRate(): TokenRate {
   const rate = new TokenRate(LIMIT, {
     now: 0,
     windowMs: WINDOW_MS,
     hasEarlierUse: false,
   });
   rate.setShare(1, 0);
+  return rate;
+}
+
+/** A share of which everything has been used, evenly over the window. */
+function createUsedRate(): TokenRate {
+  const rate = createRate();
   const slices = Array.from({ length: 4 }, () => 54_000);
   rate.restoreUse(slices, { at: WINDOW_MS, now: WINDOW_MS });
   return rate;
@@ -45,12 +51,7 @@
 // Guards against units that lie idle, since the caller for whom they are kept does
 // not return.
 test("a claim ends", () => {
-  const rate = new TokenRate(LIMIT, {
-    now: 0,
-    windowMs: WINDOW_MS,
-    hasEarlierUse: false,
-  });
-  rate.setShare(1, 0);
+  const rate = createRate();
   for (let i = 0; i < 20; i += 1) rate.claim(String(i), UNITS, 0);
   const beginAll = (now: number) => {
     while (rate.tryTake(UNITS, { now }) !== undefined);
@@ -61,12 +62,7 @@
 });
 
 test("claims take no more than a quarter of a share from others", () => {
-  const rate = new TokenRate(LIMIT, {
-    now: 0,
-    windowMs: WINDOW_MS,
-    hasEarlierUse: false,
-  });
-  rate.setShare(1, 0);
+  const rate = createRate();
   for (let i = 0; i < 1000; i += 1) rate.claim(String(i), UNITS, 0);
   let begun = 0;
   while (rate.tryTake(UNITS, { now: 0 }) !== undefined) begun += 1;
--- a/packages/serving/src/testing/mod.ts
+++ b/packages/serving/src/testing/mod.ts
@@ -4,3 +4,4 @@
  */
 export * from "./member_of.ts";
 export * from "./hear_of.ts";
+export * from "./engine_of.ts";
