--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -116,8 +116,6 @@
   readonly isEvacuated?: (zone: string) => boolean;
   /** Changes the route while the relay runs. */
   readonly currentRoute?: () => Partial<Route>;
-  /** Decides at which version streams begin and go on; any, if omitted. */
-  readonly streamVersions?: RelayDependencies["softwareVersions"]["versions"];
   /** Passes requests on; not, if omitted. */
   readonly passer?: RequestPasser;
   /** Is told what shows that engines are reached. */
@@ -289,7 +287,7 @@
     },
     softwareVersions: {
       streams: new OpenStreams(),
-      versions: options.streamVersions ?? ANY_VERSION,
+      versions: ANY_VERSION,
     },
     ...options.passer && { passer: options.passer },
     hasTimeFor: () => true,
--- a/packages/serving/src/reach/engine_reach.ts
+++ b/packages/serving/src/reach/engine_reach.ts
@@ -9,7 +9,7 @@
 
 /** How long an engine may be silent while something waits for it, in
  * milliseconds. */
-export const SILENT_MS = 600;
+const SILENT_MS = 600;
 
 /** How long an engine that was heard of, or refused a connection, shows that
  * there is a path, or none, in milliseconds. */
