Name the reported paths in one place

Cause: the state that digests ask for wrote out the three fields of `AccessState` again, with a comment that the type itself lacked.

Change: the state is `Partial<AccessState>`, and the type says what each field means. Behaviour stays.

Ruled out: the fields of the digest itself stay as they are, since that is the form on the wire.

Measured: format, lint, types and generated files pass; the tests of digests and of reach pass (42).

--- a/packages/gateway/src/digest_exchange.ts
+++ b/packages/gateway/src/digest_exchange.ts
@@ -31,6 +31,7 @@
 import type { Membership } from "./membership.ts";
 import type { PeerLinks } from "./peer_links.ts";
 import type { SharedKind } from "./peer_messages.ts";
+import type { AccessState } from "./reach/engine_access.ts";
 import type { ReaderRoles } from "./reader_roles.ts";
 import type { SharedRecords } from "./shared_records.ts";
 import type { WorkspaceRates } from "./workspace_rates.ts";
@@ -100,12 +101,7 @@
     readonly serves: boolean;
     /** Fraction of time for which this instance is busy, in [0, 1]. */
     readonly busy: number;
-    /** Whether this instance has no path to engines, and whether these take
-     * orders. */
-    readonly cutOff?: boolean;
-    readonly ordersCut?: boolean;
-    readonly takesPassed?: boolean;
-  };
+  } & Partial<AccessState>;
   readonly reach: EngineReach;
   readonly log: EventLog;
 }
--- a/packages/gateway/src/reach/engine_access.ts
+++ b/packages/gateway/src/reach/engine_access.ts
@@ -43,8 +43,11 @@
 
 /** What this instance reports of its paths in digests. */
 export interface AccessState {
+  /** Whether it has no path to engines. */
   readonly cutOff: boolean;
+  /** Whether it has no path to engines that take orders. */
   readonly ordersCut: boolean;
+  /** Whether others may pass requests on to it. */
   readonly takesPassed: boolean;
 }
 
