--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -135,6 +135,7 @@
     record("client", { got: id, status: answer.status, events: events.length });
     if (answer.isWhole || events.length === 0) return { id, events };
     await pause(200);
+    record("client", { sends: `${id}-again`, resumes: id });
     const resumed = await stream(
       machines[Number(id.slice(1)) % 2].front,
       `${id}-again`,
--- a/review/stand-ins-2/engine.mjs
+++ b/review/stand-ins-2/engine.mjs
@@ -4,6 +4,7 @@
 
 const HEARTBEAT_MS = 1200;
 const LOAD_MS = 250;
+const FETCHES_MAX = 4;
 
 export class Engine {
   #options;
@@ -25,7 +26,7 @@
       state: "ready",
       version: "v1",
       slots: 32,
-      adapterSlots: 8,
+      adapterSlots: 21,
       events: 40,
       eventMs: 50,
       born: Date.now(),
@@ -130,21 +131,35 @@
     await this.#run(req, res);
   }
 
-  #order({ operation, adapter, version = 1, expected_rev: expected }) {
+  #order(order) {
+    const { operation, adapter, version = 1, expected_rev: expected } = order;
     const { adapterSlots } = this.#options;
+    if (order.holder === undefined || order.fence_token === undefined) {
+      return 400;
+    }
     if (expected !== undefined && expected !== this.#orderCount) return 409;
+    // The model is held from the start.
+    if (adapter === undefined) return operation === "load" ? 200 : 409;
+    const now = performance.now();
     const held = this.#adapters.get(adapter);
     if (operation === "load") {
       if (held !== undefined && held.version >= version) return 200;
+      const fetching = [...this.#adapters.values()]
+        .filter(({ readyAt }) => readyAt > now);
+      if (fetching.length >= FETCHES_MAX) return 409;
       if (held === undefined && this.#adapters.size >= adapterSlots) return 409;
-      const readyAt = performance.now() + LOAD_MS;
+      const readyAt = now + LOAD_MS;
       this.#adapters.set(adapter, { version, readyAt, running: 0 });
       this.#orderCount += 1;
       return 202;
     }
-    if (held?.running > 0) return 409;
-    this.#adapters.delete(adapter);
+    if (held === undefined) return 200;
     this.#orderCount += 1;
+    if (held.running > 0) {
+      held.isUnloaded = true;
+      return 202;
+    }
+    this.#adapters.delete(adapter);
     return 200;
   }
 
@@ -161,6 +176,10 @@
       return res.writeHead(421, { "Request-Id": id, "Not-Executed": "1" })
         .end();
     }
+    if (adapter?.isUnloaded === true) {
+      return res.writeHead(503, { "Request-Id": id, "Not-Executed": "1" })
+        .end();
+    }
     record("run", {
       engine,
       id,
@@ -190,7 +209,11 @@
       res.end();
     }
     this.#running -= 1;
-    if (adapter !== undefined) adapter.running -= 1;
+    if (adapter === undefined) return;
+    adapter.running -= 1;
+    if (adapter.isUnloaded && adapter.running === 0) {
+      this.#adapters.delete(name);
+    }
   }
 }
 
--- a/review/stand-ins-2/world.mjs
+++ b/review/stand-ins-2/world.mjs
@@ -222,10 +222,14 @@
 export async function runCase(folder, run) {
   const world = new World(folder);
   let code = 2;
-  const limit = setTimeout(() => {
-    world.record("result", "time is up");
+  const stop = (reason) => {
+    world.record("result", reason);
     world.close().then(() => process.exit(2));
-  }, 110_000);
+  };
+  const limit = setTimeout(() => stop("time is up"), 110_000);
+  for (const signal of ["SIGTERM", "SIGINT"]) {
+    process.on(signal, () => stop(`ended by ${signal}`));
+  }
   try {
     const isBroken = await run(world);
     code = isBroken ? 1 : 0;
@@ -356,7 +360,7 @@
 export const ENGINE_CLASS = {
   slots: 32,
   weights_mb: 76_000,
-  adapter_slots: 8,
+  adapter_slots: 21,
   models: [{
     name: "m0",
     weights_mb: 72_700,
