--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -43,6 +43,7 @@
   let waitMs = 200;
   for (let i = 1; i <= TAKE_UPS_MAX; i += 1) {
     await pause(waitMs);
+    record("client", { sends: `${id}-again-${i}`, to: at.name, resumes: id });
     const answer = await stream(at.front, `${id}-again-${i}`, {
       "Last-Event-Id": String(last),
       Resumes: id,
@@ -141,6 +142,7 @@
   const sentAt = performance.now();
   const began = Array.from({ length: STREAMS }, (_, i) => {
     const id = `s${i}`;
+    record("client", { sends: id, to: machines[1].name });
     return stream(machines[1].front, id).then((answer) => ({ id, answer }));
   });
   await pause(1000);
@@ -161,7 +163,13 @@
   const started = await Promise.all(
     Array.from({ length: STREAMS }, (_, i) => i).map(async (i) => {
       const at = machines[i % 2 === 0 ? 0 : 2];
+      record("client", { sends: `n${i}`, to: at.name });
       const answer = await stream(at.front, `n${i}`);
+      record("client", {
+        got: `n${i}`,
+        status: answer.status,
+        events: eventsOf(answer.body).length,
+      });
       return answer.status === 200 && eventsOf(answer.body).length > 0;
     }),
   );
