review: each script reads TROUBLE itself, and releases keep to half of the engines

Cases 6 and 7 replace half of the engines in a release, one at a time, the new one first; case 7 has two releases.

--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -1,15 +1,18 @@
 /** The machine that gives orders to the engines freezes. Requests at the other
  * machines that wait for an order of it get no answer in their route's time. */
+import process from "node:process";
 import { Engine, pause } from "../stand-ins-2/engine.mjs";
 import {
   call,
   clientHeaders,
   configuration,
   ENGINE_CLASS,
-  IS_CALM,
   runCase,
 } from "../stand-ins-2/world.mjs";
 
+/** With TROUBLE=0 the disruption is left out. */
+const IS_CALM = process.env.TROUBLE === "0";
+
 const TIMEOUT_MS = 1500;
 const DEADLINE_MS = 2300;
 const REQUESTS = 36;
--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -8,15 +8,21 @@
   clientHeaders,
   configuration,
   ENGINE_CLASS,
-  IS_CALM,
   runCase,
   until,
 } from "../stand-ins-2/world.mjs";
 
+/** With TROUBLE=0 the disruption is left out. */
+const IS_CALM = process.env.TROUBLE === "0";
+
 /** `kill`: the machine is killed, but the store has served it. */
 const MODE = process.env.TROUBLE ?? "1";
 
 const STREAMS = 24;
+
+/** How long an engine that drains still serves, in milliseconds. */
+const DRAIN_MS = 4000;
+
 const EVENTS = 40;
 const EVENT_MS = 150;
 const DEADLINE_MS = 15_000;
@@ -75,7 +81,10 @@
       services: [{ name: "llm", engine: ENGINE_CLASS }],
     }),
   );
-  for (const n of [1, 2]) world.own(await engineOf(n, "v1").start());
+  const former = [];
+  for (const n of [1, 2, 3, 4]) {
+    former.push(world.own(await engineOf(n, "v1").start()));
+  }
 
   const machines = [];
   for (const [n, zone] of [[1, "a-1"], [2, "a-2"]]) {
@@ -111,9 +120,17 @@
   );
   record("resolve", { by: "front-1", lists: "front-3" });
 
-  // Engines with newer software join: the first part of a release.
-  for (const n of [3, 4]) world.own(await engineOf(n, "v2").start());
-  await pause(2000);
+  // A release replaces half of the engines, one at a time: the new one starts first,
+  // the old one drains.
+  for (const n of [5, 6]) {
+    world.own(await engineOf(n, "v2").start());
+    await pause(500);
+    const old = former.shift();
+    old.drain();
+    setTimeout(() => old.leave(), DRAIN_MS);
+    await pause(500);
+  }
+  await pause(1200);
   const began = Array.from({ length: STREAMS }, (_, i) => {
     const id = `s${i}`;
     record("client", { sends: id, to: "front-3" });
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -1,22 +1,28 @@
 /** A machine is restarted before a release of the engines. For a long time
  * afterwards no stream can be taken up that began at the new software version. */
+import process from "node:process";
 import { Engine, pause } from "../stand-ins-2/engine.mjs";
 import {
   call,
   clientHeaders,
   configuration,
   ENGINE_CLASS,
-  IS_CALM,
   runCase,
   until,
 } from "../stand-ins-2/world.mjs";
 
+/** With TROUBLE=0 the disruption is left out. */
+const IS_CALM = process.env.TROUBLE === "0";
+
 const STREAMS = 24;
 const EVENTS = 48;
 const EVENT_MS = 220;
 const DEADLINE_MS = 20_000;
 const TAKE_UPS_MAX = 3;
 
+/** How long an engine that drains still serves, in milliseconds. */
+const DRAIN_MS = 4000;
+
 /** Sends a stream's request. */
 function stream(address, id, more = {}) {
   return call(address, `/stream/${id}`, {
@@ -97,8 +103,10 @@
       services: [{ name: "llm", engine: ENGINE_CLASS }],
     }),
   );
-  const former = [await startEngine(1, "v1"), await startEngine(2, "v1")];
-  for (const engine of former) world.own(engine);
+  const former = [];
+  for (const n of [1, 2, 3, 4]) {
+    former.push(world.own(await startEngine(n, "v1")));
+  }
 
   const start = async (n, bootstrap) => {
     const access = await store.listen(world.host(bootstrap ? 10 + n : 15 + n));
@@ -128,13 +136,21 @@
     await pause(3000);
   }
 
-  // A release: engines with newer software join, and the others leave.
-  for (const n of [3, 4]) world.own(await startEngine(n, "v2"));
-  await pause(2000);
-  for (const engine of former) engine.drain();
+  // Two releases, each of half of the engines, one at a time: the new one starts
+  // first, the old one drains.
+  for (const numbers of [[5, 6], [7, 8]]) {
+    for (const n of numbers) {
+      world.own(await startEngine(n, "v2"));
+      await pause(500);
+      const old = former.shift();
+      old.drain();
+      setTimeout(() => old.leave(), DRAIN_MS);
+      await pause(500);
+    }
+    record("release", { engines: numbers, ranges: rangesOf() });
+  }
   await until(() => isAllAt("v2"), { what: "streams begin at v2" });
-  await pause(3000);
-  for (const engine of former) engine.leave();
+  await pause(DRAIN_MS);
   record("release", { ended: true, ranges: rangesOf() });
 
   // The next machine is stopped. Streams that last longer are cut off at the end of
--- a/review/stand-ins-2/world.mjs
+++ b/review/stand-ins-2/world.mjs
@@ -55,9 +55,6 @@
 export const HOST = "review.example";
 export const KEY = "key-of-t1";
 
-/** Whether the disruption is to be left out. */
-export const IS_CALM = process.env.TROUBLE === "0";
-
 /** The command of the deploy file's role, split at spaces. */
 function deployedCommand() {
   const text = readFileSync(join(ROOT, "deploy/system.toml"), "utf8");
