--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -537,7 +537,8 @@
 };
 
 /** The report of this instance's streams was not stored. It is tried again; until
- * then, streams that new splits move do not begin here. */
+ * then, streams that new splits move do not begin here, and none do if it is the
+ * first report. */
 export const REPORT_NOT_STORED: LogEvent = {
   id: 877,
   severity: "warn",
@@ -576,7 +577,8 @@
   text: "engines of a service reached again",
 };
 
-/** A request was passed on to an instance that reaches the engines. `outcome`:
+/** A request was passed on to an instance that reaches the engines, or the store
+ * that its stream needs. `outcome`:
  * answered (also with a refusal), broken off midway, `lost` with the other instance
  * after it may have read the request, `not_taken` or `unreachable`: then another
  * one is asked. The other instance logs the request under the same id. */
--- a/packages/gateway/src/reach/relay_passing_test.ts
+++ b/packages/gateway/src/reach/relay_passing_test.ts
@@ -82,14 +82,17 @@
 
 /** The passer of instance `a`, which has heard of the peers. */
 function createPasser(
-  peers: readonly { readonly member: ReturnType<typeof memberOnPort> }[],
+  peers: readonly {
+    readonly member: ReturnType<typeof memberOnPort>;
+    readonly reachesStore?: boolean;
+  }[],
   reach: EngineReach,
 ): RequestPasser {
   const members = new MemberTable("a", performance.now());
-  for (const { member } of peers) {
+  for (const { member, reachesStore = true } of peers) {
     members.add(member);
     const now = performance.now();
-    hearOf(members, member.name, { now, takesPassed: true });
+    hearOf(members, member.name, { now, takesPassed: true, reachesStore });
   }
   const passer = new RequestPasser({
     self: memberOnPort("a", 1),
@@ -299,6 +302,26 @@
   expect(passer.mayHelp("other", "unreachable")).toBe(false);
 });
 
+// Guards against callers that are refused streams by an instance which the store
+// turns away, although it serves the others.
+test("a stream that needs the store is passed on to an instance that reaches it", async () => {
+  const relay: RelayOptions = { route: { kind: "stream", resumable: true } };
+  const turnedAway = await startPeer("b", [], { relay });
+  const sound = await startPeer("c", [respondWell], { relay });
+  const passer = createPasser(
+    [{ ...turnedAway, reachesStore: false }, sound],
+    new EngineReach(),
+  );
+  const port = await startRelay([], {
+    ...relay,
+    passer,
+    streamDecision: { kind: "unknown", reason: "unacknowledged" },
+  });
+  for (let i = 0; i < 6; i += 1) {
+    expect(await sendRequest(port)).toMatchObject({ status: 200, body: WELL });
+  }
+});
+
 test("an engine that turns a request away is no reason to pass it on", async () => {
   const turnAway: RequestListener = (_, res) => {
     res.writeHead(503, {
--- a/packages/gateway/src/reach/request_passer.ts
+++ b/packages/gateway/src/reach/request_passer.ts
@@ -60,6 +60,9 @@
 /** Refusals for want of an engine that can be reached in time. */
 const PATH_REASON = /^(no_engine|full|too_late|unreachable)(:|$)/;
 
+/** Refusals for want of what the store would tell, or has to take first. */
+const STORE_REASON = /^version_unknown:(unacknowledged|unconfirmed|unsettled)$/;
+
 /** Cost of an instance in another zone of the region and in another region, as
  * fractions of busy time: links between regions are narrow. */
 const DISTANCE_COSTS = [0, 0.1, 0.5] as const;
@@ -78,7 +81,7 @@
 /** Parts of the gateway that the passer uses. */
 export interface RequestPasserOptions {
   readonly self: Member;
-  readonly members: Pick<MemberTable, "takingPassed">;
+  readonly members: Pick<MemberTable, "takingPassed" | "membersReachingStore">;
   readonly reach: EngineReach;
   readonly protocol: CallerProtocol;
   readonly log: EventLog;
@@ -115,18 +118,24 @@
   /** Whether a request that was to be refused for `reason` should be passed on:
    * another instance may reach engines, but decides alike on all else. */
   mayHelp(service: string, reason: string): boolean {
+    if (STORE_REASON.test(reason)) return this.#reachingStore().length > 0;
     if (!PATH_REASON.test(reason)) return false;
     const { blocked } = this.#options.reach.reachOf(service, performance.now());
     return this.isNeeded(service) || blocked.length >= DOUBTED_MIN;
   }
 
-  /** Passes a request on. Resolves to false if no instance has taken it: it has
-   * not run, and its caller has no response yet. */
-  async pass(passed: PassableRequest): Promise<boolean> {
+  /** Passes a request on, for the `reason` for which it would be refused here.
+   * Resolves to false if no instance has taken it: it has not run, and its caller
+   * has no response yet. */
+  async pass(passed: PassableRequest, reason?: string): Promise<boolean> {
     const { res } = passed;
     const tried = new Set<string>();
+    const needsStore = reason !== undefined && STORE_REASON.test(reason);
     while (tried.size < OFFERS_MAX && !res.destroyed) {
-      const member = this.#choose(tried);
+      const member = this.#choose(
+        needsStore ? this.#reachingStore() : this.#takingPassed(),
+        tried,
+      );
       const timeLeftMs = timeLeftOf(passed);
       if (member === undefined || timeLeftMs < TIME_LEFT_MIN_MS) return false;
       tried.add(member.name);
@@ -141,12 +150,28 @@
     this.#agent.destroy();
   }
 
-  /** The nearest instance that is not busy; of several alike any. */
-  #choose(tried: ReadonlySet<string>): ReadyMember | undefined {
-    const { self, members } = this.#options;
+  #takingPassed(): readonly ReadyMember[] {
+    return this.#options.members.takingPassed(performance.now());
+  }
+
+  /** The instances that take requests and that the store replies to. */
+  #reachingStore(): readonly ReadyMember[] {
+    const reaching = new Set(
+      this.#options.members.membersReachingStore(performance.now())
+        .map(({ name }) => name),
+    );
+    return this.#takingPassed().filter(({ name }) => reaching.has(name));
+  }
+
+  /** The nearest of `members` that is not busy; of several alike any. */
+  #choose(
+    members: readonly ReadyMember[],
+    tried: ReadonlySet<string>,
+  ): ReadyMember | undefined {
+    const { self } = this.#options;
     let best: ReadyMember | undefined;
     let bestCost = Infinity;
-    for (const member of members.takingPassed(performance.now())) {
+    for (const member of members) {
       if (tried.has(member.name)) continue;
       const cost = DISTANCE_COSTS[distanceBetween(self, member)] +
         member.busy + Math.random() * DISTANCE_COSTS[1];
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -99,7 +99,7 @@
       const mayPass = status === 503 &&
         passer?.mayHelp(service, reason) === true;
       if (!mayPass) return refuse(status, reason, wait);
-      passer.pass(passed).then((isPassed) => {
+      passer.pass(passed, reason).then((isPassed) => {
         if (!isPassed) refuse(status, reason, wait);
       }, () => res.destroy());
     };
--- a/packages/gateway/src/software_versions/software_versions_test.ts
+++ b/packages/gateway/src/software_versions/software_versions_test.ts
@@ -95,8 +95,14 @@
   }
 
   /** Reads the records that assign work, and waits for what follows. */
-  async read(): Promise<void> {
-    const { records } = await this.link.list("assignment");
+  read(): Promise<void> {
+    return this.receiveFrom(this);
+  }
+
+  /** Takes the records that assign work from a peer, and waits for what
+   * follows. */
+  async receiveFrom(peer: TestProcess): Promise<void> {
+    const { records } = await peer.link.list("assignment");
     this.parts.setRecords(new Map(records.map((r) => [r.name, r])));
     await new Promise((resolve) => setTimeout(resolve, 20));
   }
@@ -144,6 +150,8 @@
   });
 }
 
+const FORMER_ENGINES = ["v1", "v1", "v1", "v1"];
+
 const ROUTE: Route = {
   name: "route",
   host: "h",
@@ -174,9 +182,7 @@
  * while streams run. Resolves to the instances, the store and the versions of the
  * streams. */
 async function release(newer = 2) {
-  const store = new FakeRecordStore();
-  store.isWritable = true;
-  const [a, b] = [new TestProcess(store, "a"), new TestProcess(store, "b")];
+  const { store, a, b } = await startTwo();
   const begun = new Map<string, string | undefined>();
   const beginAll = async (prefix: string) => {
     for (let i = 0; i < 24; i += 1) {
@@ -184,17 +190,37 @@
       begun.set(id, await (i % 2 === 0 ? a : b).begin(id));
     }
   };
-  for (const process of [a, b]) process.setEngines("v1", "v1", "v1", "v1");
+  await beginAll("old");
+  const versions = ["v1", "v1", "v1", "v1"].fill("v2", 0, newer);
+  await replaceEngines(versions, { store, writer: a, others: [b] });
+  return { store, a, b, begun, beginAll, versions };
+}
+
+/** Two instances before four engines of v1, which begin streams there. */
+async function startTwo() {
+  const store = new FakeRecordStore();
+  store.isWritable = true;
+  const [a, b] = [new TestProcess(store, "a"), new TestProcess(store, "b")];
+  for (const process of [a, b]) process.setEngines(...FORMER_ENGINES);
   await a.write();
   await a.read();
   await b.read();
-  await beginAll("old");
-  const versions = ["v1", "v1", "v1", "v1"].fill("v2", 0, newer);
-  for (const process of [a, b]) process.setEngines(...versions);
+  return { store, a, b };
+}
+
+/** Replaces engines, and writes the split that follows from it. */
+async function replaceEngines(
+  versions: readonly string[],
+  { store, writer, others }: {
+    readonly store: FakeRecordStore;
+    readonly writer: TestProcess;
+    readonly others: readonly TestProcess[];
+  },
+): Promise<void> {
+  for (const process of [writer, ...others]) process.setEngines(...versions);
   await new Promise((resolve) => setTimeout(resolve, 1100));
   store.copy();
-  await a.write();
-  return { store, a, b, begun, beginAll, versions };
+  await writer.write();
 }
 
 // Guards against streams that are taken up at another version than the one that
@@ -366,3 +392,29 @@
   expect(await shareOfNewer(0, 20_000)).toBeGreaterThan(0.4);
   expect(await shareOfNewer(0, 0)).toBeLessThan(0.4);
 });
+
+// Guards against streams joined from two versions: an instance that the store turned
+// away began them by outdated splits, of which no report told the others.
+test("an instance that the store never acknowledged begins no stream", async () => {
+  const { store, a, b } = await startTwo();
+  const turnedAway = new TestProcess(store, "c");
+  turnedAway.link.isCut = true;
+  turnedAway.setEngines(...FORMER_ENGINES);
+  await turnedAway.receiveFrom(a);
+  const versions = ["v2", "v2", "v1", "v1"];
+  await replaceEngines(versions, { store, writer: a, others: [b] });
+  await a.read();
+  await b.read();
+  for (let i = 0; i < 12; i += 1) {
+    const id = `late-${i}`;
+    const version = await turnedAway.begin(id);
+    if (version === undefined) continue;
+    // The process is lost here, and the caller comes back.
+    const decision = await a.takeUp(id);
+    if (decision.kind === "go_on") expect(decision.version).toBe(version);
+  }
+  turnedAway.link.isCut = false;
+  turnedAway.setEngines(...versions);
+  await turnedAway.read();
+  await expect.poll(() => turnedAway.begin("known")).toMatch(/^v/);
+});
--- a/packages/gateway/src/software_versions/split_adoption.ts
+++ b/packages/gateway/src/software_versions/split_adoption.ts
@@ -21,9 +21,14 @@
 const RETRY_PAUSE_MS = 200;
 
 /** How long an instance that starts waits for its first report before it is
- * ready, in milliseconds: without the store it serves all the same. */
+ * ready, in milliseconds: without one it passes streams on, and serves all
+ * else. */
 const FIRST_REPORT_WAIT_MS = 600;
 
+/** In place of the number of the splits that were reported: there is no report
+ * in the store's present era. */
+const UNREPORTED = -1;
+
 /** The calls of the store that the adoption uses. */
 export type ReportStore = Pick<
   RecordStore,
@@ -52,7 +57,11 @@
   #adopted = NO_SPLITS;
   #pending: VersionSplits | undefined;
   /** The number of the splits of the last report that was stored. */
-  #reported = 0;
+  #reported = UNREPORTED;
+  /** Whether the store has taken any report of this process. */
+  #isAcknowledged = false;
+  /** Whether a report is due although there are no splits. */
+  #isReportAsked = false;
   #reportRevision: number | undefined;
   /** Whether the store may take a report of which it has not said so. */
   #isInDoubt = false;
@@ -80,6 +89,12 @@
     return this.#adopted;
   }
 
+  /** Whether the store has taken a report of this process. Without one nobody
+   * could tell that it began streams, so none may begin. */
+  get isAcknowledged(): boolean {
+    return this.#isAcknowledged;
+  }
+
   /** Splits whose report is under way: a stream that they move must not begin;
    * undefined if there are none. */
   get pending(): VersionSplits | undefined {
@@ -104,11 +119,19 @@
   /** Whether this process is known in the store, or that takes too long to wait
    * for. */
   get isReady(): boolean {
-    const isKnown = this.#hasList && this.#reported >= this.#known.number;
+    const isKnown = this.#hasList && !this.#isReportDue;
     return isKnown ||
       performance.now() - this.#startedAt > FIRST_REPORT_WAIT_MS;
   }
 
+  /** Whether the store lacks the report of the newest splits. */
+  get #isReportDue(): boolean {
+    const { number } = this.#known;
+    return number > 0
+      ? this.#reported < number
+      : this.#isReportAsked && this.#reported < 0;
+  }
+
   /** Whether the splits are of the store's present era. */
   get #isOfEra(): boolean {
     const { era } = this.#records;
@@ -138,9 +161,18 @@
     void this.#reportAll();
   }
 
-  /** Resolves when no report is under way, or after `maxMs`. */
+  /** Stores a report, so that streams may begin. */
+  acknowledge(): void {
+    this.#isReportAsked = true;
+    void this.#reportAll();
+  }
+
+  /** Resolves when no report is under way, or after `maxMs`; at once while the
+   * store does not reply. */
   async settled(maxMs: number): Promise<void> {
-    if (this.#pending === undefined) return;
+    const isWaiting = this.#pending !== undefined ||
+      (this.#isReporting && !this.#isAcknowledged);
+    if (!isWaiting || !this.#options.reachesStore()) return;
     await new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, maxMs);
       this.#waiters.push(() => {
@@ -160,7 +192,8 @@
   #onRestore(): void {
     this.#knewBeforeRestore = this.#known.number > 0;
     this.#reportRevision = undefined;
-    this.#reported = 0;
+    this.#isReportAsked = this.#isAcknowledged;
+    this.#reported = UNREPORTED;
     void this.#reportAll();
   }
 
@@ -169,12 +202,9 @@
   async #reportAll(): Promise<void> {
     if (this.#isReporting) return;
     this.#isReporting = true;
-    while (this.#reported < this.#known.number && !this.#isClosed) {
+    while (this.#isReportDue && !this.#isClosed) {
       const splits = this.#pending ?? this.#known;
-      // Nothing began by other splits.
-      if (this.#adopted.number === 0 && this.#streams.isEmpty) {
-        this.#adopted = splits;
-      } else if (this.#adopted.number < splits.number) this.#pending = splits;
+      if (this.#adopted.number < splits.number) this.#pending = splits;
       if (this.#options.reachesStore() && await this.#store(splits)) continue;
       if (!this.#isInDoubt) this.#setPending(undefined);
       await new Promise((resolve) => setTimeout(resolve, RETRY_PAUSE_MS));
@@ -188,6 +218,7 @@
     const strayed = this.#streams.strayed(splits, performance.now());
     if (!await this.#write({ splits: splits.number, strayed })) return false;
     this.#reported = splits.number;
+    this.#isAcknowledged = true;
     this.#adopted = splits;
     this.#setPending(undefined);
     this.#options.log.write(events.SPLITS_ADOPTED, {
--- a/packages/gateway/src/software_versions/stream_versions.ts
+++ b/packages/gateway/src/software_versions/stream_versions.ts
@@ -56,7 +56,9 @@
 export type UnknownReason =
   | Extract<StreamTrace, { readonly kind: "unknown" }>["reason"]
   /** Splits that move the stream are being adopted. */
-  | "unsettled";
+  | "unsettled"
+  /** The store has no report of this process. */
+  | "unacknowledged";
 
 /** The version that engines must have for a stream. */
 export type StreamDecision =
@@ -141,6 +143,13 @@
     const { adoption } = this.#options;
     const pool = poolOf(request.service, request.homes);
     const position = positionIn(request, request.id);
+    if (!adoption.isAcknowledged) {
+      adoption.acknowledge();
+      await adoption.settled(ADOPTION_WAIT_MS);
+    }
+    if (!adoption.isAcknowledged) {
+      return { kind: "unknown", reason: "unacknowledged" };
+    }
     for (const mayWait of [true, false]) {
       const { adopted, pending } = adoption;
       const newest = adopted.pools[pool]?.[0];
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -38,9 +38,9 @@
 import { GatewayMetrics } from "../metrics.ts";
 import { LimitKeeper } from "../limit_keeper.ts";
 import type { RequestPasser } from "../reach/request_passer.ts";
+import type { StreamDecision } from "../software_versions/stream_versions.ts";
 import { RequestGuard } from "../quarantine/request_guard.ts";
 import { Relay } from "../relay.ts";
-import type { RelayDependencies } from "../relay_dependencies.ts";
 
 /** The headers of an engine's response to the request of `sendRequest`. */
 export const SEALED_HEADERS = {
@@ -55,13 +55,9 @@
 /** Room for the bodies of requests, in bytes. */
 const BODY_ROOM_BYTES = 64 * 1024 * 1024;
 
-const SINGLE_INSTANCE = { names: ["self"], isCutOff: false };
+const ANY_VERSION: StreamDecision = { kind: "any" };
 
-const ANY_VERSION: RelayDependencies["softwareVersions"]["versions"] = {
-  decide: () => Promise.resolve({ kind: "any" }),
-  countOf: () => 0,
-  isInUse: () => true,
-};
+const SINGLE_INSTANCE = { names: ["self"], isCutOff: false };
 
 /** Ends what a test has started, in reverse order. */
 const cleanups: (() => void)[] = [];
@@ -113,6 +109,8 @@
   readonly zones?: readonly string[];
   /** Versions of the engines' software; none if omitted. */
   readonly softwareVersions?: readonly string[];
+  /** What is decided on a stream's version: any, if omitted. */
+  readonly streamDecision?: StreamDecision;
   readonly isEvacuated?: (zone: string) => boolean;
   /** Changes the route while the relay runs. */
   readonly currentRoute?: () => Partial<Route>;
@@ -287,7 +285,11 @@
     },
     softwareVersions: {
       streams: new OpenStreams(),
-      versions: ANY_VERSION,
+      versions: {
+        decide: () => Promise.resolve(options.streamDecision ?? ANY_VERSION),
+        countOf: () => 0,
+        isInUse: () => true,
+      },
     },
     ...options.passer && { passer: options.passer },
     hasTimeFor: () => true,
--- a/packages/serving/src/software_versions/open_streams.ts
+++ b/packages/serving/src/software_versions/open_streams.ts
@@ -23,11 +23,6 @@
   readonly #streams = new Map<string, OpenStream>();
   #sweptAt = -Infinity;
 
-  /** Whether no stream is known. */
-  get isEmpty(): boolean {
-    return this.#streams.size === 0;
-  }
-
   /** Records that a stream begins. */
   begin(
     id: string,
