Store a last report of streams before a planned end (LOST)

Cause: the report of a process that has ended stays as it was, older than each split that follows; the origin of a moved stream is known only if no report is older.

Change: a process that stops stores a last report once it accepts no streams, and tries until it ends. It names all streams that may be taken up and bears the largest number of splits there is, so instances of the build before read it alike. A stream counts as begun in the turn of its decision. What a drain waits for is a module of its own. Event 874 names outdated reports, 885 tells of the last one.

Ruled out: that the process which ended last blocks (it had adopted all splits), and running ones that are behind (876).

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -513,7 +513,8 @@
 
 /** A request goes on with a stream that the attempt `resumes` began: at
  * `softwareVersion`, which `engines` of the service have. `source` is how the
- * version is known, `reason` why it is not. */
+ * version is known, `reason` why it is not; `outdated` are the processes whose
+ * reports are older than the split that moved the stream. */
 export const STREAM_TAKEN_UP: LogEvent = {
   id: 874,
   severity: "info",
@@ -561,6 +562,15 @@
   text: "version splits not read",
 };
 
+/** This process is about to end, and has reported all its streams that may still
+ * be taken up: whatever splits follow, others can tell where those began. Without
+ * this line, ids that later splits move are unknown for 40 s. */
+export const LAST_REPORT_STORED: LogEvent = {
+  id: 885,
+  severity: "info",
+  text: "last report of streams stored",
+};
+
 /** This instance has no path to the engines of a service: most of those that it
  * asked (`blocked`) are silent or refuse connections, `open` were heard of. Other
  * instances serve its callers, and own its engines. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,13 +13,11 @@
   EngineLimits,
   EngineTable,
   IDLE_TICKS,
-  isAcceptedWhileDraining,
   isLargeFleet,
   type Member,
   MemberTable,
   PathDelays,
   RetryBudget,
-  type Route,
   type SelectionContext,
   SystemClocks,
 } from "@banyanlb/serving";
@@ -33,6 +31,7 @@
 import { AdapterLoader } from "./adapter_loader.ts";
 import { AdapterUsageCounts } from "./adapter_usage.ts";
 import { CallerServer } from "./caller_server.ts";
+import { Drain } from "./draining/drain.ts";
 import { DigestExchange } from "./digest_exchange.ts";
 import { EngineConnections } from "./engine_connections.ts";
 import { EngineWarmUp } from "./engine_warm_up.ts";
@@ -74,18 +73,6 @@
  * reads other records, in milliseconds. */
 const MEMBERS_WAIT_MS = 250;
 
-/** Minimum time that a process drains before it ends, in milliseconds: callers
- * that have cached its address still connect. */
-const DRAIN_MIN_MS = 3000;
-
-/** A draining process ends once no request has been active for this long, in
- * milliseconds. */
-const DRAIN_IDLE_MS = 400;
-
-/** A draining process ends this long before the platform would kill it, in
- * milliseconds. */
-const KILL_MARGIN_MS = 250;
-
 /** Share of the memory of a process that bodies of requests may take. The heap
  * takes most of the rest. */
 const BODY_ROOM_SHARE = 3 / 16;
@@ -133,8 +120,7 @@
   /** Ticks since the last digests. */
   #ticks = 0;
   #isListening = false;
-  #isDraining = false;
-  #drainStartedAt = Infinity;
+  readonly #drain: Drain;
   #stopped: Promise<void> | undefined;
 
   constructor(
@@ -150,6 +136,7 @@
     this.#log = log;
     const formatAddress = (a: { host: string; port: number }) =>
       `${a.host}:${a.port}`;
+    this.#drain = new Drain(settings.bounds.graceMs);
     this.#self = {
       name: settings.name,
       zone: settings.zone,
@@ -347,7 +334,7 @@
       links: () => this.#links,
       state: () => ({
         ready: this.#isReady,
-        leaving: this.#isDraining,
+        leaving: this.#drain.isStarted,
         serves: this.#ownLoad.serves,
         busy: this.#ownLoad.busy,
         ...this.#access.state,
@@ -381,7 +368,7 @@
       crashProtection: this.#crashProtection,
       softwareVersions: this.#softwareVersions,
       passer: this.#access.passer,
-      hasTimeFor: (route) => this.#hasTimeFor(route),
+      hasTimeFor: (route) => this.#drain.hasTimeFor(route),
       log,
       metrics: this.#metrics,
     };
@@ -465,7 +452,7 @@
       this.#open(this.#readinessServer, readiness),
       this.#open(this.#steeringServer, steering),
     ]);
-    if (this.#isDraining) return;
+    if (this.#drain.isStarted) return;
     this.#isListening = true;
     for (const seed of this.#settings.seeds) {
       if (seed === this.#self.peerAddress) continue;
@@ -493,7 +480,7 @@
   ): Promise<void> {
     return openListener(() => server.listen(address), {
       address,
-      isClosed: () => this.#isDraining,
+      isClosed: () => this.#drain.isStarted,
       log: this.#log,
     });
   }
@@ -518,30 +505,25 @@
    * digests report that it is not ready, and requests that still arrive are
    * served. Then closes the gateway; resolves when the process may exit. */
   stop(): Promise<void> {
-    this.#stopped ??= this.#drain();
+    this.#stopped ??= this.#stop();
     return this.#stopped;
   }
 
-  async #drain(): Promise<void> {
-    this.#isDraining = true;
-    const startedAt = performance.now();
-    this.#drainStartedAt = startedAt;
+  async #stop(): Promise<void> {
+    const drained = this.#drain.run(
+      () => ({
+        active: this.#callerServer.active + this.#access.passedRequests.active,
+        idleMs: this.#callerServer.idleMs(),
+      }),
+      () => this.#softwareVersions.end(),
+    );
     this.#log.write(events.STOPPING, { active: this.#callerServer.active });
     this.#callerServer.startDraining();
     this.#digestExchange.send({ isUrgent: true });
-    const endsAt = startedAt + this.#settings.bounds.graceMs - KILL_MARGIN_MS;
-    while (performance.now() < endsAt) {
-      const elapsedMs = performance.now() - startedAt;
-      if (
-        elapsedMs > DRAIN_MIN_MS && this.#callerServer.active === 0 &&
-        this.#access.passedRequests.active === 0 &&
-        this.#callerServer.idleMs() > DRAIN_IDLE_MS
-      ) break;
-      await new Promise((resolve) => setTimeout(resolve, 100));
-    }
+    await drained;
     this.#log.write(events.STOPPED, {
       active: this.#callerServer.active,
-      ms: Math.round(performance.now() - startedAt),
+      ms: Math.round(this.#drain.elapsedMs),
     });
     this.close();
   }
@@ -574,7 +556,7 @@
   get #isReady(): boolean {
     return this.#isListening && this.#storeView.ready &&
       this.#crashProtection.isReady && this.#softwareVersions.isReady &&
-      !this.#isDraining;
+      !this.#drain.isStarted;
   }
 
   /** Announces changed records to all peers at once if this instance is a store
@@ -583,14 +565,6 @@
     if (this.#readerRoles.isStoreReader) this.#digestExchange.announceChanges();
   }
 
-  #hasTimeFor(route: Route): boolean {
-    if (!this.#isDraining) return true;
-    return isAcceptedWhileDraining(route, {
-      elapsedMs: performance.now() - this.#drainStartedAt,
-      endsAfterMs: this.#settings.bounds.graceMs - KILL_MARGIN_MS,
-    });
-  }
-
   #runLoader(): void {
     this.#loader.tick();
     this.#loaderTimer = setTimeout(
@@ -625,7 +599,7 @@
     return !this.#ownLoad.serves && this.#loader.isIdle &&
       !this.#digestExchange.isCollector && !this.#readerRoles.isStoreReader &&
       isLargeFleet(this.#members.list().length) &&
-      performance.now() > IDLE_AFTER_MS && !this.#isDraining;
+      performance.now() > IDLE_AFTER_MS && !this.#drain.isStarted;
   }
 
   #onStoreViewChange(): void {
--- a/packages/gateway/src/software_versions/software_versions.ts
+++ b/packages/gateway/src/software_versions/software_versions.ts
@@ -68,6 +68,12 @@
     return this.#adoption.isReady;
   }
 
+  /** Begins no more streams, and reports those that may still be taken up.
+   * Resolves when the store has taken the report. */
+  end(): Promise<void> {
+    return this.#adoption.end();
+  }
+
   /** Stops to write reports. */
   close(): void {
     this.#adoption.close();
--- a/packages/gateway/src/software_versions/software_versions_test.ts
+++ b/packages/gateway/src/software_versions/software_versions_test.ts
@@ -115,9 +115,7 @@
 
   async begin(id: string): Promise<string | undefined> {
     const decision = await this.#decide(id, undefined);
-    if (decision.kind !== "begin") return undefined;
-    this.parts.streams.begin(id, decision);
-    return decision.version;
+    return decision.kind === "begin" ? decision.version : undefined;
   }
 
   takeUp(resumes: string | undefined): Promise<StreamDecision> {
@@ -418,3 +416,62 @@
   await turnedAway.read();
   await expect.poll(() => turnedAway.begin("known")).toMatch(/^v/);
 });
+
+// Guards against streams that nobody can take up after a release, since an instance
+// was restarted as planned before it.
+test("streams go on at their version after a planned end before a release", async () => {
+  const { store, a, b } = await startTwo();
+  const ended = new TestProcess(store, "c");
+  ended.setEngines(...FORMER_ENGINES);
+  await ended.read();
+  const begun = new Map<string, string | undefined>();
+  const beginAt = async (process: TestProcess, prefix: string) => {
+    for (let i = 0; i < 12; i += 1) {
+      const id = `${prefix}-${i}`;
+      begun.set(id, await process.begin(id));
+    }
+  };
+  await beginAt(a, "old");
+  await beginAt(ended, "ended");
+  await ended.parts.end();
+  expect(await ended.begin("too-late")).toBeUndefined();
+  ended.parts.close();
+  const versions = ["v2", "v2"];
+  await replaceEngines(versions, { store, writer: a, others: [b] });
+  await a.read();
+  await b.read();
+  await beginAt(a, "new");
+  expect(new Set(begun.values())).toEqual(new Set(["v1", "v2"]));
+  const late = new TestProcess(store, "d");
+  late.setEngines(...versions);
+  await late.read();
+  for (const [id, version] of begun) {
+    expect(await late.takeUp(id)).toMatchObject({ kind: "go_on", version });
+  }
+});
+
+// The store is away at the moment of the planned end, and back before the process
+// has ended.
+test("the last report is tried until the store takes it", async () => {
+  const { store, a, b } = await startTwo();
+  expect(await b.begin("old")).toBe("v1");
+  b.link.isCut = true;
+  let isReported = false;
+  const reported = b.parts.end().then(() => (isReported = true));
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  expect(isReported).toBe(false);
+  b.link.isCut = false;
+  await reported;
+  await replaceEngines(["v2"], { store, writer: a, others: [] });
+  await a.read();
+  expect(await a.takeUp("old")).toMatchObject({ version: "v1" });
+});
+
+test("a refused take-up names the processes that have not reported", async () => {
+  const { a, begun } = await release(4);
+  await a.read();
+  const unknown = [...begun].filter(([, version]) => version !== undefined);
+  const decision = await a.takeUp(unknown[1]?.[0]);
+  expect(decision).toMatchObject({ kind: "unknown", reason: "unreported" });
+  expect(decision).toMatchObject({ outdated: [expect.stringMatching(/^b\./)] });
+});
--- a/packages/gateway/src/software_versions/split_adoption.ts
+++ b/packages/gateway/src/software_versions/split_adoption.ts
@@ -5,6 +5,7 @@
  */
 import type { EventLog } from "@banyanlb/core";
 import {
+  ALL_SPLITS,
   NO_SPLITS,
   type OpenStreams,
   type RecordStore,
@@ -17,8 +18,10 @@
 import * as events from "../events.ts";
 import { decodeSplits, SPLITS_RECORD_NAME } from "./split_records.ts";
 
-/** Pause after a report that the store did not take, in milliseconds. */
+/** Pause after a report that the store did not take, in milliseconds; shorter for
+ * the last one, which the process waits for. */
 const RETRY_PAUSE_MS = 200;
+const LAST_RETRY_PAUSE_MS = 40;
 
 /** How long an instance that starts waits for its first report before it is
  * ready, in milliseconds: without one it passes streams on, and serves all
@@ -65,7 +68,8 @@
   #reportRevision: number | undefined;
   /** Whether the store may take a report of which it has not said so. */
   #isInDoubt = false;
-  #isReporting = false;
+  #reporting: Promise<void> | undefined;
+  #isEnding = false;
   /** Whether the store was restored while this process knew the splits. */
   #knewBeforeRestore = false;
   #isClosed = false;
@@ -95,6 +99,11 @@
     return this.#isAcknowledged;
   }
 
+  /** Whether the last report is due or stored: no stream may begin. */
+  get isEnding(): boolean {
+    return this.#isEnding;
+  }
+
   /** Splits whose report is under way: a stream that they move must not begin;
    * undefined if there are none. */
   get pending(): VersionSplits | undefined {
@@ -126,6 +135,7 @@
 
   /** Whether the store lacks the report of the newest splits. */
   get #isReportDue(): boolean {
+    if (this.#isEnding) return this.#reported < ALL_SPLITS;
     const { number } = this.#known;
     return number > 0
       ? this.#reported < number
@@ -171,7 +181,7 @@
    * store does not reply. */
   async settled(maxMs: number): Promise<void> {
     const isWaiting = this.#pending !== undefined ||
-      (this.#isReporting && !this.#isAcknowledged);
+      (this.#reporting !== undefined && !this.#isAcknowledged);
     if (!isWaiting || !this.#options.reachesStore()) return;
     await new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, maxMs);
@@ -182,6 +192,16 @@
     });
   }
 
+  /** Begins no more streams, and stores the last report: without it nobody could
+   * tell whether this process had begun a stream that later splits move. Resolves
+   * when the store has taken it, or when this is closed. */
+  end(): Promise<void> {
+    this.#isEnding = true;
+    // There is no report that others would wait for.
+    if (!this.#isAcknowledged && !this.#isInDoubt) return Promise.resolve();
+    return this.#reportAll();
+  }
+
   /** Ends the reports. */
   close(): void {
     this.#isClosed = true;
@@ -199,17 +219,38 @@
 
   /** Reports the streams of this process for the newest splits, until the store
    * has taken it. */
-  async #reportAll(): Promise<void> {
-    if (this.#isReporting) return;
-    this.#isReporting = true;
+  #reportAll(): Promise<void> {
+    this.#reporting ??= this.#storeDue().finally(() => {
+      this.#reporting = undefined;
+    });
+    return this.#reporting;
+  }
+
+  async #storeDue(): Promise<void> {
     while (this.#isReportDue && !this.#isClosed) {
+      if (this.#isEnding) {
+        if (await this.#storeLast()) return;
+        await pause(LAST_RETRY_PAUSE_MS);
+        continue;
+      }
       const splits = this.#pending ?? this.#known;
       if (this.#adopted.number < splits.number) this.#pending = splits;
       if (this.#options.reachesStore() && await this.#store(splits)) continue;
       if (!this.#isInDoubt) this.#setPending(undefined);
-      await new Promise((resolve) => setTimeout(resolve, RETRY_PAUSE_MS));
+      await pause(RETRY_PAUSE_MS);
     }
-    this.#isReporting = false;
+  }
+
+  /** Stores the last report, which names all streams. */
+  async #storeLast(): Promise<boolean> {
+    const strayed = this.#streams.versions(performance.now());
+    if (!await this.#write({ splits: ALL_SPLITS, strayed })) return false;
+    this.#reported = ALL_SPLITS;
+    this.#setPending(undefined);
+    this.#options.log.write(events.LAST_REPORT_STORED, {
+      streams: Object.keys(strayed).length,
+    });
+    return true;
   }
 
   /** Stores the report for `splits` and adopts them; returns whether the store
@@ -273,3 +314,7 @@
     for (const resolve of this.#waiters.splice(0)) resolve();
   }
 }
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/packages/gateway/src/software_versions/stream_version.ts
+++ b/packages/gateway/src/software_versions/stream_version.ts
@@ -60,7 +60,7 @@
   async decide(homes: HomeRegions): Promise<VersionRefusal | undefined> {
     const { caller, route, service } = this.#input;
     if (route.kind !== "stream" || !route.resumable) return undefined;
-    const { streams, versions } = this.#deps.softwareVersions;
+    const { versions } = this.#deps.softwareVersions;
     const { id = "", resumes, lastEventId, model, adapter } = caller;
     const isContinued = resumes !== undefined || lastEventId !== undefined;
     const decision = await versions.decide({
@@ -81,6 +81,7 @@
         engines: version && versions.countOf(service, version),
         source: decision.kind === "go_on" ? decision.source : undefined,
         reason: decision.kind === "unknown" ? decision.reason : undefined,
+        outdated: decision.kind === "unknown" ? decision.outdated : undefined,
       });
     }
     if (decision.kind === "unknown") {
@@ -93,10 +94,7 @@
     if (decision.kind === "any") return undefined;
     this.#required = decision.version;
     this.#isGoingOn = decision.kind === "go_on";
-    if (decision.kind === "begin") {
-      this.#isBegun = true;
-      streams.begin(id, decision);
-    }
+    this.#isBegun = decision.kind === "begin";
     return undefined;
   }
 
--- a/packages/gateway/src/software_versions/stream_versions.ts
+++ b/packages/gateway/src/software_versions/stream_versions.ts
@@ -57,6 +57,8 @@
   | Extract<StreamTrace, { readonly kind: "unknown" }>["reason"]
   /** Splits that move the stream are being adopted. */
   | "unsettled"
+  /** This process ends, and has reported its streams. */
+  | "leaving"
   /** The store has no report of this process. */
   | "unacknowledged";
 
@@ -64,18 +66,19 @@
 export type StreamDecision =
   /** The service's engines state no version. */
   | { readonly kind: "any" }
-  | {
-    readonly kind: "begin";
-    readonly version: string;
-    readonly pool: string;
-    readonly position: number;
-  }
+  /** It counts as begun from the decision on. */
+  | { readonly kind: "begin"; readonly version: string }
   | {
     readonly kind: "go_on";
     readonly version: string;
     readonly source: TraceSource;
   }
-  | { readonly kind: "unknown"; readonly reason: UnknownReason };
+  | {
+    readonly kind: "unknown";
+    readonly reason: UnknownReason;
+    /** The processes whose reports are older than the last move of the stream. */
+    readonly outdated?: readonly string[];
+  };
 
 /** Parts of the gateway that decide on versions. */
 export interface StreamVersionsOptions {
@@ -140,9 +143,10 @@
     request: StreamRequest,
     listed: readonly (string | undefined)[],
   ): Promise<StreamDecision> {
-    const { adoption } = this.#options;
+    const { adoption, streams } = this.#options;
     const pool = poolOf(request.service, request.homes);
-    const position = positionIn(request, request.id);
+    const { id } = request;
+    const position = positionIn(request, id);
     if (!adoption.isAcknowledged) {
       adoption.acknowledge();
       await adoption.settled(ADOPTION_WAIT_MS);
@@ -151,7 +155,8 @@
       return { kind: "unknown", reason: "unacknowledged" };
     }
     for (const mayWait of [true, false]) {
-      const { adopted, pending } = adoption;
+      const { adopted, pending, isEnding } = adoption;
+      if (isEnding) return { kind: "unknown", reason: "leaving" };
       const newest = adopted.pools[pool]?.[0];
       const version = newest === undefined && listed.length === 1
         ? listed[0]
@@ -159,9 +164,12 @@
       const isMoving = pending !== undefined &&
         versionAt(pending.pools[pool]?.[0], position) !== version;
       if (!isMoving) {
-        return version === undefined
-          ? { kind: "unknown", reason: "no_split" }
-          : { kind: "begin", version, pool, position };
+        if (version === undefined) {
+          return { kind: "unknown", reason: "no_split" };
+        }
+        // No report may be written in between.
+        streams.begin(id, { pool, position, version });
+        return { kind: "begin", version };
       }
       if (mayWait) await adoption.settled(ADOPTION_WAIT_MS);
     }
@@ -204,9 +212,15 @@
       trace = traceStream(stream, splits(), reports);
     }
     if (trace.kind === "known") return { ...trace, kind: "go_on" };
-    return trace.kind === "unknown"
-      ? trace
-      : { kind: "unknown", reason: "unreported" };
+    if (trace.kind === "moved") {
+      return { kind: "unknown", reason: "unreported" };
+    }
+    const { reason, outdated = [] } = trace;
+    return {
+      kind: "unknown",
+      reason,
+      outdated: outdated.flatMap(({ process }) => process ?? []),
+    };
   }
 
   /** Reads the newest splits; returns whether this instance knows them. */
@@ -227,7 +241,10 @@
     const { store, log } = this.#options;
     try {
       const { records } = await store.list("streams");
-      return records.map(({ value }) => decodeReport(value));
+      return records.map(({ name, value }) => ({
+        ...decodeReport(value),
+        process: name,
+      }));
     } catch (err) {
       if (!(err instanceof StoreCallError)) throw err;
       log.write(events.SPLITS_NOT_READ, { failure: err.failure });
--- a/packages/serving/src/drain_window.ts
+++ b/packages/serving/src/drain_window.ts
@@ -6,7 +6,7 @@
 
 /** How long a draining instance accepts streams, in milliseconds: the longest
  * last seconds and would be cut off when the grace period ends. */
-const DRAIN_STREAMS_MS = 2500;
+export const DRAIN_STREAMS_MS = 2500;
 
 /** Whether a request that arrives while the instance drains can get its answer
  * before the instance ends. One that cannot is refused before anything is sent to
--- a/packages/serving/src/software_versions/open_streams.ts
+++ b/packages/serving/src/software_versions/open_streams.ts
@@ -70,6 +70,14 @@
     );
   }
 
+  /** The versions of all streams, by id. */
+  versions(now: number): Readonly<Record<string, string>> {
+    this.#sweep(now);
+    return Object.fromEntries(
+      [...this.#streams].map(([id, { version }]) => [id, version]),
+    );
+  }
+
   #sweep(now: number): void {
     if (now - this.#sweptAt < SWEEP_INTERVAL_MS) return;
     this.#sweptAt = now;
--- a/packages/serving/src/software_versions/trace_stream.ts
+++ b/packages/serving/src/software_versions/trace_stream.ts
@@ -9,9 +9,16 @@
  */
 import { versionAt, type VersionSplit } from "./version_split.ts";
 
+/** In place of the number of splits: the report is the last one of a process. It
+ * names all of its streams, so it is as new as any splits that follow. */
+export const ALL_SPLITS = Number.MAX_SAFE_INTEGER;
+
 /** What a process has stored of the streams that it began. */
 export interface StreamReport {
-  /** The number of the newest splits that the process has adopted. */
+  /** The process, as log lines name it. */
+  readonly process?: string;
+  /** The number of the newest splits that the process has adopted, or
+   * `ALL_SPLITS`. */
   readonly splits: number;
   /** The versions of its streams that began elsewhere than these splits would let
    * them, by the ids of their first attempts. */
@@ -39,6 +46,8 @@
   | {
     readonly kind: "unknown";
     readonly reason: "no_split" | "unnamed" | "unconfirmed" | "unreported";
+    /** The reports that are older than the move. */
+    readonly outdated?: readonly StreamReport[];
   }
   /** The reports decide. */
   | { readonly kind: "moved" };
@@ -77,7 +86,8 @@
   }
   // A process that ended before it reported may have begun the stream.
   const lastMove = Math.max(...moves.map(({ number }) => number));
-  return reports.every((report) => report.splits >= lastMove)
+  const outdated = reports.filter(({ splits }) => splits < lastMove);
+  return outdated.length === 0
     ? { kind: "known", version, source: "report" }
-    : { kind: "unknown", reason: "unreported" };
+    : { kind: "unknown", reason: "unreported", outdated };
 }
--- a/packages/serving/src/software_versions/trace_stream_test.ts
+++ b/packages/serving/src/software_versions/trace_stream_test.ts
@@ -2,7 +2,7 @@
 import { expect, test } from "vitest";
 import { OpenStreams } from "./open_streams.ts";
 import { planSplits } from "./plan_splits.ts";
-import { type StreamReport, traceStream } from "./trace_stream.ts";
+import { ALL_SPLITS, type StreamReport, traceStream } from "./trace_stream.ts";
 import {
   NO_SPLITS,
   positionOf,
@@ -57,6 +57,15 @@
     this.reports.set(process, { splits: this.splits.number, strayed: {} });
   }
 
+  /** The process ends as planned and starts again. */
+  end(place: number): void {
+    const process = this.processes[place];
+    if (process === undefined) return;
+    const strayed = process.streams.versions(0);
+    this.reports.set(process, { splits: ALL_SPLITS, strayed });
+    this.start(place);
+  }
+
   split(v1: number, v2: number): void {
     this.now += 1500;
     const next = planSplits(this.splits, room({ v1, v2 }), this.now);
@@ -124,6 +133,7 @@
     { weight: 4, arbitrary: fc.tuple(fc.constant("store"), place) },
     { weight: 8, arbitrary: fc.tuple(fc.constant("begin"), place) },
     { weight: 1, arbitrary: fc.tuple(fc.constant("start"), place) },
+    { weight: 1, arbitrary: fc.tuple(fc.constant("end"), place) },
   );
   fc.assert(
     fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
@@ -133,6 +143,7 @@
         else if (action === "learn") model.learn(n);
         else if (action === "store") model.store(n);
         else if (action === "start") model.start(n);
+        else if (action === "end") model.end(n);
         else for (let k = 0; k < 4; k += 1) model.begin(n, `${i}-${k}`);
         model.check();
       });
@@ -171,6 +182,23 @@
   expect(known).toBeLessThan(35);
 });
 
+// Guards against streams that nobody can take up after a release, since a process
+// that had ended in order before it never reported on the newer splits.
+test("a process that ended as planned makes no stream unknown", () => {
+  const model = new Model();
+  for (let k = 0; k < 40; k += 1) model.begin(k % PROCESSES, `old-${k}`);
+  model.end(0);
+  for (const n of [2, 4]) {
+    model.split(4 - n, n);
+    for (let i = 0; i < PROCESSES; i += 1) {
+      model.learn(i);
+      model.store(i);
+      model.begin(i, `new-${n}-${i}`);
+    }
+  }
+  expect(model.check()).toBe(model.begun.size);
+});
+
 test("an id without a split is unknown", () => {
   expect(traceStream({ id: "r1", position: 0 }, [])).toEqual({
     kind: "unknown",
