Bound each wait inside a request by the request's deadline (CONFIG)

Cause: the exchange awaited a load for up to 2.5 s whatever the request had left; the question to the owner and the owner's own wait knew no deadline either.

Change: what a request waits for ends at its deadline: the load, the version of its stream (adoption, reads of splits and reports), a trial in the quarantine, and its body (408). A wait for an owner ends as soon as it can order nothing, so another engine is tried in time.

Ruled out: a refusal written late by a busy process (others were answered within 0.5 s), and other waits (no rate, one version, nothing held in the case).

--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -23,6 +23,7 @@
   OwnedEngine,
   type Waiter,
 } from "./owned_engine.ts";
+import { OwnerWaits } from "./owner_waits.ts";
 import type { PeerLinks } from "./peer_links.ts";
 import type { HeldRow } from "./peer_messages.ts";
 import type { StoreView } from "./store_view.ts";
@@ -36,7 +37,8 @@
  * milliseconds: an engine's report is some hundred milliseconds old. */
 const RESYNC_INTERVAL_MS = 150;
 
-/** Maximum time that a request waits for its adapter, in milliseconds. */
+/** Maximum time that a request waits for its adapter, in milliseconds; its own
+ * deadline may be earlier. */
 const LOAD_WAIT_MS = 2500;
 
 /** How long after the estimated ready time of its adapter a refused request
@@ -68,11 +70,23 @@
   readonly metrics: GatewayMetrics;
 }
 
+/** An adapter that a request needs on an engine. */
+export interface AdapterRequest {
+  readonly adapter: string;
+  readonly version: number;
+  readonly early?: boolean;
+  readonly quiet?: boolean;
+  readonly patient?: boolean | undefined;
+  /** Time that the request has left for it, in milliseconds. */
+  readonly waitMs?: number | undefined;
+}
+
 /** Sends load and unload orders, and resolves the requests that wait for
  * loads. */
 export class AdapterLoader {
   readonly #options: AdapterLoaderOptions;
   readonly #engines = new Map<string, OwnedEngine>();
+  readonly #ownerWaits = new OwnerWaits((key) => this.canOrder(key));
   #otherFetches = 0;
   /** Number of engines that have an owner, this instance or another. */
   #assignedEngineCount = 1;
@@ -180,14 +194,7 @@
    * it will not be loaded in time. */
   load(
     view: EngineView,
-    request: {
-      readonly model: string;
-      readonly adapter: string;
-      readonly version: number;
-      readonly early?: boolean;
-      readonly quiet?: boolean;
-      readonly patient?: boolean | undefined;
-    },
+    request: AdapterRequest & { readonly model: string },
   ): Promise<boolean> {
     const { membership, self, members, links } = this.#options;
     const engine = view.engine.key;
@@ -195,23 +202,18 @@
     if (owner === self) return this.loadAtOwnEngine(engine, request);
     const member = owner === undefined ? undefined : members.get(owner);
     if (member === undefined) return Promise.resolve(false);
-    return links.ask(
+    const reply = links.ask(
       member.peerAddress,
       (n) => ({ t: "load", n, engine, ...request }),
-      LOAD_WAIT_MS,
+      waitMsOf(request),
     ).then((reply) => reply?.t === "loaded" && reply.ok);
+    return this.#ownerWaits.reply(engine, reply);
   }
 
   /** Loads an adapter on an engine of this instance; see `load`. */
   loadAtOwnEngine(
     engineKey: string,
-    request: {
-      readonly adapter: string;
-      readonly version: number;
-      readonly early?: boolean;
-      readonly quiet?: boolean;
-      readonly patient?: boolean | undefined;
-    },
+    request: AdapterRequest,
   ): Promise<boolean> {
     const engine = this.#engines.get(engineKey);
     if (
@@ -238,7 +240,7 @@
     engine.adapterSlots.requestLoad(adapter, version, now);
     engine.adapterSlots.recordUse(adapter, 0, 1, now);
     return new Promise((resolve) => {
-      const until = now + LOAD_WAIT_MS;
+      const until = now + waitMsOf(request);
       engine.waiters.add({ adapter, version, until, isPatient, resolve });
       this.#process(engineKey, engine);
     });
@@ -521,6 +523,11 @@
     !engine.denied.has(adapter);
 }
 
+/** How long a request waits for its adapter, in milliseconds. */
+function waitMsOf({ waitMs = LOAD_WAIT_MS }: AdapterRequest): number {
+  return Math.min(LOAD_WAIT_MS, Math.max(0, waitMs));
+}
+
 /** Ends a wait. A load that has failed is cancelled unless another request waits
  * for it. */
 function release(engine: OwnedEngine, waiter: Waiter, isLoaded: boolean): void {
--- a/packages/gateway/src/adapter_loader_test.ts
+++ b/packages/gateway/src/adapter_loader_test.ts
@@ -165,3 +165,19 @@
   expect(results).toEqual([["other", false], ["patient", true]]);
   close();
 });
+
+// Guards against loads for requests that have been refused meanwhile.
+test("a request does not wait for an adapter longer than it has left", async () => {
+  const { held, silence, loader, close } = startOwner();
+  await vi.advanceTimersByTimeAsync(2000);
+  held.delete("a1");
+  silence.isSilent = true;
+  let isLoaded: boolean | undefined;
+  const request = { adapter: "a2", version: 0, patient: true, waitMs: 300 };
+  void loader.loadAtOwnEngine(ENGINE, request).then((ok) => (isLoaded = ok));
+  await vi.advanceTimersByTimeAsync(200);
+  expect(isLoaded).toBeUndefined();
+  await vi.advanceTimersByTimeAsync(200);
+  expect(isLoaded).toBe(false);
+  close();
+});
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -29,6 +29,7 @@
   type Successor,
 } from "./attempt_outcome.ts";
 import { bufferBody } from "./buffer_body.ts";
+import { byDeadline } from "./by_deadline.ts";
 import { withContentLength, withoutContentLength } from "./content_length.ts";
 import { requirementsOf } from "./engine_requirements.ts";
 import { type EngineRequest, reasonOf } from "./engine_connections.ts";
@@ -43,7 +44,7 @@
 import type { RunningAttempt } from "./handover/running_attempt.ts";
 import { STALL_TIMEOUT_MS } from "./handover/silence_limits.ts";
 import { TriedEngines } from "./handover/tried_engines.ts";
-import type { ExchangeInput } from "./exchange_input.ts";
+import { deadlineOf, type ExchangeInput } from "./exchange_input.ts";
 import { ExchangeLog } from "./exchange_log.ts";
 import { guardRequest } from "./quarantine/guard_request.ts";
 import type { RefusalTerms, RequestGuard } from "./quarantine/request_guard.ts";
@@ -109,14 +110,12 @@
   constructor(deps: RelayDependencies, input: ExchangeInput) {
     this.#deps = deps;
     this.#input = input;
-    const { caller, route, arrivedAt } = input;
     this.#log = new ExchangeLog(deps, input);
-    this.#rateCharge = new RateCharge(deps, input.workspace, caller);
+    this.#rateCharge = new RateCharge(deps, input.workspace, input.caller);
     this.#guard = guardRequest(deps, input);
     this.#streamVersion = new StreamVersion(deps, input);
-    this.#lastEventId = caller.lastEventId;
-    this.#deadline = arrivedAt +
-      Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
+    this.#lastEventId = input.caller.lastEventId;
+    this.#deadline = deadlineOf(input);
   }
 
   get #isRepeatable(): boolean {
@@ -182,7 +181,7 @@
         return this.#giveUp(decision.reason, decision);
       }
       if (decision.kind === "wait") {
-        await setTimeoutPromise(decision.ms);
+        await byDeadline(setTimeoutPromise(decision.ms), this.#deadline);
         continue;
       }
       const context = this.#deps.selectionContextAt(performance.now());
@@ -284,14 +283,15 @@
     if (this.#loadCount > LOADS_MAX) return "full";
     const now = performance.now();
     const { key } = view.engine;
-    const version = this.#newestVersion();
     const patient = this.#tried.wasSilent(key) || undefined;
-    const loaded = await this.#deps.loader.load(view, {
+    const load = this.#deps.loader.load(view, {
       model,
       adapter,
-      version,
+      version: this.#newestVersion(),
       patient,
+      waitMs: this.#deadline - now,
     });
+    const loaded = await byDeadline(load, this.#deadline) ?? false;
     this.#deps.metrics.time(
       "load_wait_ms",
       `ok="${loaded}"`,
--- a/packages/gateway/src/exchange_input.ts
+++ b/packages/gateway/src/exchange_input.ts
@@ -26,3 +26,19 @@
     waitSeconds?: number,
   ) => void;
 }
+
+/** When a request must have its answer, by the monotonic clock.
+ *
+ * @example
+ * ```ts
+ * const leftMs = deadlineOf(input) - performance.now();
+ * ```
+ */
+export function deadlineOf(
+  { caller, route, arrivedAt }: Pick<
+    ExchangeInput,
+    "caller" | "route" | "arrivedAt"
+  >,
+): number {
+  return arrivedAt + Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
+}
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -43,6 +43,9 @@
   /** The request has no other engine: it waits although the engine does not
    * reply. */
   readonly patient?: boolean | undefined;
+  /** Time that the request has left for the load, in milliseconds: the sender
+   * does not wait longer. */
+  readonly waitMs?: number | undefined;
 }
 
 /** The owner's reply to a `LoadRequest`. */
--- a/packages/gateway/src/reach/request_passer.ts
+++ b/packages/gateway/src/reach/request_passer.ts
@@ -28,6 +28,7 @@
   type Route,
 } from "@banyanlb/serving";
 import { sendErrorResponse } from "../error_response.ts";
+import { deadlineOf } from "../exchange_input.ts";
 import * as events from "../events.ts";
 import type { GatewayMetrics } from "../metrics.ts";
 import { NOT_TAKEN_HEADER, SENDER_HEADER } from "./passed_requests.ts";
@@ -136,7 +137,7 @@
         needsStore ? this.#reachingStore() : this.#takingPassed(),
         tried,
       );
-      const timeLeftMs = timeLeftOf(passed);
+      const timeLeftMs = deadlineOf(passed) - performance.now();
       if (member === undefined || timeLeftMs < TIME_LEFT_MIN_MS) return false;
       tried.add(member.name);
       const result = await this.#offer(member, passed, timeLeftMs);
@@ -290,8 +291,3 @@
   });
   response.pipe(res);
 }
-
-function timeLeftOf({ caller, route, arrivedAt }: PassableRequest): number {
-  const deadlineMs = Math.min(caller.deadlineMs ?? Infinity, route.timeoutMs);
-  return arrivedAt + deadlineMs - performance.now();
-}
--- a/packages/gateway/src/read_body.ts
+++ b/packages/gateway/src/read_body.ts
@@ -7,7 +7,7 @@
 import { type BodyRoom, ByteCollector } from "@banyanlb/serving";
 
 /** Why a body was not read. */
-export type BodyFailure = "too_large" | "no_memory" | "broken";
+export type BodyFailure = "too_large" | "no_memory" | "late" | "broken";
 
 /** Limits on a body. */
 export interface BodyLimits {
@@ -15,6 +15,8 @@
   readonly room: BodyRoom;
   /** The workspace whose room it takes. */
   readonly workspace: string;
+  /** When the request must have its answer, by the monotonic clock. */
+  readonly deadline: number;
 }
 
 /** Reads the body; undefined if the request has none. It takes room until the
@@ -23,7 +25,7 @@
 export function readBody(
   req: IncomingMessage,
   res: ServerResponse,
-  { maxBytes, room, workspace }: BodyLimits,
+  { maxBytes, room, workspace, deadline }: BodyLimits,
 ): Promise<Buffer | undefined | BodyFailure> {
   const length = req.headers["content-length"];
   const hasBody = length !== undefined ||
@@ -39,8 +41,13 @@
       else if (!room.take(workspace, chunk.length)) fail("no_memory");
       else body.push(chunk);
     };
+    const timer = setTimeout(
+      () => fail("late"),
+      Math.max(0, deadline - performance.now()),
+    );
     const release = (bytes: number) => room.release(workspace, bytes);
     const fail = (failure: BodyFailure) => {
+      clearTimeout(timer);
       // What still arrives is skipped.
       req.removeListener("data", onData);
       req.resume();
@@ -50,6 +57,7 @@
     };
     req.on("data", onData);
     req.on("end", () => {
+      clearTimeout(timer);
       const whole = body.concat();
       body.clear();
       if (res.closed) release(whole.length);
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -8,6 +8,7 @@
 import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
 import * as events from "./events.ts";
 import { Exchange } from "./exchange.ts";
+import { deadlineOf } from "./exchange_input.ts";
 import { readBody } from "./read_body.ts";
 import type { RequestPasser } from "./reach/request_passer.ts";
 import type {
@@ -77,9 +78,11 @@
       maxBytes: routeTable.configuration.limits.maxBodyBytes,
       room: this.#deps.bodyRoom,
       workspace: workspace?.name ?? "",
+      deadline: deadlineOf({ caller, route, arrivedAt }),
     });
     if (body === "too_large") return refuse(413, "body_too_large");
     if (body === "no_memory") return refuse(503, "no_memory", 1);
+    if (body === "late") return refuse(408, "body_late");
     if (body === "broken") {
       res.destroy();
       return;
--- a/packages/gateway/src/software_versions/stream_version.ts
+++ b/packages/gateway/src/software_versions/stream_version.ts
@@ -9,10 +9,11 @@
   TAKE_UP_MAX_MS,
 } from "@banyanlb/serving";
 import type { EventLog } from "@banyanlb/core";
+import { byDeadline } from "../by_deadline.ts";
 import { retryAfterSeconds } from "../error_response.ts";
 import * as events from "../events.ts";
-import type { ExchangeInput } from "../exchange_input.ts";
-import type { StreamVersions } from "./stream_versions.ts";
+import { deadlineOf, type ExchangeInput } from "../exchange_input.ts";
+import type { StreamDecision, StreamVersions } from "./stream_versions.ts";
 
 /** How long a stream whose end was written may still be taken up, in
  * milliseconds: its last bytes may be lost on the way. */
@@ -56,14 +57,14 @@
   }
 
   /** Finds the version; returns why the request must be refused if it is not
-   * known. */
+   * known, at the request's deadline at the latest. */
   async decide(homes: HomeRegions): Promise<VersionRefusal | undefined> {
     const { caller, route, service } = this.#input;
     if (route.kind !== "stream" || !route.resumable) return undefined;
     const { versions } = this.#deps.softwareVersions;
     const { id = "", resumes, lastEventId, model, adapter } = caller;
     const isContinued = resumes !== undefined || lastEventId !== undefined;
-    const decision = await versions.decide({
+    const deciding = versions.decide({
       id,
       resumes,
       isContinued,
@@ -72,6 +73,11 @@
       model,
       adapter,
     });
+    const decision = await byDeadline(deciding, deadlineOf(this.#input));
+    if (decision === undefined) {
+      this.#forgetLate(deciding, id);
+      return { reason: "timed_out", waitSeconds: retryAfterSeconds() };
+    }
     if (isContinued) {
       const version = "version" in decision ? decision.version : undefined;
       this.#deps.log.write(events.STREAM_TAKEN_UP, {
@@ -98,6 +104,17 @@
     return undefined;
   }
 
+  /** Ends a stream whose decision comes too late for it to be sent. */
+  #forgetLate(deciding: Promise<StreamDecision>, id: string): void {
+    const { softwareVersions, log } = this.#deps;
+    deciding.then(
+      ({ kind }) => {
+        if (kind === "begin") softwareVersions.streams.end(id);
+      },
+      (err) => log.write(events.UNEXPECTED_ERROR, { error: String(err) }),
+    );
+  }
+
   /** When a caller may come back whose stream has no engine of its version, in
    * seconds; undefined if that is in vain. */
   waitSeconds(homes: HomeRegions): number | undefined {
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -110,7 +110,7 @@
   /** Versions of the engines' software; none if omitted. */
   readonly softwareVersions?: readonly string[];
   /** What is decided on a stream's version: any, if omitted. */
-  readonly streamDecision?: StreamDecision;
+  readonly streamDecision?: StreamDecision | Promise<StreamDecision>;
   readonly isEvacuated?: (zone: string) => boolean;
   /** Changes the route while the relay runs. */
   readonly currentRoute?: () => Partial<Route>;
@@ -286,7 +286,7 @@
     softwareVersions: {
       streams: new OpenStreams(),
       versions: {
-        decide: () => Promise.resolve(options.streamDecision ?? ANY_VERSION),
+        decide: async () => await (options.streamDecision ?? ANY_VERSION),
         countOf: () => 0,
         isInUse: () => true,
       },
