--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./answer_status.ts";
 export * from "./clock.ts";
 export * from "./engine_client.ts";
 export * from "./events.ts";
--- a/packages/daemon/src/model_attempt.ts
+++ b/packages/daemon/src/model_attempt.ts
@@ -13,7 +13,7 @@
 import type { ModelRequest } from "./model_request.ts";
 import {
   BrokenAnswerError,
-  checkResponseId,
+  checkResponse,
   createIncompleteRefusal,
   readWholeResponse,
   relayCompletionStream,
@@ -152,7 +152,7 @@
   response: TargetResponse,
 ): Promise<AttemptResult> {
   const { request_id, res } = job.call;
-  checkResponseId(response, request_id);
+  checkResponse(response, request_id);
   if (response.statusCode !== STATUS_OK) {
     return await handleErrorStatus(job, response);
   }
--- a/packages/daemon/src/relay.ts
+++ b/packages/daemon/src/relay.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { Refusal } from "@banyanlb/core";
+import { isAnswerStatus, Refusal } from "@banyanlb/core";
 import type { ServerResponse } from "node:http";
 import { once } from "node:events";
 import { CompletionStream, type Usage } from "./completion_stream.ts";
@@ -65,12 +65,19 @@
   await once(res, "drain", { signal: guard.signal });
 }
 
-/** Throws a {@linkcode BrokenAnswerError} and drops the response if it carries
- * the id of another request. */
-export function checkResponseId(
+/** Throws a {@linkcode BrokenAnswerError} and drops the response if it is no
+ * answer to the request: its status is none of an answer, or it carries the id of
+ * another request. */
+export function checkResponse(
   response: TargetResponse,
   request_id: string,
 ): void {
+  if (!isAnswerStatus(response.statusCode)) {
+    response.body.destroy();
+    throw new BrokenAnswerError(
+      `the target sent status ${response.statusCode}, which is no answer`,
+    );
+  }
   const id = response.headers["x-request-id"];
   if (id === undefined || id === request_id) return;
   response.body.destroy();
--- a/packages/daemon/src/service_attempt.ts
+++ b/packages/daemon/src/service_attempt.ts
@@ -11,7 +11,7 @@
 import { TOKENS_PER_SERVICE_CALL } from "./constants.ts";
 import { dispatch, LapsedRightError } from "./dispatch.ts";
 import {
-  checkResponseId,
+  checkResponse,
   readWholeResponse,
   relayServiceResponse,
 } from "./relay.ts";
@@ -157,7 +157,7 @@
   const { call, scope } = job;
   const { answer, intent } = parts;
   const guard = createRelayGuard(ctx, job);
-  checkResponseId(answer, call.request_id);
+  checkResponse(answer, call.request_id);
   if (intent === undefined) {
     await relayServiceResponse(answer, call.res, guard);
     return;
--- a/packages/daemon/src/target_client_test.ts
+++ b/packages/daemon/src/target_client_test.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, expect, test } from "vitest";
-import { checkResponseId } from "./relay.ts";
+import { checkResponse } from "./relay.ts";
 import { TargetClient } from "./target_client.ts";
 
 let client: TargetClient;
@@ -91,8 +91,22 @@
     createCall("/crossed"),
   );
   const response = result._unsafeUnwrap();
-  expect(() => checkResponseId(response, "mine")).toThrow(/another request/);
+  expect(() => checkResponse(response, "mine")).toThrow(/another request/);
   await new Promise((resolve) => setTimeout(resolve, 50));
   process.off("uncaughtException", recordUncaught);
   expect(uncaught).toEqual([]);
 });
+
+// Guards against a status that no answer has and that callers would get.
+test("a response with status 999 is no answer", async () => {
+  server.removeAllListeners("request");
+  server.on("request", (req) => {
+    req.socket.end("HTTP/1.1 999 x\r\nContent-Length: 1\r\n\r\na");
+  });
+  const result = await client.send(
+    createTarget(serverPort()),
+    createCall("/odd"),
+  );
+  const response = result._unsafeUnwrap();
+  expect(() => checkResponse(response, "mine")).toThrow(/no answer/);
+});
--- a/packages/gateway/src/reach/relay_passing_test.ts
+++ b/packages/gateway/src/reach/relay_passing_test.ts
@@ -1,4 +1,5 @@
 import type { RequestListener } from "node:http";
+import { type AddressInfo, createServer } from "node:net";
 import { EventLog } from "@banyanlb/core";
 import { PlatformCallerProtocol, RESPONSE_HEADERS } from "@banyanlb/platform";
 import { EngineReach, MemberTable } from "@banyanlb/serving";
@@ -215,6 +216,24 @@
   expect(runCount).toBe(1);
 });
 
+// Guards against an answer of a peer that no caller can be sent.
+test("a passed request whose answer has status 000 gets 502", async () => {
+  const server = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.once("data", () => {
+      socket.end("HTTP/1.1 000 x\r\nContent-Length: 1\r\n\r\na");
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  addCleanup(() => server.close());
+  const { port: peerPort } = server.address() as AddressInfo;
+  const peer = { member: memberOnPort("b", peerPort) };
+  const passer = createPasser([peer], createCutReach());
+  const route = { kind: "safe" as const };
+  const port = await startRelay([respondWell], { route, passer });
+  expect((await sendRequest(port)).status).toBe(502);
+});
+
 test("a peer that is gone or has no path is passed over", async () => {
   const relay: RelayOptions = { route: { kind: "unsafe" } };
   const gone = { member: memberOnPort("b", await findFreePort()) };
--- a/packages/gateway/src/reach/request_passer.ts
+++ b/packages/gateway/src/reach/request_passer.ts
@@ -22,6 +22,7 @@
   type CallerRequest,
   distanceBetween,
   type EngineReach,
+  isAnswerStatus,
   type Member,
   type MemberTable,
   type ReadyMember,
@@ -235,9 +236,20 @@
         outgoing.destroy();
         end("ended", { outcome: "timed_out" });
       }, timeLeftMs + DEADLINE_MARGIN_MS);
+      const fail = () => {
+        if (!res.destroyed) {
+          sendErrorResponse(res, 502, { id: caller.id, reason: "peer_lost" });
+        }
+        end("ended", { outcome: "lost" });
+      };
       let isRead = false;
       whenWritten(outgoing, () => (isRead = true));
       outgoing.once("response", (response) => {
+        if (!isAnswerStatus(response.statusCode)) {
+          fail();
+          outgoing.destroy();
+          return;
+        }
         if (response.headers[NOT_TAKEN_HEADER] !== undefined) {
           response.resume();
           return end("not_taken", { outcome: "not_taken" });
@@ -252,10 +264,7 @@
       outgoing.once("error", () => {
         if (res.headersSent) return;
         if (!isRead) return end("not_taken", { outcome: "unreachable" });
-        if (!res.destroyed) {
-          sendErrorResponse(res, 502, { id: caller.id, reason: "peer_lost" });
-        }
-        end("ended", { outcome: "lost" });
+        fail();
       });
       outgoing.end(body);
     });
--- a/packages/gateway/src/response_verdict.ts
+++ b/packages/gateway/src/response_verdict.ts
@@ -2,7 +2,7 @@
  *
  * @module
  */
-import type { ResponseHead } from "@banyanlb/serving";
+import { isAnswerStatus, type ResponseHead } from "@banyanlb/serving";
 
 /** Statuses that promise to a caller that its request was not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -18,7 +18,7 @@
 
 /** What a response means.
  *
- * `foreign`: it answers another request. `unusable`: nothing in it can be
+ * `foreign`: it is no answer to the request. `unusable`: nothing in it can be
  * believed. In both cases the request may have run. */
 export type ResponseVerdict =
   | { readonly kind: "success" }
@@ -41,6 +41,7 @@
   head: ResponseHead,
   request: AnsweredRequest,
 ): ResponseVerdict {
+  if (!isAnswerStatus(status)) return { kind: "foreign", reason: "no_answer" };
   // An earlier response, also one without an id, may come once more on a kept
   // connection.
   const needsId = head.id !== undefined || request.isConnectionReused;
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -2,6 +2,7 @@
  *
  * @module
  */
+export { isAnswerStatus } from "@banyanlb/core";
 export * from "./adapter_slot_table.ts";
 export * from "./adapter_versions.ts";
 export * from "./allowance/request_allowance.ts";
