Confirm the splits after a take-up has come before it goes on (ORDER)

Reported of other systems: a machine out of step for a few seconds in a release went on with streams of a version that it had not heard of, at another one.

Cause here: an instance for which all that it knew named one version read nothing if its view was less than 3 s old or peers had been alive a moment ago; and without the store it asked whether peers were alive, not whether they knew newer splits.

A read that fails is tried again for a second while the store replies.

Ruled out: streams that begin there by an outdated split (its report names that split). Not reproduced with processes.

Tests: "an instance out of step goes on at no version by what it knew", "an instance that is back in step goes on at the version that began" and "while the store is away a stream of one version goes on by what peers confirm" failed before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -54,6 +54,7 @@
 import { Relay } from "./relay.ts";
 import type { RelayDependencies } from "./relay_dependencies.ts";
 import { SharedRecords } from "./shared_records.ts";
+import { PeerConfirmation } from "./software_versions/peer_confirmation.ts";
 import { SoftwareVersions } from "./software_versions/software_versions.ts";
 import { SteeringEndpoint } from "./steering_endpoint.ts";
 import { StoreView } from "./store_view.ts";
@@ -205,6 +206,11 @@
       windowMs: settings.bounds.rateWindowMs,
       links: () => this.#links,
     });
+    const peerConfirmation = new PeerConfirmation({
+      members: this.#members,
+      records: () => this.#records,
+      links: () => this.#links,
+    });
     this.#softwareVersions = new SoftwareVersions({
       self: this.#self,
       members: this.#members,
@@ -214,7 +220,7 @@
       routeTable: () => this.#storeView.routeTable,
       regionOf: (zone) => settings.regions.get(zone),
       isEvacuated: (zone) => this.#storeView.evacuations.isEvacuated(zone),
-      enginesAgeMs: (now) => this.#storeView.follower("engines").ageMs(now),
+      confirmWithPeers: () => peerConfirmation.confirm(),
       log,
     });
     this.#membership = new Membership(this.#store, {
--- a/packages/gateway/src/software_versions/software_versions.ts
+++ b/packages/gateway/src/software_versions/software_versions.ts
@@ -28,9 +28,9 @@
   readonly routeTable: () => RouteTable | undefined;
   readonly regionOf: (zone: string) => string | undefined;
   readonly isEvacuated: (zone: string) => boolean;
-  /** Time since the list of engines was last known to be the newest, in
-   * milliseconds. */
-  readonly enginesAgeMs: (now: number) => number;
+  /** Resolves to whether peers confirm that this instance knows the newest
+   * splits. */
+  readonly confirmWithPeers: () => Promise<boolean>;
   readonly log: EventLog;
 }
 
--- a/packages/gateway/src/software_versions/software_versions_test.ts
+++ b/packages/gateway/src/software_versions/software_versions_test.ts
@@ -70,6 +70,8 @@
   readonly link: StoreLink;
   /** Whether it believes that the store replies. */
   reachesStore = true;
+  /** Whether peers confirm that it knows the newest splits. */
+  peersConfirm = false;
   #checks = 0;
 
   constructor(store: FakeRecordStore, name: string) {
@@ -85,7 +87,7 @@
       routeTable: () => ROUTES,
       regionOf: (zone) => zone,
       isEvacuated: () => false,
-      enginesAgeMs: () => this.link.isCut ? Infinity : 0,
+      confirmWithPeers: () => Promise.resolve(this.peersConfirm),
       log: new EventLog(pino({ level: "silent" })),
     });
   }
@@ -475,3 +477,56 @@
   expect(decision).toMatchObject({ kind: "unknown", reason: "unreported" });
   expect(decision).toMatchObject({ outdated: [expect.stringMatching(/^b\./)] });
 });
+
+/** Two instances of which one has not heard that engines were replaced, and the
+ * version of a stream that began at the other meanwhile. */
+async function leaveBehind() {
+  const { store, a, b } = await startTwo();
+  await replaceEngines(["v2"], { store, writer: a, others: [] });
+  await a.read();
+  expect(await a.begin("new")).toBe("v2");
+  return { store, a, behind: b };
+}
+
+// Guards against streams joined from two versions: an instance that had been cut off
+// or had stood still for less than some seconds knew one version only, and went on at
+// that one.
+test("an instance out of step goes on at no version by what it knew", async () => {
+  const { behind } = await leaveBehind();
+  behind.link.isCut = true;
+  for (const reachesStore of [true, false]) {
+    behind.reachesStore = reachesStore;
+    expect(await behind.takeUp("new")).toMatchObject({
+      kind: "unknown",
+      reason: "unconfirmed",
+    });
+  }
+  expect((await behind.takeUp(undefined)).kind).toBe("unknown");
+});
+
+test("an instance that is back in step goes on at the version that began", async () => {
+  const { a, behind } = await leaveBehind();
+  expect((await behind.takeUp(undefined)).kind).toBe("unknown");
+  expect(await behind.takeUp("new")).not.toMatchObject({ version: "v1" });
+  await a.read();
+  expect(await behind.takeUp("new")).toMatchObject({ version: "v2" });
+});
+
+// Guards against callers that are refused while the store is away for all.
+test("while the store is away a stream of one version goes on by what peers confirm", async () => {
+  const { a, b } = await startTwo();
+  expect(await a.begin("old")).toBe("v1");
+  b.link.isCut = true;
+  b.reachesStore = false;
+  expect(await b.takeUp("old")).toMatchObject({ reason: "unconfirmed" });
+  b.peersConfirm = true;
+  expect(await b.takeUp("old")).toMatchObject({ version: "v1" });
+});
+
+test("a take-up outlives a moment in which the store does not reply", async () => {
+  const { a, b } = await startTwo();
+  expect(await a.begin("old")).toBe("v1");
+  b.link.isCut = true;
+  setTimeout(() => (b.link.isCut = false), 250);
+  expect(await b.takeUp("old")).toMatchObject({ version: "v1" });
+});
--- a/packages/gateway/src/software_versions/stream_versions.ts
+++ b/packages/gateway/src/software_versions/stream_versions.ts
@@ -8,7 +8,6 @@
   adapterKey,
   type EngineTable,
   type HomeRegions,
-  type MemberTable,
   type OpenStreams,
   poolOf,
   positionOf,
@@ -21,6 +20,7 @@
   traceStream,
   versionAt,
 } from "@banyanlb/serving";
+import { byDeadline } from "../by_deadline.ts";
 import * as events from "../events.ts";
 import { SharedRead } from "./shared_read.ts";
 import type { SplitAdoption } from "./split_adoption.ts";
@@ -30,13 +30,14 @@
  * milliseconds. */
 const ADOPTION_WAIT_MS = 400;
 
-/** How long the list of engines may not have been confirmed that shows no other
- * version, in milliseconds. */
-const UNCONFIRMED_MAX_MS = 3000;
+/** How long a stream waits for the store to show the newest splits before peers
+ * are asked, in milliseconds. */
+const READ_WAIT_MS = 400;
 
-/** Share of the members that must be heard of for this instance to count as one
- * that hears of new splits. */
-const HEARD_SHARE = 0.5;
+/** How long a stream that is taken up is tried again while the store replies, in
+ * milliseconds, and the pause in between: connections may just have been lost. */
+const CONFIRM_WAIT_MS = 1000;
+const CONFIRM_PAUSE_MS = 100;
 
 /** A stream that is about to begin or to go on. */
 export interface StreamRequest {
@@ -83,13 +84,14 @@
 /** Parts of the gateway that decide on versions. */
 export interface StreamVersionsOptions {
   readonly engineTable: EngineTable;
-  readonly members: MemberTable;
   readonly adoption: SplitAdoption;
   readonly streams: OpenStreams;
   readonly store: Pick<RecordStore, "get" | "list">;
-  /** Time since the list of engines was last known to be the newest, in
-   * milliseconds. */
-  readonly enginesAgeMs: (now: number) => number;
+  /** Whether the store replies to this instance. */
+  readonly reachesStore: () => boolean;
+  /** Resolves to whether peers confirm that this instance knows the newest
+   * splits. */
+  readonly confirmWithPeers: () => Promise<boolean>;
   readonly log: EventLog;
 }
 
@@ -97,11 +99,13 @@
 export class StreamVersions {
   readonly #options: StreamVersionsOptions;
   readonly #newestSplits: SharedRead<boolean>;
+  readonly #peersConfirm: SharedRead<boolean>;
   readonly #reports: SharedRead<readonly StreamReport[] | undefined>;
 
   constructor(options: StreamVersionsOptions) {
     this.#options = options;
     this.#newestSplits = new SharedRead(() => this.#readSplits());
+    this.#peersConfirm = new SharedRead(() => options.confirmWithPeers());
     this.#reports = new SharedRead(() => this.#readReports());
   }
 
@@ -180,28 +184,45 @@
     request: StreamRequest,
     listed: readonly (string | undefined)[],
   ): Promise<StreamDecision> {
-    const { adoption, streams, enginesAgeMs } = this.#options;
-    const { resumes, service, homes } = request;
-    const now = performance.now();
+    const { streams, reachesStore } = this.#options;
+    const { resumes } = request;
+    const startedAt = performance.now();
     const remembered = resumes === undefined
       ? undefined
-      : streams.versionOf(resumes, now);
+      : streams.versionOf(resumes, startedAt);
     if (remembered !== undefined) {
       return { kind: "go_on", version: remembered, source: "memory" };
     }
+    for (;;) {
+      const decision = await this.#traceOnce(request, listed);
+      const mayChange = decision.kind === "unknown" &&
+        decision.reason === "unconfirmed" && reachesStore() &&
+        performance.now() - startedAt < CONFIRM_WAIT_MS;
+      if (!mayChange) return decision;
+      await new Promise((resolve) => setTimeout(resolve, CONFIRM_PAUSE_MS));
+    }
+  }
+
+  /** Finds the version of a stream by splits that are shown to be the newest after
+   * the call: this instance may have been cut off, or have stood still, while
+   * streams began at a version that it does not know. */
+  async #traceOnce(
+    request: StreamRequest,
+    listed: readonly (string | undefined)[],
+  ): Promise<StreamDecision> {
+    const { adoption } = this.#options;
+    const { resumes, service, homes } = request;
     const pool = poolOf(service, homes);
     const splits = () => splitsInUse(adoption.known, pool, Date.now());
+    const isNewest = await this.#confirmSplits();
+    if (!isNewest || adoption.mayHaveLostSplits) {
+      return { kind: "unknown", reason: "unconfirmed" };
+    }
     const only = singleVersion(splits(), listed);
-    const isConfirmed = enginesAgeMs(now) < UNCONFIRMED_MAX_MS ||
-      this.#hearsOfPeers(now);
-    if (only !== undefined && isConfirmed && !adoption.mayHaveLostSplits) {
+    if (only !== undefined) {
       return { kind: "go_on", version: only, source: "single" };
     }
     if (resumes === undefined) return { kind: "unknown", reason: "unnamed" };
-    const isNewest = await this.#newestSplits.run();
-    if (!isNewest || adoption.mayHaveLostSplits) {
-      return { kind: "unknown", reason: "unconfirmed" };
-    }
     const stream = { id: resumes, position: positionIn(request, resumes) };
     let trace = traceStream(stream, splits());
     if (trace.kind === "moved") {
@@ -223,7 +244,17 @@
     };
   }
 
-  /** Reads the newest splits; returns whether this instance knows them. */
+  /** Resolves to whether the store, or else most peers, have shown after this call
+   * that this instance knows the newest splits. */
+  async #confirmSplits(): Promise<boolean> {
+    const isRead = this.#options.reachesStore() && await byDeadline(
+      this.#newestSplits.run(),
+      performance.now() + READ_WAIT_MS,
+    );
+    return isRead === true || await this.#peersConfirm.run();
+  }
+
+  /** Reads the newest splits; returns whether the store has replied. */
   async #readSplits(): Promise<boolean> {
     const { store, adoption, log } = this.#options;
     try {
@@ -232,8 +263,7 @@
     } catch (err) {
       if (!(err instanceof StoreCallError)) throw err;
       log.write(events.SPLITS_NOT_READ, { failure: err.failure });
-      // Peers tell of new splits soon after the store has confirmed them.
-      return this.#hearsOfPeers(performance.now());
+      return false;
     }
   }
 
@@ -251,14 +281,6 @@
       return undefined;
     }
   }
-
-  /** Whether this instance hears of most members, and so of new splits. */
-  #hearsOfPeers(now: number): boolean {
-    const { members } = this.#options;
-    const listed = members.list();
-    const heard = listed.filter(({ name }) => members.isAlive(name, now));
-    return heard.length > 0 && heard.length >= listed.length * HEARD_SHARE;
-  }
 }
 
 /** The position of the stream whose first attempt was `id`. */
