Start no report in vain, and look at the engines anew in each try

A report that became due in the turn in which the last one had been stored could have been taken for one under way, and would have waited for the next splits.

--- a/packages/gateway/src/software_versions/split_adoption.ts
+++ b/packages/gateway/src/software_versions/split_adoption.ts
@@ -220,17 +220,14 @@
   /** Reports the streams of this process for the newest splits, until the store
    * has taken it. */
   #reportAll(): Promise<void> {
-    this.#reporting ??= this.#storeDue().finally(() => {
-      this.#reporting = undefined;
-    });
-    return this.#reporting;
+    if (this.#isReportDue) this.#reporting ??= this.#storeDue();
+    return this.#reporting ?? Promise.resolve();
   }
 
   async #storeDue(): Promise<void> {
     while (this.#isReportDue && !this.#isClosed) {
       if (this.#isEnding) {
-        if (await this.#storeLast()) return;
-        await pause(LAST_RETRY_PAUSE_MS);
+        if (!await this.#storeLast()) await pause(LAST_RETRY_PAUSE_MS);
         continue;
       }
       const splits = this.#pending ?? this.#known;
@@ -239,6 +236,8 @@
       if (!this.#isInDoubt) this.#setPending(undefined);
       await pause(RETRY_PAUSE_MS);
     }
+    // In the turn of the last look at what is due.
+    this.#reporting = undefined;
   }
 
   /** Stores the last report, which names all streams. */
--- a/packages/gateway/src/software_versions/stream_versions.ts
+++ b/packages/gateway/src/software_versions/stream_versions.ts
@@ -119,7 +119,7 @@
       this.#options.adoption.known.pools[pool] !== undefined ||
       (request.isContinued && listed.length === 0);
     if (!hasVersions) return { kind: "any" };
-    if (request.isContinued) return await this.#trace(request, listed);
+    if (request.isContinued) return await this.#trace(request);
     return await this.#begin(request, listed);
   }
 
@@ -180,11 +180,8 @@
     return { kind: "unknown", reason: "unsettled" };
   }
 
-  async #trace(
-    request: StreamRequest,
-    listed: readonly (string | undefined)[],
-  ): Promise<StreamDecision> {
-    const { streams, reachesStore } = this.#options;
+  async #trace(request: StreamRequest): Promise<StreamDecision> {
+    const { adoption, streams, reachesStore } = this.#options;
     const { resumes } = request;
     const startedAt = performance.now();
     const remembered = resumes === undefined
@@ -194,11 +191,12 @@
       return { kind: "go_on", version: remembered, source: "memory" };
     }
     for (;;) {
-      const decision = await this.#traceOnce(request, listed);
-      const mayChange = decision.kind === "unknown" &&
-        decision.reason === "unconfirmed" && reachesStore() &&
+      const decision = await this.#traceOnce(request);
+      const isUnconfirmed = decision.kind === "unknown" &&
+        decision.reason === "unconfirmed";
+      const mayChange = reachesStore() && !adoption.mayHaveLostSplits &&
         performance.now() - startedAt < CONFIRM_WAIT_MS;
-      if (!mayChange) return decision;
+      if (!isUnconfirmed || !mayChange) return decision;
       await new Promise((resolve) => setTimeout(resolve, CONFIRM_PAUSE_MS));
     }
   }
@@ -206,10 +204,7 @@
   /** Finds the version of a stream by splits that are shown to be the newest after
    * the call: this instance may have been cut off, or have stood still, while
    * streams began at a version that it does not know. */
-  async #traceOnce(
-    request: StreamRequest,
-    listed: readonly (string | undefined)[],
-  ): Promise<StreamDecision> {
+  async #traceOnce(request: StreamRequest): Promise<StreamDecision> {
     const { adoption } = this.#options;
     const { resumes, service, homes } = request;
     const pool = poolOf(service, homes);
@@ -218,7 +213,7 @@
     if (!isNewest || adoption.mayHaveLostSplits) {
       return { kind: "unknown", reason: "unconfirmed" };
     }
-    const only = singleVersion(splits(), listed);
+    const only = singleVersion(splits(), this.#listedVersions(service));
     if (only !== undefined) {
       return { kind: "go_on", version: only, source: "single" };
     }
