Name what a load request says of an adapter once

The loader and the message between instances had the same fields written twice. No change of behaviour; adapter_loader_test.ts and waits_test.ts pass.

--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -25,7 +25,7 @@
 } from "./owned_engine.ts";
 import { OwnerWaits } from "./owner_waits.ts";
 import type { PeerLinks } from "./peer_links.ts";
-import type { HeldRow } from "./peer_messages.ts";
+import type { AdapterRequest, HeldRow } from "./peer_messages.ts";
 import type { StoreView } from "./store_view.ts";
 
 /** Time between reports from an engine whose adapter slots are certain, in
@@ -70,17 +70,6 @@
   readonly metrics: GatewayMetrics;
 }
 
-/** An adapter that a request needs on an engine. */
-export interface AdapterRequest {
-  readonly adapter: string;
-  readonly version: number;
-  readonly early?: boolean;
-  readonly quiet?: boolean;
-  readonly patient?: boolean | undefined;
-  /** Time that the request has left for it, in milliseconds. */
-  readonly waitMs?: number | undefined;
-}
-
 /** Sends load and unload orders, and resolves the requests that wait for
  * loads. */
 export class AdapterLoader {
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -27,12 +27,8 @@
  * can serve. */
 export type HeldRow = readonly [string, number, number];
 
-/** Requests that the owner of an engine load an adapter on it. */
-export interface LoadRequest {
-  readonly t: "load";
-  readonly n: number;
-  readonly engine: string;
-  readonly model: string;
+/** An adapter that a request needs on an engine. */
+export interface AdapterRequest {
   readonly adapter: string;
   readonly version: number;
   /** The engine was expected to hold the adapter, but refused a request because
@@ -43,11 +39,19 @@
   /** The request has no other engine: it waits although the engine does not
    * reply. */
   readonly patient?: boolean | undefined;
-  /** Time that the request has left for the load, in milliseconds: the sender
-   * does not wait longer. */
+  /** Time that the request has left for the load, in milliseconds: nobody waits
+   * longer. */
   readonly waitMs?: number | undefined;
 }
 
+/** Requests that the owner of an engine load an adapter on it. */
+export interface LoadRequest extends AdapterRequest {
+  readonly t: "load";
+  readonly n: number;
+  readonly engine: string;
+  readonly model: string;
+}
+
 /** The owner's reply to a `LoadRequest`. */
 export interface LoadReply {
   readonly t: "loaded";
