Soak: run a former build beside this one

While instances are replaced, old and new builds serve side by side and read each other's records and messages.

--- a/packages/trials/src/soak/main.ts
+++ b/packages/trials/src/soak/main.ts
@@ -20,6 +20,7 @@
   readonly restores?: boolean;
   readonly crashes?: boolean;
   readonly versions?: boolean;
+  readonly former?: string;
 }
 
 const PLAIN_SERVICES = 2;
@@ -39,6 +40,10 @@
     "--versions",
     "Run engines of two software versions, and cut gateways off from engines",
   )
+  .option(
+    "--former",
+    "Main script of a former build, which every second gateway runs at first",
+  )
   .action(async (flags: Flags) => {
     const first = Number(flags.seed ?? Math.floor(Math.random() * FRESH_SEEDS));
     let failed = 0;
@@ -50,6 +55,7 @@
         restoresStore: flags.restores === true,
         crashingRequests: flags.crashes === true,
         hasTwoVersions: flags.versions === true,
+        formerProgram: flags.former,
         size: {
           gateways: Number(flags.gateways),
           engines: Number(flags.engines),
--- a/packages/trials/src/soak/soak.ts
+++ b/packages/trials/src/soak/soak.ts
@@ -120,6 +120,9 @@
     /** Whether engines run two software versions, callers take streams up, and
      * gateways are cut off from engines. */
     readonly hasTwoVersions?: boolean;
+    /** Main script of a former build of the gateway, which every second one runs
+     * until its first restart. */
+    readonly formerProgram?: string | undefined;
   },
 ): Promise<SoakResult> {
   const { seed, faultPhaseMs, size, fillsLinks } = options;
@@ -136,6 +139,7 @@
   const world = new SoakWorld(seed, {
     crashingRequests: toldToEngines(guilty),
     hasTwoVersions,
+    formerProgram: options.formerProgram,
   });
   let withdrawnAtMs = Infinity;
   try {
--- a/packages/trials/src/soak/world.ts
+++ b/packages/trials/src/soak/world.ts
@@ -123,6 +123,8 @@
   readonly #crashingRequests: readonly CrashingRequest[];
   readonly #isDirect: boolean;
   readonly #hasTwoVersions: boolean;
+  /** Program of every second gateway until its first restart. */
+  readonly #formerProgram: string | undefined;
   readonly #prefix: string;
   readonly #directory = mkdtempSync(join(tmpdir(), "banyanlb-soak-"));
   readonly #keys: Record<string, string[]> = {
@@ -152,9 +154,17 @@
    * refuses connections. */
   constructor(
     seed: number,
-    { crashingRequests = [], isDirect = false, hasTwoVersions = false }: {
+    {
+      crashingRequests = [],
+      isDirect = false,
+      hasTwoVersions = false,
+      formerProgram,
+    }: {
       readonly crashingRequests?: readonly CrashingRequest[];
       readonly isDirect?: boolean;
+      /** Main script of a former build, which every second gateway runs until its
+       * first restart. */
+      readonly formerProgram?: string | undefined;
       /** Whether engines run two versions of their software, and a restart
        * changes an engine's. */
       readonly hasTwoVersions?: boolean;
@@ -162,6 +172,7 @@
   ) {
     this.#crashingRequests = crashingRequests;
     this.#hasTwoVersions = hasTwoVersions;
+    this.#formerProgram = formerProgram;
     this.#isDirect = isDirect;
     const n = (process.pid * 31 + seed) % 50_000;
     this.#prefix = `127.${20 + Math.floor(n / 250)}.${n % 250}`;
@@ -243,7 +254,10 @@
         host,
         name,
         storeLink,
-        process: this.#startGateway(name),
+        process: this.#startGateway(
+          name,
+          i % 2 === 0 ? GATEWAY_PROGRAM : this.#formerProgram,
+        ),
       });
     }
   }
@@ -513,8 +527,8 @@
     writeFileSync(this.#settingsPath(name), text);
   }
 
-  #startGateway(name: string): SoakProcess {
-    return this.#startProcess(name, GATEWAY_PROGRAM, [], {
+  #startGateway(name: string, program = GATEWAY_PROGRAM): SoakProcess {
+    return this.#startProcess(name, program, [], {
       env: { [SETTINGS_PATH_VARIABLE]: this.#settingsPath(name) },
     });
   }
