Wait for owners only where somebody waits, and reuse what bounds a wait

A quiet load, to which the owner never replies, kept a wait and a look at its owner every 100 ms for 2.5 s, though nobody awaits it. The drain raced its last report against a timer by hand, which byDeadline does, and two files had pauses of their own that node:timers/promises has. No change of behaviour for callers.

--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -196,6 +196,8 @@
       (n) => ({ t: "load", n, engine, ...request }),
       waitMsOf(request),
     ).then((reply) => reply?.t === "loaded" && reply.ok);
+    // Nobody waits for it, and the owner sends none.
+    if (request.quiet === true) return reply;
     return this.#ownerWaits.reply(engine, reply);
   }
 
--- a/packages/gateway/src/draining/drain.ts
+++ b/packages/gateway/src/draining/drain.ts
@@ -7,6 +7,7 @@
   isAcceptedWhileDraining,
   type Route,
 } from "@banyanlb/serving";
+import { byDeadline } from "../by_deadline.ts";
 
 /** Minimum time that a process drains before it ends, in milliseconds: callers
  * that have cached its address still connect. */
@@ -82,11 +83,11 @@
     );
     const reported = pause(acceptsStreamsMs).then(report);
     await this.#becomeIdle(requests);
-    const leftMs = Math.max(0, this.#lengthMs - this.elapsedMs);
-    await Promise.race([
-      reported,
-      pause(Math.min(LAST_REPORT_WAIT_MS, leftMs)),
-    ]);
+    const leftMs = Math.min(
+      LAST_REPORT_WAIT_MS,
+      this.#lengthMs - this.elapsedMs,
+    );
+    await byDeadline(reported, performance.now() + leftMs);
   }
 
   async #becomeIdle(requests: () => ActiveRequests): Promise<void> {
--- a/packages/gateway/src/software_versions/split_adoption.ts
+++ b/packages/gateway/src/software_versions/split_adoption.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import type { EventLog } from "@banyanlb/core";
 import {
   ALL_SPLITS,
@@ -313,7 +314,3 @@
     for (const resolve of this.#waiters.splice(0)) resolve();
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/gateway/src/software_versions/stream_versions.ts
+++ b/packages/gateway/src/software_versions/stream_versions.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import type { EventLog } from "@banyanlb/core";
 import {
   adapterKey,
@@ -197,7 +198,7 @@
       const mayChange = reachesStore() && !adoption.mayHaveLostSplits &&
         performance.now() - startedAt < CONFIRM_WAIT_MS;
       if (!isUnconfirmed || !mayChange) return decision;
-      await new Promise((resolve) => setTimeout(resolve, CONFIRM_PAUSE_MS));
+      await pause(CONFIRM_PAUSE_MS);
     }
   }
 
