--- a/review/lib-3/engine.mjs
+++ b/review/lib-3/engine.mjs
@@ -8,9 +8,14 @@
 const HEARTBEAT_MS = 1200;
 const PORT = 8080;
 
+/** How long an engine that has crashed is away. */
+const AWAY_MS = 2000;
+
 /** Serves requests, and keeps its entry in the store. */
 export class Engine {
   #options;
+  #models;
+  #isDown = false;
   #server;
   #timer;
   #state = "ready";
@@ -19,9 +24,11 @@
   #running = 0;
 
   /** `options`: id, service, host, zone, slots, model (if it has one), version
-   * (of its software), respond (runs a request), store and record. */
+   * (of its software), respond (runs a request), store and record. With `sizes`,
+   * in MB by model, and `weightsMb` it carries out orders to load models. */
   constructor(options) {
     this.#options = options;
+    this.#models = options.model === undefined ? [] : [options.model];
     this.#server = createServer((req, res) => void this.#serve(req, res));
     this.#server.keepAliveTimeout = 30_000;
   }
@@ -74,17 +81,52 @@
   }
 
   #held() {
-    const { model } = this.#options;
-    if (model === undefined) return { seq: this.#orders };
+    if (this.#options.model === undefined) return { seq: this.#orders };
     return {
       seq: this.#orders,
       stage: "combined",
-      models: [{ name: model, version: 1, adapters: [] }],
+      models: this.#models.map((name) => ({ name, version: 1, adapters: [] })),
     };
   }
 
+  /** Carries out an order; returns its status. One that the memory does not hold
+   * ends the engine. */
+  #order({ operation, model, adapter, expected_rev: expected }) {
+    const { id, sizes, weightsMb, record } = this.#options;
+    const isDue = operation === "load" && adapter === undefined && sizes;
+    if (!isDue || expected !== this.#orders) return 409;
+    if (this.#models.includes(model)) return 200;
+    const neededMb = [...this.#models, model]
+      .reduce((sum, name) => sum + sizes[name], 0);
+    const held = this.#models.join();
+    record({ t: "load", engine: id, model, held, neededMb, weightsMb });
+    this.#orders += 1;
+    this.#models = [...this.#models, model];
+    if (neededMb > weightsMb) this.#crash();
+    return 202;
+  }
+
+  #crash() {
+    const { id, store, record } = this.#options;
+    record({ t: "crash", engine: id, running: this.#running });
+    this.#isDown = true;
+    clearInterval(this.#timer);
+    this.#server.closeAllConnections();
+    this.#models = [];
+    setTimeout(() => {
+      // A new incarnation under its id, with nothing of before.
+      this.#born = Date.now();
+      this.#orders = 0;
+      this.#isDown = false;
+      this.#writeEntry();
+      this.#timer = setInterval(() => this.#writeEntry(), HEARTBEAT_MS);
+    }, AWAY_MS).unref();
+    store.remove("servers", id);
+  }
+
   async #serve(req, res) {
     const { id, respond, record, version } = this.#options;
+    if (this.#isDown) return void req.socket.destroy();
     const chunks = [];
     try {
       for await (const chunk of req) chunks.push(chunk);
@@ -112,11 +154,18 @@
       res.writeHead(200, { "Content-Type": "application/json" });
       return void res.end(JSON.stringify(report));
     }
-    if (req.url === "/v1/order") return void res.writeHead(409).end();
+    if (req.url === "/v1/order") {
+      const status = this.#order(JSON.parse(Buffer.concat(chunks).toString()));
+      return void (res.destroyed || res.writeHead(status).end());
+    }
     if (req.url === "/health") {
       const status = this.#state === "ready" ? 200 : 503;
       return void res.writeHead(status, { "Instance-Id": id }).end();
     }
+    const model = req.headers.model?.split("/")[0];
+    if (model !== undefined && !this.#models.includes(model)) {
+      return void res.writeHead(421, { ...echo, "Not-Executed": "1" }).end();
+    }
     this.#running += 1;
     record({
       t: "run",
