Review case 13: more clients

Cause: with 40 clients 3 to 5 streams were joined, where more than 2 break the rule. Done: 80 clients.

--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -21,7 +21,7 @@
 const RELEASED = 2;
 const RELEASE_GAP_MS = 1000;
 const ENGINE_DRAIN_MS = 5000;
-const STREAMS = 40;
+const STREAMS = 80;
 const DEADLINE_MS = 12_000;
 /** Events that a slow client takes in a second. */
 const READ_PER_S = 8;
