--- a/review/lib-3/world.mjs
+++ b/review/lib-3/world.mjs
@@ -278,7 +278,7 @@
   constructor(folder) {
     this.#recordPath = join(folder, "record.txt");
     writeFileSync(this.#recordPath, "");
-    const n = process.pid % 60_000;
+    const n = process.pid % 48_000;
     this.#prefix = `127.${40 + Math.floor(n / 240)}.${n % 240}`;
     this.record = this.record.bind(this);
   }
