--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -72,12 +72,15 @@
   );
   await pause(1500);
   lost.signal("SIGKILL");
+  await lost.ended();
+  const restarted = pause(500).then(() => lost.start());
   const fresh = Array.from(
     { length: STREAMS },
     (_, i) => play(`n${i}`, () => others[i % 2]),
   );
   const streams = await Promise.all(begun);
   const newStreams = await Promise.all(fresh);
+  await restarted;
   const takenUp = streams.filter(({ takeUps }) => takeUps > 0);
   const goneOn = takenUp.filter(({ hasGoneOn }) => hasGoneOn);
   const hasBegun = newStreams.filter(({ last }) => last > 0);
