Close the intake of a stopping process before it waits for anything

A process that was told to stop while the store was down read an order, passed it on, and closed the connection without an answer while the engine ran it; one order of each of three stops. Cause: a stop looked for idleness, waited up to 0.4 s for its last report of streams, and then closed all connections, whatever had come meanwhile. Change: a stop is a sequence of steps. In the turn of the look that finds the process idle, or 0.4 s before its end, it stops to listen and closes connections without a request. Requests that were read in part are refused as not run, requests that peers pass on are not taken, and what is active is answered before the process ends. Event 886 tells when. Why this works: nothing can be read after the look that the end would close.

--- a/packages/gateway/src/caller_server.ts
+++ b/packages/gateway/src/caller_server.ts
@@ -101,6 +101,23 @@
     this.#isDraining = true;
   }
 
+  /** Number of connections. */
+  get connections(): number {
+    return this.#sockets.size;
+  }
+
+  /** Stops listening, and closes the connections on which nothing was read since
+   * the last response: their callers see that nothing was done. The others are
+   * closed after their responses. */
+  closeIntake(): void {
+    this.#isDraining = true;
+    this.#server.close();
+    // Node counts them as connections with a request that is being read.
+    for (const socket of this.#sockets) {
+      if (socket.bytesRead === 0) socket.destroy();
+    }
+  }
+
   /** Starts to accept connections. Rejects if the address cannot be bound. */
   listen(address: ListenAddress): Promise<void> {
     return bindServer(this.#server, address);
--- a/packages/gateway/src/caller_server_test.ts
+++ b/packages/gateway/src/caller_server_test.ts
@@ -1,5 +1,5 @@
 import { connect } from "node:net";
-import { expect, onTestFinished, test } from "vitest";
+import { expect, onTestFinished, test, vi } from "vitest";
 import { CallerServer, type RequestHandler } from "./caller_server.ts";
 import { findFreePort } from "./testing/free_port.ts";
 
@@ -68,3 +68,29 @@
   const text = "GET / HTTP/1.1\r\nHost: h\r\n\r\nno request\r\n\r\n";
   expect(await send(port, text)).toMatch(/^HTTP\/1.1 200 [^]*\r\n\r\nok$/);
 });
+
+// LOST: connections were closed with requests on them.
+test("once its intake is closed a server answers what it has read in part, and nothing else", async () => {
+  const { server, port } = await startServer();
+  const head = "GET / HTTP/1.1\r\nHost: h\r\n";
+  let finish = () => {};
+  const half = new Promise<string>((resolve) => {
+    const socket = connect(port, "127.0.0.1", () => socket.write(head));
+    let received = "";
+    finish = () => void socket.write("\r\n");
+    socket.on("data", (chunk) => (received += chunk.toString()));
+    socket.on("close", () => resolve(received));
+  });
+  const kept = send(port, `${head}\r\n`);
+  const silent = send(port, "");
+  await vi.waitFor(() => expect(server.connections).toBe(3));
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  server.closeIntake();
+  expect(await kept).toMatch(/^HTTP\/1.1 200 [^]*\r\n\r\nok$/);
+  expect(await silent).toBe("");
+  await vi.waitFor(() => expect(server.connections).toBe(1));
+  expect(await send(port, `${head}\r\n`)).toBe("");
+  finish();
+  expect(await half).toMatch(/^HTTP\/1.1 200 [^]*connection: close/i);
+  await vi.waitFor(() => expect(server.connections).toBe(0));
+});
--- a/packages/gateway/src/draining/drain.ts
+++ b/packages/gateway/src/draining/drain.ts
@@ -1,4 +1,7 @@
 /** The time in which a process that was told to stop serves what it has begun.
+ *
+ * It is a sequence: the process serves until it is idle, takes no more requests
+ * from then on, answers what it has read, and ends once its last report is stored.
  *
  * @module
  */
@@ -7,7 +10,6 @@
   isAcceptedWhileDraining,
   type Route,
 } from "@banyanlb/serving";
-import { byDeadline } from "../by_deadline.ts";
 
 /** Minimum time that a process drains before it ends, in milliseconds: callers
  * that have cached its address still connect. */
@@ -21,9 +23,9 @@
  * milliseconds. */
 const KILL_MARGIN_MS = 250;
 
-/** How long a process that is idle waits for its last report to be stored, in
- * milliseconds. */
-const LAST_REPORT_WAIT_MS = 400;
+/** How long a process that takes no more requests waits for its last report to be
+ * stored, and for requests that are still being read, in milliseconds. */
+const LAST_WAIT_MS = 400;
 
 /** Time between looks at what is active, in milliseconds. */
 const CHECK_INTERVAL_MS = 100;
@@ -34,12 +36,27 @@
   readonly active: number;
   /** Time since the last one ended, in milliseconds. */
   readonly idleMs: number;
+  /** The number of connections on which a request is being served, or has been
+   * read in part. */
+  readonly connections: number;
+}
+
+/** What a process does while it drains. */
+export interface DrainSteps {
+  readonly requests: () => ActiveRequests;
+  /** Takes no more connections, and closes those without a request. Requests that
+   * were read in part are refused by `hasTimeFor`. */
+  readonly closeIntake: () => void;
+  /** Stores the last report of streams. Called once no more are accepted, and
+   * tried for as long as the process runs; does not reject. */
+  readonly report: () => Promise<void>;
 }
 
 /** One drain, from the order to stop to the end of the process. */
 export class Drain {
   readonly #graceMs: number;
   #startedAt = Infinity;
+  #isIntakeClosed = false;
 
   /** `graceMs` is the time from the order to stop until the platform kills the
    * process. */
@@ -63,39 +80,41 @@
 
   /** Whether a request on this route can end before the process does. */
   hasTimeFor(route: Route): boolean {
-    return !this.isStarted || isAcceptedWhileDraining(route, {
+    if (!this.isStarted) return true;
+    return !this.#isIntakeClosed && isAcceptedWhileDraining(route, {
       elapsedMs: this.elapsedMs,
       endsAfterMs: this.#lengthMs,
     });
   }
 
-  /** Drains; resolves when the process may end. `report` stores the last report
-   * of streams, once no more are accepted: it is tried for as long as the process
-   * serves. */
-  async run(
-    requests: () => ActiveRequests,
-    report: () => Promise<void>,
-  ): Promise<void> {
+  /** Drains; resolves when the process may end. */
+  async run(steps: DrainSteps): Promise<void> {
     this.#startedAt = performance.now();
-    const acceptsStreamsMs = Math.min(
-      DRAIN_STREAMS_MS,
-      this.#lengthMs - LAST_REPORT_WAIT_MS,
-    );
-    const reported = pause(acceptsStreamsMs).then(report);
-    await this.#becomeIdle(requests);
-    const leftMs = Math.min(
-      LAST_REPORT_WAIT_MS,
-      this.#lengthMs - this.elapsedMs,
-    );
-    await byDeadline(reported, performance.now() + leftMs);
+    const servesMs = this.#lengthMs - LAST_WAIT_MS;
+    let isReported = false;
+    void pause(Math.min(DRAIN_STREAMS_MS, servesMs))
+      .then(steps.report)
+      .then(() => (isReported = true));
+    await this.#until(servesMs, () => {
+      const { active, idleMs } = steps.requests();
+      const isIdle = active === 0 && idleMs > DRAIN_IDLE_MS;
+      return isIdle && this.elapsedMs > DRAIN_MIN_MS;
+    });
+    // In the turn of the last look: what came later would be closed unanswered.
+    this.#isIntakeClosed = true;
+    steps.closeIntake();
+    const waitsMs = this.elapsedMs + LAST_WAIT_MS;
+    await this.#until(this.#lengthMs, () => {
+      const { active, connections } = steps.requests();
+      const isDone = isReported && connections === 0;
+      return active === 0 && (isDone || this.elapsedMs >= waitsMs);
+    });
   }
 
-  async #becomeIdle(requests: () => ActiveRequests): Promise<void> {
-    while (this.elapsedMs < this.#lengthMs) {
-      const { active, idleMs } = requests();
-      const isIdle = active === 0 && idleMs > DRAIN_IDLE_MS;
-      if (isIdle && this.elapsedMs > DRAIN_MIN_MS) return;
-      await pause(CHECK_INTERVAL_MS);
+  /** Resolves when `isReached`, or at `maxMs` of the drain. */
+  async #until(maxMs: number, isReached: () => boolean): Promise<void> {
+    while (this.elapsedMs < maxMs && !isReached()) {
+      await pause(Math.min(CHECK_INTERVAL_MS, maxMs - this.elapsedMs));
     }
   }
 }
--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -22,6 +22,14 @@
   text: "gateway is stopping",
 };
 
+/** A gateway that is stopping takes no more requests. It answers the `active` ones,
+ * and refuses those that are still being read on its `connections`. */
+export const INTAKE_CLOSED: LogEvent = {
+  id: 886,
+  severity: "info",
+  text: "gateway takes no more requests",
+};
+
 /** The gateway has stopped; the process exits. */
 export const STOPPED: LogEvent = {
   id: 802,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -516,13 +516,27 @@
   }
 
   async #stop(): Promise<void> {
-    const drained = this.#drain.run(
-      () => ({
-        active: this.#callerServer.active + this.#access.passedRequests.active,
+    const { passedRequests } = this.#access;
+    const drained = this.#drain.run({
+      requests: () => ({
+        active: this.#callerServer.active + passedRequests.active,
         idleMs: this.#callerServer.idleMs(),
+        connections: this.#callerServer.connections,
       }),
-      () => this.#softwareVersions.end(),
-    );
+      closeIntake: () => {
+        this.#callerServer.closeIntake();
+        passedRequests.closeIntake();
+        this.#log.write(events.INTAKE_CLOSED, {
+          active: this.#callerServer.active + passedRequests.active,
+          connections: this.#callerServer.connections,
+          ms: Math.round(this.#drain.elapsedMs),
+        });
+      },
+      report: () =>
+        this.#softwareVersions.end().catch((err: unknown) =>
+          this.#log.write(events.UNEXPECTED_ERROR, { error: String(err) })
+        ),
+    });
     this.#log.write(events.STOPPING, { active: this.#callerServer.active });
     this.#callerServer.startDraining();
     this.#digestExchange.send({ isUrgent: true });
--- a/packages/gateway/src/reach/passed_requests.ts
+++ b/packages/gateway/src/reach/passed_requests.ts
@@ -52,6 +52,7 @@
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   #takenCount = 0;
+  #isIntakeClosed = false;
 
   constructor(options: PassedRequestsOptions) {
     this.#options = options;
@@ -74,6 +75,11 @@
     this.#server.emit("connection", socket);
   }
 
+  /** Takes no more requests: other instances are told to ask another one. */
+  closeIntake(): void {
+    this.#isIntakeClosed = true;
+  }
+
   /** Closes all connections. */
   close(): void {
     this.#server.close();
@@ -90,7 +96,9 @@
       log.write(events.PASSED_REQUEST_REFUSED, { sender: name });
       return refuse(res, 403);
     }
-    if (isCutOff() || this.#takenCount >= TAKEN_MAX) return refuse(res, 503);
+    const isTaken = !this.#isIntakeClosed && !isCutOff() &&
+      this.#takenCount < TAKEN_MAX;
+    if (!isTaken) return refuse(res, 503);
     this.#takenCount += 1;
     res.once("close", () => (this.#takenCount -= 1));
     req.rawHeaders = withoutSender(req.rawHeaders);
--- a/packages/gateway/src/reach/relay_passing_test.ts
+++ b/packages/gateway/src/reach/relay_passing_test.ts
@@ -357,3 +357,23 @@
   expect((await sendRequest(port)).status).toBe(503);
   expect(portOf(await listen(respondWell))).toBeGreaterThan(0);
 });
+
+// LOST: a request that was passed on to an instance at its end was read and closed
+// without an answer.
+test("an instance that takes no more requests leaves a passed one to another", async () => {
+  const relay: RelayOptions = { route: { kind: "unsafe" } };
+  const ending = await startPeer("b", [respondWell], { relay });
+  const other = await startPeer("c", [respondWell], { relay });
+  ending.passedRequests.closeIntake();
+  const port = await startRelay([respondWell], {
+    ...relay,
+    passer: createPasser([ending, other], createCutReach()),
+  });
+  for (let n = 0; n < 6; n += 1) {
+    expect(await sendRequest(port)).toMatchObject({
+      status: 200,
+      body: WELL,
+    });
+  }
+  expect(ending.passedRequests.active).toBe(0);
+});
