Remember a stream until its caller's deadline, however its answer ended

Callers who read slowly got the end of their streams from engines of another software version, after their connections were reset; 12 of 44. Cause: a stream counted as over 2 s after its last byte was handed to the kernel. Reports for later splits did not name it, so an id that they moved was taken for one that began at the new version. Bytes may lie on the way for as long as the caller reads slowly. Change: a stream is remembered and reported until its caller's deadline, 40 s at most, whether the answer was whole or broke off. Why this works: a take-up is possible until then and not later.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -128,7 +128,7 @@
     try {
       await this.#serve();
     } finally {
-      this.#streamVersion.close(this.#input.res.writableEnded);
+      this.#streamVersion.close();
     }
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -422,6 +422,10 @@
         this.#storeView.follower("configuration").ageMs(now),
       );
       metrics.set("limited_engines", this.#engineLimits.size);
+      metrics.set(
+        "remembered_streams",
+        this.#softwareVersions.streams.count(now),
+      );
       metrics.set("digest_age_ms", this.#digestExchange.oldestAgeMs);
       metrics.set("paused_engines", this.#engineLimits.pausedCount(now));
       metrics.set("cold_engines", this.#warmUp.warmUps.count(now));
--- a/packages/gateway/src/software_versions/stream_version.ts
+++ b/packages/gateway/src/software_versions/stream_version.ts
@@ -6,7 +6,7 @@
   type Engine,
   type HomeRegions,
   type OpenStreams,
-  TAKE_UP_MAX_MS,
+  takeUpMs,
 } from "@banyanlb/serving";
 import type { EventLog } from "@banyanlb/core";
 import { byDeadline } from "../by_deadline.ts";
@@ -15,10 +15,6 @@
 import { deadlineOf, type ExchangeInput } from "../exchange_input.ts";
 import type { StreamDecision, StreamVersions } from "./stream_versions.ts";
 
-/** How long a stream whose end was written may still be taken up, in
- * milliseconds: its last bytes may be lost on the way. */
-const ENDED_KEPT_MS = 2000;
-
 /** What the version of an answer depends on. */
 export interface StreamVersionDependencies {
   readonly softwareVersions: {
@@ -133,16 +129,15 @@
     this.#required ??= softwareVersion;
   }
 
-  /** Records that nothing more is sent; `isWhole` is whether the answer was. */
-  close(isWhole: boolean): void {
+  /** Records that nothing more is sent. Whether the answer was whole does not
+   * matter: its bytes may lie anywhere on the way to a slow caller, whose
+   * connection may still break. */
+  close(): void {
     if (!this.#isBegun) return;
     const { streams } = this.#deps.softwareVersions;
     const { caller, arrivedAt } = this.#input;
     const { id = "" } = caller;
     if (!this.#hasEvents) return streams.end(id);
-    const until = isWhole
-      ? performance.now() + ENDED_KEPT_MS
-      : arrivedAt + Math.min(caller.deadlineMs ?? Infinity, TAKE_UP_MAX_MS);
-    streams.breakOff(id, until);
+    streams.close(id, arrivedAt + takeUpMs(caller.deadlineMs));
   }
 }
--- a/packages/serving/src/software_versions/open_streams.ts
+++ b/packages/serving/src/software_versions/open_streams.ts
@@ -35,19 +35,24 @@
     this.#streams.set(id, { ...stream, until: Infinity });
   }
 
-  /** Records that a stream cannot be taken up: it has ended, or brought no
-   * event. */
+  /** Records that a stream cannot be taken up: it brought no event. */
   end(id: string): void {
     this.#streams.delete(id);
   }
 
-  /** Records that the answer has broken off; the caller may take the stream up
-   * until `until`. */
-  breakOff(id: string, until: number): void {
+  /** Records that nothing more of the answer is sent; the caller may take the
+   * stream up until `until`. */
+  close(id: string, until: number): void {
     const stream = this.#streams.get(id);
     if (stream !== undefined) stream.until = until;
   }
 
+  /** Number of streams that may be taken up. */
+  count(now: number): number {
+    this.#sweep(now);
+    return this.#streams.size;
+  }
+
   /** The version at which a stream of this process began. */
   versionOf(id: string, now: number): string | undefined {
     this.#sweep(now);
--- a/packages/serving/src/software_versions/version_split.ts
+++ b/packages/serving/src/software_versions/version_split.ts
@@ -15,6 +15,10 @@
  * callers that wait longer are not known. */
 export const TAKE_UP_MAX_MS = 40_000;
 
+/** Added to a caller's deadline, in milliseconds: a request that was passed on
+ * names less than its caller has left. */
+const TAKE_UP_SLACK_MS = 500;
+
 /** Part of all positions over which the streams of one adapter are spread. If it
  * were all, each adapter would be loaded at each version; if it were none, one
  * version could get all requests of an adapter that many ask for. */
@@ -101,6 +105,21 @@
   return split.ranges.find(({ until }) => position < until)?.version;
 }
 
+/** How long after the arrival of its first attempt a stream may be taken up, in
+ * milliseconds: until its caller's deadline, however its answer ended.
+ *
+ * @example
+ * ```ts
+ * const until = arrivedAt + takeUpMs(caller.deadlineMs);
+ * ```
+ */
+export function takeUpMs(deadlineMs: number | undefined): number {
+  return Math.min(
+    (deadlineMs ?? Infinity) + TAKE_UP_SLACK_MS,
+    TAKE_UP_MAX_MS,
+  );
+}
+
 /** The splits of a pool under which a stream may have begun that is taken up at
  * `now`, newest first. */
 export function splitsInUse(
