Bound what a killed process can have begun, and record its end

One process was killed and started again; the engines were then replaced by a newer software version. None of 40 streams that had begun since could be taken up at another machine: 503, version_unknown:unreported. Cause: the report of the killed process was older than the splits that followed, and was read as "its process may have begun any stream" until it was removed, 40 s and up to a minute later. Nothing said when the process had ended, nor how long its streams could last. Ruled out: an outdated report of the process killed last, and splits that could not be confirmed; event 874 names the first process only (docs/incidents). Change: a report bounds its process. It begins by no later splits than it names, and no stream that may be taken up for longer than it says; a longer one waits for a write. The next process that listens at the address records when the former one had ended (event 887). A take-up whose caller gives up later than the streams of the former process last was begun elsewhere. Reports of older builds, and those that a restored store brings back, bound nothing; a process that stands still holds its address, so that nobody records its end. Old and new builds read each other's reports: former_build_test.ts.

--- a/packages/gateway/src/events.ts
+++ b/packages/gateway/src/events.ts
@@ -622,3 +622,12 @@
   severity: "info",
   text: "engine is brittle, or no longer",
 };
+
+/** A former process of this instance has left a report of its streams, `process`.
+ * This process has recorded that it has ended, so that streams are not kept waiting
+ * for it. */
+export const FORMER_PROCESS_ENDED: LogEvent = {
+  id: 887,
+  severity: "info",
+  text: "end of a former process recorded",
+};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -464,6 +464,9 @@
     ]);
     if (this.#drain.isStarted) return;
     this.#isListening = true;
+    this.#softwareVersions.recordFormerEnd().catch((err: unknown) =>
+      this.#log.write(events.UNEXPECTED_ERROR, { error: String(err) })
+    );
     for (const seed of this.#settings.seeds) {
       if (seed === this.#self.peerAddress) continue;
       // The peer adds the sender of a hello to its members and sends it
--- a/packages/gateway/src/software_versions/former_build_test.ts
+++ b/packages/gateway/src/software_versions/former_build_test.ts
@@ -1,5 +1,6 @@
 import {
   ALL_SPLITS,
+  FIRST_ERA,
   OpenStreams,
   planSplits,
   positionOf,
@@ -9,7 +10,7 @@
   versionAt,
 } from "@banyanlb/serving";
 import { expect, test } from "vitest";
-import { decodeReport } from "./split_records.ts";
+import { decodeReport, type StoredReport } from "./split_records.ts";
 
 const START_MS = 1_700_000_000_000;
 
@@ -78,3 +79,42 @@
     );
   }
 });
+
+// Guards against the same, in what this build adds to reports: the former one must
+// read the rest alike, and refuse what it cannot know.
+test("the former build reads reports of this one, and this one bounds only its own", () => {
+  const splits = planRelease();
+  const position = positionOf("s1", undefined);
+  const newest = { number: 2, version: versionAt(splits[0], position) };
+  const ended: StoredReport = {
+    splits: 1,
+    strayed: {},
+    takeUpMs: 15_000,
+    era: FIRST_ERA,
+    address: "10.0.0.1:8221",
+    endedAt: START_MS,
+  };
+  const { takeUpMs: _, era: __, ...unbounded } = ended;
+  const named = { ...ended, strayed: { s1: "v1" } };
+  for (
+    const { report, former, current } of [
+      { report: ended, former: undefined, current: "v2" },
+      { report: unbounded, former: undefined, current: undefined },
+      { report: { ...ended, era: 2 }, former: undefined, current: undefined },
+      { report: named, former: "v1", current: "v1" },
+      { report: { ...named, splits: 2 }, former: "v1", current: "v1" },
+      { report: { ...ended, splits: 2 }, former: "v2", current: "v2" },
+    ]
+  ) {
+    const written: unknown = JSON.parse(JSON.stringify(report));
+    expect(traceInFormerBuild("s1", newest, [written])).toBe(former);
+    const trace = traceStream(
+      { id: "s1", position, until: START_MS + 20_000 },
+      splits,
+      [decodeReport(written, FIRST_ERA)],
+    );
+    expect(trace).toMatchObject(
+      current === undefined ? { reason: "unreported" } : { version: current },
+    );
+  }
+});
--- a/packages/gateway/src/software_versions/software_versions.ts
+++ b/packages/gateway/src/software_versions/software_versions.ts
@@ -12,6 +12,7 @@
   type RouteTable,
   type StoredRecord,
 } from "@banyanlb/serving";
+import { FormerProcesses } from "./former_processes.ts";
 import { SplitAdoption } from "./split_adoption.ts";
 import { reportNameOf, SplitKeeper } from "./split_keeper.ts";
 import { SPLITS_RECORD_NAME } from "./split_records.ts";
@@ -42,14 +43,23 @@
   readonly versions: StreamVersions;
   readonly #adoption: SplitAdoption;
   readonly #keeper: SplitKeeper;
+  readonly #formerProcesses: FormerProcesses;
 
   constructor(options: SoftwareVersionsOptions) {
     const { self, members, store } = options;
     const { streams } = this;
+    const reportName = reportNameOf(self);
+    const address = self.callerAddress;
     this.#adoption = new SplitAdoption(store, {
       ...options,
       streams,
-      reportName: reportNameOf(self),
+      reportName,
+      address,
+    });
+    this.#formerProcesses = new FormerProcesses({
+      ...options,
+      reportName,
+      address,
     });
     const adoption = this.#adoption;
     this.versions = new StreamVersions({ ...options, adoption, streams });
@@ -68,6 +78,12 @@
     return this.#adoption.isReady;
   }
 
+  /** Records that former processes of this instance have ended. Called once this
+   * one listens for callers. */
+  recordFormerEnd(): Promise<void> {
+    return this.#formerProcesses.recordEnd();
+  }
+
   /** Begins no more streams, and reports those that may still be taken up.
    * Resolves when the store has taken the report. */
   end(): Promise<void> {
@@ -77,6 +93,7 @@
   /** Stops to write reports. */
   close(): void {
     this.#adoption.close();
+    this.#formerProcesses.close();
   }
 
   /** Takes the records that assign work, from the store or a peer. */
--- a/packages/gateway/src/software_versions/software_versions_test.ts
+++ b/packages/gateway/src/software_versions/software_versions_test.ts
@@ -18,6 +18,9 @@
 /** Past the time in which a process that has started writes no splits. */
 const SETTLED_MS = 10_000;
 
+/** How long callers wait, in milliseconds. */
+const DEADLINE_MS = 12_000;
+
 const processes: TestProcess[] = [];
 afterEach(() => {
   for (const process of processes.splice(0)) process.parts.close();
@@ -115,19 +118,29 @@
     await this.parts.check(performance.now() + this.#checks * SETTLED_MS);
   }
 
-  async begin(id: string): Promise<string | undefined> {
-    const decision = await this.#decide(id, undefined);
+  async begin(
+    id: string,
+    deadlineMs = DEADLINE_MS,
+  ): Promise<string | undefined> {
+    const decision = await this.#decide(id, undefined, { deadlineMs });
     return decision.kind === "begin" ? decision.version : undefined;
   }
 
-  takeUp(resumes: string | undefined): Promise<StreamDecision> {
-    return this.#decide("take-up", resumes, true);
+  takeUp(
+    resumes: string | undefined,
+    { deadlineMs = DEADLINE_MS } = {},
+  ): Promise<StreamDecision> {
+    const isContinued = true;
+    return this.#decide("take-up", resumes, { deadlineMs, isContinued });
   }
 
   #decide(
     id: string,
     resumes: string | undefined,
-    isContinued = false,
+    { deadlineMs, isContinued = false }: {
+      readonly deadlineMs: number;
+      readonly isContinued?: boolean;
+    },
   ): Promise<StreamDecision> {
     const homes = undefined;
     const service = "svc";
@@ -139,6 +152,8 @@
       homes,
       model: undefined,
       adapter: undefined,
+      deadlineMs,
+      arrivedAt: performance.now(),
     });
   }
 }
@@ -530,3 +545,80 @@
   setTimeout(() => (b.link.isCut = false), 250);
   expect(await b.takeUp("old")).toMatchObject({ version: "v1" });
 });
+
+/** One of two instances is killed and starts again, and all engines are replaced
+ * afterwards. Resolves to the instances and the versions. */
+async function releaseAfterKill() {
+  const { store, a } = await startTwo();
+  const versions = ["v2", "v2", "v2", "v2"];
+  const restarted = new TestProcess(store, "b");
+  restarted.setEngines(...FORMER_ENGINES);
+  await restarted.read();
+  await replaceEngines(versions, { store, writer: a, others: [restarted] });
+  await a.read();
+  await restarted.read();
+  return { store, a, restarted, versions };
+}
+
+// LOST: from a kill on, the report that the killed process had left was older than
+// all splits that followed, and no moved stream could be taken up for 40 s.
+test("streams go on that began after the end of a killed process was recorded", async () => {
+  const { store, a, restarted } = await releaseAfterKill();
+  await restarted.parts.recordFormerEnd();
+  expect(await a.begin("early")).toBe("v2");
+  const other = new TestProcess(store, "c");
+  other.setEngines("v2", "v2", "v1");
+  await other.read();
+  // A caller with 12 s left may have begun its stream 3 s before the kill.
+  expect(await other.takeUp("early")).toMatchObject({ reason: "unreported" });
+  expect(await other.takeUp("late", { deadlineMs: 24_000 })).toMatchObject({
+    version: "v2",
+    source: "report",
+  });
+});
+
+test("only processes that listened at this address are recorded as ended", async () => {
+  const { store, restarted } = await releaseAfterKill();
+  await restarted.parts.recordFormerEnd();
+  const { records } = await store.list("streams");
+  const ended = records.filter(({ value }) =>
+    (value as { endedAt?: number }).endedAt !== undefined
+  );
+  expect(ended).toHaveLength(1);
+  expect(ended[0]?.name).toMatch(/^b\./);
+  // What the killed process had reported stays.
+  expect(ended[0]?.value).toMatchObject({ splits: 1, strayed: {} });
+});
+
+test("the end of a former process is recorded once the store replies", async () => {
+  const { store, restarted } = await releaseAfterKill();
+  restarted.link.isCut = true;
+  const recorded = restarted.parts.recordFormerEnd();
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  restarted.link.isCut = false;
+  await recorded;
+  const { records } = await store.list("streams");
+  expect(
+    records.filter(({ value }) =>
+      (value as { endedAt?: number }).endedAt !== undefined
+    ),
+  ).toHaveLength(1);
+});
+
+// Guards against streams that outlast what the process's report says of them: after
+// its end they would be taken for others' streams.
+test("a stream begins once the report says how long it may be taken up", async () => {
+  const { store, a } = await startTwo();
+  const longestOf = async () => {
+    const { records } = await store.list("streams");
+    const own = records.find(({ name }) => name.startsWith("a."));
+    return (own?.value as { takeUpMs?: number }).takeUpMs;
+  };
+  expect(await a.begin("short")).toBe("v1");
+  expect(await longestOf()).toBe(15_000);
+  expect(await a.begin("long", 20_000)).toBe("v1");
+  expect(await longestOf()).toBe(25_000);
+  a.link.isCut = true;
+  expect(await a.begin("longer", 30_000)).toBeUndefined();
+  expect(await a.begin("as long", 20_000)).toBe("v1");
+});
--- a/packages/gateway/src/software_versions/split_adoption.ts
+++ b/packages/gateway/src/software_versions/split_adoption.ts
@@ -7,17 +7,21 @@
 import type { EventLog } from "@banyanlb/core";
 import {
   ALL_SPLITS,
+  FIRST_ERA,
   NO_SPLITS,
   type OpenStreams,
   type RecordStore,
   StoreCallError,
   type StoredRecord,
-  type StreamReport,
   TAKE_UP_MAX_MS,
   type VersionSplits,
 } from "@banyanlb/serving";
 import * as events from "../events.ts";
-import { decodeSplits, SPLITS_RECORD_NAME } from "./split_records.ts";
+import {
+  decodeSplits,
+  SPLITS_RECORD_NAME,
+  type StoredReport,
+} from "./split_records.ts";
 
 /** Pause after a report that the store did not take, in milliseconds; shorter for
  * the last one, which the process waits for. */
@@ -33,6 +37,11 @@
  * in the store's present era. */
 const UNREPORTED = -1;
 
+/** How long streams may be taken up that a process may begin from its first report
+ * on, in milliseconds, and the steps in which that grows: each costs a write. */
+const FIRST_TAKE_UP_MS = 15_000;
+const TAKE_UP_STEP_MS = 5000;
+
 /** The calls of the store that the adoption uses. */
 export type ReportStore = Pick<
   RecordStore,
@@ -44,6 +53,8 @@
   readonly streams: OpenStreams;
   /** Name of this process's report: it differs with each start. */
   readonly reportName: string;
+  /** Where this process listens for callers. */
+  readonly address: string;
   /** Whether the store replies to this instance. */
   readonly reachesStore: () => boolean;
   readonly log: EventLog;
@@ -66,6 +77,10 @@
   #isAcknowledged = false;
   /** Whether a report is due although there are no splits. */
   #isReportAsked = false;
+  /** How long streams of this process may be taken up, as its report has to say,
+   * and as the store has taken it. */
+  #neededTakeUpMs = FIRST_TAKE_UP_MS;
+  #reportedTakeUpMs = 0;
   #reportRevision: number | undefined;
   /** Whether the store may take a report of which it has not said so. */
   #isInDoubt = false;
@@ -94,10 +109,11 @@
     return this.#adopted;
   }
 
-  /** Whether the store has taken a report of this process. Without one nobody
-   * could tell that it began streams, so none may begin. */
-  get isAcknowledged(): boolean {
-    return this.#isAcknowledged;
+  /** Whether the store has taken a report of this process by which it begins
+   * streams that may be taken up for `takeUpMs`. Without one nobody could tell
+   * that it began any, so none may begin. */
+  isAcknowledged(takeUpMs: number): boolean {
+    return this.#isAcknowledged && takeUpMs <= this.#reportedTakeUpMs;
   }
 
   /** Whether the last report is due or stored: no stream may begin. */
@@ -138,9 +154,13 @@
   get #isReportDue(): boolean {
     if (this.#isEnding) return this.#reported < ALL_SPLITS;
     const { number } = this.#known;
-    return number > 0
-      ? this.#reported < number
-      : this.#isReportAsked && this.#reported < 0;
+    if (number === 0 && !this.#isReportAsked) return false;
+    return this.#reported < number || this.#isTakeUpDue;
+  }
+
+  /** Whether streams may have to be taken up for longer than the report says. */
+  get #isTakeUpDue(): boolean {
+    return this.#reportedTakeUpMs < this.#neededTakeUpMs;
   }
 
   /** Whether the splits are of the store's present era. */
@@ -172,9 +192,15 @@
     void this.#reportAll();
   }
 
-  /** Stores a report, so that streams may begin. */
-  acknowledge(): void {
+  /** Stores a report, so that streams may begin that may be taken up for
+   * `takeUpMs`. */
+  acknowledge(takeUpMs: number): void {
     this.#isReportAsked = true;
+    const steps = Math.ceil(takeUpMs / TAKE_UP_STEP_MS);
+    this.#neededTakeUpMs = Math.max(
+      this.#neededTakeUpMs,
+      Math.min(steps * TAKE_UP_STEP_MS, TAKE_UP_MAX_MS),
+    );
     void this.#reportAll();
   }
 
@@ -182,7 +208,8 @@
    * store does not reply. */
   async settled(maxMs: number): Promise<void> {
     const isWaiting = this.#pending !== undefined ||
-      (this.#reporting !== undefined && !this.#isAcknowledged);
+      (this.#reporting !== undefined &&
+        (!this.#isAcknowledged || this.#isTakeUpDue));
     if (!isWaiting || !this.#options.reachesStore()) return;
     await new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, maxMs);
@@ -270,17 +297,27 @@
   }
 
   /** Writes the report; returns whether the store has taken it. */
-  async #write(report: StreamReport): Promise<boolean> {
-    const { reportName, log } = this.#options;
+  async #write(
+    report: Pick<StoredReport, "splits" | "strayed">,
+  ): Promise<boolean> {
+    const { reportName, address, log } = this.#options;
+    const takeUpMs = this.#neededTakeUpMs;
+    const value: StoredReport = {
+      ...report,
+      takeUpMs,
+      era: this.#records.era ?? FIRST_ERA,
+      address,
+    };
     const wasInDoubt = this.#isInDoubt;
     this.#isInDoubt = true;
     try {
       const { revision } = await this.#records.put("streams", {
         name: reportName,
-        value: report,
+        value,
         revision: this.#reportRevision,
       });
       this.#reportRevision = revision;
+      this.#reportedTakeUpMs = takeUpMs;
       this.#isInDoubt = false;
       return true;
     } catch (err) {
--- a/packages/gateway/src/software_versions/split_keeper.ts
+++ b/packages/gateway/src/software_versions/split_keeper.ts
@@ -20,10 +20,11 @@
   type RouteTable,
   StoreCallError,
   TAKE_UP_MAX_MS,
+  takeUpsEndAt,
 } from "@banyanlb/serving";
 import * as events from "../events.ts";
 import type { SplitAdoption } from "./split_adoption.ts";
-import { SPLITS_RECORD_NAME } from "./split_records.ts";
+import { decodeReport, SPLITS_RECORD_NAME } from "./split_records.ts";
 
 /** Minimum time between checks, in milliseconds. */
 const CHECK_INTERVAL_MS = 400;
@@ -214,7 +215,10 @@
       }
       const endedAt = this.#endedAt.get(record.name) ?? now;
       this.#endedAt.set(record.name, endedAt);
-      if (now - endedAt <= TAKE_UP_MAX_MS) continue;
+      const report = decodeReport(record.value, this.#store.era ?? FIRST_ERA);
+      const isOver = now - endedAt > TAKE_UP_MAX_MS ||
+        Date.now() > takeUpsEndAt(report);
+      if (!isOver) continue;
       await this.#store.remove("streams", record);
       this.#endedAt.delete(record.name);
     }
--- a/packages/gateway/src/software_versions/split_records.ts
+++ b/packages/gateway/src/software_versions/split_records.ts
@@ -36,15 +36,43 @@
   return splits && [splits.number];
 }
 
-/** Decodes a process's report. A malformed one counts as one that has adopted no
- * splits, since its streams are not known. */
-export function decodeReport(value: unknown): StreamReport {
-  const { splits, strayed } = isObject(value) ? value : {};
+/** A process's report as it is stored. Builds before issue 58 read and write
+ * `splits` and `strayed` only. */
+export interface StoredReport {
+  readonly splits: number;
+  readonly strayed: StreamReport["strayed"];
+  readonly takeUpMs?: number;
+  /** The era of the store in which the process wrote it. */
+  readonly era?: number;
+  /** Where the process listens for callers: one that listens there later shows
+   * that it has ended. */
+  readonly address?: string;
+  readonly endedAt?: number;
+}
+
+/** Decodes a process's report, read in an era of the store. A malformed one counts
+ * as one that has adopted no splits, since its streams are not known; a malformed
+ * bound on what it began counts as none. */
+export function decodeReport(value: unknown, storeEra?: number): StreamReport {
+  const { splits, strayed, takeUpMs, era, endedAt } = isObject(value)
+    ? value
+    : {};
   const isValid = isNumber(splits) && isObject(strayed) &&
     Object.values(strayed).every((version) => typeof version === "string");
-  return isValid
-    ? { splits, strayed: strayed as StreamReport["strayed"] }
-    : { splits: -1, strayed: {} };
+  if (!isValid) return { splits: -1, strayed: {} };
+  return {
+    splits,
+    strayed: strayed as StreamReport["strayed"],
+    isOfEra: storeEra !== undefined && era === storeEra,
+    ...isNumber(takeUpMs) && { takeUpMs },
+    ...isNumber(endedAt) && { endedAt },
+  };
+}
+
+/** The address in a report; undefined if it states none. */
+export function addressOf(value: unknown): string | undefined {
+  const address = isObject(value) ? value.address : undefined;
+  return typeof address === "string" ? address : undefined;
 }
 
 function isSplit(value: unknown): value is VersionSplit {
--- a/packages/gateway/src/software_versions/stream_version.ts
+++ b/packages/gateway/src/software_versions/stream_version.ts
@@ -55,7 +55,7 @@
   /** Finds the version; returns why the request must be refused if it is not
    * known, at the request's deadline at the latest. */
   async decide(homes: HomeRegions): Promise<VersionRefusal | undefined> {
-    const { caller, route, service } = this.#input;
+    const { caller, route, service, arrivedAt } = this.#input;
     if (route.kind !== "stream" || !route.resumable) return undefined;
     const { versions } = this.#deps.softwareVersions;
     const { id = "", resumes, lastEventId, model, adapter } = caller;
@@ -68,6 +68,8 @@
       homes,
       model,
       adapter,
+      deadlineMs: caller.deadlineMs,
+      arrivedAt,
     });
     const decision = await byDeadline(deciding, deadlineOf(this.#input));
     if (decision === undefined) {
--- a/packages/gateway/src/software_versions/stream_versions.ts
+++ b/packages/gateway/src/software_versions/stream_versions.ts
@@ -8,6 +8,7 @@
 import {
   adapterKey,
   type EngineTable,
+  FIRST_ERA,
   type HomeRegions,
   type OpenStreams,
   poolOf,
@@ -17,6 +18,7 @@
   StoreCallError,
   type StreamReport,
   type StreamTrace,
+  takeUpMs,
   type TraceSource,
   traceStream,
   versionAt,
@@ -52,6 +54,10 @@
   readonly homes: HomeRegions;
   readonly model: string | undefined;
   readonly adapter: string | undefined;
+  /** How long its caller waits, from `arrivedAt` by the monotonic clock on, in
+   * milliseconds. */
+  readonly deadlineMs: number | undefined;
+  readonly arrivedAt: number;
 }
 
 /** Why the version of a stream cannot be told. */
@@ -87,7 +93,7 @@
   readonly engineTable: EngineTable;
   readonly adoption: SplitAdoption;
   readonly streams: OpenStreams;
-  readonly store: Pick<RecordStore, "get" | "list">;
+  readonly store: Pick<RecordStore, "get" | "list" | "era">;
   /** Whether the store replies to this instance. */
   readonly reachesStore: () => boolean;
   /** Resolves to whether peers confirm that this instance knows the newest
@@ -152,11 +158,12 @@
     const pool = poolOf(request.service, request.homes);
     const { id } = request;
     const position = positionIn(request, id);
-    if (!adoption.isAcknowledged) {
-      adoption.acknowledge();
+    const mayTakeUpMs = takeUpMs(request.deadlineMs);
+    if (!adoption.isAcknowledged(mayTakeUpMs)) {
+      adoption.acknowledge(mayTakeUpMs);
       await adoption.settled(ADOPTION_WAIT_MS);
     }
-    if (!adoption.isAcknowledged) {
+    if (!adoption.isAcknowledged(mayTakeUpMs)) {
       return { kind: "unknown", reason: "unacknowledged" };
     }
     for (const mayWait of [true, false]) {
@@ -219,7 +226,11 @@
       return { kind: "go_on", version: only, source: "single" };
     }
     if (resumes === undefined) return { kind: "unknown", reason: "unnamed" };
-    const stream = { id: resumes, position: positionIn(request, resumes) };
+    const stream = {
+      id: resumes,
+      position: positionIn(request, resumes),
+      until: givesUpAt(request),
+    };
     let trace = traceStream(stream, splits());
     if (trace.kind === "moved") {
       const reports = await this.#reports.run();
@@ -268,7 +279,7 @@
     try {
       const { records } = await store.list("streams");
       return records.map(({ name, value }) => ({
-        ...decodeReport(value),
+        ...decodeReport(value, store.era ?? FIRST_ERA),
         process: name,
       }));
     } catch (err) {
@@ -286,6 +297,13 @@
     : positionOf(id, adapterKey(model, adapter));
 }
 
+/** When the caller of a request gives up, in milliseconds of Unix time; now at the
+ * earliest. */
+function givesUpAt({ arrivedAt, deadlineMs = 0 }: StreamRequest): number {
+  const leftMs = arrivedAt + deadlineMs - performance.now();
+  return Date.now() + Math.max(0, leftMs);
+}
+
 /** The only version that splits and listed engines name; undefined if there are
  * more. */
 function singleVersion(
--- a/packages/serving/src/software_versions/trace_stream_test.ts
+++ b/packages/serving/src/software_versions/trace_stream_test.ts
@@ -8,12 +8,15 @@
   positionOf,
   splitsInUse,
   TAKE_UP_MAX_MS,
+  takeUpMs,
   versionAt,
   type VersionSplits,
 } from "./version_split.ts";
 
 const START_MS = 1_700_000_000_000;
 const PROCESSES = 3;
+/** How long callers wait, in milliseconds. */
+const DEADLINES_MS = [3000, 12_000, 20_000, 30_000];
 /** Streams without an adapter lie anywhere. */
 const ADAPTER = undefined;
 
@@ -23,6 +26,8 @@
   adopted: VersionSplits = NO_SPLITS;
   pending: VersionSplits | undefined;
   isAlive = true;
+  /** How long its streams may be taken up, by its report. */
+  takeUpMs = 15_000;
 
   /** Where a stream begins; undefined if it must not begin. */
   versionOf(id: string): string | undefined {
@@ -41,7 +46,12 @@
   splits = planSplits(undefined, room({ v1: 4 }), START_MS) ?? NO_SPLITS;
   readonly reports = new Map<ModelProcess, StreamReport>();
   readonly processes: ModelProcess[] = [];
-  readonly begun = new Map<string, { version: string; at: number }>();
+  readonly begun = new Map<
+    string,
+    { readonly version: string; readonly at: number; readonly until: number }
+  >();
+  /** The processes of each place that were lost. */
+  readonly lost: ModelProcess[][] = Array.from({ length: PROCESSES }, () => []);
   now = START_MS;
 
   constructor() {
@@ -50,11 +60,31 @@
 
   start(place: number): void {
     const former = this.processes[place];
-    if (former !== undefined) former.isAlive = false;
+    if (former !== undefined) {
+      former.isAlive = false;
+      this.lost[place]?.push(former);
+    }
     const process = new ModelProcess();
     this.processes[place] = process;
     process.adopted = this.splits;
-    this.reports.set(process, { splits: this.splits.number, strayed: {} });
+    this.#report(process, { splits: this.splits.number, strayed: {} });
+  }
+
+  /** The process records that those before it have ended. */
+  recordEnd(place: number): void {
+    for (const process of this.lost[place]?.splice(0) ?? []) {
+      const report = this.reports.get(process);
+      if (report === undefined) continue;
+      this.reports.set(process, { ...report, endedAt: this.now });
+    }
+  }
+
+  #report(
+    process: ModelProcess,
+    report: Pick<StreamReport, "splits" | "strayed">,
+  ): void {
+    const { takeUpMs } = process;
+    this.reports.set(process, { ...report, takeUpMs, isOfEra: true });
   }
 
   /** The process ends as planned and starts again. */
@@ -62,7 +92,7 @@
     const process = this.processes[place];
     if (process === undefined) return;
     const strayed = process.streams.versions(0);
-    this.reports.set(process, { splits: ALL_SPLITS, strayed });
+    this.#report(process, { splits: ALL_SPLITS, strayed });
     this.start(place);
   }
 
@@ -72,6 +102,15 @@
     this.splits = next ?? this.splits;
   }
 
+  /** All processes report on a new split. */
+  release(v1: number, v2: number): void {
+    this.split(v1, v2);
+    for (let i = 0; i < PROCESSES; i += 1) {
+      this.learn(i);
+      this.store(i);
+    }
+  }
+
   /** The process hears of the newest splits and sends its report. */
   learn(place: number): void {
     const process = this.processes[place];
@@ -83,7 +122,7 @@
   store(place: number): void {
     const process = this.processes[place];
     if (process?.pending === undefined) return;
-    this.reports.set(process, {
+    this.#report(process, {
       splits: process.pending.number,
       strayed: process.streams.strayed(process.pending, 0),
     });
@@ -91,14 +130,23 @@
     process.pending = undefined;
   }
 
-  begin(place: number, id: string): void {
+  begin(place: number, id: string, deadlineMs = 12_000): void {
     const process = this.processes[place];
     const version = process?.versionOf(id);
     if (process === undefined || version === undefined) return;
     if (this.begun.has(id)) return;
+    if (takeUpMs(deadlineMs) > process.takeUpMs) {
+      if (process.pending !== undefined) return;
+      process.takeUpMs = takeUpMs(deadlineMs);
+      this.#report(process, {
+        splits: process.adopted.number,
+        strayed: process.streams.strayed(process.adopted, 0),
+      });
+    }
     const position = positionOf(id, ADAPTER);
     process.streams.begin(id, { pool: "svc", position, version });
-    this.begun.set(id, { version, at: this.now });
+    const at = this.now;
+    this.begun.set(id, { version, at, until: at + deadlineMs });
   }
 
   /** Checks what a process without memory finds out of each stream; returns how
@@ -106,9 +154,9 @@
   check(): number {
     let known = 0;
     const splits = splitsInUse(this.splits, "svc", this.now);
-    for (const [id, { version, at }] of this.begun) {
-      if (this.now - at >= TAKE_UP_MAX_MS) continue;
-      const stream = { id, position: positionOf(id, ADAPTER) };
+    for (const [id, { version, at, until }] of this.begun) {
+      if (this.now - at >= TAKE_UP_MAX_MS || this.now > until) continue;
+      const stream = { id, position: positionOf(id, ADAPTER), until };
       const trace = traceStream(stream, splits, [...this.reports.values()]);
       if (trace.kind !== "known") continue;
       expect(trace.version).toBe(version);
@@ -129,26 +177,40 @@
   const place = fc.nat(PROCESSES - 1);
   const step = fc.oneof(
     { weight: 2, arbitrary: fc.tuple(fc.constant("split"), fc.nat(4)) },
+    { weight: 3, arbitrary: fc.tuple(fc.constant("release"), fc.nat(4)) },
     { weight: 4, arbitrary: fc.tuple(fc.constant("learn"), place) },
     { weight: 4, arbitrary: fc.tuple(fc.constant("store"), place) },
     { weight: 8, arbitrary: fc.tuple(fc.constant("begin"), place) },
     { weight: 1, arbitrary: fc.tuple(fc.constant("start"), place) },
     { weight: 1, arbitrary: fc.tuple(fc.constant("end"), place) },
+    { weight: 1, arbitrary: fc.tuple(fc.constant("record_end"), place) },
+    { weight: 2, arbitrary: fc.tuple(fc.constant("restart"), place) },
+    { weight: 2, arbitrary: fc.tuple(fc.constant("wait"), fc.nat(8)) },
   );
   fc.assert(
     fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
       const model = new Model();
       steps.forEach(([action, n], i) => {
         if (action === "split") model.split(4 - n, n);
+        else if (action === "release") model.release(4 - n, n);
         else if (action === "learn") model.learn(n);
         else if (action === "store") model.store(n);
         else if (action === "start") model.start(n);
         else if (action === "end") model.end(n);
-        else for (let k = 0; k < 4; k += 1) model.begin(n, `${i}-${k}`);
+        else if (action === "record_end") model.recordEnd(n);
+        else if (action === "restart") {
+          model.start(n);
+          model.recordEnd(n);
+        } else if (action === "wait") model.now += n * 1000;
+        else {
+          for (let k = 0; k < 4; k += 1) {
+            model.begin(n, `${i}-${k}`, DEADLINES_MS[k]);
+          }
+        }
         model.check();
       });
     }),
-    { numRuns: 300, seed: 46 },
+    { numRuns: 1000, seed: 46 },
   );
 });
 
@@ -199,6 +261,81 @@
   expect(model.check()).toBe(model.begun.size);
 });
 
+/** A process is killed before a release, and the others report on it. Returns the
+ * model, with streams that have begun by the newest splits. */
+function releaseAfterKill(hasRecorded: boolean): Model {
+  const model = new Model();
+  for (let k = 0; k < 12; k += 1) model.begin(0, `lost-${k}`);
+  model.start(0);
+  if (hasRecorded) model.recordEnd(0);
+  model.now += 6000;
+  for (const n of [2, 4]) model.release(4 - n, n);
+  for (let k = 0; k < 40; k += 1) model.begin(1, `new-${k}`);
+  return model;
+}
+
+// LOST: from each kill on, a release made every stream that began at the new version
+// impossible to take up, though the killed process could not have begun it.
+test("streams that begin after the end of a killed process are known", () => {
+  const model = releaseAfterKill(true);
+  model.now += 2000;
+  // Those of the killed process cannot be told from others while they last.
+  expect(model.check()).toBe(40);
+  expect(releaseAfterKill(false).check()).toBe(0);
+});
+
+test("a process that may only stand still makes moved streams unknown", () => {
+  const model = new Model();
+  for (let k = 0; k < 12; k += 1) model.begin(0, `still-${k}`);
+  model.split(0, 4);
+  for (const i of [1, 2]) {
+    model.learn(i);
+    model.store(i);
+  }
+  model.now += 20_000;
+  for (let k = 0; k < 12; k += 1) model.begin(0, `woken-${k}`);
+  for (let k = 0; k < 12; k += 1) model.begin(1, `new-${k}`);
+  expect(model.check()).toBe(0);
+});
+
+// Pattern of load: a release goes back, and a process that was killed in between had
+// adopted only the splits of before.
+test("a process begins by no later splits than it has reported", () => {
+  const model = new Model();
+  model.split(0, 4);
+  for (const i of [1, 2]) {
+    model.learn(i);
+    model.store(i);
+  }
+  model.start(0);
+  model.release(4, 0);
+  for (let k = 0; k < 12; k += 1) model.begin(1, `new-${k}`);
+  expect(model.check()).toBe(12);
+});
+
+// A restored store may hold an older report than the last one.
+test("a report of another era of the store bounds nothing", () => {
+  const split = (number: number, version: string) => ({
+    number,
+    madeAt: START_MS + number,
+    ranges: [{ version, until: 1 }],
+  });
+  const splits = [split(3, "v1"), split(2, "v2"), split(1, "v1")];
+  const trace = (report: Partial<StreamReport>) =>
+    traceStream({ id: "r", position: 0, until: START_MS + 30_000 }, splits, [
+      { splits: 1, strayed: {}, ...report },
+    ]);
+  const ended = { endedAt: START_MS, takeUpMs: 15_000 };
+  expect(trace({ isOfEra: true })).toMatchObject({ version: "v1" });
+  expect(trace({})).toMatchObject({ reason: "unreported" });
+  expect(trace({ ...ended, splits: 2 })).toMatchObject({
+    reason: "unreported",
+  });
+  expect(trace({ ...ended, splits: 2, isOfEra: true })).toMatchObject({
+    version: "v1",
+  });
+});
+
 test("an id without a split is unknown", () => {
   expect(traceStream({ id: "r1", position: 0 }, [])).toEqual({
     kind: "unknown",
