Place the models of a service by memory, demand and holders

In a service of two models the only engine of the second one was ordered to load the first one beside it and crashed with 7 streams; it came back empty, was given the first model, and all further requests for the second one were refused. Cause: which model an engine holds was nobody's decision. The first model of the service's list stood for the model of each engine: in the order to load it, in the number of adapter slots, and in the names of adapters. What is held is kept; an engine that holds nothing gets the model that lacks most; a model that is asked for and held nowhere gets an engine, by dropping one that others hold if need be; nothing exceeds the memory. Instances tell owners what is asked for (message "want", which the former build ignores). Adapters are loaded for their own model, and named with it where a service has several.

--- a/packages/gateway/src/adapter_loader.ts
+++ b/packages/gateway/src/adapter_loader.ts
@@ -5,24 +5,28 @@
  */
 import type { EventLog } from "@banyanlb/core";
 import {
+  adapterNameIn,
+  adapterOf,
   type AdapterState,
+  type EngineClass,
   type EngineControl,
   type EngineReach,
   type EngineTable,
   type EngineView,
   type MemberTable,
+  namedAdapters,
   type PlannedOrder,
-  type RouteTable,
 } from "@banyanlb/serving";
 import * as events from "./events.ts";
+import { ModelKeeper } from "./model_placement/model_keeper.ts";
+import { sendModelOrder } from "./model_placement/send_model_order.ts";
+import {
+  adapterSlotsBeside,
+  OwnedModels,
+} from "./model_placement/owned_models.ts";
 import type { Membership } from "./membership.ts";
 import type { GatewayMetrics } from "./metrics.ts";
-import {
-  ORDER_TIMEOUT_MAX_MS,
-  outcomeOf,
-  OwnedEngine,
-  type Waiter,
-} from "./owned_engine.ts";
+import { outcomeOf, OwnedEngine, type Waiter } from "./owned_engine.ts";
 import { OwnerWaits } from "./owner_waits.ts";
 import type { PeerLinks } from "./peer_links.ts";
 import type { AdapterRequest, HeldRow } from "./peer_messages.ts";
@@ -75,6 +79,7 @@
 export class AdapterLoader {
   readonly #options: AdapterLoaderOptions;
   readonly #engines = new Map<string, OwnedEngine>();
+  readonly #modelKeeper: ModelKeeper;
   readonly #ownerWaits = new OwnerWaits((key) => this.canOrder(key));
   #otherFetches = 0;
   /** Number of engines that have an owner, this instance or another. */
@@ -85,6 +90,22 @@
 
   constructor(options: AdapterLoaderOptions) {
     this.#options = options;
+    this.#modelKeeper = new ModelKeeper({
+      ...options,
+      classOf: (service) => this.#classOf(service),
+      ownedModels: (key) => this.#engines.get(key)?.models,
+    });
+  }
+
+  /** Asks for a model that a request found on no engine. */
+  requestModel(service: string, model: string): void {
+    this.#modelKeeper.recordRequest(service, model, performance.now());
+  }
+
+  /** Records that another instance has requests for a model that no engine
+   * holds. */
+  recordWantedModel(service: string, model: string): void {
+    this.#modelKeeper.recordWanted(service, model, performance.now());
   }
 
   /** Whether this instance owns no engine. */
@@ -204,25 +225,33 @@
   /** Loads an adapter on an engine of this instance; see `load`. */
   loadAtOwnEngine(
     engineKey: string,
-    request: AdapterRequest,
+    request: AdapterRequest & { readonly model: string },
   ): Promise<boolean> {
     const engine = this.#engines.get(engineKey);
+    const engineClass = this.#classOfEngine(engineKey);
     if (
-      engine === undefined || !this.#options.membership.mayOrder(engineKey)
+      engine === undefined || engineClass === undefined ||
+      !this.#options.membership.mayOrder(engineKey)
     ) return Promise.resolve(false);
+    const hasSeveral = engineClass.models.length > 1;
+    const view = this.#options.engineTable.get(engineKey);
+    if (hasSeveral && view?.holdsModel(request.model) !== true) {
+      return Promise.resolve(false);
+    }
     const isPatient = request.patient === true;
     if (engine.unansweredCalls >= DOWN_THRESHOLD && !isPatient) {
       return Promise.resolve(false);
     }
     const now = performance.now();
-    const { adapter, version } = request;
+    const { version } = request;
+    const adapter = adapterNameIn(engineClass, request.model, request.adapter);
     const slot = engine.adapterSlots.find(adapter, version);
     if (request.early === true) {
       if (slot === undefined || slot.readyAt <= now - EARLY_MAX_MS) {
         engine.adapterSlots.doubt();
         engine.denied.add(adapter);
       } else engine.adapterSlots.recordEarlyRequest(adapter, now);
-    } else if (isHeld(engine, request, now)) {
+    } else if (isHeld(engine, { adapter, version }, now)) {
       return Promise.resolve(true);
     }
     if (slot === undefined && !engine.adapterSlots.canLoadSoon(adapter, now)) {
@@ -248,7 +277,7 @@
     const state = `${engineTable.generation} ${membership.fence} ${version}`;
     if (state !== this.#appliedState) {
       this.#appliedState = state;
-      this.#addOwnedEngines(routeTable);
+      this.#addOwnedEngines();
     }
     for (const [key, engine] of this.#engines) {
       if (
@@ -264,7 +293,7 @@
 
   /** Adds the engines that were newly assigned to this instance, and counts the
    * engines that have any owner. */
-  #addOwnedEngines(routeTable: RouteTable): void {
+  #addOwnedEngines(): void {
     const { engineTable, membership, self } = this.#options;
     let count = 0;
     for (const view of engineTable.all()) {
@@ -272,31 +301,34 @@
       const owner = membership.ownerOf(key);
       if (owner !== undefined) count += 1;
       if (owner !== self || this.#engines.has(key)) continue;
-      const ownedEngine = this.#createEngine(view, routeTable);
+      const ownedEngine = this.#createEngine(view);
       if (ownedEngine !== undefined) this.#engines.set(key, ownedEngine);
     }
     this.#assignedEngineCount = count;
   }
 
-  #createEngine(
-    view: EngineView,
-    routeTable: RouteTable,
-  ): OwnedEngine | undefined {
-    const engineClass = routeTable.findService(view.engine.service)
-      ?.engineClass;
-    const model = engineClass?.models[0];
-    if (engineClass === undefined || model === undefined) return undefined;
-    const slotsInMemory = model.adapterSizeMb > 0
-      ? Math.floor(
-        (engineClass.weightMemoryMb - model.sizeMb) / model.adapterSizeMb,
-      )
-      : engineClass.adapterSlots;
+  #createEngine({ engine }: EngineView): OwnedEngine | undefined {
+    const engineClass = this.#classOf(engine.service);
+    if (engineClass === undefined) return undefined;
+    const models = new OwnedModels(engine.models);
     return new OwnedEngine(
-      Math.max(0, Math.min(engineClass.adapterSlots, slotsInMemory)),
-      model.name,
+      adapterSlotsBeside(engineClass, models.plannedWith()),
+      models,
     );
   }
 
+  /** What engines of a service can hold; undefined if they hold no models. */
+  #classOf(service: string): EngineClass | undefined {
+    const engineClass = this.#options.storeView.routeTable
+      ?.findService(service)?.engineClass;
+    return engineClass?.models.length === 0 ? undefined : engineClass;
+  }
+
+  #classOfEngine(key: string): EngineClass | undefined {
+    const service = this.#options.engineTable.get(key)?.engine.service;
+    return service === undefined ? undefined : this.#classOf(service);
+  }
+
   #process(key: string, engine: OwnedEngine): void {
     const view = this.#options.engineTable.get(key);
     if (view === undefined) return;
@@ -313,15 +345,21 @@
     if (engine.isOrdering || !this.#options.membership.mayOrder(key)) return;
     if (now < engine.nextOrderAt) return;
     if (view.engine.leaving) return;
-    if (!view.holdsModel(engine.model)) {
-      void this.#sendModelOrder(view, engine);
+    const engineClass = this.#classOf(view.engine.service);
+    engine.models.applyEntry(view.engine.models);
+    if (engineClass === undefined || engine.models.isChanging) return;
+    const modelOrder = this.#modelKeeper.orderFor(view, now);
+    if (modelOrder !== undefined) {
+      void sendModelOrder(this.#options, { view, engine }, modelOrder);
       return;
     }
+    if (!engineClass.models.some(({ name }) => view.holdsModel(name))) return;
     adapterSlots.setStoreBusy(this.#fetchSlowdown() > 1);
-    const order = adapterSlots.next(
-      now,
-      (adapter) => this.#options.storeView.versionOf(engine.model, adapter),
-    );
+    const order = adapterSlots.next(now, (name) => {
+      const target = adapterOf(engineClass, name);
+      if (target === undefined) return 0;
+      return this.#options.storeView.versionOf(target.model, target.adapter);
+    });
     if (order !== undefined) void this.#sendOrder(view, engine, order);
   }
 
@@ -359,12 +397,21 @@
     order: PlannedOrder,
   ): Promise<void> {
     const { control, membership, self, log, metrics } = this.#options;
-    engine.isOrdering = true;
+    const engineClass = this.#classOf(view.engine.service);
+    const target = engineClass && adapterOf(engineClass, order.adapter);
     const sentAt = performance.now();
+    if (target === undefined) {
+      // The configuration in force has no such model any more.
+      engine.adapterSlots.cancelLoad(order.adapter);
+      engine.adapterSlots.recordOutcome("unknown", sentAt, 1);
+      engine.adapterSlots.doubt();
+      return;
+    }
+    engine.isOrdering = true;
     const reply = await control.order(view.engine, {
       action: order.action,
-      model: engine.model,
-      adapter: order.adapter,
+      model: target.model,
+      adapter: target.adapter,
       version: order.action === "load" && order.version > 0
         ? order.version
         : undefined,
@@ -408,35 +455,6 @@
     this.#process(view.engine.key, engine);
   }
 
-  async #sendModelOrder(view: EngineView, engine: OwnedEngine): Promise<void> {
-    if (engine.isModelOrdered || engine.modelOrderCount === undefined) return;
-    const { control, membership, self, log } = this.#options;
-    engine.isOrdering = true;
-    engine.isModelOrdered = true;
-    const reply = await control.order(view.engine, {
-      action: "load",
-      model: engine.model,
-      adapter: undefined,
-      version: undefined,
-      orderCount: engine.modelOrderCount,
-      holder: self,
-      fence: membership.fence,
-    }, ORDER_TIMEOUT_MAX_MS);
-    engine.isOrdering = false;
-    engine.isModelOrdered = reply === "accepted" || reply === "complete";
-    engine.modelOrderCount = undefined;
-    log.write(
-      engine.isModelOrdered ? events.ORDER_ANSWERED : events.ORDER_FAILED,
-      {
-        engine: view.engine.key,
-        action: "load",
-        model: engine.model,
-        fence: membership.fence,
-        answer: reply,
-      },
-    );
-  }
-
   async #requestReport(view: EngineView, engine: OwnedEngine): Promise<void> {
     engine.isReporting = true;
     engine.reportRequestedAt = performance.now();
@@ -455,12 +473,23 @@
     if (report.coldMs !== undefined) {
       this.#options.onColdTime?.(view.engine.key, report.coldMs);
     }
-    const holdsModel = report.models.some((m) => m.name === engine.model);
-    if (!holdsModel) engine.modelOrderCount = report.orderCount;
-    if (holdsModel && !view.holdsModel(engine.model)) {
+    const engineClass = this.#classOf(service);
+    if (engineClass === undefined) return;
+    const wasChanging = engine.models.isChanging;
+    engine.models.applyReport(report);
+    const hasChanged = wasChanging && !engine.models.isChanging;
+    // The list shows it later.
+    if (
+      hasChanged || report.models.some(({ name }) => !view.holdsModel(name))
+    ) {
       view.engine = { ...view.engine, models: report.models };
     }
-    engine.adapterSlots.applyReport(report, engine.model, now);
+    const planned = engine.models.plannedWith(view.engine.models);
+    engine.adapterSlots.setSlotCount(adapterSlotsBeside(engineClass, planned));
+    engine.adapterSlots.applyReport({
+      orderCount: report.orderCount,
+      ...namedAdapters(report, engineClass),
+    }, now);
     if (engine.denied.size > 0) {
       engine.denied.clear();
       for (const { adapter, version } of engine.waiters) {
--- a/packages/gateway/src/adapter_loader_test.ts
+++ b/packages/gateway/src/adapter_loader_test.ts
@@ -107,6 +107,7 @@
 function load(loader: AdapterLoader, isEarly = false) {
   const options = isEarly ? { early: true, quiet: true } : {};
   return loader.loadAtOwnEngine(ENGINE, {
+    model: "m",
     adapter: "a1",
     version: 0,
     ...options,
@@ -151,7 +152,7 @@
   held.delete("a1");
   void load(loader, true);
   silence.isSilent = true;
-  const request = { adapter: "a2", version: 0 };
+  const request = { model: "m", adapter: "a2", version: 0 };
   const results: (readonly [string, boolean])[] = [];
   void loader.loadAtOwnEngine(ENGINE, request)
     .then((ok) => results.push(["other", ok]));
@@ -173,7 +174,13 @@
   held.delete("a1");
   silence.isSilent = true;
   let isLoaded: boolean | undefined;
-  const request = { adapter: "a2", version: 0, patient: true, waitMs: 300 };
+  const request = {
+    model: "m",
+    adapter: "a2",
+    version: 0,
+    patient: true,
+    waitMs: 300,
+  };
   void loader.loadAtOwnEngine(ENGINE, request).then((ok) => (isLoaded = ok));
   await vi.advanceTimersByTimeAsync(200);
   expect(isLoaded).toBeUndefined();
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -31,7 +31,7 @@
 import { bufferBody } from "./buffer_body.ts";
 import { byDeadline } from "./by_deadline.ts";
 import { withContentLength, withoutContentLength } from "./content_length.ts";
-import { requirementsOf } from "./engine_requirements.ts";
+import { adapterNameOf, requirementsOf } from "./engine_requirements.ts";
 import { type EngineRequest, reasonOf } from "./engine_connections.ts";
 import { recordNotices } from "./engine_notices.ts";
 import { retryAfterSeconds, sendErrorResponse } from "./error_response.ts";
@@ -215,6 +215,12 @@
     }
   }
 
+  /** The adapter's name in tables of engines. */
+  get #adapterName(): string | undefined {
+    const { service, caller } = this.#input;
+    return adapterNameOf(this.#deps, service, caller);
+  }
+
   /** The newest announced version of the requested adapter; 0 if none was
    * announced. */
   #newestVersion(): number {
@@ -255,7 +261,12 @@
     const now = performance.now();
     const version = this.#newestVersion();
     const choice = this.#chooseEngine(now);
-    if (choice.kind === "none") return choice.reason;
+    if (choice.kind === "none") {
+      if (model !== undefined) {
+        this.#deps.loader.requestModel(this.#input.service, model);
+      }
+      return choice.reason;
+    }
     if (choice.kind === "send") {
       if (
         choice.spreadTo !== undefined && model !== undefined &&
@@ -345,9 +356,10 @@
         });
         if (!view.isReportedByOwner) return;
         const adapters = new Map(view.adapters);
-        const heldAdapter = adapters.get(adapter);
+        const name = this.#adapterName ?? adapter;
+        const heldAdapter = adapters.get(name);
         if (heldAdapter !== undefined) {
-          adapters.set(adapter, { ...heldAdapter, readyAt: now + 40 });
+          adapters.set(name, { ...heldAdapter, readyAt: now + 40 });
         }
         view.adapters = adapters;
       }
@@ -545,9 +557,10 @@
     const { req, route, workspace, caller, body } = this.#input;
     const { protocol, connections, members, use: usage } = this.#deps;
     const now = performance.now();
-    const heldAdapter = caller.adapter === undefined
+    const adapterName = this.#adapterName;
+    const heldAdapter = adapterName === undefined
       ? undefined
-      : view.adapters.get(caller.adapter);
+      : view.adapters.get(adapterName);
     const wasLeaving = view.engine.leaving;
     const announcedVersion = this.#newestVersion();
     const priority = workspace?.priority ?? route.priority;
@@ -588,8 +601,8 @@
     view.inFlight += 1;
     const { forecast } = this.#deps.chooser;
     const { service } = this.#input;
-    forecast.recordSend({ service, adapter: caller.adapter }, now);
-    usage.start(view.engine.key, caller.adapter);
+    forecast.recordSend({ service, adapter: adapterName }, now);
+    usage.start(view.engine.key, adapterName);
     let end: (outcome: AttemptOutcome) => void = () => undefined;
     const outcome = new Promise<AttemptOutcome>((resolve) => (end = resolve));
     const attempt = this.#trackAttempt(
@@ -608,7 +621,7 @@
         this.#log.endAttempt(view);
         view.path.end(probe, performance.now());
         view.inFlight -= 1;
-        usage.end(view.engine.key, caller.adapter);
+        usage.end(view.engine.key, adapterName);
       }),
       onSent: (listener) => request.onSent(listener),
       onAccepted: (listener) => (attempt.onAccepted = listener),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -709,6 +709,9 @@
           },
         );
         return;
+      case "want":
+        this.#loader.recordWantedModel(message.service, message.model);
+        return;
       case "confirm":
         sendReply({
           t: "confirmed",
--- a/packages/gateway/src/owned_engine.ts
+++ b/packages/gateway/src/owned_engine.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { AdapterSlotTable, type OrderOutcome } from "@banyanlb/serving";
+import type { OwnedModels } from "./model_placement/owned_models.ts";
 
 /** Timeout of an order: this multiple of the average time to its reply, within
  * bounds in milliseconds. It is short, since engines reply at once, an order
@@ -27,7 +28,7 @@
 /** One engine that this instance owns. */
 export class OwnedEngine {
   readonly adapterSlots: AdapterSlotTable;
-  readonly model: string;
+  readonly models: OwnedModels;
   readonly waiters = new Set<Waiter>();
   /** Adapters that the engine denied to hold, until it reports what it holds. */
   readonly denied = new Set<string>();
@@ -41,8 +42,6 @@
   averageOrderMs = ORDER_TIMEOUT_MAX_MS / ORDER_TIMEOUT_FACTOR;
   /** Consecutive calls without a reply. */
   unansweredCalls = 0;
-  isModelOrdered = false;
-  modelOrderCount: number | undefined;
 
   /** Timeout of the next order, in milliseconds. */
   get orderTimeoutMs(): number {
@@ -64,9 +63,9 @@
       : Math.min(this.averageOrderMs * 1.5, ORDER_TIMEOUT_MAX_MS);
   }
 
-  constructor(slotCount: number, model: string) {
+  constructor(slotCount: number, models: OwnedModels) {
     this.adapterSlots = new AdapterSlotTable(slotCount);
-    this.model = model;
+    this.models = models;
   }
 }
 
--- a/packages/gateway/src/peer_messages.ts
+++ b/packages/gateway/src/peer_messages.ts
@@ -59,6 +59,14 @@
   readonly ok: boolean;
 }
 
+/** Tells the owner of an engine of a service that requests ask for a model which no
+ * engine holds. Builds before issue 58 ignore it. */
+export interface ModelWanted {
+  readonly t: "want";
+  readonly service: string;
+  readonly model: string;
+}
+
 /** Asks which records the receiver knows to be the newest. */
 export interface ConfirmRequest {
   readonly t: "confirm";
@@ -135,6 +143,7 @@
   | Digest
   | LoadRequest
   | LoadReply
+  | ModelWanted
   | ConfirmRequest
   | ConfirmReply
   | PullRequest
--- a/packages/gateway/src/testing/start_relay.ts
+++ b/packages/gateway/src/testing/start_relay.ts
@@ -259,6 +259,7 @@
     chooser: new EngineChooser(engineTable, new LoadForecast(() => 0)),
     loader: {
       load: options.load ?? (() => Promise.resolve(false)),
+      requestModel: () => undefined,
     } as unknown as AdapterLoader,
     connections,
     members: new MemberTable("self", -10_000),
--- a/packages/serving/src/adapter_slot_table.ts
+++ b/packages/serving/src/adapter_slot_table.ts
@@ -130,7 +130,7 @@
 
 /** The adapter slots of one engine. */
 export class AdapterSlotTable {
-  readonly #slotCount: number;
+  #slotCount: number;
   #orderCount: number | undefined;
   #held = new Map<string, AdapterSlot>();
   readonly #pendingLoads = new Map<string, PendingLoad>();
@@ -161,6 +161,11 @@
     return this.#orderCount === undefined || this.#refusedAt !== undefined;
   }
 
+  /** Sets for how many adapters there is room. */
+  setSlotCount(slotCount: number): void {
+    this.#slotCount = slotCount;
+  }
+
   /** Sets whether the weight store is busy, over all engines. */
   setStoreBusy(isBusy: boolean): void {
     this.#isStoreBusy = isBusy;
@@ -281,7 +286,13 @@
 
   /** Applies a report of the engine. A report is ignored while an order is in
    * progress, and while it may be older than the last accepted order. */
-  applyReport(report: EngineReport, model: string, now: number): void {
+  applyReport(
+    report: Pick<EngineReport, "orderCount" | "fetching"> & {
+      /** The adapters that it holds. */
+      readonly held: readonly HeldAdapter[];
+    },
+    now: number,
+  ): void {
     if (this.#currentOrder !== undefined) return;
     const expectedCount = this.#orderCount;
     const refusedAt = this.#refusedAt;
@@ -293,7 +304,7 @@
       return;
     }
     this.#refusedAt = undefined;
-    const held = report.models.find((m) => m.name === model)?.adapters ?? [];
+    const { held } = report;
     if (expectedCount === undefined || report.orderCount !== expectedCount) {
       this.#resetFromReport(report, held, now);
       return;
@@ -333,7 +344,7 @@
   }
 
   #resetFromReport(
-    report: EngineReport,
+    report: Pick<EngineReport, "orderCount" | "fetching">,
     held: readonly HeldAdapter[],
     now: number,
   ) {
--- a/packages/serving/src/adapter_slot_table_test.ts
+++ b/packages/serving/src/adapter_slot_table_test.ts
@@ -1,23 +1,15 @@
 import { expect, test } from "vitest";
 import { AdapterSlotTable } from "./adapter_slot_table.ts";
-import type { EngineReport, HeldAdapter } from "./types.ts";
+import type { HeldAdapter } from "./types.ts";
 
-const MODEL = "m";
 const noneAnnounced = () => 0;
 
 function reportOf(
   orderCount: number,
   held: readonly HeldAdapter[] = [],
   fetching: readonly HeldAdapter[] = [],
-): EngineReport {
-  return {
-    startedAtMs: 1,
-    orderCount,
-    models: [{ name: MODEL, adapters: held }],
-    fetching,
-    running: 0,
-    waiting: 0,
-  };
+): Parameters<AdapterSlotTable["applyReport"]>[0] {
+  return { orderCount, held, fetching };
 }
 
 function held(...names: readonly string[]): readonly HeldAdapter[] {
@@ -30,7 +22,7 @@
   orders = 0,
 ): AdapterSlotTable {
   const table = new AdapterSlotTable(count);
-  table.applyReport(reportOf(orders, held(...names)), MODEL, 0);
+  table.applyReport(reportOf(orders, held(...names)), 0);
   return table;
 }
 
@@ -38,7 +30,7 @@
   const table = new AdapterSlotTable(4);
   table.requestLoad("a", 0, 0);
   expect(table.next(0, noneAnnounced)).toBeUndefined();
-  table.applyReport(reportOf(7), MODEL, 0);
+  table.applyReport(reportOf(7), 0);
   expect(table.next(0, noneAnnounced)).toMatchObject({
     action: "load",
     adapter: "a",
@@ -64,7 +56,7 @@
   table.next(0, noneAnnounced);
   table.recordOutcome("refused", 10, 1);
   expect(table.next(20, noneAnnounced)).toBeUndefined();
-  table.applyReport(reportOf(4, [], held("x")), MODEL, 100);
+  table.applyReport(reportOf(4, [], held("x")), 100);
   expect(table.find("x", 0)).toBeDefined();
   expect(table.next(100, noneAnnounced)?.orderCount).toBe(4);
 });
@@ -78,9 +70,9 @@
   table.next(300, noneAnnounced);
   table.recordOutcome("refused", 300, 1);
   // This report is older than the last accepted order and is ignored.
-  table.applyReport(reportOf(3), MODEL, 400);
+  table.applyReport(reportOf(3), 400);
   expect(table.next(400, noneAnnounced)).toBeUndefined();
-  table.applyReport(reportOf(4, [], held("a")), MODEL, 500);
+  table.applyReport(reportOf(4, [], held("a")), 500);
   expect(table.find("a", 0)?.readyAt).toBeGreaterThan(500);
   expect(table.next(500, noneAnnounced)).toMatchObject({
     adapter: "b",
@@ -96,7 +88,7 @@
   table.requestLoad("b", 0, 10);
   table.next(10, noneAnnounced);
   table.recordOutcome("refused", 10, 1);
-  table.applyReport(reportOf(3, held("a")), MODEL, 1000);
+  table.applyReport(reportOf(3, held("a")), 1000);
   expect(table.next(1000, noneAnnounced)?.orderCount).toBe(3);
 });
 
@@ -189,7 +181,7 @@
   expect(table.next(10_000, noneAnnounced)?.action).toBe("unload");
   table.recordOutcome("waiting", 10_010, 1);
   expect(table.next(10_020, noneAnnounced)).toBeUndefined();
-  table.applyReport(reportOf(6, held("b")), MODEL, 10_500);
+  table.applyReport(reportOf(6, held("b")), 10_500);
   expect(table.next(10_500, noneAnnounced)).toMatchObject({
     action: "load",
     adapter: "c",
@@ -202,7 +194,7 @@
   table.requestLoad("a", 0, 0);
   table.next(0, noneAnnounced);
   table.recordOutcome("done", 10, 1);
-  table.applyReport(reportOf(3), MODEL, 50);
+  table.applyReport(reportOf(3), 50);
   expect(table.find("a", 0)).toBeDefined();
 });
 
--- a/packages/serving/src/engine_table.ts
+++ b/packages/serving/src/engine_table.ts
@@ -6,7 +6,7 @@
  */
 import { EngineHealth } from "./engine_health.ts";
 import { EnginePath } from "./engine_path.ts";
-import type { Engine } from "./types.ts";
+import { adapterKey, type Engine } from "./types.ts";
 
 /** An adapter on an engine, in this instance's view. */
 export interface AdapterState {
@@ -121,10 +121,15 @@
   }
 }
 
+/** The adapters in an entry, by either name that they may have: it does not say how
+ * many models the service has. */
 function listedAdapters(engine: Engine): AdapterStates {
   return new Map(
     engine.models.flatMap((m) =>
-      m.adapters.map((a) => [a.name, { version: a.version, readyAt: 0 }])
+      m.adapters.flatMap((a): readonly [string, AdapterState][] => {
+        const state = { version: a.version, readyAt: 0 };
+        return [[a.name, state], [adapterKey(m.name, a.name), state]];
+      })
     ),
   );
 }
--- a/packages/serving/src/mod.ts
+++ b/packages/serving/src/mod.ts
@@ -36,6 +36,8 @@
 export * from "./load_totals.ts";
 export * from "./member_rank.ts";
 export * from "./member_table.ts";
+export * from "./model_placement/adapter_name.ts";
+export * from "./model_placement/plan_models.ts";
 export * from "./order_lease.ts";
 export * from "./owner_memory.ts";
 export * from "./path_delays.ts";
--- a/packages/serving/src/types.ts
+++ b/packages/serving/src/types.ts
@@ -144,8 +144,8 @@
   /** Number of orders accepted since the engine's start. */
   readonly orderCount: number;
   readonly models: readonly HeldModel[];
-  /** Adapters that are being fetched. */
-  readonly fetching: readonly HeldAdapter[];
+  /** Adapters that are being fetched, with their models. */
+  readonly fetching: readonly (HeldAdapter & { readonly model?: string })[];
   readonly running: number;
   readonly waiting: number;
   /** How long the engine stays cold, in milliseconds; undefined if the report
