Record the end of former processes of the same name only

Cause: an instance whose address for callers is a wildcard would take the reports of all others with that address for those of its former processes. Change: the name of the instance must agree, too. Result: the 37 tests of software_versions pass.

--- a/packages/gateway/src/software_versions/former_processes.ts
+++ b/packages/gateway/src/software_versions/former_processes.ts
@@ -8,6 +8,7 @@
 import { setTimeout as pause } from "node:timers/promises";
 import type { EventLog } from "@banyanlb/core";
 import {
+  type Member,
   type RecordStore,
   StoreCallError,
   type StoredRecord,
@@ -20,11 +21,10 @@
 
 /** Parts of the gateway that the record of former processes needs. */
 export interface FormerProcessesOptions {
+  readonly self: Pick<Member, "name" | "callerAddress">;
   readonly store: Pick<RecordStore, "list" | "put">;
   /** Name of this process's report. */
   readonly reportName: string;
-  /** Where this process listens for callers. */
-  readonly address: string;
   readonly log: EventLog;
 }
 
@@ -72,8 +72,9 @@
   }
 
   #isFormer({ name, value }: StoredRecord): boolean {
-    const { reportName, address } = this.#options;
-    return name !== reportName && addressOf(value) === address &&
+    const { self, reportName } = this.#options;
+    return name !== reportName && name.startsWith(`${self.name}.`) &&
+      addressOf(value) === self.callerAddress &&
       decodeReport(value).endedAt === undefined;
   }
 }
--- a/packages/gateway/src/software_versions/software_versions.ts
+++ b/packages/gateway/src/software_versions/software_versions.ts
@@ -49,18 +49,13 @@
     const { self, members, store } = options;
     const { streams } = this;
     const reportName = reportNameOf(self);
-    const address = self.callerAddress;
     this.#adoption = new SplitAdoption(store, {
       ...options,
       streams,
       reportName,
-      address,
-    });
-    this.#formerProcesses = new FormerProcesses({
-      ...options,
-      reportName,
-      address,
+      address: self.callerAddress,
     });
+    this.#formerProcesses = new FormerProcesses({ ...options, reportName });
     const adoption = this.#adoption;
     this.versions = new StreamVersions({ ...options, adoption, streams });
     this.#keeper = new SplitKeeper(store, {
